Start the workspace with shared types, messages and tables

Cause: the repository is empty; every later part needs its place and its types. Conclusion: parts can be built side by side against these types.

--- /dev/null
+++ b/adapters/load-budget/src/index.ts
@@ -0,0 +1,2 @@
+/** Load budget shared between zones. */
+export {}
--- /dev/null
+++ b/adapters/load-scheduler/src/index.ts
@@ -0,0 +1,2 @@
+/** Order, sharing, back-off and prefetch of loads. */
+export {}
--- /dev/null
+++ b/adapters/popularity/src/index.ts
@@ -0,0 +1,2 @@
+/** Decayed request rates per adapter. */
+export {}
--- /dev/null
+++ b/adapters/residency/src/index.ts
@@ -0,0 +1,2 @@
+/** Slots of an endpoint and the choice of what to evict. */
+export {}
--- /dev/null
+++ b/cli/main/src/index.ts
@@ -0,0 +1,2 @@
+/** catkinferry: the operator command line. */
+export {}
--- /dev/null
+++ b/consensus/durable-log/src/index.ts
@@ -0,0 +1,2 @@
+/** Append-only segments, hard state and snapshots on disk. */
+export {}
--- /dev/null
+++ b/consensus/log-machine/src/index.ts
@@ -0,0 +1,2 @@
+/** Replicated log as a pure state machine. */
+export {}
--- /dev/null
+++ b/consensus/voter/src/index.ts
@@ -0,0 +1,2 @@
+/** A voter: log machine, state machine and command intake. */
+export {}
--- /dev/null
+++ b/core/logger/src/index.ts
@@ -0,0 +1,2 @@
+/** JSON-line logs. */
+export {}
--- /dev/null
+++ b/core/metrics/src/index.ts
@@ -0,0 +1,2 @@
+/** StatsD metrics. */
+export {}
--- /dev/null
+++ b/core/types/src/endpoints.ts
@@ -0,0 +1,55 @@
+/** Endpoints as the system sees them. */
+import type { AdapterKey, DurationMs, EndpointId, ModelId, RegionId, ZoneId } from './ids.ts'
+
+export const EndpointKind = { ENGINE: 'engine', SERVICE: 'service' } as const
+export type EndpointKind = typeof EndpointKind[keyof typeof EndpointKind]
+
+/** An endpoint as the platform list or the settings name it. */
+export interface EndpointRow {
+  readonly endpoint: EndpointId
+  readonly kind: EndpointKind
+  readonly zone: ZoneId
+  readonly region: RegionId
+  /** `http://ip:port` */
+  readonly url: string
+  /** The pool (role) it serves: a model pool for engines, a route for services. */
+  readonly pool: string
+  readonly model?: ModelId
+  readonly leaving: boolean
+}
+
+/** What an engine reports of itself, with a lag. */
+export interface EndpointReport {
+  /** Changes whenever the engine restarts. */
+  readonly instanceId: string
+  readonly resident: readonly AdapterKey[]
+  readonly loading: readonly AdapterKey[]
+  /** Running requests by adapter. */
+  readonly running: Readonly<Record<AdapterKey, number>>
+  readonly runningCount: number
+  readonly queuedCount: number
+  readonly batchLimit: number
+  readonly slots: number
+  readonly pool: string
+  /** True when the engine refuses orders with an old fencing number. */
+  readonly checksFencing: boolean
+  readonly highestFencing: number
+  /** How old the figures were when the engine answered. */
+  readonly ageMs: DurationMs
+}
+
+/** An order to an engine. Orders are idempotent. */
+export type Order =
+  | { readonly kind: 'load', readonly adapterKey: AdapterKey }
+  | { readonly kind: 'evict', readonly adapterKey: AdapterKey }
+  | { readonly kind: 'setRole', readonly pool: string }
+
+/** How an order ended, as far as is known. */
+export type OrderOutcome =
+  | { readonly kind: 'done', readonly tookMs: DurationMs }
+  | { readonly kind: 'refusedFencing', readonly highestFencing: number }
+  | { readonly kind: 'failed', readonly reason: string }
+  /** Never sent: the time limit had passed. */
+  | { readonly kind: 'notSent' }
+  /** Sent, answer lost. */
+  | { readonly kind: 'unknown' }
--- /dev/null
+++ b/core/types/src/ids.ts
@@ -0,0 +1,39 @@
+/** Identifiers. All are opaque strings, except where a format is given. */
+
+export type HostId = string
+export type ZoneId = string
+export type RegionId = string
+export type EndpointId = string
+export type CallerId = string
+export type ModelId = string
+export type AdapterName = string
+export type VersionName = string
+/** `adapter@version`, the unit of residency. */
+export type AdapterKey = string
+export type RequestId = string
+/** Unique for each dispatch of a request: `<requestId>.<n>`. */
+export type AttemptId = string
+export type OrderId = string
+export type ChangeId = string
+/** Idempotency key of a non-idempotent request. */
+export type ClaimKey = string
+/** Path in a settings tree, segments joined with `/`. */
+export type NodePath = string
+
+/** Milliseconds on the monotonic clock of one host. */
+export type MonotonicMs = number
+/** Milliseconds since the Unix epoch. */
+export type WallMs = number
+export type DurationMs = number
+
+/** Joins an adapter and a version to its key. */
+export function formatAdapterKey (adapter: AdapterName, version: VersionName): AdapterKey {
+  return `${adapter}@${version}`
+}
+
+/** Splits `adapter@version`; the version is undefined when there is none. */
+export function parseAdapterKey (key: string): { adapter: AdapterName, version: VersionName | undefined } {
+  const at = key.lastIndexOf('@')
+  if (at <= 0) return { adapter: key, version: undefined }
+  return { adapter: key.slice(0, at), version: key.slice(at + 1) }
+}
--- /dev/null
+++ b/core/types/src/index.ts
@@ -0,0 +1,6 @@
+/** Types that all packages share. */
+export * from './ids.ts'
+export * from './requests.ts'
+export * from './endpoints.ts'
+export * from './operators.ts'
+export * from './views.ts'
--- /dev/null
+++ b/core/types/src/requests.ts
@@ -0,0 +1,76 @@
+/** What callers submit and what they are answered. */
+import type { Failure } from '@catkinferry/core.errors'
+import type { AdapterName, AttemptId, CallerId, ClaimKey, DurationMs, EndpointId, RequestId, VersionName } from './ids.ts'
+
+/** Service classes, most urgent first. */
+export const ServiceClass = { URGENT: 'urgent', STANDARD: 'standard', OVERNIGHT: 'overnight' } as const
+export type ServiceClass = typeof ServiceClass[keyof typeof ServiceClass]
+
+/** What a request asks to be run. */
+export type Work = AdapterWork | ServiceWork
+
+/** A completion by an adapter on a model engine. */
+export interface AdapterWork {
+  readonly kind: 'adapter'
+  readonly adapter: AdapterName
+  /** Undefined: the version in force on arrival. */
+  readonly version?: VersionName
+  readonly form: 'completions' | 'chat'
+  /** The caller's JSON body without `model` and `stream`. */
+  readonly body: Readonly<Record<string, unknown>>
+  readonly stream: boolean
+  /** Hash of the leading prompt, for prefix affinity. */
+  readonly prefixHash?: string
+  readonly promptTokens: number
+  readonly maxTokens: number
+}
+
+/** A call of a plain service route. */
+export interface ServiceWork {
+  readonly kind: 'service'
+  readonly route: string
+  readonly method: string
+  readonly path: string
+  readonly body: string
+  readonly contentType?: string
+}
+
+/** A request as admitted from a caller. */
+export interface CallerRequest {
+  readonly requestId: RequestId
+  readonly caller: CallerId
+  readonly work: Work
+  readonly idempotent: boolean
+  /** Given by the caller for non-idempotent work; one is made when absent. */
+  readonly claimKey?: ClaimKey
+  readonly serviceClass: ServiceClass
+  /** Time left for the whole answer on arrival. */
+  readonly deadlineMs: DurationMs
+}
+
+/** Which adapter, version and attempt an endpoint says it answers for. */
+export interface AnswerEcho {
+  readonly attemptId: AttemptId
+  /** Undefined on plain services. */
+  readonly adapter?: AdapterName
+  readonly version?: VersionName
+}
+
+/** Facts about the answer that the caller is told. */
+export interface AnswerFacts {
+  readonly requestId: RequestId
+  readonly adapter?: AdapterName
+  readonly version?: VersionName
+  readonly endpoint?: EndpointId
+  readonly claimKey?: ClaimKey
+  readonly attempts: number
+  readonly queueMs: DurationMs
+  readonly loadStallMs: DurationMs
+  /** True when a stored answer of an earlier submission with the same key is given. */
+  readonly replayed?: boolean
+}
+
+/** The failure of a request. Always says whether it ran. */
+export interface RequestFailure extends Failure {
+  readonly ran: 'no' | 'yes' | 'unknown'
+}
--- /dev/null
+++ b/daemon/config/src/index.ts
@@ -0,0 +1,2 @@
+/** The settings file of a host. */
+export {}
--- /dev/null
+++ b/daemon/main/src/index.ts
@@ -0,0 +1,2 @@
+/** catkinferryd: the daemon of an entry host. */
+export {}
--- /dev/null
+++ b/daemon/main/src/main.ts
@@ -0,0 +1,2 @@
+/** Entry point of the binary. */
+export {}
--- /dev/null
+++ b/endpoints/engine-driver/src/index.ts
@@ -0,0 +1,2 @@
+/** Model engine protocol over HTTP. */
+export {}
--- /dev/null
+++ b/endpoints/platform-driver/src/index.ts
@@ -0,0 +1,2 @@
+/** The platform list over HTTP. */
+export {}
--- /dev/null
+++ b/endpoints/service-driver/src/index.ts
@@ -0,0 +1,2 @@
+/** Plain service calls over HTTP. */
+export {}
--- /dev/null
+++ b/gateway/caller-api/src/index.ts
@@ -0,0 +1,2 @@
+/** HTTP API for callers. */
+export {}
--- /dev/null
+++ b/gateway/operator-api/src/index.ts
@@ -0,0 +1,2 @@
+/** HTTP API for operators. */
+export {}
--- /dev/null
+++ b/host/core/src/index.ts
@@ -0,0 +1,2 @@
+/** The deterministic host: events in, outputs out. */
+export {}
--- /dev/null
+++ b/host/events/src/events.ts
@@ -0,0 +1,51 @@
+/** Everything that a host core takes in. */
+import type { Failure } from '@catkinferry/core.errors'
+import type { DiskAnswer, PeerMessage } from '@catkinferry/wire.messages'
+import type {
+  AdapterKey, AnswerEcho, AttemptId, CallerRequest, EndpointId, EndpointReport, EndpointRow, HostId, OperatorRequest, OrderId,
+  OrderOutcome, RequestId, ZoneId
+} from '@catkinferry/core.types'
+
+export type HostEvent =
+  | { readonly kind: 'peer.message', readonly from: HostId, readonly message: PeerMessage }
+  | { readonly kind: 'peer.link', readonly host: HostId, readonly up: boolean }
+  | { readonly kind: 'caller.submit', readonly request: CallerRequest }
+  /** The caller closed its connection or stopped reading. */
+  | { readonly kind: 'caller.gone', readonly requestId: RequestId }
+  | AttemptEvent
+  | { readonly kind: 'order.result', readonly orderId: OrderId, readonly endpoint: EndpointId, readonly outcome: OrderOutcome }
+  | { readonly kind: 'endpoint.report', readonly endpoint: EndpointId, readonly report: EndpointReport }
+  | { readonly kind: 'endpoint.unreachable', readonly endpoint: EndpointId }
+  /** Engines publish cache events late and with gaps. */
+  | { readonly kind: 'endpoint.cache', readonly endpoint: EndpointId, readonly change: 'stored' | 'dropped', readonly prefixHashes: readonly string[] }
+  | { readonly kind: 'platform.list', readonly endpoints: readonly EndpointRow[], readonly hosts: readonly PlatformHost[] }
+  | { readonly kind: 'platform.unreachable' }
+  | { readonly kind: 'disk.answer', readonly answer: DiskAnswer }
+  | { readonly kind: 'operator.request', readonly opId: string, readonly request: OperatorRequest }
+  /** Graceful shutdown was asked for. */
+  | { readonly kind: 'host.stop' }
+
+/** A host as the platform lists it. */
+export interface PlatformHost {
+  readonly host: HostId
+  readonly zone: ZoneId
+  readonly leaving: boolean
+}
+
+/** What happens to one dispatch at an endpoint. */
+export type AttemptEvent =
+  /** Response head arrived. */
+  | { readonly kind: 'attempt.started', readonly attemptId: AttemptId, readonly echo: AnswerEcho, readonly status: number, readonly contentType?: string }
+  /** One part of the answer, in order from 0 (or from `resumeFrom`). `data` is handed to the caller as it is. */
+  | { readonly kind: 'attempt.chunk', readonly attemptId: AttemptId, readonly echo: AnswerEcho, readonly index: number, readonly data: string, readonly tokens: number }
+  /** The endpoint's own end marker arrived. */
+  | { readonly kind: 'attempt.ended', readonly attemptId: AttemptId, readonly echo: AnswerEcho, readonly chunks: number }
+  /** `sent` is false only when no byte of the request could have left this process. */
+  | { readonly kind: 'attempt.failed', readonly attemptId: AttemptId, readonly failure: Failure, readonly sent: boolean, readonly refused?: 'busy' | 'notResident' | 'leaving' }
+
+/** The adapter that an attempt must run on. */
+export interface AttemptTarget {
+  readonly attemptId: AttemptId
+  readonly endpoint: EndpointId
+  readonly adapterKey?: AdapterKey
+}
--- /dev/null
+++ b/host/events/src/outputs.ts
@@ -0,0 +1,70 @@
+/** Everything that a host core asks its shell to do. */
+import type { Failure } from '@catkinferry/core.errors'
+import type { DiskRequest, PeerMessage } from '@catkinferry/wire.messages'
+import type {
+  AdapterWork, AnswerFacts, AttemptId, EndpointId, HostId, MonotonicMs, OperatorReply, Order, OrderId, RequestFailure, RequestId,
+  ServiceClass, ServiceWork
+} from '@catkinferry/core.types'
+
+export type HostOutput =
+  | { readonly kind: 'peer.send', readonly to: HostId, readonly message: PeerMessage }
+  | AttemptStart
+  | { readonly kind: 'attempt.cancel', readonly attemptId: AttemptId }
+  | OrderSend
+  /** Cut an order that was given up on, with a connection reset. */
+  | { readonly kind: 'order.cut', readonly orderId: OrderId }
+  | { readonly kind: 'endpoint.poll', readonly endpoint: EndpointId, readonly url: string }
+  | { readonly kind: 'platform.poll' }
+  | { readonly kind: 'disk.request', readonly request: DiskRequest }
+  | { readonly kind: 'caller.head', readonly requestId: RequestId, readonly facts: AnswerFacts, readonly status: number, readonly contentType?: string }
+  | { readonly kind: 'caller.chunk', readonly requestId: RequestId, readonly data: string }
+  | { readonly kind: 'caller.end', readonly requestId: RequestId, readonly facts: AnswerFacts }
+  /** Before the head: an HTTP error. After it: the stream is ended with an error and no end marker. */
+  | { readonly kind: 'caller.fail', readonly requestId: RequestId, readonly failure: RequestFailure }
+  | { readonly kind: 'operator.reply', readonly opId: string, readonly reply: OperatorReply }
+  | { readonly kind: 'log', readonly level: 'debug' | 'info' | 'warn' | 'error', readonly message: string, readonly fields: LogFields }
+  | { readonly kind: 'metric', readonly type: 'count' | 'gauge' | 'timing', readonly name: string, readonly value: number, readonly tags?: Readonly<Record<string, string>> }
+  /** Whether the balancer may send callers here. */
+  | { readonly kind: 'host.health', readonly ready: boolean, readonly reason: string }
+  /** Graceful shutdown is complete: the shell closes its links and ends the process. */
+  | { readonly kind: 'host.stopped' }
+
+/** Structured log fields. */
+export interface LogFields {
+  readonly step?: string
+  readonly peer?: string
+  readonly requestId?: RequestId
+  readonly failure?: Failure
+  readonly [key: string]: unknown
+}
+
+/** Dispatch of a request to an endpoint. The shell reads its clock again and does not send after `sendBeforeMs`. */
+export interface AttemptStart {
+  readonly kind: 'attempt.start'
+  readonly attemptId: AttemptId
+  readonly requestId: RequestId
+  readonly endpoint: EndpointId
+  readonly url: string
+  readonly work: AdapterWork | ServiceWork
+  readonly serviceClass: ServiceClass
+  readonly freshConnection: boolean
+  /** Resume the stream from this chunk. */
+  readonly resumeFrom?: number
+  readonly sendBeforeMs: MonotonicMs
+  /** The shell cancels the attempt at this time. */
+  readonly endBeforeMs: MonotonicMs
+  /** Silence on the stream beyond this is a failure. */
+  readonly progressTimeoutMs: number
+}
+
+/** An order to an engine. Not sent after `sendBeforeMs`; cut with a reset at `cutAtMs`. */
+export interface OrderSend {
+  readonly kind: 'order.send'
+  readonly orderId: OrderId
+  readonly endpoint: EndpointId
+  readonly url: string
+  readonly order: Order
+  readonly fencing: number
+  readonly sendBeforeMs: MonotonicMs
+  readonly cutAtMs: MonotonicMs
+}
--- /dev/null
+++ b/ledger/claims/src/index.ts
@@ -0,0 +1,2 @@
+/** Claims for non-idempotent requests. */
+export {}
--- /dev/null
+++ b/routing/admission/src/index.ts
@@ -0,0 +1,2 @@
+/** Classes, deadlines and per-caller limits. */
+export {}
--- /dev/null
+++ b/routing/breakers/src/index.ts
@@ -0,0 +1,2 @@
+/** Circuit breakers per endpoint. */
+export {}
--- /dev/null
+++ b/routing/explain/src/index.ts
@@ -0,0 +1,2 @@
+/** Bounded record of decisions per request. */
+export {}
--- /dev/null
+++ b/routing/limits/src/index.ts
@@ -0,0 +1,2 @@
+/** Adaptive concurrency limits. */
+export {}
--- /dev/null
+++ b/routing/queues/src/index.ts
@@ -0,0 +1,2 @@
+/** Bounded deadline-first queues with ageing. */
+export {}
--- /dev/null
+++ b/routing/requests/src/index.ts
@@ -0,0 +1,2 @@
+/** The life of a request from submission to answer. */
+export {}
--- /dev/null
+++ b/routing/retries/src/index.ts
@@ -0,0 +1,2 @@
+/** Retry budget, jitter and hedging. */
+export {}
--- /dev/null
+++ b/routing/router/src/index.ts
@@ -0,0 +1,2 @@
+/** Choice of endpoint by cost. */
+export {}
--- /dev/null
+++ b/settings/command-client/src/index.ts
@@ -0,0 +1,2 @@
+/** Submits commands to the leader and settles lost answers. */
+export {}
--- /dev/null
+++ b/settings/dissemination/src/index.ts
@@ -0,0 +1,2 @@
+/** Settings deltas from leader to zone relay to host. */
+export {}
--- /dev/null
+++ b/settings/replicated-state/src/index.ts
@@ -0,0 +1,2 @@
+/** The replicated state machine: settings, adapters, audit trail, change ids, ledger. */
+export {}
--- /dev/null
+++ b/settings/schema/src/index.ts
@@ -0,0 +1,2 @@
+/** Schema of every settings key. */
+export {}
--- /dev/null
+++ b/settings/tree/src/index.ts
@@ -0,0 +1,2 @@
+/** Inheriting settings trees with revisions. */
+export {}
--- /dev/null
+++ b/testing/fakes/src/index.ts
@@ -0,0 +1,2 @@
+/** Small fake engine, service and platform over HTTP. */
+export {}
--- /dev/null
+++ b/testing/fuzz/src/index.ts
@@ -0,0 +1,2 @@
+/** Stateful fuzzing and the fault matrix. */
+export {}
--- /dev/null
+++ b/testing/measure/src/index.ts
@@ -0,0 +1,2 @@
+/** Load and experiment tool. */
+export {}
--- /dev/null
+++ b/testing/network/src/index.ts
@@ -0,0 +1,2 @@
+/** In-memory network of host cores on virtual time. */
+export {}
--- /dev/null
+++ b/testing/oracle/src/index.ts
@@ -0,0 +1,2 @@
+/** Checks what must always hold from observations alone. */
+export {}
--- /dev/null
+++ b/wire/frames/src/index.ts
@@ -0,0 +1,2 @@
+/** Length-prefixed cbor-x frames. */
+export {}
--- /dev/null
+++ b/wire/messages/src/commands.ts
@@ -0,0 +1,59 @@
+/** Commands to the replicated state, and their outcomes. */
+import type { Failure } from '@catkinferry/core.errors'
+import type { AttemptId, ChangeId, ClaimKey, EndpointId, HostId, NodeChange, OperatorIdentity, WallMs } from '@catkinferry/core.types'
+
+export type Command =
+  | { readonly kind: 'settings.change', readonly changeId: ChangeId, readonly operator: OperatorIdentity, readonly changes: readonly NodeChange[] }
+  /** Puts a refused change on the audit trail. */
+  | { readonly kind: 'audit.refused', readonly changeId: ChangeId, readonly operator: OperatorIdentity, readonly changes: readonly NodeChange[], readonly failure: Failure }
+  | { readonly kind: 'claim.take', readonly claimKey: ClaimKey, readonly attemptId: AttemptId, readonly host: HostId, readonly keyCreatedAt: WallMs, readonly fingerprint: string }
+  | { readonly kind: 'claim.finish', readonly claimKey: ClaimKey, readonly attemptId: AttemptId, readonly outcome: ClaimOutcome }
+  | { readonly kind: 'claim.resolve', readonly changeId: ChangeId, readonly operator: OperatorIdentity, readonly claimKey: ClaimKey, readonly resolution: 'done' | 'notRun', readonly note: string }
+  | { readonly kind: 'endpoint.fact', readonly endpoint: EndpointId, readonly checksFencing: boolean }
+
+/** How non-idempotent work ended. */
+export type ClaimOutcome =
+  | { readonly kind: 'done', readonly answer?: StoredAnswer }
+  | { readonly kind: 'notRun', readonly reason: string }
+  | { readonly kind: 'unknown', readonly reason: string }
+
+/** An answer kept for resends; `body` is absent where it was over the size limit. */
+export interface StoredAnswer {
+  readonly status: number
+  readonly contentType?: string
+  readonly body?: string
+  readonly adapter?: string
+  readonly version?: string
+}
+
+/** What applying a command gave. */
+export type CommandOutcome =
+  /** `repeated`: the change id was seen before; this is its first answer. */
+  | { readonly kind: 'settings.accepted', readonly revision: number, readonly repeated: boolean, readonly nodes: readonly { readonly path: string, readonly revision: number }[] }
+  | { readonly kind: 'settings.refused', readonly failure: Failure, readonly repeated: boolean, readonly current?: unknown }
+  | { readonly kind: 'claim.taken' }
+  /** Somebody else holds the key, or it is finished. */
+  | { readonly kind: 'claim.held', readonly attemptId: AttemptId, readonly host: HostId, readonly outcome?: ClaimOutcome, readonly sameFingerprint: boolean }
+  /** The key is older than the retention horizon. */
+  | { readonly kind: 'claim.expired' }
+  | { readonly kind: 'claim.finished' }
+  | { readonly kind: 'claim.resolved' }
+  | { readonly kind: 'recorded' }
+
+/** Sent by any host to a voter, which hands it on to the leader. */
+export type CommandMessage =
+  | { readonly kind: 'command.submit', readonly commandId: string, readonly origin: HostId, readonly command: Command, readonly hops: number }
+  | { readonly kind: 'command.outcome', readonly commandId: string, readonly outcome: CommandOutcome }
+  /** Certain not to be committed by this submission. */
+  | { readonly kind: 'command.refused', readonly commandId: string, readonly reason: 'notLeader' | 'busy', readonly leader?: HostId }
+  | { readonly kind: 'query.ask', readonly queryId: string, readonly origin: HostId, readonly query: Query, readonly fresh: boolean, readonly hops: number }
+  | { readonly kind: 'query.answer', readonly queryId: string, readonly answer: unknown, readonly failure?: Failure, readonly leader?: HostId }
+
+/** Reads of replicated state that hosts do not hold themselves. */
+export type Query =
+  | { readonly kind: 'claim', readonly claimKey: ClaimKey }
+  | { readonly kind: 'claims', readonly state?: string, readonly limit: number }
+  | { readonly kind: 'audit', readonly afterSequence: number, readonly limit: number, readonly path?: string, readonly who?: string }
+  | { readonly kind: 'settings', readonly path: string, readonly effective: boolean, readonly explain: boolean }
+  | { readonly kind: 'voters' }
+  | { readonly kind: 'settingsStatus' }
--- /dev/null
+++ b/wire/messages/src/consensus.ts
@@ -0,0 +1,71 @@
+/** Messages of the replicated log, and what a voter asks of its disk. */
+import type { HostId, WallMs } from '@catkinferry/core.types'
+import type { Command } from './commands.ts'
+
+/** One entry of the replicated log. */
+export interface LogEntry {
+  readonly index: number
+  readonly term: number
+  readonly payload: LogPayload
+}
+
+export type LogPayload =
+  | { readonly kind: 'noop' }
+  | { readonly kind: 'membership', readonly membership: Membership }
+  /** `proposedAt` is the leader's wall clock, so that all voters apply the same time. */
+  | { readonly kind: 'commands', readonly proposedAt: WallMs, readonly commands: readonly Command[] }
+
+/** Who votes and who only receives entries. `incarnation` tells a wiped disk from the voter it replaced. */
+export interface Membership {
+  readonly voters: readonly VoterId[]
+  readonly learners: readonly VoterId[]
+}
+
+export interface VoterId {
+  readonly host: HostId
+  readonly incarnation: string
+}
+
+export type ConsensusMessage =
+  | { readonly kind: 'consensus.preVote', readonly group: string, readonly incarnation: string, readonly term: number, readonly lastIndex: number, readonly lastTerm: number }
+  | { readonly kind: 'consensus.preVoteAnswer', readonly group: string, readonly incarnation: string, readonly term: number, readonly granted: boolean }
+  | { readonly kind: 'consensus.vote', readonly group: string, readonly incarnation: string, readonly term: number, readonly lastIndex: number, readonly lastTerm: number, readonly transfer: boolean }
+  | { readonly kind: 'consensus.voteAnswer', readonly group: string, readonly incarnation: string, readonly term: number, readonly granted: boolean }
+  | { readonly kind: 'consensus.append', readonly group: string, readonly incarnation: string, readonly term: number, readonly previousIndex: number, readonly previousTerm: number, readonly entries: readonly LogEntry[], readonly commitIndex: number, readonly readRound: number }
+  | { readonly kind: 'consensus.appendAnswer', readonly group: string, readonly incarnation: string, readonly term: number, readonly success: boolean, readonly matchIndex: number, readonly readRound: number }
+  | { readonly kind: 'consensus.snapshotChunk', readonly group: string, readonly incarnation: string, readonly term: number, readonly lastIndex: number, readonly lastTerm: number, readonly membership: Membership, readonly offset: number, readonly totalBytes: number, readonly data: Uint8Array }
+  | { readonly kind: 'consensus.snapshotAnswer', readonly group: string, readonly incarnation: string, readonly term: number, readonly lastIndex: number, readonly nextOffset: number, readonly done: boolean }
+  | { readonly kind: 'consensus.timeoutNow', readonly group: string, readonly incarnation: string, readonly term: number }
+
+/** What a voter asks of its disk. Requests are carried out in order; each is synced before it is answered. */
+export type DiskRequest =
+  | { readonly kind: 'append', readonly writeId: number, readonly entries: readonly LogEntry[] }
+  /** Removes entries from this index on, then appends. */
+  | { readonly kind: 'replaceFrom', readonly writeId: number, readonly index: number, readonly entries: readonly LogEntry[] }
+  | { readonly kind: 'hardState', readonly writeId: number, readonly state: HardState }
+  | { readonly kind: 'snapshot', readonly writeId: number, readonly snapshot: Snapshot }
+
+export interface HardState {
+  readonly term: number
+  readonly votedFor?: HostId
+}
+
+export interface Snapshot {
+  readonly lastIndex: number
+  readonly lastTerm: number
+  readonly membership: Membership
+  readonly data: Uint8Array
+}
+
+export type DiskAnswer =
+  | { readonly writeId: number, readonly ok: true }
+  | { readonly writeId: number, readonly ok: false, readonly reason: string }
+
+/** What a voter finds on its disk when it starts. */
+export interface StoredState {
+  readonly group: string
+  readonly incarnation: string
+  readonly hardState: HardState
+  readonly snapshot?: Snapshot
+  readonly entries: readonly LogEntry[]
+}
--- /dev/null
+++ b/wire/peer-links/src/index.ts
@@ -0,0 +1,2 @@
+/** Peer links over TCP and mutual TLS. */
+export {}
--- /dev/null
+++ b/zone/coordination/src/index.ts
@@ -0,0 +1,2 @@
+/** Leases, ownership, membership and grants of a zone as one system. */
+export {}
--- /dev/null
+++ b/zone/grants/src/index.ts
@@ -0,0 +1,2 @@
+/** Grants, pins and take-over at the owner of an endpoint. */
+export {}
--- /dev/null
+++ b/zone/leases/src/index.ts
@@ -0,0 +1,2 @@
+/** Majority lease of an availability zone. */
+export {}
--- /dev/null
+++ b/zone/membership/src/index.ts
@@ -0,0 +1,2 @@
+/** Hosts and endpoints from the platform list and heartbeats. */
+export {}
--- /dev/null
+++ b/zone/ownership/src/index.ts
@@ -0,0 +1,2 @@
+/** Assignment of endpoints to owners with sub-leases and fencing numbers. */
+export {}
