--- a/testing/measure/src/index.ts
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Load and experiment tool. */
-export {}
--- a/wire/messages/src/index.ts
+++ b/wire/messages/src/index.ts
@@ -7,6 +7,7 @@
 export * from './commands.ts'
 export * from './consensus.ts'
 export * from './settings.ts'
+export * from './stateMachine.ts'
 export * from './zone.ts'
 
 export type PeerMessage =
--- /dev/null
+++ b/wire/messages/src/stateMachine.ts
@@ -0,0 +1,13 @@
+/** What the replicated log needs of the state that it replicates. */
+import type { WallMs } from '@catkinferry/core.types'
+import type { Command, CommandOutcome, Query } from './commands.ts'
+
+/** Deterministic: the same commands in the same order give the same state and outcomes on every voter. */
+export interface StateMachine {
+  readonly apply: (opts: { readonly index: number, readonly proposedAt: WallMs, readonly command: Command }) => CommandOutcome
+  readonly takeSnapshot: () => Uint8Array
+  /** Replaces the whole state. */
+  readonly restoreSnapshot: (data: Uint8Array) => void
+  /** Plain data for an operator or a host. */
+  readonly answerQuery: (query: Query) => unknown
+}
