--- a/core/logger/src/index.ts
+++ b/core/logger/src/index.ts
@@ -1,2 +1,2 @@
 /** JSON-line logs. */
-export {}
+export * from './logger.ts'
--- a/core/metrics/src/index.ts
+++ b/core/metrics/src/index.ts
@@ -1,2 +1,3 @@
 /** StatsD metrics. */
-export {}
+export * from './metrics.ts'
+export * from './metricNames.ts'
--- /dev/null
+++ b/testing/fakes/src/fakeAnswers.ts
@@ -0,0 +1,44 @@
+/** Bodies of the fake engine's answers. The text is a function of the prompt alone. */
+
+export type FakeForm = 'completions' | 'chat'
+
+export interface FakeAnswerOptions {
+  readonly form: FakeForm
+  readonly attemptId: string
+  readonly model: string
+}
+
+const OBJECT_NAMES: Readonly<Record<FakeForm, { whole: string, part: string }>> = {
+  completions: { whole: 'text_completion', part: 'text_completion' },
+  chat: { whole: 'chat.completion', part: 'chat.completion.chunk' }
+}
+
+/** The n-th word of the answer to a prompt. */
+export function buildFakeWord (prompt: string, index: number): string {
+  return `${prompt.slice(0, 8)}-${index} `
+}
+
+/** One stream chunk, as JSON. */
+export function buildFakeChunk (opts: FakeAnswerOptions, word: string, last: boolean): string {
+  const finish = last ? 'stop' : null
+  const choice = opts.form === 'chat'
+    ? { index: 0, delta: { content: word }, finish_reason: finish }
+    : { index: 0, text: word, finish_reason: finish }
+  return JSON.stringify({ id: opts.attemptId, object: OBJECT_NAMES[opts.form].part, created: 0, model: opts.model, choices: [choice] })
+}
+
+/** A whole answer. */
+export function buildFakeAnswer (opts: FakeAnswerOptions, text: string, tokens: number): unknown {
+  const choice = opts.form === 'chat'
+    ? { index: 0, message: { role: 'assistant', content: text }, finish_reason: 'stop' }
+    : { index: 0, text, finish_reason: 'stop' }
+  const usage = { prompt_tokens: 1, completion_tokens: tokens, total_tokens: tokens + 1 }
+  return { id: opts.attemptId, object: OBJECT_NAMES[opts.form].whole, created: 0, model: opts.model, choices: [choice], usage }
+}
+
+/** The prompt of a completions or chat body. */
+export function findFakePrompt (body: Record<string, unknown>): string {
+  if (typeof body.prompt === 'string') return body.prompt
+  const messages = Array.isArray(body.messages) ? body.messages as { content?: unknown }[] : []
+  return String(messages.at(-1)?.content ?? '')
+}
--- /dev/null
+++ b/testing/fakes/src/fakeBatch.ts
@@ -0,0 +1,52 @@
+/** Continuous batching: a bounded number of requests run at once, the rest wait by priority. */
+
+export interface FakeBatch {
+  /** Resolves with a function that leaves the batch; undefined when `isGone` held at its turn. */
+  readonly enter: (priority: number, isGone: () => boolean) => Promise<(() => void) | undefined>
+  readonly getRunning: () => number
+  readonly getQueued: () => number
+}
+
+interface Waiter {
+  readonly priority: number
+  readonly order: number
+  readonly isGone: () => boolean
+  readonly start: (leave: (() => void) | undefined) => void
+}
+
+/** Creates a batch of at most `limit` running requests; lower priorities go first. */
+export function createFakeBatch (limit: number): FakeBatch {
+  const waiters: Waiter[] = []
+  let running = 0
+  let order = 0
+
+  function createLeave (): () => void {
+    running += 1
+    let left = false
+    return () => {
+      if (left) return
+      left = true
+      running -= 1
+      startNext()
+    }
+  }
+
+  function startNext (): void {
+    while (running < limit) {
+      const next = waiters.shift()
+      if (next === undefined) return
+      next.start(next.isGone() ? undefined : createLeave())
+    }
+  }
+
+  return {
+    enter: async (priority, isGone) => await new Promise(resolve => {
+      waiters.push({ priority, order, isGone, start: resolve })
+      order += 1
+      waiters.sort((a, b) => a.priority - b.priority || a.order - b.order)
+      startNext()
+    }),
+    getRunning: () => running,
+    getQueued: () => waiters.length
+  }
+}
