--- a/ledger/claims/src/index.ts
+++ b/ledger/claims/src/index.ts
@@ -1,2 +1,2 @@
 /** Claims for non-idempotent requests. */
-export {}
+export * from './ledgerClient.ts'
--- /dev/null
+++ b/routing/admission/src/admission.ts
@@ -0,0 +1,91 @@
+/** Admits or refuses callers by rate and concurrency. Callers at rest take no memory. */
+import { createDueTimes } from '@catkinferry/core.tables'
+import type { CallerId, DurationMs, MonotonicMs } from '@catkinferry/core.types'
+
+const MS_PER_SECOND = 1_000
+
+/** How long a caller at its concurrency limit is told to wait. */
+const CONCURRENCY_RETRY_MS = 250
+
+export interface CallerLimits {
+  readonly requestsPerSecond: number
+  readonly burst: number
+  readonly concurrency: number
+}
+
+export type AdmissionResult =
+  | { readonly admitted: true }
+  | { readonly admitted: false, readonly reason: 'rate' | 'concurrency', readonly retryAfterMs: DurationMs }
+
+export interface Admission {
+  /** Takes one token and one place, or says when to come back. */
+  readonly tryAdmit: (opts: { caller: CallerId, now: MonotonicMs, limits: CallerLimits }) => AdmissionResult
+  /** Gives the place of an admitted request back. */
+  readonly release: (caller: CallerId) => void
+  /** Forgets callers at rest whose bucket is full again. */
+  readonly expire: (now: MonotonicMs) => void
+  readonly getNextAt: () => MonotonicMs | undefined
+  readonly getSize: () => number
+}
+
+interface Bucket {
+  tokens: number
+  updatedAt: MonotonicMs
+  running: number
+}
+
+function fillBucket (bucket: Bucket, now: MonotonicMs, limits: CallerLimits): void {
+  const gained = (now - bucket.updatedAt) * limits.requestsPerSecond / MS_PER_SECOND
+  bucket.tokens = Math.min(limits.burst, bucket.tokens + gained)
+  bucket.updatedAt = now
+}
+
+/** Creates the admission of one host. */
+export function createAdmission (): Admission {
+  const buckets = new Map<CallerId, Bucket>()
+  const idle = createDueTimes<CallerId>()
+
+  function getBucket (caller: CallerId, now: MonotonicMs, limits: CallerLimits): Bucket {
+    const known = buckets.get(caller)
+    if (known !== undefined) {
+      fillBucket(known, now, limits)
+      return known
+    }
+    const bucket = { tokens: limits.burst, updatedAt: now, running: 0 }
+    buckets.set(caller, bucket)
+    return bucket
+  }
+
+  function markIdleTime (caller: CallerId, now: MonotonicMs, limits: CallerLimits): void {
+    idle.set(caller, now + Math.ceil(limits.burst * MS_PER_SECOND / limits.requestsPerSecond) + 1)
+  }
+
+  return {
+    tryAdmit: ({ caller, now, limits }) => {
+      const bucket = getBucket(caller, now, limits)
+      markIdleTime(caller, now, limits)
+      if (bucket.running >= limits.concurrency) return { admitted: false, reason: 'concurrency', retryAfterMs: CONCURRENCY_RETRY_MS }
+      if (bucket.tokens < 1) {
+        const retryAfterMs = Math.ceil((1 - bucket.tokens) * MS_PER_SECOND / limits.requestsPerSecond)
+        return { admitted: false, reason: 'rate', retryAfterMs }
+      }
+      bucket.tokens -= 1
+      bucket.running += 1
+      return { admitted: true }
+    },
+    release: caller => {
+      const bucket = buckets.get(caller)
+      if (bucket !== undefined && bucket.running > 0) bucket.running -= 1
+    },
+    expire: now => {
+      for (const caller of idle.takeDue(now)) {
+        const bucket = buckets.get(caller)
+        if (bucket === undefined) continue
+        if (bucket.running === 0) buckets.delete(caller)
+        else idle.set(caller, now + MS_PER_SECOND)
+      }
+    },
+    getNextAt: () => idle.getNextAt(),
+    getSize: () => buckets.size
+  }
+}
--- a/routing/admission/src/index.ts
+++ b/routing/admission/src/index.ts
@@ -1,2 +1,2 @@
-/** Classes, deadlines and per-caller limits. */
-export {}
+/** Per-caller admission: a token bucket for the rate and a bound on concurrent requests. */
+export * from './admission.ts'
--- /dev/null
+++ b/routing/breakers/src/breaker.ts
@@ -0,0 +1,85 @@
+/** A circuit breaker: closed, open after too large a share of failures, half open while one probe runs. */
+import type { DurationMs, MonotonicMs } from '@catkinferry/core.types'
+
+/** Length of the window over which failures are counted. */
+const WINDOW_MS = 10_000
+
+/** A breaker that opens again after a failed probe stays open longer, up to this many times as long. */
+const MAX_OPEN_FACTOR = 8
+
+export const BreakerState = { CLOSED: 'closed', OPEN: 'open', HALF_OPEN: 'halfOpen' } as const
+export type BreakerState = typeof BreakerState[keyof typeof BreakerState]
+
+export interface BreakerLimits {
+  readonly failureFraction: number
+  readonly minimumRequests: number
+  readonly openMs: DurationMs
+}
+
+export interface Breaker {
+  /** True when a request may be sent now: closed, or half open with no probe under way. */
+  readonly isAllowed: (now: MonotonicMs) => boolean
+  /** Marks a request as sent; the first one in half-open state is the probe. */
+  readonly noteSent: (now: MonotonicMs) => void
+  readonly noteSuccess: (now: MonotonicMs, limits: BreakerLimits) => void
+  readonly noteFailure: (now: MonotonicMs, limits: BreakerLimits) => void
+  /** The request ended without telling anything about the endpoint. */
+  readonly noteCancelled: () => void
+  readonly getState: (now: MonotonicMs) => BreakerState
+}
+
+/** Creates a closed breaker. */
+export function createBreaker (): Breaker {
+  let openUntil: MonotonicMs | undefined
+  let openFactor = 1
+  let probing = false
+  let windowStartedAt = 0
+  let succeeded = 0
+  let failed = 0
+
+  function getState (now: MonotonicMs): BreakerState {
+    if (openUntil === undefined) return BreakerState.CLOSED
+    return now < openUntil ? BreakerState.OPEN : BreakerState.HALF_OPEN
+  }
+
+  function turnWindow (now: MonotonicMs): void {
+    if (now - windowStartedAt < WINDOW_MS) return
+    windowStartedAt = now
+    succeeded = 0
+    failed = 0
+  }
+
+  function open (now: MonotonicMs, openMs: DurationMs): void {
+    openUntil = now + openMs * openFactor
+    openFactor = Math.min(MAX_OPEN_FACTOR, openFactor * 2)
+    probing = false
+    succeeded = 0
+    failed = 0
+  }
+
+  return {
+    isAllowed: now => {
+      const state = getState(now)
+      return state === BreakerState.CLOSED || (state === BreakerState.HALF_OPEN && !probing)
+    },
+    noteSent: now => { if (getState(now) === BreakerState.HALF_OPEN) probing = true },
+    noteSuccess: now => {
+      turnWindow(now)
+      succeeded += 1
+      if (getState(now) !== BreakerState.HALF_OPEN) return
+      openUntil = undefined
+      openFactor = 1
+      probing = false
+    },
+    noteFailure: (now, limits) => {
+      turnWindow(now)
+      failed += 1
+      const state = getState(now)
+      if (state === BreakerState.OPEN) return
+      const isOverShare = failed / (failed + succeeded) >= limits.failureFraction
+      if (state === BreakerState.HALF_OPEN || (failed + succeeded >= limits.minimumRequests && isOverShare)) open(now, limits.openMs)
+    },
+    noteCancelled: () => { probing = false },
+    getState
+  }
+}
--- a/routing/breakers/src/index.ts
+++ b/routing/breakers/src/index.ts
@@ -1,2 +1,2 @@
 /** Circuit breakers per endpoint. */
-export {}
+export * from './breaker.ts'
--- /dev/null
+++ b/routing/explain/src/decisionLog.ts
@@ -0,0 +1,72 @@
+/** Keeps what was decided on each request's way and why, for the newest requests only. */
+import type { MonotonicMs, RequestId, WallMs } from '@catkinferry/core.types'
+
+const MAX_REQUESTS = 4_096
+const MAX_DECISIONS_PER_REQUEST = 48
+
+export type DecisionFields = Readonly<Record<string, string | number | boolean | undefined>>
+
+/** One decision. `sinceArrivalMs` counts from the request's arrival at this host. */
+export interface Decision {
+  readonly sinceArrivalMs: number
+  readonly step: string
+  readonly reason: string
+  readonly fields?: DecisionFields
+}
+
+export interface RequestExplanation {
+  readonly requestId: RequestId
+  readonly arrivedAtWall: WallMs
+  readonly decisions: readonly Decision[]
+  /** Decisions left out because there were too many. */
+  readonly omitted: number
+}
+
+export interface DecisionLog {
+  readonly begin: (requestId: RequestId, now: MonotonicMs, wallNow: WallMs) => void
+  /** Adds a decision to a request that is still kept; others are ignored. */
+  readonly add: (requestId: RequestId, now: MonotonicMs, step: string, reason: string, fields?: DecisionFields) => void
+  readonly explain: (requestId: RequestId) => RequestExplanation | undefined
+  readonly getSize: () => number
+}
+
+interface Entry {
+  readonly arrivedAt: MonotonicMs
+  readonly arrivedAtWall: WallMs
+  readonly decisions: Decision[]
+  omitted: number
+}
+
+/** Creates an empty log for `maxRequests` requests. */
+export function createDecisionLog (opts: { readonly maxRequests?: number } = {}): DecisionLog {
+  const maxRequests = opts.maxRequests ?? MAX_REQUESTS
+  const entries = new Map<RequestId, Entry>()
+
+  function dropOldest (): void {
+    const [oldest] = entries.keys()
+    if (oldest !== undefined) entries.delete(oldest)
+  }
+
+  return {
+    begin: (requestId, now, wallNow) => {
+      if (entries.size >= maxRequests) dropOldest()
+      entries.set(requestId, { arrivedAt: now, arrivedAtWall: wallNow, decisions: [], omitted: 0 })
+    },
+    add: (requestId, now, step, reason, fields) => {
+      const entry = entries.get(requestId)
+      if (entry === undefined) return
+      if (entry.decisions.length >= MAX_DECISIONS_PER_REQUEST) {
+        entry.omitted += 1
+        return
+      }
+      entry.decisions.push({ sinceArrivalMs: now - entry.arrivedAt, step, reason, fields })
+    },
+    explain: requestId => {
+      const entry = entries.get(requestId)
+      if (entry === undefined) return undefined
+      const { arrivedAtWall, decisions, omitted } = entry
+      return { requestId, arrivedAtWall, decisions: [...decisions], omitted }
+    },
+    getSize: () => entries.size
+  }
+}
--- a/routing/explain/src/index.ts
+++ b/routing/explain/src/index.ts
@@ -1,2 +1,2 @@
 /** Bounded record of decisions per request. */
-export {}
+export * from './decisionLog.ts'
--- /dev/null
+++ b/routing/limits/src/adaptiveLimit.ts
@@ -0,0 +1,58 @@
+/**
+ * An adaptive bound on this host's concurrent requests at one endpoint: additive increase while
+ * answers start in time, multiplicative decrease when they start late or the endpoint is overloaded.
+ */
+import type { DurationMs, MonotonicMs } from '@catkinferry/core.types'
+
+/** A first byte later than this many times the usual one counts as a sign of overload. */
+const LATE_FACTOR = 3
+const DECREASE_FACTOR = 0.7
+/** One decrease at most in this time, so that one burst of late answers counts once. */
+const DECREASE_INTERVAL_MS = 1_000
+/** Weight of a new sample in the usual time to the first byte. */
+const SMOOTHING = 0.05
+/** Differences below this never count as late. */
+const LATE_FLOOR_MS = 100
+const MINIMUM_LIMIT = 1
+
+export interface AdaptiveLimit {
+  readonly getLimit: () => number
+  /** Bounds the limit by what the endpoint can run at all. */
+  readonly setCeiling: (ceiling: number) => void
+  readonly noteStarted: (opts: { now: MonotonicMs, firstByteMs: DurationMs, inFlight: number }) => void
+  readonly noteOverload: (now: MonotonicMs) => void
+}
+
+/** Creates a limit that starts at its ceiling. */
+export function createAdaptiveLimit (startCeiling: number): AdaptiveLimit {
+  let ceiling = Math.max(MINIMUM_LIMIT, startCeiling)
+  let limit = ceiling
+  let usualMs: DurationMs | undefined
+  let decreasedAt = Number.NEGATIVE_INFINITY
+
+  function decrease (now: MonotonicMs): void {
+    if (now - decreasedAt < DECREASE_INTERVAL_MS) return
+    decreasedAt = now
+    limit = Math.max(MINIMUM_LIMIT, limit * DECREASE_FACTOR)
+  }
+
+  return {
+    getLimit: () => Math.floor(limit),
+    setCeiling: next => {
+      if (next === ceiling) return
+      const wasAtCeiling = limit >= ceiling
+      ceiling = Math.max(MINIMUM_LIMIT, next)
+      limit = wasAtCeiling ? ceiling : Math.min(limit, ceiling)
+    },
+    noteStarted: ({ now, firstByteMs, inFlight }) => {
+      const usual = usualMs ?? firstByteMs
+      usualMs = usual + (firstByteMs - usual) * SMOOTHING
+      if (firstByteMs > usual * LATE_FACTOR + LATE_FLOOR_MS) {
+        decrease(now)
+        return
+      }
+      if (inFlight >= limit - 1) limit = Math.min(ceiling, limit + 1 / limit)
+    },
+    noteOverload: decrease
+  }
+}
--- a/routing/limits/src/index.ts
+++ b/routing/limits/src/index.ts
@@ -1,2 +1,2 @@
 /** Adaptive concurrency limits. */
-export {}
+export * from './adaptiveLimit.ts'
--- a/routing/queues/src/index.ts
+++ b/routing/queues/src/index.ts
@@ -1,2 +1,2 @@
 /** Bounded deadline-first queues with ageing. */
-export {}
+export * from './queue.ts'
--- /dev/null
+++ b/routing/requests/src/attemptEvents.ts
@@ -0,0 +1,217 @@
+/** What happens to dispatched attempts: heads, parts, ends and failures of answers. */
+import { ErrorCode } from '@catkinferry/core.errors'
+import type { AnswerEcho } from '@catkinferry/core.types'
+import type { AttemptEvent, RunContext } from '@catkinferry/host.events'
+import { computeRetryDelay } from '@catkinferry/routing.retries'
+import { closeRow, collectFacts, endCaller } from './answers.ts'
+import { avoidEndpoint, cancelDispatch, cancelOthers, countLive, releaseGrant, removeAttempt } from './attemptRows.ts'
+import { keepAnswerPart, recordDone, refuseForShutdown } from './claims.ts'
+import type { Core } from './core.ts'
+import { getHealth } from './core.ts'
+import { failRequest } from './failing.ts'
+import type { AttemptRow } from './types.ts'
+
+/** A request keeps away from an endpoint that failed it for this long. */
+const FAILED_AVOID_MS = 2_000
+
+type Started = Extract<AttemptEvent, { kind: 'attempt.started' }>
+type Chunk = Extract<AttemptEvent, { kind: 'attempt.chunk' }>
+type Ended = Extract<AttemptEvent, { kind: 'attempt.ended' }>
+type Failed = Extract<AttemptEvent, { kind: 'attempt.failed' }>
+
+/** An answer counts only when it names this attempt, its adapter and its version. */
+function isEchoTrue (attempt: AttemptRow, echo: AnswerEcho): boolean {
+  const { target } = attempt.row
+  return echo.attemptId === attempt.attemptId && echo.adapter === target.adapter && echo.version === target.version
+}
+
+function countDropped (reason: string, context: RunContext): void {
+  context.emit({ kind: 'metric', type: 'count', name: 'answers.dropped', value: 1, tags: { reason } })
+}
+
+/** The attempt whose answer goes to the caller; the first to answer wins. */
+function isWinner (core: Core, attempt: AttemptRow, context: RunContext): boolean {
+  const { row } = attempt
+  if (row.winner === undefined) {
+    row.winner = attempt.attemptId
+    cancelOthers(core, row, attempt.attemptId, context)
+  }
+  return row.winner === attempt.attemptId
+}
+
+function handleStarted (core: Core, attempt: AttemptRow, event: Started, context: RunContext): void {
+  const { row } = attempt
+  if (attempt.headAt !== undefined || !isWinner(core, attempt, context)) return
+  attempt.headAt = context.now
+  row.ran = 'yes'
+  const health = getHealth(core.health, attempt.endpoint ?? '')
+  health.limit.noteStarted({ now: context.now, firstByteMs: context.now - attempt.dispatchedAt, inFlight: health.inFlight })
+  if (row.claim !== undefined) {
+    row.claim.status = event.status
+    row.claim.contentType = event.contentType
+  }
+  if (row.headSent || row.detached) return
+  row.headSent = true
+  context.emit({ kind: 'caller.head', requestId: row.request.requestId, facts: collectFacts(row), status: event.status, contentType: event.contentType })
+}
+
+function handleChunk (core: Core, attempt: AttemptRow, event: Chunk, context: RunContext): void {
+  const { row } = attempt
+  if (attempt.headAt === undefined || event.index !== attempt.nextIndex) {
+    failCrossed(core, attempt, event.index < attempt.nextIndex ? 'repeated' : 'gap', context)
+    return
+  }
+  attempt.nextIndex += 1
+  row.nextIndex = attempt.nextIndex
+  if (row.claim !== undefined) keepAnswerPart(row.claim, event.data)
+  if (!row.detached) context.emit({ kind: 'caller.chunk', requestId: row.request.requestId, data: event.data })
+}
+
+function handleEnded (core: Core, attempt: AttemptRow, event: Ended, context: RunContext): void {
+  const { row } = attempt
+  if (attempt.headAt === undefined || event.chunks !== attempt.nextIndex) {
+    failCrossed(core, attempt, 'count', context)
+    return
+  }
+  const { breaker } = getHealth(core.health, attempt.endpoint ?? '')
+  breaker.noteSuccess(context.now, core.getPolicy().breaker)
+  core.budget.noteSuccess(core.getPolicy().retryBudgetFraction)
+  endCaller(core, row, collectFacts(row), context)
+  releaseGrant(core, attempt, { ran: true, runMs: context.now - attempt.dispatchedAt }, context)
+  removeAttempt(core, attempt)
+  recordDone(core, row, context)
+  closeRow(core, row)
+}
+
+function handleFailed (core: Core, attempt: AttemptRow, event: Failed, context: RunContext): void {
+  const { row } = attempt
+  const { now } = context
+  const isRefused = event.refused !== undefined && row.claim === undefined
+  const mayHaveRun = event.sent && !isRefused
+  if (mayHaveRun && row.ran === 'no') row.ran = 'unknown'
+  core.log.add(row.request.requestId, now, 'attempt', `failed: ${event.failure.message}`, {
+    attempt: attempt.attemptId, endpoint: attempt.endpoint, code: event.failure.code, sent: event.sent, refused: event.refused
+  })
+  noteEndpointFailure(core, attempt, event, now)
+  releaseGrant(core, attempt, { ran: mayHaveRun, runMs: now - attempt.dispatchedAt }, context)
+  removeAttempt(core, attempt)
+  avoidEndpoint(row, attempt.endpoint, event.refused === 'leaving' ? Number.POSITIVE_INFINITY : now + FAILED_AVOID_MS)
+  continueAfterFailure(core, attempt, { sent: event.sent, isFree: isRefused || !event.sent, message: event.failure.message }, context)
+}
+
+function noteEndpointFailure (core: Core, attempt: AttemptRow, event: Failed, now: number): void {
+  const { breaker, limit } = getHealth(core.health, attempt.endpoint ?? '')
+  if (event.refused === undefined) {
+    breaker.noteFailure(now, core.getPolicy().breaker)
+    return
+  }
+  breaker.noteCancelled()
+  if (event.refused === 'busy') limit.noteOverload(now)
+}
+
+interface AttemptEnd {
+  readonly sent: boolean
+  /** The endpoint certainly did nothing, so that asking another costs it no repeated work. */
+  readonly isFree: boolean
+  readonly message: string
+}
+
+/** Retries a failed attempt where that is allowed; otherwise the request fails with what is known. */
+export function continueAfterFailure (core: Core, attempt: AttemptRow, end: AttemptEnd, context: RunContext): void {
+  const { row } = attempt
+  const { now } = context
+  if (row.winner === attempt.attemptId) row.winner = undefined
+  if (countLive(row) > 0) return
+  const reason = findStopReason(core, attempt, end)
+  if (reason === undefined) {
+    row.retries += 1
+    const delayMs = computeRetryDelay({ retry: row.retries, random: core.opts.random })
+    core.log.add(row.request.requestId, now, 'retry', 'asks again', { delayMs, retry: row.retries })
+    core.wakeups.set(row.request.requestId, now + delayMs)
+    return
+  }
+  if (core.shuttingDown && row.ran === 'no') {
+    refuseForShutdown(core, row, context)
+    return
+  }
+  failRequest(core, row, {
+    code: row.headSent ? ErrorCode.STREAM_CUT : ErrorCode.ENDPOINT_FAILED,
+    message: `${end.message} (${reason})`,
+    step: 'attempt',
+    peer: attempt.endpoint
+  }, context)
+}
+
+/** Why a failed attempt must not be followed by another; undefined when it may be. */
+function findStopReason (core: Core, attempt: AttemptRow, end: AttemptEnd): string | undefined {
+  const { row } = attempt
+  if (core.shuttingDown && row.ran === 'no') return 'shutting down'
+  if (row.detached) return 'the caller is gone'
+  if (row.claim !== undefined && end.sent) return 'not repeated: the work may have run'
+  if (row.headSent) return 'the stream was cut'
+  if (row.retries + 1 >= core.getPolicy().retryMaxAttempts) return 'no attempts left'
+  if (!end.isFree && !core.budget.tryTake()) return 'the retry budget is spent'
+  return undefined
+}
+
+/** An answer that belongs elsewhere, or has parts missing: dropped, and the attempt counts as failed. */
+function failCrossed (core: Core, attempt: AttemptRow, reason: string, context: RunContext): void {
+  const { row } = attempt
+  countDropped(reason, context)
+  context.emit({ kind: 'log', level: 'warn', message: 'dropped an answer that does not belong', fields: { step: 'answer', peer: attempt.endpoint, requestId: row.request.requestId, reason } })
+  core.log.add(row.request.requestId, context.now, 'answer', `dropped: ${reason}`, { attempt: attempt.attemptId, endpoint: attempt.endpoint })
+  if (row.ran === 'no') row.ran = 'unknown'
+  getHealth(core.health, attempt.endpoint ?? '').breaker.noteFailure(context.now, core.getPolicy().breaker)
+  cancelDispatch(core, attempt, context)
+  avoidEndpoint(row, attempt.endpoint, context.now + FAILED_AVOID_MS)
+  continueAfterFailure(core, attempt, { sent: true, isFree: false, message: `the endpoint's answer does not belong to the request (${reason})` }, context)
+}
+
+type AnswerEvent = Exclude<AttemptEvent, Failed>
+type Handlers = { readonly [Kind in AnswerEvent['kind']]: (core: Core, attempt: AttemptRow, event: Extract<AnswerEvent, { kind: Kind }>, context: RunContext) => void }
+
+const HANDLERS: Handlers = {
+  'attempt.started': handleStarted,
+  'attempt.chunk': handleChunk,
+  'attempt.ended': handleEnded
+}
+
+/** Takes one event of an attempt. Events of attempts that were given up are dropped. */
+export function receiveAttemptEvent (core: Core, event: AttemptEvent, context: RunContext): void {
+  const attempt = core.attempts.get(event.attemptId)
+  if (attempt === undefined || attempt.state === 'asking') {
+    countDropped('late', context)
+    return
+  }
+  if (attempt.state === 'cancelling') {
+    confirmCancel(core, attempt, event, context)
+    return
+  }
+  attempt.lastProgressAt = context.now
+  if (event.kind === 'attempt.failed') {
+    handleFailed(core, attempt, event, context)
+    return
+  }
+  if (!isEchoTrue(attempt, event.echo)) {
+    failCrossed(core, attempt, 'echo', context)
+    return
+  }
+  const handler = HANDLERS[event.kind] as (core: Core, attempt: AttemptRow, event: AnswerEvent, context: RunContext) => void
+  handler(core, attempt, event, context)
+}
+
+/** The shell says that a cancelled attempt has ended. */
+function confirmCancel (core: Core, attempt: AttemptRow, event: AttemptEvent, context: RunContext): void {
+  if (event.kind !== 'attempt.failed' && event.kind !== 'attempt.ended') {
+    countDropped('late', context)
+    return
+  }
+  endCancelled(core, attempt, context)
+}
+
+/** Gives the grant of a cancelled attempt back. */
+export function endCancelled (core: Core, attempt: AttemptRow, context: RunContext): void {
+  getHealth(core.health, attempt.endpoint ?? '').breaker.noteCancelled()
+  releaseGrant(core, attempt, { ran: true, runMs: context.now - attempt.dispatchedAt }, context)
+  removeAttempt(core, attempt)
+}
--- /dev/null
+++ b/routing/requests/src/createRequests.ts
@@ -0,0 +1,67 @@
+/** Composes the steps of a request's way into one system. */
+import type { MonotonicMs } from '@catkinferry/core.types'
+import type { RunContext } from '@catkinferry/host.events'
+import { receiveAttemptEvent } from './attemptEvents.ts'
+import { cancelAsk } from './attemptRows.ts'
+import { refuseForShutdown, renewClaim } from './claims.ts'
+import type { Core } from './core.ts'
+import { createCore } from './core.ts'
+import { runDue } from './due.ts'
+import { receiveGrantMessage } from './grants.ts'
+import { drainQueues, queueRequest } from './placing.ts'
+import { dropCaller, submitRequest } from './submit.ts'
+import type { Requests, RequestsOptions } from './types.ts'
+
+/** Asks that were made before a pause are void, as are grants that were not used. */
+function voidAsks (core: Core, context: RunContext): void {
+  for (const attempt of [...core.attempts.values()]) {
+    if (attempt.state !== 'asking') continue
+    core.log.add(attempt.row.request.requestId, context.now, 'pause', 'the ask is void', { endpoint: attempt.endpoint })
+    cancelAsk(core, attempt, context)
+    if (attempt.row.claim === undefined) queueRequest(core, attempt.row, context)
+    else renewClaim(core, attempt.row, context)
+  }
+}
+
+/** Refuses what was not dispatched, as not run, so that the balancer sends it elsewhere. */
+function refuseUndispatched (core: Core, context: RunContext): void {
+  core.shuttingDown = true
+  for (const row of [...core.requests.values()]) {
+    const isWaiting = row.ran === 'no' && row.attempts.every(attempt => attempt.state === 'asking') && row.claim?.state !== 'othersOutcome'
+    if (isWaiting) refuseForShutdown(core, row, context)
+  }
+}
+
+function findNextAt (core: Core): MonotonicMs | undefined {
+  if (core.dirtyPools.size > 0) return 0
+  let next: MonotonicMs | undefined
+  for (const times of [core.deadlines, core.wakeups, core.attemptChecks, core.queueChecks, core.admission]) {
+    const at = times.getNextAt()
+    if (at !== undefined && (next === undefined || at < next)) next = at
+  }
+  return next
+}
+
+/** Creates the requests system of one host. */
+export function createRequests (opts: RequestsOptions): Requests {
+  const core = createCore(opts)
+  return {
+    receive: (from, message, context) => { receiveGrantMessage(core, from, message, context) },
+    run: context => {
+      runDue(core, context)
+      drainQueues(core, context)
+    },
+    getNextAt: () => findNextAt(core),
+    receiveSubmit: (request, context) => { submitRequest(core, request, context) },
+    receiveGone: (requestId, context) => {
+      const row = core.requests.get(requestId)
+      if (row !== undefined) dropCaller(core, row, context)
+    },
+    receiveAttempt: (event, context) => { receiveAttemptEvent(core, event, context) },
+    receiveCache: (event, context) => { core.router.receiveCache(event.endpoint, event.change, event.prefixHashes, context.now) },
+    notePause: context => { voidAsks(core, context) },
+    beginShutdown: context => { refuseUndispatched(core, context) },
+    getActiveCount: () => core.requests.size + core.unrecorded,
+    explain: requestId => core.log.explain(requestId)
+  }
+}
--- /dev/null
+++ b/routing/requests/src/due.ts
@@ -0,0 +1,76 @@
+/** Everything that happens because time has passed. */
+import type { RunContext } from '@catkinferry/host.events'
+import { avoidEndpoint, cancelDispatch, countLive } from './attemptRows.ts'
+import { continueAfterFailure, endCancelled } from './attemptEvents.ts'
+import { takeClaim } from './claims.ts'
+import type { Core } from './core.ts'
+import { getHealth } from './core.ts'
+import { failDeadline } from './failing.ts'
+import { checkAsk } from './grants.ts'
+import { chooseFor, placeAt, queueRequest } from './placing.ts'
+import type { AttemptRow, RequestRow } from './types.ts'
+
+const ASK_CHECK_MS = 500
+/** The shell ends attempts by itself; the core does so only when it hears nothing for this much longer. */
+const SHELL_GRACE_MS = 1_000
+const SILENT_AVOID_MS = 2_000
+
+/** Runs all timers. */
+export function runDue (core: Core, context: RunContext): void {
+  const { now } = context
+  for (const requestId of core.deadlines.takeDue(now)) {
+    const row = core.requests.get(requestId)
+    if (row !== undefined) failDeadline(core, row, context)
+  }
+  for (const attemptId of core.attemptChecks.takeDue(now)) {
+    const attempt = core.attempts.get(attemptId)
+    if (attempt !== undefined) checkAttempt(core, attempt, context)
+  }
+  for (const requestId of core.wakeups.takeDue(now)) {
+    const row = core.requests.get(requestId)
+    if (row !== undefined) wakeRequest(core, row, context)
+  }
+  core.admission.expire(now)
+}
+
+function checkAttempt (core: Core, attempt: AttemptRow, context: RunContext): void {
+  if (attempt.state === 'asking') checkAsk(core, attempt, ASK_CHECK_MS, context)
+  else if (attempt.state === 'cancelling') endCancelled(core, attempt, context)
+  else checkRunning(core, attempt, context)
+}
+
+/** Ends an attempt of which the shell has said nothing for too long. */
+function checkRunning (core: Core, attempt: AttemptRow, context: RunContext): void {
+  const { now } = context
+  const silentAt = attempt.lastProgressAt + core.getPolicy().progressTimeoutMs
+  const endAt = Math.min(attempt.endBeforeAt, silentAt) + SHELL_GRACE_MS
+  if (now < endAt) {
+    core.attemptChecks.set(attempt.attemptId, endAt)
+    return
+  }
+  const { row } = attempt
+  if (row.ran === 'no') row.ran = 'unknown'
+  core.log.add(row.request.requestId, now, 'attempt', 'silent for too long', { attempt: attempt.attemptId, endpoint: attempt.endpoint })
+  getHealth(core.health, attempt.endpoint ?? '').breaker.noteFailure(now, core.getPolicy().breaker)
+  avoidEndpoint(row, attempt.endpoint, now + SILENT_AVOID_MS)
+  cancelDispatch(core, attempt, context)
+  continueAfterFailure(core, attempt, { sent: true, isFree: false, message: 'the endpoint was silent for too long' }, context)
+}
+
+/** A retry after its delay, a poll for another attempt's outcome, or a hedge. */
+function wakeRequest (core: Core, row: RequestRow, context: RunContext): void {
+  if (row.claim?.state === 'othersOutcome') takeClaim(core, row, context)
+  else if (countLive(row) > 0) tryHedge(core, row, context)
+  else queueRequest(core, row, context)
+}
+
+/** Asks a second endpoint when the first has not begun to answer. */
+function tryHedge (core: Core, row: RequestRow, context: RunContext): void {
+  const isEligible = core.getPolicy().hedgeEnabled && !row.hedged && row.claim === undefined && !row.headSent && row.winner === undefined
+  if (!isEligible || countLive(row) > 1) return
+  const choice = chooseFor(core, row, context.now)
+  if (choice.kind !== 'endpoint' || !core.budget.tryTake()) return
+  row.hedged = true
+  core.log.add(row.request.requestId, context.now, 'hedge', 'asks a second endpoint', { endpoint: choice.endpoint.endpoint })
+  placeAt(core, row, choice.endpoint, choice.cost, context)
+}
--- /dev/null
+++ b/routing/requests/src/grants.ts
@@ -0,0 +1,139 @@
+/** What owners answer to asks. */
+import { ErrorCode } from '@catkinferry/core.errors'
+import { MAX_CLOCK_DRIFT_FRACTION } from '@catkinferry/core.constants'
+import type { DurationMs, HostId } from '@catkinferry/core.types'
+import type { RunContext } from '@catkinferry/host.events'
+import type { GrantMessage, GrantRefusal } from '@catkinferry/wire.messages'
+import { avoidEndpoint, bindEndpoint, cancelAsk, removeAttempt } from './attemptRows.ts'
+import { renewClaim } from './claims.ts'
+import type { Core } from './core.ts'
+import { getHealth } from './core.ts'
+import { dispatchAttempt } from './dispatch.ts'
+import { failRequest } from './failing.ts'
+import { queueRequest } from './placing.ts'
+import type { AttemptRow, RequestRow, RequestsMessage } from './types.ts'
+
+type Given = Extract<GrantMessage, { kind: 'grant.given' }>
+type Refused = Extract<GrantMessage, { kind: 'grant.refused' }>
+type AskActive = Extract<GrantMessage, { kind: 'grant.askActive' }>
+
+/** Refusals for want of time after which a request is given up. */
+const MAX_DEADLINE_REFUSALS = 2
+
+/** How long a request keeps away from the endpoint, by reason of refusal. */
+const AVOID_MS: Readonly<Record<GrantRefusal, DurationMs>> = {
+  notOwner: 50,
+  leaving: Number.POSITIVE_INFINITY,
+  full: 100,
+  deadline: 1_000,
+  loadFailed: 2_000,
+  noLease: 250,
+  unknownEndpoint: 1_000,
+  takingOver: 250
+}
+
+function handleGiven (core: Core, from: HostId, message: Given, context: RunContext): void {
+  const attempt = core.attempts.get(message.attemptId)
+  const isAsked = attempt?.state === 'asking' && (attempt.endpoint === undefined || attempt.endpoint === message.endpoint)
+  if (attempt === undefined || !isAsked) {
+    const runs = attempt?.state === 'running' && attempt.endpoint === message.endpoint
+    if (!runs) context.send(from, { kind: 'grant.release', attemptId: message.attemptId, endpoint: message.endpoint, ran: false, runMs: 0 })
+    return
+  }
+  const usableMs = (message.heldMs + message.startWithinMs) * (1 - MAX_CLOCK_DRIFT_FRACTION)
+  const sendBeforeMs = attempt.askedAt + usableMs
+  if (context.now >= sendBeforeMs) {
+    giveUpGrant(core, attempt, from, message, context)
+    return
+  }
+  // A contact in another zone chooses the owner, so that the granting host may differ from the one asked.
+  attempt.owner = from
+  attempt.url = message.url
+  bindEndpoint(core, attempt, message.endpoint)
+  dispatchAttempt(core, attempt, { sendBeforeMs, loadStallMs: message.loadStallMs }, context)
+}
+
+/** The grant came too late to be used. */
+function giveUpGrant (core: Core, attempt: AttemptRow, from: HostId, message: Given, context: RunContext): void {
+  context.send(from, { kind: 'grant.release', attemptId: attempt.attemptId, endpoint: message.endpoint, ran: false, runMs: 0 })
+  core.log.add(attempt.row.request.requestId, context.now, 'grant', 'came too late', { endpoint: message.endpoint, heldMs: message.heldMs })
+  removeAttempt(core, attempt)
+  avoidEndpoint(attempt.row, message.endpoint, context.now + AVOID_MS.full)
+  askAgain(core, attempt.row, context)
+}
+
+/** Work under a claim asks again under its old attempt id only while answers to the first ask cannot mislead. */
+function askAgain (core: Core, row: RequestRow, context: RunContext): void {
+  const firstAskedAt = row.claim?.firstAskedAt ?? context.now
+  if (context.now - firstAskedAt >= core.getPolicy().startWithinMs / 2) renewClaim(core, row, context)
+  else queueRequest(core, row, context)
+}
+
+function handleRefused (core: Core, from: HostId, message: Refused, context: RunContext): void {
+  const attempt = core.attempts.get(message.attemptId)
+  if (attempt?.state !== 'asking') return
+  const { row } = attempt
+  const endpoint = message.endpoint ?? attempt.endpoint
+  core.log.add(row.request.requestId, context.now, 'grant', `refused: ${message.reason}`, { endpoint, owner: from, retryAfterMs: message.retryAfterMs })
+  context.emit({ kind: 'metric', type: 'count', name: 'grants.refused', value: 1, tags: { reason: message.reason } })
+  if (attempt.endpoint !== undefined) {
+    core.router.noteAskDropped(attempt.endpoint, row.target.adapterKey)
+    getHealth(core.health, attempt.endpoint).breaker.noteCancelled()
+  }
+  removeAttempt(core, attempt)
+  avoidEndpoint(row, endpoint, context.now + (message.retryAfterMs ?? AVOID_MS[message.reason]))
+  row.lastReason = `grant refused: ${message.reason}`
+  if (message.reason === 'deadline') row.deadlineRefusals += 1
+  if (row.deadlineRefusals >= MAX_DEADLINE_REFUSALS) {
+    failRequest(core, row, {
+      code: ErrorCode.DEADLINE,
+      message: 'the deadline cannot be met',
+      step: 'grant',
+      peer: from,
+      retryAfterMs: message.retryAfterMs
+    }, context)
+    return
+  }
+  askAgain(core, row, context)
+}
+
+function handleAskActive (core: Core, from: HostId, message: AskActive, context: RunContext): void {
+  const { endpoint, fencing } = message
+  const active = []
+  for (const attempt of core.byEndpoint.get(endpoint) ?? []) {
+    if (attempt.state === 'asking') continue
+    active.push({ attemptId: attempt.attemptId, adapterKey: attempt.row.target.adapterKey, remainingMs: Math.max(0, attempt.endBeforeAt - context.now) })
+  }
+  context.send(from, { kind: 'grant.active', endpoint, fencing, active })
+}
+
+type Handlers = { readonly [Kind in RequestsMessage['kind']]: (core: Core, from: HostId, message: Extract<RequestsMessage, { kind: Kind }>, context: RunContext) => void }
+
+const HANDLERS: Handlers = {
+  'grant.given': handleGiven,
+  'grant.refused': handleRefused,
+  'grant.askActive': handleAskActive
+}
+
+/** Takes one message of an owner. */
+export function receiveGrantMessage (core: Core, from: HostId, message: RequestsMessage, context: RunContext): void {
+  const handler = HANDLERS[message.kind] as (core: Core, from: HostId, message: RequestsMessage, context: RunContext) => void
+  handler(core, from, message, context)
+}
+
+/** An ask whose owner changed, or stays silent too long, is asked again elsewhere. */
+export function checkAsk (core: Core, attempt: AttemptRow, recheckMs: DurationMs, context: RunContext): void {
+  const { now } = context
+  const view = attempt.endpoint === undefined ? undefined : core.opts.zone.getEndpoint(attempt.endpoint)
+  const isMoved = attempt.endpoint !== undefined && (view === undefined || view.leaving || view.owner !== attempt.owner)
+  if (!isMoved && now < attempt.patienceUntil) {
+    core.attemptChecks.set(attempt.attemptId, now + recheckMs)
+    return
+  }
+  const { row } = attempt
+  core.log.add(row.request.requestId, now, 'grant', isMoved ? 'the owner changed' : 'the owner is silent', { endpoint: attempt.endpoint, owner: attempt.owner })
+  cancelAsk(core, attempt, context)
+  if (!isMoved) avoidEndpoint(row, attempt.endpoint, now + AVOID_MS.deadline)
+  if (row.claim === undefined) queueRequest(core, row, context)
+  else renewClaim(core, row, context)
+}
--- a/routing/requests/src/index.ts
+++ b/routing/requests/src/index.ts
@@ -1,2 +1,3 @@
 /** The life of a request from submission to answer. */
-export {}
+export { createRequests } from './createRequests.ts'
+export type { Requests, RequestsOptions } from './types.ts'
--- /dev/null
+++ b/routing/requests/src/placing.ts
@@ -0,0 +1,185 @@
+/** Puts requests in the queue, chooses endpoints for them and asks for grants. */
+import { ErrorCode } from '@catkinferry/core.errors'
+import type { EndpointView, HostId, MonotonicMs } from '@catkinferry/core.types'
+import type { RunContext } from '@catkinferry/host.events'
+import type { CostParts, RouteChoice } from '@catkinferry/routing.router'
+import { addAttempt, buildAttemptId } from './attemptRows.ts'
+import type { Core } from './core.ts'
+import { getHealth, getQueue } from './core.ts'
+import { dispatchAttempt } from './dispatch.ts'
+import { failRequest } from './failing.ts'
+import type { AttemptRow, RequestRow } from './types.ts'
+
+/** Requests of one pool tried in one run before the rest has to wait for the next. */
+const MAX_TRIED_PER_RUN = 64
+/** A queue with waiting requests is tried again after this, also when nothing was heard. */
+const QUEUE_CHECK_MS = 50
+/** An ask is checked for a changed owner this often. */
+const ASK_CHECK_MS = 500
+/** Longest silence of an owner beyond the wait that it was expected to need. */
+const ASK_PATIENCE_MS = 3_000
+const PATIENCE_PER_EXPECTED_MS = 3
+/** A request waits this long for a pool without endpoints or a zone without a lease. */
+const OUTAGE_PATIENCE_MS = 2_000
+const OUTAGE_RETRY_MS = 1_000
+
+/** Queues a request; what a full queue cannot hold is refused. */
+export function queueRequest (core: Core, row: RequestRow, context: RunContext): void {
+  if (row.detached || row.closed) return
+  const { requestId, serviceClass } = row.request
+  const queue = getQueue(core, row.target.pool)
+  core.dirtyPools.add(row.target.pool)
+  if (queue.has(requestId)) return
+  const added = queue.add({ requestId, serviceClass, deadlineAt: row.deadlineAt }, context.now, core.getPolicy().queue)
+  const loser = added.added ? core.requests.get(added.displaced ?? '') : row
+  if (loser === undefined) return
+  failRequest(core, loser, {
+    code: ErrorCode.NO_CAPACITY,
+    message: 'the queue is full',
+    step: 'queue',
+    retryAfterMs: OUTAGE_RETRY_MS
+  }, context)
+}
+
+/** Tries the queues of all pools where something changed. */
+export function drainQueues (core: Core, context: RunContext): void {
+  for (const pool of core.queueChecks.takeDue(context.now)) core.dirtyPools.add(pool)
+  const pools = [...core.dirtyPools]
+  core.dirtyPools.clear()
+  for (const pool of pools) drainPool(core, pool, context)
+}
+
+function drainPool (core: Core, pool: string, context: RunContext): void {
+  const queue = getQueue(core, pool)
+  queue.promote(context.now, core.getPolicy().queue)
+  const unplaced: RequestRow[] = []
+  for (let tried = 0; tried < MAX_TRIED_PER_RUN; tried += 1) {
+    const row = core.requests.get(queue.takeFirst() ?? '')
+    if (row === undefined) break
+    if (tryPlace(core, row, context)) {
+      queue.remove(row.request.requestId)
+      continue
+    }
+    unplaced.push(row)
+  }
+  for (const row of unplaced) if (!row.detached) queue.putBack(row.request.requestId)
+  if (queue.getSize() > 0) core.queueChecks.set(pool, context.now + QUEUE_CHECK_MS)
+}
+
+/** Chooses and asks for one request. False: it has to wait. */
+function tryPlace (core: Core, row: RequestRow, context: RunContext): boolean {
+  const choice = chooseFor(core, row, context.now)
+  if (choice.kind === 'endpoint') {
+    placeAt(core, row, choice.endpoint, choice.cost, context)
+    return true
+  }
+  if (choice.kind === 'zone') {
+    placeInZone(core, row, choice, context)
+    return true
+  }
+  return checkOutage(core, row, choice.reason, context)
+}
+
+/** Chooses an endpoint for a request, or another zone. */
+export function chooseFor (core: Core, row: RequestRow, now: MonotonicMs): RouteChoice {
+  const { target, request } = row
+  const isServing = target.kind === 'service' || core.opts.zone.isServing(now)
+  const isAvoided = (endpoint: string): boolean => !isServing || (row.avoided.get(endpoint) ?? 0) > now ||
+    row.attempts.some(attempt => attempt.endpoint === endpoint && attempt.state !== 'cancelling')
+  return core.router.choose({
+    pool: target.pool,
+    adapterKey: target.adapterKey,
+    prefixHash: request.work.kind === 'adapter' ? request.work.prefixHash : undefined,
+    payloadBytes: row.payloadBytes,
+    now,
+    isAvoided,
+    mayLeaveZone: target.kind === 'adapter'
+  }, core.getPolicy().weights)
+}
+
+/** A pool without endpoints or a zone without a lease is waited for only for a short time. */
+function checkOutage (core: Core, row: RequestRow, reason: string, context: RunContext): boolean {
+  row.lastReason = reason
+  const isServing = row.target.kind === 'service' || core.opts.zone.isServing(context.now)
+  const isOutage = !isServing || core.opts.zone.listEndpoints(row.target.pool).length === 0
+  if (!isOutage || context.now - row.arrivedAt < OUTAGE_PATIENCE_MS) return false
+  failRequest(core, row, {
+    code: isServing ? ErrorCode.NO_CAPACITY : ErrorCode.NOT_SERVING,
+    message: isServing ? `no endpoint serves the pool '${row.target.pool}'` : 'this host can reach no owner of endpoints',
+    step: 'route',
+    retryAfterMs: OUTAGE_RETRY_MS
+  }, context)
+  return true
+}
+
+/** Asks the owner of an endpoint, or dispatches at once to a plain service. */
+export function placeAt (core: Core, row: RequestRow, endpoint: EndpointView, cost: CostParts, context: RunContext): void {
+  const expectedMs = cost.queueMs + cost.stallMs
+  const attempt = createAttempt(core, row, { endpoint, owner: endpoint.owner, expectedMs }, context)
+  core.log.add(row.request.requestId, context.now, 'route', `chose ${endpoint.endpoint}`, {
+    attempt: attempt.attemptId, costMs: cost.totalMs, queueMs: cost.queueMs, stallMs: cost.stallMs, prefixMs: cost.prefixMs, fillMs: cost.fillMs
+  })
+  if (row.target.kind === 'service') {
+    const policy = core.getPolicy()
+    dispatchAttempt(core, attempt, { sendBeforeMs: context.now + policy.startWithinMs, loadStallMs: 0 }, context)
+    return
+  }
+  core.router.noteAsked(endpoint.endpoint, row.target.adapterKey, context.now)
+  getHealth(core.health, endpoint.endpoint, endpoint).breaker.noteSent(context.now)
+  sendAsk(core, attempt, endpoint.owner ?? core.opts.zone.getLeaseHolder(), endpoint.endpoint, context)
+}
+
+function placeInZone (core: Core, row: RequestRow, choice: Extract<RouteChoice, { kind: 'zone' }>, context: RunContext): void {
+  const { summary, costMs, queueMs } = choice
+  const attempt = createAttempt(core, row, { owner: summary.contact, expectedMs: queueMs }, context)
+  core.log.add(row.request.requestId, context.now, 'route', `spilled to zone ${summary.zone}`, { attempt: attempt.attemptId, costMs, contact: summary.contact })
+  context.emit({ kind: 'metric', type: 'count', name: 'requests.spilled', value: 1, tags: { zone: summary.zone } })
+  sendAsk(core, attempt, summary.contact, undefined, context)
+}
+
+interface AskTarget {
+  readonly endpoint?: EndpointView
+  readonly owner?: HostId
+  readonly expectedMs: number
+}
+
+function createAttempt (core: Core, row: RequestRow, target: AskTarget, context: RunContext): AttemptRow {
+  row.asks += 1
+  const { now } = context
+  if (row.claim !== undefined) row.claim.firstAskedAt ??= now
+  const attempt: AttemptRow = {
+    attemptId: buildAttemptId(row),
+    row,
+    owner: row.target.kind === 'service' ? undefined : target.owner ?? core.opts.zone.getLeaseHolder(),
+    askedAt: row.claim?.firstAskedAt ?? now,
+    resumeFrom: row.headSent ? row.nextIndex : undefined,
+    patienceUntil: now + ASK_PATIENCE_MS + target.expectedMs * PATIENCE_PER_EXPECTED_MS,
+    endpoint: target.endpoint?.endpoint,
+    url: target.endpoint?.url ?? '',
+    state: 'asking',
+    dispatchedAt: now,
+    endBeforeAt: row.deadlineAt,
+    lastProgressAt: now,
+    nextIndex: row.headSent ? row.nextIndex : 0
+  }
+  addAttempt(core, attempt)
+  core.attemptChecks.set(attempt.attemptId, now + ASK_CHECK_MS)
+  return attempt
+}
+
+function sendAsk (core: Core, attempt: AttemptRow, to: HostId | undefined, endpoint: string | undefined, context: RunContext): void {
+  if (to === undefined) return
+  const { row } = attempt
+  context.send(to, {
+    kind: 'grant.ask',
+    attemptId: attempt.attemptId,
+    requestId: row.request.requestId,
+    origin: core.opts.self.host,
+    endpoint,
+    pool: row.target.pool,
+    adapterKey: row.target.adapterKey,
+    serviceClass: row.request.serviceClass,
+    remainingMs: row.deadlineAt - context.now,
+    maxRunMs: core.getPolicy().maxRunMs
+  })
+}
--- /dev/null
+++ b/routing/requests/src/policy.ts
@@ -0,0 +1,75 @@
+/** Settings that the requests system uses, read again only when the revision changes. */
+import { ServiceClass } from '@catkinferry/core.types'
+import type { DurationMs, NodePath, SettingsView } from '@catkinferry/core.types'
+import type { CallerLimits } from '@catkinferry/routing.admission'
+import type { BreakerLimits } from '@catkinferry/routing.breakers'
+import type { QueueLimits } from '@catkinferry/routing.queues'
+import type { RouterWeights } from '@catkinferry/routing.router'
+
+export interface Policy {
+  readonly caller: CallerLimits
+  readonly queue: QueueLimits
+  readonly weights: RouterWeights
+  readonly breaker: BreakerLimits
+  readonly retryBudgetFraction: number
+  readonly retryMaxAttempts: number
+  readonly hedgeEnabled: boolean
+  readonly hedgeAfterMs: DurationMs
+  readonly startWithinMs: DurationMs
+  readonly maxRunMs: DurationMs
+  readonly progressTimeoutMs: DurationMs
+  readonly retentionMs: DurationMs
+}
+
+function readPolicy (settings: SettingsView, path: NodePath): Policy {
+  const get = <T>(key: string): T => settings.getValue<T>(path, key)
+  return {
+    caller: {
+      requestsPerSecond: get('caller.requestsPerSecond'),
+      burst: get('caller.burst'),
+      concurrency: get('caller.concurrency')
+    },
+    queue: {
+      limit: get('queue.limit'),
+      ageingMs: get('queue.ageingMs'),
+      classDeadlineMs: {
+        [ServiceClass.URGENT]: get('deadline.urgentMs'),
+        [ServiceClass.STANDARD]: get('deadline.standardMs'),
+        [ServiceClass.OVERNIGHT]: get('deadline.overnightMs')
+      }
+    },
+    weights: {
+      loadStallWeight: get('routing.loadStallWeight'),
+      batchFillWeight: get('routing.batchFillWeight'),
+      prefixMissMs: get('routing.prefixMissMs'),
+      spillCostPerKilobyteMs: get('routing.spillCostPerKilobyteMs'),
+      spillQueueMs: get('routing.spillQueueMs')
+    },
+    breaker: {
+      failureFraction: get('breaker.failureFraction'),
+      minimumRequests: get('breaker.minimumRequests'),
+      openMs: get('breaker.openMs')
+    },
+    retryBudgetFraction: get('retry.budgetFraction'),
+    retryMaxAttempts: get('retry.maxAttempts'),
+    hedgeEnabled: get('hedge.enabled'),
+    hedgeAfterMs: get('hedge.afterMs'),
+    startWithinMs: get('grant.startWithinMs'),
+    maxRunMs: get('request.maxRunMs'),
+    progressTimeoutMs: get('stream.progressTimeoutMs'),
+    retentionMs: get('ledger.retentionMs')
+  }
+}
+
+/** Creates a reader of the policy in force at one host. */
+export function createPolicyReader (settings: SettingsView, path: NodePath): () => Policy {
+  let revision = -1
+  let policy: Policy | undefined
+  return () => {
+    if (policy === undefined || settings.getRevision() !== revision) {
+      revision = settings.getRevision()
+      policy = readPolicy(settings, path)
+    }
+    return policy
+  }
+}
--- /dev/null
+++ b/routing/requests/src/submit.ts
@@ -0,0 +1,145 @@
+/** Takes requests from callers: checks, admission, and the first decision. */
+import { ErrorCode } from '@catkinferry/core.errors'
+import type { CallerRequest, ResolvedAdapter } from '@catkinferry/core.types'
+import type { RunContext } from '@catkinferry/host.events'
+import { closeRow, refuseArrival } from './answers.ts'
+import type { FailureOptions } from './answers.ts'
+import { cancelOthers } from './attemptRows.ts'
+import { createClaim, takeClaim } from './claims.ts'
+import type { Core } from './core.ts'
+import { failRequest, recordOutcome } from './failing.ts'
+import { chooseFor, queueRequest } from './placing.ts'
+import type { RequestClaim, RequestRow, RequestTarget } from './types.ts'
+
+const NOT_SERVING_RETRY_MS = 1_000
+/** Share of the usual run time that must be left on arrival. */
+const MINIMUM_RUN_SHARE = 0.5
+
+type Refusal = Omit<FailureOptions, 'ran'>
+
+function resolveTarget (core: Core, request: CallerRequest): RequestTarget | undefined {
+  const { work } = request
+  if (work.kind === 'service') return { kind: 'service', pool: work.route, adapterKey: work.route }
+  const resolved: ResolvedAdapter | undefined = core.opts.settings.resolveAdapter(work.adapter, work.version)
+  if (resolved === undefined) return undefined
+  const { pool, adapterKey, adapter, version, model } = resolved
+  return { kind: 'adapter', pool, adapterKey, adapter, version, model }
+}
+
+function findRefusal (core: Core, target: RequestTarget | undefined, context: RunContext): Refusal | undefined {
+  if (core.shuttingDown) {
+    return { code: ErrorCode.SHUTTING_DOWN, message: 'this host is shutting down', step: 'admission', retryAfterMs: 0 }
+  }
+  if (!core.opts.settings.isReady()) {
+    return { code: ErrorCode.NOT_SERVING, message: 'this host has no settings yet', step: 'admission', retryAfterMs: NOT_SERVING_RETRY_MS }
+  }
+  if (target === undefined) {
+    return { code: ErrorCode.UNKNOWN_ADAPTER, message: 'no such adapter or version', step: 'admission' }
+  }
+  const isCutOff = target.kind === 'adapter' && !core.opts.zone.isServing(context.now) && core.opts.zone.listOtherZones(target.pool).length === 0
+  if (isCutOff) {
+    return { code: ErrorCode.NOT_SERVING, message: 'this host can reach no owner of endpoints', step: 'admission', retryAfterMs: NOT_SERVING_RETRY_MS }
+  }
+  return undefined
+}
+
+function tryAdmitCaller (core: Core, request: CallerRequest, context: RunContext): Refusal | undefined {
+  const result = core.admission.tryAdmit({ caller: request.caller, now: context.now, limits: core.getPolicy().caller })
+  if (result.admitted) return undefined
+  const { reason, retryAfterMs } = result
+  return { code: ErrorCode.OVER_LIMIT, message: `the caller's limit on ${reason} is reached`, step: 'admission', retryAfterMs }
+}
+
+function createRow (request: CallerRequest, target: RequestTarget, claim: RequestClaim | undefined, context: RunContext): RequestRow {
+  const { work } = request
+  return {
+    request,
+    target,
+    payloadBytes: work.kind === 'service' ? work.body.length : JSON.stringify(work.body).length,
+    arrivedAt: context.now,
+    deadlineAt: context.now + request.deadlineMs,
+    claim,
+    attempts: [],
+    avoided: new Map(),
+    asks: 0,
+    dispatches: 0,
+    retries: 0,
+    hedged: false,
+    deadlineRefusals: 0,
+    headSent: false,
+    nextIndex: 0,
+    ran: 'no',
+    queueMs: 0,
+    loadStallMs: 0,
+    detached: false,
+    closed: false,
+    lastReason: 'waiting in the queue'
+  }
+}
+
+/** Refuses at once what cannot be answered before its deadline. */
+function isHopeless (core: Core, row: RequestRow, context: RunContext): { hopeless: boolean, waitMs: number } {
+  const choice = chooseFor(core, row, context.now)
+  if (choice.kind !== 'endpoint') return { hopeless: false, waitMs: 0 }
+  const waitMs = choice.cost.queueMs + choice.cost.stallMs
+  const neededMs = waitMs + choice.endpoint.expectedRunMs * MINIMUM_RUN_SHARE
+  return { hopeless: neededMs > row.request.deadlineMs, waitMs }
+}
+
+/** Takes one request. It is refused, queued, or waits for its claim. */
+export function submitRequest (core: Core, request: CallerRequest, context: RunContext): void {
+  const { requestId } = request
+  if (core.requests.has(requestId)) {
+    context.emit({ kind: 'log', level: 'error', message: 'a request id was submitted twice', fields: { step: 'admission', requestId } })
+    return
+  }
+  core.log.begin(requestId, context.now, context.wallNow)
+  const target = resolveTarget(core, request)
+  const refusal = findRefusal(core, target, context) ?? tryAdmitCaller(core, request, context)
+  if (refusal !== undefined || target === undefined) {
+    refuseArrival(core, requestId, { ...refusal as Refusal, ran: 'no' }, context)
+    return
+  }
+  admitRequest(core, request, target, context)
+}
+
+function admitRequest (core: Core, request: CallerRequest, target: RequestTarget, context: RunContext): void {
+  const { requestId, caller, serviceClass, deadlineMs } = request
+  const { retentionMs } = core.getPolicy()
+  const claimed = request.idempotent ? undefined : createClaim({ request, wallNow: context.wallNow, random: core.opts.random, retentionMs })
+  if (claimed?.ok === false) {
+    core.admission.release(caller)
+    refuseArrival(core, requestId, { code: claimed.code, message: claimed.message, hint: claimed.hint, step: 'claim', ran: 'no' }, context)
+    return
+  }
+  const row = createRow(request, target, claimed?.claim, context)
+  core.requests.set(requestId, row)
+  core.deadlines.set(requestId, row.deadlineAt)
+  core.log.add(requestId, context.now, 'admission', 'admitted', { class: serviceClass, deadlineMs, pool: target.pool, adapterKey: target.adapterKey })
+  if (row.claim !== undefined) {
+    takeClaim(core, row, context)
+    return
+  }
+  const { hopeless, waitMs } = isHopeless(core, row, context)
+  if (hopeless) {
+    failRequest(core, row, { code: ErrorCode.DEADLINE, message: 'the deadline cannot be met', step: 'admission', ran: 'no', retryAfterMs: Math.ceil(waitMs) }, context)
+    return
+  }
+  queueRequest(core, row, context)
+}
+
+/** The caller is gone: repeatable work is cancelled; work under a claim that was sent runs on for its outcome. */
+export function dropCaller (core: Core, row: RequestRow, context: RunContext): void {
+  const { requestId, caller } = row.request
+  core.log.add(requestId, context.now, 'caller', 'gone')
+  const isHanging = row.claim?.state === 'taken' && row.attempts.some(attempt => attempt.state === 'running')
+  if (isHanging) {
+    if (!row.detached) core.admission.release(caller)
+    row.detached = true
+    core.deadlines.clear(requestId)
+    return
+  }
+  cancelOthers(core, row, undefined, context)
+  if (row.ran === 'no') recordOutcome(core, row, { kind: 'notRun', reason: 'the caller was gone before dispatch' }, context)
+  closeRow(core, row)
+}
--- /dev/null
+++ b/routing/requests/src/types.ts
@@ -0,0 +1,114 @@
+/** Rows and options of the requests system. */
+import type { Ran } from '@catkinferry/core.errors'
+import type { Random } from '@catkinferry/core.random'
+import type {
+  AdapterKey, AdapterName, AttemptId, CallerRequest, ClaimKey, DurationMs, EndpointId, HostId, HostPlace, ModelId, MonotonicMs,
+  NodePath, RequestId, SettingsView, VersionName, WallMs, ZoneView
+} from '@catkinferry/core.types'
+import type { AttemptEvent, HostEvent, RunContext, System } from '@catkinferry/host.events'
+import type { LedgerClient } from '@catkinferry/ledger.claims'
+import type { RequestExplanation } from '@catkinferry/routing.explain'
+import type { GrantMessage } from '@catkinferry/wire.messages'
+
+export interface RequestsOptions {
+  readonly self: HostPlace
+  /** This host's node in the fleet tree. */
+  readonly fleetPath: NodePath
+  readonly settings: SettingsView
+  readonly zone: ZoneView
+  readonly ledger: LedgerClient
+  readonly random: Random
+}
+
+export type RequestsMessage = Extract<GrantMessage, { kind: 'grant.given' | 'grant.refused' | 'grant.askActive' }>
+export type CacheEvent = Extract<HostEvent, { kind: 'endpoint.cache' }>
+
+export interface Requests extends System<RequestsMessage> {
+  readonly receiveSubmit: (request: CallerRequest, context: RunContext) => void
+  readonly receiveGone: (requestId: RequestId, context: RunContext) => void
+  readonly receiveAttempt: (event: AttemptEvent, context: RunContext) => void
+  readonly receiveCache: (event: CacheEvent, context: RunContext) => void
+  /** The loop was paused: grants not yet used are void. */
+  readonly notePause: (context: RunContext) => void
+  /** New and queued requests are refused as not run; running ones finish. */
+  readonly beginShutdown: (context: RunContext) => void
+  /** Requests and outcomes that a graceful shutdown waits for. */
+  readonly getActiveCount: () => number
+  readonly explain: (requestId: RequestId) => RequestExplanation | undefined
+}
+
+/** What a request must run on. */
+export interface RequestTarget {
+  readonly kind: 'adapter' | 'service'
+  readonly pool: string
+  /** The route for services. */
+  readonly adapterKey: AdapterKey
+  readonly adapter?: AdapterName
+  readonly version?: VersionName
+  readonly model?: ModelId
+}
+
+/** Claim of a non-idempotent request. */
+export interface RequestClaim {
+  readonly claimKey: ClaimKey
+  readonly keyCreatedAt: WallMs
+  readonly fingerprint: string
+  attemptId: AttemptId
+  /** Counts the attempt ids that were claimed. */
+  number: number
+  state: 'taking' | 'taken' | 'renewing' | 'othersOutcome' | 'finished'
+  /** First ask under the attempt id; grants are counted from it. */
+  firstAskedAt?: MonotonicMs
+  polls: number
+  /** Body kept for resends; undefined once it is over the size limit. */
+  keptBody: string[] | undefined
+  keptBytes: number
+  status: number
+  contentType?: string
+}
+
+export interface RequestRow {
+  readonly request: CallerRequest
+  readonly target: RequestTarget
+  readonly payloadBytes: number
+  readonly arrivedAt: MonotonicMs
+  readonly deadlineAt: MonotonicMs
+  readonly claim?: RequestClaim
+  readonly attempts: AttemptRow[]
+  /** Endpoints not to be asked before the given time. */
+  readonly avoided: Map<EndpointId, MonotonicMs>
+  asks: number
+  dispatches: number
+  retries: number
+  hedged: boolean
+  deadlineRefusals: number
+  /** The attempt whose answer the caller gets. */
+  winner?: AttemptId
+  headSent: boolean
+  nextIndex: number
+  ran: Ran
+  queueMs: DurationMs
+  loadStallMs: DurationMs
+  /** The caller has its final answer; the row lives on only to record an outcome. */
+  detached: boolean
+  closed: boolean
+  lastReason: string
+}
+
+export interface AttemptRow {
+  readonly attemptId: AttemptId
+  readonly row: RequestRow
+  /** Host that was asked for the grant; undefined for plain services. */
+  owner?: HostId
+  readonly askedAt: MonotonicMs
+  readonly resumeFrom?: number
+  readonly patienceUntil: MonotonicMs
+  endpoint?: EndpointId
+  url: string
+  state: 'asking' | 'running' | 'cancelling'
+  dispatchedAt: MonotonicMs
+  endBeforeAt: MonotonicMs
+  lastProgressAt: MonotonicMs
+  headAt?: MonotonicMs
+  nextIndex: number
+}
--- a/routing/retries/src/index.ts
+++ b/routing/retries/src/index.ts
@@ -1,2 +1,2 @@
-/** Retry budget, jitter and hedging. */
-export {}
+/** Retry budget and delays. */
+export * from './retryBudget.ts'
--- /dev/null
+++ b/routing/router/src/cost.ts
@@ -0,0 +1,40 @@
+/** Cost of an endpoint for one request, in milliseconds. */
+import type { DurationMs, HostId } from '@catkinferry/core.types'
+import type { Candidate, CostParts, RouteAsk, RouterWeights } from './types.ts'
+
+/** Value of a full batch over an empty one at weight 1. */
+const FULL_BATCH_VALUE_MS = 60
+
+/** Own asks are in the figures already when this host owns the endpoint. */
+function countOwnAsks (ask: RouteAsk, { endpoint, memory }: Candidate, self: HostId): number {
+  return endpoint.owner === self ? 0 : memory.asks.countSince(ask.now, endpoint.reportAgeMs)
+}
+
+/** True where the adapter is loaded or being loaded, and for plain services. */
+export function isWarm (ask: RouteAsk, { endpoint, memory }: Candidate): boolean {
+  return endpoint.kind === 'service' || endpoint.isResident(ask.adapterKey) || endpoint.isLoading(ask.adapterKey) ||
+    memory.asks.hasAdapter(ask.adapterKey, ask.now, endpoint.reportAgeMs)
+}
+
+function estimateStall (ask: RouteAsk, candidate: Candidate): DurationMs {
+  const { endpoint } = candidate
+  if (endpoint.kind === 'service' || endpoint.isResident(ask.adapterKey)) return 0
+  if (isWarm(ask, candidate)) return endpoint.expectedLoadMs / 2
+  const slotWaitMs = endpoint.freeSlots > 0 ? 0 : endpoint.expectedRunMs
+  return endpoint.expectedLoadMs + slotWaitMs
+}
+
+/** Queue wait + load stall x weight + prefix miss - batch fill x weight. */
+export function computeCost (ask: RouteAsk, candidate: Candidate, weights: RouterWeights, self: HostId): CostParts {
+  const { endpoint, memory } = candidate
+  const batchLimit = Math.max(1, endpoint.batchLimit)
+  const load = endpoint.running + endpoint.waiting + countOwnAsks(ask, candidate, self)
+  const excess = Math.max(0, load + 1 - batchLimit)
+  const queueMs = excess * endpoint.expectedRunMs / batchLimit
+  const stallMs = estimateStall(ask, candidate)
+  const misses = ask.prefixHash !== undefined && !memory.prefixes.has(ask.prefixHash, ask.now)
+  const prefixMs = misses ? weights.prefixMissMs : 0
+  const fillMs = excess > 0 ? 0 : FULL_BATCH_VALUE_MS * load / batchLimit
+  const totalMs = queueMs + stallMs * weights.loadStallWeight + prefixMs - fillMs * weights.batchFillWeight
+  return { totalMs, queueMs, stallMs, prefixMs, fillMs }
+}
--- /dev/null
+++ b/routing/router/src/prefixIndex.ts
@@ -0,0 +1,49 @@
+/**
+ * Which prompt prefixes an endpoint probably holds. Fed by cache events, which come late and with
+ * gaps, and by this host's own dispatches. Entries end by themselves, so that a lost `dropped`
+ * event costs a wrong guess for a bounded time only, and a late one does not undo a newer dispatch.
+ */
+import type { DurationMs, MonotonicMs } from '@catkinferry/core.types'
+
+const ENTRY_LIFE_MS = 300_000
+const MAX_PREFIXES = 2_048
+
+/** A cache event may describe a state this much older than its arrival. */
+const EVENT_LAG_MS: DurationMs = 2_000
+
+export interface PrefixIndex {
+  readonly has: (prefixHash: string, now: MonotonicMs) => boolean
+  readonly noteDispatched: (prefixHash: string, now: MonotonicMs) => void
+  readonly noteStored: (prefixHash: string, now: MonotonicMs) => void
+  readonly noteDropped: (prefixHash: string, now: MonotonicMs) => void
+  readonly clear: () => void
+  readonly getSize: () => number
+}
+
+/** Creates the index of one endpoint. */
+export function createPrefixIndex (): PrefixIndex {
+  const notedAt = new Map<string, MonotonicMs>()
+
+  function put (prefixHash: string, now: MonotonicMs): void {
+    notedAt.delete(prefixHash)
+    notedAt.set(prefixHash, now)
+    if (notedAt.size <= MAX_PREFIXES) return
+    const [oldest] = notedAt.keys()
+    if (oldest !== undefined) notedAt.delete(oldest)
+  }
+
+  return {
+    has: (prefixHash, now) => {
+      const at = notedAt.get(prefixHash)
+      return at !== undefined && now - at < ENTRY_LIFE_MS
+    },
+    noteDispatched: put,
+    noteStored: put,
+    noteDropped: (prefixHash, now) => {
+      const at = notedAt.get(prefixHash)
+      if (at !== undefined && now - at >= EVENT_LAG_MS) notedAt.delete(prefixHash)
+    },
+    clear: () => { notedAt.clear() },
+    getSize: () => notedAt.size
+  }
+}
--- /dev/null
+++ b/routing/router/src/spill.ts
@@ -0,0 +1,40 @@
+/** Cost of sending a request to another zone. */
+import type { HostPlace, ZoneSummary } from '@catkinferry/core.types'
+import type { RouteAsk, RouterWeights, ZoneChoice } from './types.ts'
+
+/** Cost of one more network step to another zone of the same region. */
+const ZONE_STEP_MS = 2
+
+/** Cost of one more network step to another region. */
+const REGION_STEP_MS = 12
+
+/** Digests of other zones older than this are not used. */
+const MAX_DIGEST_AGE_MS = 5_000
+
+/** Larger payloads do not cross between regions. */
+const MAX_CROSS_REGION_BYTES = 16 * 1024
+const BYTES_PER_KILOBYTE = 1_024
+
+function computeSpillCost (summary: ZoneSummary, ask: RouteAsk, weights: RouterWeights, self: HostPlace): number {
+  if (summary.region === self.region) return summary.queueMs + ZONE_STEP_MS
+  const kilobytes = ask.payloadBytes / BYTES_PER_KILOBYTE
+  return summary.queueMs + REGION_STEP_MS + kilobytes * weights.spillCostPerKilobyteMs
+}
+
+/** Chooses the cheapest other zone with spare capacity; the own region costs no volume. */
+export function chooseZone (opts: {
+  readonly ask: RouteAsk
+  readonly weights: RouterWeights
+  readonly self: HostPlace
+  readonly zones: readonly ZoneSummary[]
+}): ZoneChoice | undefined {
+  const { ask, weights, self, zones } = opts
+  let best: ZoneChoice | undefined
+  for (const summary of zones) {
+    if (summary.ageMs > MAX_DIGEST_AGE_MS || summary.freeCapacity <= 0) continue
+    if (summary.region !== self.region && ask.payloadBytes > MAX_CROSS_REGION_BYTES) continue
+    const costMs = computeSpillCost(summary, ask, weights, self)
+    if (best === undefined || costMs < best.costMs) best = { kind: 'zone', summary, costMs, queueMs: summary.queueMs }
+  }
+  return best
+}
