--- /dev/null
+++ b/ledger/claims/src/claimStore.ts
@@ -0,0 +1,117 @@
+/** The rows of the claims table in the order of their retention, with the answers kept for resends. */
+import type { ClaimKey, WallMs } from '@catkinferry/core.types'
+import type { ClaimOutcome } from '@catkinferry/wire.messages'
+import type { ClaimLimits, ClaimRow, SavedClaims } from './claimRow.ts'
+import { createKeptAnswers } from './keptAnswers.ts'
+
+export interface ClaimStore {
+  readonly find: (claimKey: ClaimKey) => ClaimRow | undefined
+  /** Adds a claim as the newest, in place of an older one of the same key. */
+  readonly add: (row: ClaimRow) => void
+  /** Records an outcome. */
+  readonly settle: (row: ClaimRow, outcome: ClaimOutcome, now: WallMs, limits: ClaimLimits) => void
+  /** Drops settled claims past the retention horizon and answers past their bound. */
+  readonly expire: (now: WallMs, limits: ClaimLimits) => void
+  /** Claims past the horizon first, then by age, oldest first. */
+  readonly listRows: () => IterableIterator<ClaimRow>
+  readonly getSize: () => number
+  readonly getKeptAnswerBytes: () => number
+  readonly save: () => SavedClaims
+  readonly load: (saved: SavedClaims) => void
+}
+
+function isSettled (row: ClaimRow): boolean {
+  return row.outcome !== undefined && row.outcome.kind !== 'unknown'
+}
+
+/** Creates an empty store. */
+export function createClaimStore (): ClaimStore {
+  /** In the order in which the claims were taken. */
+  let rows = new Map<ClaimKey, ClaimRow>()
+  /** Unsettled claims past the horizon: kept until they are resolved, and out of the way of the expiry. */
+  let overstayed = new Map<ClaimKey, ClaimRow>()
+  const kept = createKeptAnswers()
+
+  function find (claimKey: ClaimKey): ClaimRow | undefined {
+    return rows.get(claimKey) ?? overstayed.get(claimKey)
+  }
+
+  function replace (row: ClaimRow): void {
+    if (overstayed.has(row.claimKey)) overstayed.set(row.claimKey, row)
+    else rows.set(row.claimKey, row)
+  }
+
+  /** A settled claim past the horizon is kept for one more retention, as the newest. */
+  function resetRetention (row: ClaimRow, now: WallMs): ClaimRow {
+    if (!overstayed.delete(row.claimKey)) return row
+    const revived = { ...row, keptFrom: now }
+    rows.set(row.claimKey, revived)
+    return revived
+  }
+
+  function drop (claimKey: ClaimKey): void {
+    kept.remove(claimKey)
+    rows.delete(claimKey)
+    overstayed.delete(claimKey)
+  }
+
+  /** Drops the oldest answers past the bound; their outcomes stay. */
+  function trimAnswers (limits: ClaimLimits): void {
+    for (const claimKey of kept.takeBeyond(limits.keptAnswerBytes)) {
+      const row = find(claimKey)
+      if (row?.outcome?.kind !== 'done' || row.outcome.answer === undefined) continue
+      const { body: _body, ...rest } = row.outcome.answer
+      replace({ ...row, outcome: { kind: 'done', answer: rest } })
+    }
+  }
+
+  function settle (row: ClaimRow, outcome: ClaimOutcome, now: WallMs, limits: ClaimLimits): void {
+    const current = outcome.kind === 'unknown' ? row : resetRetention(row, now)
+    replace({ ...current, outcome })
+    if (outcome.kind === 'done' && outcome.answer?.body !== undefined) kept.add(row.claimKey, Buffer.byteLength(outcome.answer.body))
+    trimAnswers(limits)
+  }
+
+  function expire (now: WallMs, limits: ClaimLimits): void {
+    trimAnswers(limits)
+    for (const row of rows.values()) {
+      if (row.keptFrom + limits.retentionMs > now) break
+      if (isSettled(row)) {
+        drop(row.claimKey)
+      } else {
+        rows.delete(row.claimKey)
+        overstayed.set(row.claimKey, row)
+      }
+    }
+  }
+
+  function * listRows (): IterableIterator<ClaimRow> {
+    yield * overstayed.values()
+    yield * rows.values()
+  }
+
+  function load (saved: SavedClaims): void {
+    rows = new Map(saved.rows.map(row => [row.claimKey, row]))
+    overstayed = new Map(saved.overstayed.map(row => [row.claimKey, row]))
+    kept.clear()
+    for (const claimKey of saved.answerOrder) {
+      const outcome = find(claimKey)?.outcome
+      if (outcome?.kind === 'done' && outcome.answer?.body !== undefined) kept.add(claimKey, Buffer.byteLength(outcome.answer.body))
+    }
+  }
+
+  return {
+    find,
+    add: row => {
+      drop(row.claimKey)
+      rows.set(row.claimKey, row)
+    },
+    settle,
+    expire,
+    listRows,
+    getSize: () => rows.size + overstayed.size,
+    getKeptAnswerBytes: kept.getBytes,
+    save: () => ({ overstayed: [...overstayed.values()], rows: [...rows.values()], answerOrder: kept.listKeys() }),
+    load
+  }
+}
--- /dev/null
+++ b/ledger/claims/src/claimsTable.ts
@@ -0,0 +1,125 @@
+/** The replicated table of claims: pure, driven by commands in log order. */
+import type { AttemptId, ClaimKey, HostId, WallMs } from '@catkinferry/core.types'
+import type { ClaimOutcome, CommandOutcome } from '@catkinferry/wire.messages'
+import type { ClaimDescription, ClaimLimits, ClaimRow, ClaimState, SavedClaims } from './claimRow.ts'
+import { createClaimStore } from './claimStore.ts'
+
+/** A key made later than this after the leader's clock is refused. */
+export const MAX_KEY_SKEW_MS = 300_000
+
+export interface TakeCommand {
+  readonly claimKey: ClaimKey
+  readonly attemptId: AttemptId
+  readonly host: HostId
+  readonly keyCreatedAt: WallMs
+  readonly fingerprint: string
+  readonly now: WallMs
+  readonly limits: ClaimLimits
+}
+
+export interface FinishCommand {
+  readonly claimKey: ClaimKey
+  readonly attemptId: AttemptId
+  readonly outcome: ClaimOutcome
+  readonly now: WallMs
+  readonly limits: ClaimLimits
+}
+
+/** Why an operator cannot resolve a claim. */
+export type ResolveRefusal = 'notFound' | 'open' | 'finished'
+
+export interface ClaimsTable {
+  readonly take: (opts: TakeCommand) => CommandOutcome
+  readonly finish: (opts: FinishCommand) => CommandOutcome
+  /** Sets the outcome of an unknown or overdue claim; gives the refusal otherwise. */
+  readonly resolve: (opts: { claimKey: ClaimKey, resolution: 'done' | 'notRun', note: string, by: string, now: WallMs, limits: ClaimLimits }) => ResolveRefusal | undefined
+  /** Drops claims past the retention horizon and answers past their bound. */
+  readonly expire: (now: WallMs, limits: ClaimLimits) => void
+  readonly get: (claimKey: ClaimKey, now: WallMs, limits: ClaimLimits) => ClaimDescription | undefined
+  readonly list: (opts: { state?: string, limit: number, now: WallMs, limits: ClaimLimits }) => ClaimDescription[]
+  readonly getSize: () => number
+  readonly getKeptAnswerBytes: () => number
+  /** Rows and the order of kept answers, for snapshots. */
+  readonly save: () => SavedClaims
+  readonly load: (saved: SavedClaims) => void
+}
+
+function computeState (row: ClaimRow, now: WallMs, limits: ClaimLimits): ClaimState {
+  if (row.outcome !== undefined) return row.outcome.kind
+  return row.takenAt + limits.openLimitMs < now ? 'overdue' : 'open'
+}
+
+function describeHeld (row: ClaimRow, fingerprint: string): CommandOutcome {
+  const { attemptId, host, outcome } = row
+  return { kind: 'claim.held', attemptId, host, ...(outcome === undefined ? {} : { outcome }), sameFingerprint: row.fingerprint === fingerprint }
+}
+
+/** Creates an empty table. */
+export function createClaimsTable (): ClaimsTable {
+  const store = createClaimStore()
+
+  function take (opts: TakeCommand): CommandOutcome {
+    const { claimKey, attemptId, host, keyCreatedAt, fingerprint, now, limits } = opts
+    const row = store.find(claimKey)
+    const isFree = row === undefined || (row.outcome?.kind === 'notRun' && row.attemptId !== attemptId)
+    if (!isFree) {
+      const isOurs = row.attemptId === attemptId && row.outcome === undefined
+      return isOurs ? { kind: 'claim.taken' } : describeHeld(row, fingerprint)
+    }
+    if (keyCreatedAt + limits.retentionMs < now) return { kind: 'claim.expired', reason: 'tooOld' }
+    if (keyCreatedAt > now + MAX_KEY_SKEW_MS) return { kind: 'claim.expired', reason: 'inFuture' }
+    if (row !== undefined && row.fingerprint !== '' && row.fingerprint !== fingerprint) return describeHeld(row, fingerprint)
+    store.add({ claimKey, attemptId, host, fingerprint, keyCreatedAt, takenAt: now, keptFrom: Math.max(now, keyCreatedAt) })
+    return { kind: 'claim.taken' }
+  }
+
+  function finish (opts: FinishCommand): CommandOutcome {
+    const { claimKey, attemptId, outcome, now, limits } = opts
+    const row = store.find(claimKey)
+    if (row === undefined) {
+      // The attempt's take may still be on its way: leave a mark that keeps it from being taken.
+      if (outcome.kind === 'notRun') store.add({ claimKey, attemptId, host: '', fingerprint: '', keyCreatedAt: now, takenAt: now, keptFrom: now, outcome })
+      return { kind: 'claim.finished' }
+    }
+    if (row.attemptId !== attemptId) return describeHeld(row, row.fingerprint)
+    if (row.outcome === undefined) store.settle(row, outcome, now, limits)
+    return { kind: 'claim.finished' }
+  }
+
+  return {
+    take,
+    finish,
+    expire: store.expire,
+    resolve: ({ claimKey, resolution, note, by, now, limits }) => {
+      const row = store.find(claimKey)
+      if (row === undefined) return 'notFound'
+      const state = computeState(row, now, limits)
+      if (state === 'open') return 'open'
+      if (state !== 'unknown' && state !== 'overdue') return 'finished'
+      const outcome: ClaimOutcome = resolution === 'done' ? { kind: 'done' } : { kind: 'notRun', reason: note }
+      store.settle({ ...row, resolvedBy: by }, outcome, now, limits)
+      return undefined
+    },
+    get: (claimKey, now, limits) => {
+      const row = store.find(claimKey)
+      return row === undefined ? undefined : describe(row, now, limits)
+    },
+    list: ({ state, limit, now, limits }) => {
+      const found: ClaimDescription[] = []
+      for (const row of store.listRows()) {
+        if (found.length >= limit) break
+        const described = describe(row, now, limits)
+        if (state === undefined || described.state === state) found.push(described)
+      }
+      return found
+    },
+    getSize: store.getSize,
+    getKeptAnswerBytes: store.getKeptAnswerBytes,
+    save: store.save,
+    load: store.load
+  }
+}
+
+function describe (row: ClaimRow, now: WallMs, limits: ClaimLimits): ClaimDescription {
+  return { ...row, state: computeState(row, now, limits) }
+}
--- /dev/null
+++ b/ledger/claims/src/keptAnswers.ts
@@ -0,0 +1,47 @@
+/** Sizes of the answers that are kept for resends, oldest first. */
+import type { ClaimKey } from '@catkinferry/core.types'
+
+export interface KeptAnswers {
+  readonly add: (claimKey: ClaimKey, bytes: number) => void
+  readonly remove: (claimKey: ClaimKey) => void
+  /** Removes and returns the oldest keys until the rest fits `maxBytes`. */
+  readonly takeBeyond: (maxBytes: number) => ClaimKey[]
+  readonly getBytes: () => number
+  readonly listKeys: () => ClaimKey[]
+  readonly clear: () => void
+}
+
+/** Creates an empty account of answers. */
+export function createKeptAnswers (): KeptAnswers {
+  const sizes = new Map<ClaimKey, number>()
+  let total = 0
+
+  function remove (claimKey: ClaimKey): void {
+    total -= sizes.get(claimKey) ?? 0
+    sizes.delete(claimKey)
+  }
+
+  return {
+    add: (claimKey, bytes) => {
+      remove(claimKey)
+      sizes.set(claimKey, bytes)
+      total += bytes
+    },
+    remove,
+    takeBeyond: maxBytes => {
+      const taken: ClaimKey[] = []
+      for (const claimKey of sizes.keys()) {
+        if (total <= maxBytes) break
+        remove(claimKey)
+        taken.push(claimKey)
+      }
+      return taken
+    },
+    getBytes: () => total,
+    listKeys: () => [...sizes.keys()],
+    clear: () => {
+      sizes.clear()
+      total = 0
+    }
+  }
+}
--- a/ledger/claims/src/ledgerClient.ts
+++ b/ledger/claims/src/ledgerClient.ts
@@ -1,24 +1,27 @@
 /** What the requests system needs of the ledger of claims. */
 import type { AttemptId, ClaimKey, MonotonicMs, WallMs } from '@catkinferry/core.types'
 import type { RunContext } from '@catkinferry/host.events'
-import type { ClaimOutcome, CommandOutcome } from '@catkinferry/wire.messages'
+import type { ClaimOutcome, CommandResult } from '@catkinferry/wire.messages'
 
 /** How a command to the ledger ended. */
-export type LedgerResult =
-  | { readonly kind: 'outcome', readonly outcome: CommandOutcome }
-  /** Certain not to be committed. */
-  | { readonly kind: 'refused', readonly reason: string }
-  | { readonly kind: 'unknown' }
+export type LedgerResult = CommandResult
 
+/** Takes the claim of a key for one attempt. */
 export interface TakeOptions {
   readonly claimKey: ClaimKey
   readonly attemptId: AttemptId
   readonly keyCreatedAt: WallMs
+  /** Hash of the request, so that a key used for other work is noticed. */
   readonly fingerprint: string
   readonly deadlineAt: MonotonicMs
+  /**
+   * Called once. Only `claim.taken` allows the attempt to be dispatched; after any other result it must never be.
+   * After `unknown` the client itself records the attempt as not run.
+   */
   readonly onOutcome: (result: LedgerResult, context: RunContext) => void
 }
 
+/** Records how an attempt ended. */
 export interface FinishOptions {
   readonly claimKey: ClaimKey
   readonly attemptId: AttemptId
@@ -26,6 +29,7 @@
   readonly onOutcome?: (result: LedgerResult, context: RunContext) => void
 }
 
+/** The ledger as the request path uses it. */
 export interface LedgerClient {
   /** Commits a claim, or tells who holds the key. */
   readonly take: (opts: TakeOptions, context: RunContext) => void
--- a/settings/replicated-state/src/index.ts
+++ b/settings/replicated-state/src/index.ts
@@ -1,2 +1,4 @@
 /** The replicated state machine: settings, adapters, audit trail, change ids, ledger. */
-export {}
+export type { AuditEntry, AuditPage, AuditedNode } from './auditTrail.ts'
+export * from './replicatedState.ts'
+export { SNAPSHOT_FORMAT } from './stateSnapshot.ts'
--- /dev/null
+++ b/settings/replicated-state/src/replicatedState.ts
@@ -0,0 +1,92 @@
+/** The replicated state machine: settings, adapters, audit trail, change ids, ledger, endpoint facts. */
+import type { WallMs } from '@catkinferry/core.types'
+import { createSettingsTree, describeNode } from '@catkinferry/settings.tree'
+import type { SettingsTree } from '@catkinferry/settings.tree'
+import type { Command, CommandOutcome, NodeDelta, Query, RevisionDelta, StateMachine } from '@catkinferry/wire.messages'
+import { applyRefusedChange, applyResolveClaim, applySettingsChange } from './applyChange.ts'
+import { decodeSnapshot, encodeSnapshot } from './stateSnapshot.ts'
+import { createStateTables, expireTables, readClaimLimits } from './stateTables.ts'
+import type { StateTables } from './stateTables.ts'
+
+const MAX_PAGE = 1_000
+
+/** The state that the replicated log drives on each voter. */
+export interface ReplicatedState extends StateMachine {
+  readonly getRevision: () => number
+  /** The settings tree; another object after a snapshot was restored. */
+  readonly getTree: () => SettingsTree
+  /** Contiguous deltas after a revision; undefined where some are no longer kept. */
+  readonly listDeltasAfter: (revision: number) => RevisionDelta[] | undefined
+  readonly listNodes: () => IterableIterator<NodeDelta>
+  /** Called after each accepted change. Not called for what a snapshot brings. */
+  readonly onRevision: (listener: (delta: RevisionDelta) => void) => void
+}
+
+type Handler<Kind extends Command['kind']> = (tables: StateTables, command: Extract<Command, { kind: Kind }>, onDelta: (delta: RevisionDelta) => void) => CommandOutcome
+
+const handlers: { readonly [Kind in Command['kind']]: Handler<Kind> } = {
+  'settings.change': applySettingsChange,
+  'audit.refused': applyRefusedChange,
+  'claim.take': ({ claims, clock, tree }, { claimKey, attemptId, host, keyCreatedAt, fingerprint }) =>
+    claims.take({ claimKey, attemptId, host, keyCreatedAt, fingerprint, now: clock.now, limits: readClaimLimits(tree) }),
+  'claim.finish': ({ claims, clock, tree }, { claimKey, attemptId, outcome }) =>
+    claims.finish({ claimKey, attemptId, outcome, now: clock.now, limits: readClaimLimits(tree) }),
+  'claim.resolve': (tables, command) => applyResolveClaim(tables, command, readClaimLimits(tables.tree)),
+  'endpoint.fact': ({ endpointFacts }, { endpoint, checksFencing }) => {
+    endpointFacts.set(endpoint, checksFencing)
+    return { kind: 'recorded' }
+  }
+}
+
+type QueryHandler<Kind extends Query['kind']> = (tables: StateTables, query: Extract<Query, { kind: Kind }>) => unknown
+
+/** Queries that the state answers; the others are answered by the voter and the dissemination. */
+const queryHandlers: { readonly [Kind in Query['kind']]?: QueryHandler<Kind> } = {
+  claim: ({ claims, clock, tree }, { claimKey }) => claims.get(claimKey, clock.now, readClaimLimits(tree)),
+  claims: ({ claims, clock, tree }, { state, limit }) => claims.list({ state, limit: Math.min(limit, MAX_PAGE), now: clock.now, limits: readClaimLimits(tree) }),
+  audit: ({ audit }, { afterSequence, limit, path, who }) => audit.list({ afterSequence, limit: Math.min(limit, MAX_PAGE), path, who }),
+  settings: ({ tree }, { path, effective, explain }) => describeNode({ tree, path, effective, explain })
+}
+
+function formatDelta (entry: { revision?: number, nodes: readonly { path: string, after?: Readonly<Record<string, unknown>> }[] }): RevisionDelta {
+  const revision = entry.revision!
+  return { revision, nodes: entry.nodes.map(({ path, after }) => ({ path, nodeRevision: revision, ...(after === undefined ? {} : { values: after }) })) }
+}
+
+/** Creates an empty state. */
+export function createReplicatedState (): ReplicatedState {
+  let tables = createStateTables(createSettingsTree())
+  const listeners: ((delta: RevisionDelta) => void)[] = []
+  const tellListeners = (delta: RevisionDelta): void => {
+    for (const listener of listeners) listener(delta)
+  }
+
+  function apply (opts: { readonly proposedAt: WallMs, readonly command: Command }): CommandOutcome {
+    const { clock } = tables
+    clock.now = Math.max(clock.now, opts.proposedAt)
+    const handle = handlers[opts.command.kind] as Handler<Command['kind']>
+    const outcome = handle(tables, opts.command as never, tellListeners)
+    expireTables(tables)
+    return outcome
+  }
+
+  return {
+    apply,
+    takeSnapshot: () => encodeSnapshot(tables),
+    restoreSnapshot: data => { tables = decodeSnapshot(data) },
+    answerQuery: query => (queryHandlers[query.kind] as QueryHandler<Query['kind']> | undefined)?.(tables, query as never),
+    getRevision: () => tables.tree.getRevision(),
+    getTree: () => tables.tree,
+    listDeltasAfter: revision => {
+      const entries = tables.audit.listAcceptedAfter(revision)
+      const isWhole = entries.length === tables.tree.getRevision() - revision
+      return isWhole ? entries.map(formatDelta) : undefined
+    },
+    listNodes: () => listTreeNodes(tables.tree),
+    onRevision: listener => { listeners.push(listener) }
+  }
+}
+
+function * listTreeNodes (tree: SettingsTree): IterableIterator<NodeDelta> {
+  for (const { path, revision, values } of tree.walkNodes()) yield { path, nodeRevision: revision, values }
+}
--- a/settings/schema/src/index.ts
+++ b/settings/schema/src/index.ts
@@ -1,2 +1,5 @@
-/** Schema of every settings key. */
-export {}
+/** Schema of every settings key: type, default, unit, where it may be set. */
+export * from './keyRow.ts'
+export { findKey, listKeys } from './keys.ts'
+export * from './paths.ts'
+export * from './validateValues.ts'
--- /dev/null
+++ b/settings/tree/src/describeNode.ts
@@ -0,0 +1,79 @@
+/** Plain descriptions of nodes and subtrees for operators. */
+import type { NodePath } from '@catkinferry/core.types'
+import { listKeys, parsePath } from '@catkinferry/settings.schema'
+import type { NodeValues } from './packValues.ts'
+import type { ExplainedValue, SettingsTree, TreeNode } from './settingsTree.ts'
+
+/** A node as an operator sees it. `effective` has each key that applies there; `from` only when explained. */
+export interface NodeDescription {
+  readonly path: NodePath
+  readonly exists: boolean
+  /** Revision to expect in a change of the node; 0 when it does not exist. */
+  readonly revision: number
+  readonly values: NodeValues
+  /** Revision of the whole state that was read. */
+  readonly stateRevision: number
+  readonly effective?: readonly (ExplainedValue | Omit<ExplainedValue, 'from'>)[]
+}
+
+/** Keys that a path has a value for: those settable there or above. */
+function listApplicable (path: NodePath): string[] {
+  const parsed = parsePath(path)
+  if (typeof parsed === 'string') return []
+  const depth = parsed.segments.length
+  const levelsAbove = new Set<string>()
+  for (let length = 1; length <= depth; length++) {
+    const above = parsePath(parsed.segments.slice(0, length).join('/'))
+    if (typeof above !== 'string') levelsAbove.add(above.level)
+  }
+  return listKeys().filter(row => row.tree === parsed.tree && row.levels.some(level => levelsAbove.has(level))).map(row => row.key)
+}
+
+/** Describes one node; `effective` adds inherited values, `explain` the node that each came from. */
+export function describeNode (opts: { tree: SettingsTree, path: NodePath, effective: boolean, explain: boolean }): NodeDescription {
+  const { tree, path } = opts
+  const node = tree.getNode(path)
+  const description: NodeDescription = {
+    path, exists: node !== undefined, revision: node?.revision ?? 0, values: node?.values ?? {}, stateRevision: tree.getRevision()
+  }
+  if (!opts.effective && !opts.explain) return description
+  const effective = listApplicable(path).map(key => tree.explainValue(path, key)).filter(({ value }) => value !== undefined)
+  return { ...description, effective: opts.explain ? effective : effective.map(({ key, value }) => ({ key, value })) }
+}
+
+/** A page of the nodes of a subtree, the top included, parents first. `after` is the last path of the page before. */
+export function listSubtree (opts: { tree: SettingsTree, path: NodePath, limit: number, after?: NodePath }): TreeNode[] {
+  const { tree, path, limit, after } = opts
+  const found: TreeNode[] = []
+  let skipping = after !== undefined
+  for (const node of tree.walkNodes()) {
+    if (node.path !== path && !node.path.startsWith(`${path}/`)) continue
+    if (skipping) {
+      skipping = node.path !== after
+      continue
+    }
+    found.push(node)
+    if (found.length >= limit) break
+  }
+  return found
+}
+
+/** One effective key that differs between two nodes. */
+export interface KeyDifference {
+  readonly key: string
+  readonly left: ExplainedValue
+  readonly right: ExplainedValue
+}
+
+/** Effective keys that differ between two nodes of one tree. */
+export function compareNodes (opts: { tree: SettingsTree, left: NodePath, right: NodePath }): KeyDifference[] {
+  const { tree } = opts
+  const keys = new Set([...listApplicable(opts.left), ...listApplicable(opts.right)])
+  const differences: KeyDifference[] = []
+  for (const key of keys) {
+    const left = tree.explainValue(opts.left, key)
+    const right = tree.explainValue(opts.right, key)
+    if (JSON.stringify(left.value) !== JSON.stringify(right.value)) differences.push({ key, left, right })
+  }
+  return differences
+}
--- a/settings/tree/src/index.ts
+++ b/settings/tree/src/index.ts
@@ -1,2 +1,5 @@
-/** Inheriting settings trees with revisions. */
-export {}
+/** Inheriting settings trees: nodes, effective values, adapters, plans of changes. */
+export * from './describeNode.ts'
+export type { NodeValues } from './packValues.ts'
+export * from './planChange.ts'
+export * from './settingsTree.ts'
--- /dev/null
+++ b/settings/tree/src/settingsTree.ts
@@ -0,0 +1,140 @@
+/** The two settings trees with inheritance: nodes hold overrides only. */
+import type { AdapterName, NodePath, ResolvedAdapter, VersionName } from '@catkinferry/core.types'
+import { TREE_LEVELS } from '@catkinferry/settings.schema'
+import type { NodeDelta, RevisionDelta } from '@catkinferry/wire.messages'
+import { createEffectiveCache } from './effectiveCache.ts'
+import { createNodeStore, NO_NODE } from './nodeStore.ts'
+import type { NodeStore } from './nodeStore.ts'
+import type { NodeValues } from './packValues.ts'
+import {
+  explainValue, findNearest, findNode, formatPath, listAdapters, listChildNames, listIds, readNode, readValue, resolveAdapter, walkPacked, walkStore
+} from './readStore.ts'
+
+/** A node that exists, with its own overrides. */
+export interface TreeNode {
+  readonly path: NodePath
+  /** The revision of the deployment that last changed the node. */
+  readonly revision: number
+  readonly values: NodeValues
+}
+
+/** A node with its overrides as JSON, keys sorted. */
+export interface PackedNode {
+  readonly path: NodePath
+  readonly revision: number
+  readonly json: string
+}
+
+/** An effective value and the node it came from; `from` is `default` where no node sets the key. */
+export interface ExplainedValue {
+  readonly key: string
+  readonly value: unknown
+  readonly from: NodePath | 'default'
+}
+
+export interface SettingsTree {
+  /** Highest revision applied. */
+  readonly getRevision: () => number
+  readonly setRevision: (revision: number) => void
+  /** Undefined for a node that does not exist. */
+  readonly getNode: (path: NodePath) => TreeNode | undefined
+  readonly hasChildren: (path: NodePath) => boolean
+  /** Names of the children in the order of their creation. */
+  readonly listChildren: (path: NodePath) => IterableIterator<string>
+  readonly getValue: (path: NodePath, key: string) => unknown
+  readonly explainValue: (path: NodePath, key: string) => ExplainedValue
+  /** Path of the adapter of this name, whichever model it belongs to. */
+  readonly findAdapter: (adapter: AdapterName) => NodePath | undefined
+  readonly resolveAdapter: (adapter: AdapterName, version?: VersionName) => ResolvedAdapter | undefined
+  readonly listAdapters: (opts: { after?: AdapterName, limit: number }) => ResolvedAdapter[]
+  /** Puts or removes one node without touching the revision. */
+  readonly putNode: (delta: NodeDelta) => void
+  /** Applies one revision: all its nodes, then the revision. */
+  readonly applyDelta: (delta: RevisionDelta) => void
+  readonly countNodes: () => number
+  /** Nodes by id from `from` on, `limit` ids at most: a listing that stays valid while nodes come and go. */
+  readonly listIds: (from: number, limit: number) => NodeDelta[]
+  readonly getIdLimit: () => number
+  /** All nodes, parents before children, in an order that follows from the commands alone. */
+  readonly walkNodes: () => IterableIterator<TreeNode>
+  /** As `walkNodes`, with the values as JSON. */
+  readonly walkPacked: () => IterableIterator<PackedNode>
+}
+
+/** Creates trees without nodes at revision 0. */
+export function createSettingsTree (): SettingsTree {
+  const store = createNodeStore()
+  for (const root of Object.keys(TREE_LEVELS)) store.addChild(NO_NODE, root, false)
+  const cache = createEffectiveCache()
+  let revision = 0
+  let count = 0
+
+  function removeNode (path: NodePath): void {
+    const id = findNode(store, path)
+    if (id === NO_NODE || store.getRevision(id) === 0) return
+    count--
+    store.setNode(id, 0, {})
+    dropEmpty(store, id)
+  }
+
+  function putNode (delta: NodeDelta): void {
+    cache.clearBelow(delta.path)
+    if (delta.values === undefined) {
+      removeNode(delta.path)
+      return
+    }
+    const id = findOrAdd(store, delta.path)
+    if (store.getRevision(id) === 0) count++
+    store.setNode(id, delta.nodeRevision, delta.values)
+  }
+
+  return {
+    getRevision: () => revision,
+    setRevision: value => { revision = value },
+    getNode: path => readNode(store, path),
+    hasChildren: path => {
+      const id = findNode(store, path)
+      return id !== NO_NODE && store.getFirstChild(id) !== NO_NODE
+    },
+    listChildren: path => listChildNames(store, findNode(store, path)),
+    getValue: (path, key) => cache.get(path, key, () => readValue(store, findNearest(store, path), key)),
+    explainValue: (path, key) => explainValue(store, path, key),
+    findAdapter: adapter => {
+      const id = store.findAdapter(adapter)
+      return id === NO_NODE ? undefined : formatPath(store, id)
+    },
+    resolveAdapter: (adapter, version) => resolveAdapter(store, store.findAdapter(adapter), version),
+    listAdapters: opts => listAdapters(store, opts),
+    putNode,
+    applyDelta: delta => {
+      for (const node of delta.nodes) putNode(node)
+      revision = delta.revision
+    },
+    countNodes: () => count,
+    listIds: (from, limit) => listIds(store, from, limit),
+    getIdLimit: store.getIdLimit,
+    walkNodes: () => walkStore(store),
+    walkPacked: () => walkPacked(store)
+  }
+}
+
+/** Finds a node, adding it and its ancestors as placeholders where they are absent. */
+function findOrAdd (store: NodeStore, path: NodePath): number {
+  let id = NO_NODE
+  for (const [depth, name] of path.split('/').entries()) {
+    const child = store.findChild(id, name)
+    const isAdapter = depth === TREE_LEVELS.models.indexOf('adapter') && path.startsWith('models/')
+    id = child === NO_NODE ? store.addChild(id, name, isAdapter) : child
+  }
+  return id
+}
+
+/** Frees placeholders that nothing hangs on any more. */
+function dropEmpty (store: NodeStore, from: number): void {
+  let id = from
+  while (store.getParent(id) !== NO_NODE && store.getRevision(id) === 0 && store.getFirstChild(id) === NO_NODE) {
+    const parent = store.getParent(id)
+    store.removeLeaf(id)
+    id = parent
+  }
+}
--- /dev/null
+++ b/settings/tree/src/shareNames.ts
@@ -0,0 +1,22 @@
+/** Node names in a form that costs little memory. */
+
+const SHARED_NAME_LENGTH = 8
+const MAX_SHARED_NAMES = 4_096
+
+/** Copies a name out of the path that it was cut from, which would otherwise stay in memory. */
+function copyName (name: string): string {
+  return Buffer.from(name, 'latin1').toString('latin1')
+}
+
+/** Creates a function that gives one string for all equal short names, and a copy of each long one. */
+export function createNameSharer (): (name: string) => string {
+  const shared = new Map<string, string>()
+  return name => {
+    if (name.length > SHARED_NAME_LENGTH) return copyName(name)
+    const known = shared.get(name)
+    if (known !== undefined) return known
+    const copied = copyName(name)
+    if (shared.size < MAX_SHARED_NAMES) shared.set(copied, copied)
+    return copied
+  }
+}
--- a/wire/messages/src/commands.ts
+++ b/wire/messages/src/commands.ts
@@ -34,12 +34,20 @@
   | { readonly kind: 'claim.taken' }
   /** Somebody else holds the key, or it is finished. */
   | { readonly kind: 'claim.held', readonly attemptId: AttemptId, readonly host: HostId, readonly outcome?: ClaimOutcome, readonly sameFingerprint: boolean }
-  /** The key is older than the retention horizon. */
-  | { readonly kind: 'claim.expired' }
+  /** Nothing was recorded: the key is older than the retention horizon, or made in the future by the leader's clock. */
+  | { readonly kind: 'claim.expired', readonly reason?: 'tooOld' | 'inFuture' }
   | { readonly kind: 'claim.finished' }
   | { readonly kind: 'claim.resolved' }
   | { readonly kind: 'recorded' }
 
+/** How a submission ended, as far as the submitting host can know. */
+export type CommandResult =
+  | { readonly kind: 'outcome', readonly outcome: CommandOutcome }
+  /** Certain: the command was not and will not be committed. */
+  | { readonly kind: 'refused', readonly reason: string }
+  /** The answer was lost or the deadline passed: it may have been committed, or be committed yet. */
+  | { readonly kind: 'unknown' }
+
 /** Sent by any host to a voter, which hands it on to the leader. */
 export type CommandMessage =
   | { readonly kind: 'command.submit', readonly commandId: string, readonly origin: HostId, readonly command: Command, readonly hops: number }
--- a/wire/messages/src/settings.ts
+++ b/wire/messages/src/settings.ts
@@ -1,5 +1,5 @@
 /** Messages that carry settings from the leader over zone relays to hosts. */
-import type { HostId, NodePath } from '@catkinferry/core.types'
+import type { DurationMs, HostId, NodePath } from '@catkinferry/core.types'
 
 /** The state of one node after a revision. `undefined` values: the node was removed. */
 export interface NodeDelta {
@@ -15,11 +15,15 @@
 }
 
 export type SettingsMessage =
-  /** From a voter to a relay, or a relay to a host of its zone. `deltas` are contiguous. */
-  | { readonly kind: 'settings.deltas', readonly deltas: readonly RevisionDelta[], readonly highest: number }
-  /** Asks for what follows `after`. */
-  | { readonly kind: 'settings.ask', readonly after: number }
-  /** Answer to an ask that lies before the kept deltas: all nodes, in parts. */
+  /** From a voter to a relay, or a relay to a host of its zone; also the heartbeat. `deltas` are contiguous. `majorityAgeMs`: how long ago the sender knew of a majority; absent when it never did. */
+  | { readonly kind: 'settings.deltas', readonly deltas: readonly RevisionDelta[], readonly highest: number, readonly majorityAgeMs?: DurationMs }
+  /** Subscribes to what follows `after`. With `part`, asks for that part of the full state. */
+  | { readonly kind: 'settings.ask', readonly after: number, readonly part?: number }
+  /** Answer to an ask that lies before the kept deltas: all nodes, in parts. Each part is read at its own `revision`. */
   | { readonly kind: 'settings.part', readonly revision: number, readonly part: number, readonly parts: number, readonly nodes: readonly NodeDelta[] }
-  /** Applied revisions by host, gathered by the relay. */
-  | { readonly kind: 'settings.applied', readonly applied: readonly { readonly host: HostId, readonly revision: number }[] }
+  /** Applied revisions by host, gathered by the relay; `forwarded` between voters. */
+  | { readonly kind: 'settings.applied', readonly applied: readonly { readonly host: HostId, readonly revision: number }[], readonly forwarded?: boolean }
+  /** A starting host asks which revision is in force at the receiver. */
+  | { readonly kind: 'settings.probe', readonly probeId: number }
+  /** `ready`: the sender's revision may be relied on. */
+  | { readonly kind: 'settings.probeAnswer', readonly probeId: number, readonly revision: number, readonly ready: boolean }
