Cause the failures of a request's way in tests

Cause: the way of a request was untried under crossed, late, repeated and missing events; a re-ask under an old id could take a late grant for its own.

--- a/routing/requests/src/attemptEvents.ts
+++ b/routing/requests/src/attemptEvents.ts
@@ -4,12 +4,12 @@
 import type { AttemptEvent, RunContext } from '@catkinferry/host.events'
 import { computeRetryDelay } from '@catkinferry/routing.retries'
 import { closeRow, collectFacts, endCaller } from './answers.ts'
-import { avoidEndpoint, cancelDispatch, cancelOthers, countLive, releaseGrant, removeAttempt } from './attemptRows.ts'
+import { avoidEndpoint, cancelDispatch, cancelOthers, countLive, lingerAttempt, releaseGrant, removeAttempt } from './attemptRows.ts'
 import { keepAnswerPart, recordDone, refuseForShutdown } from './claims.ts'
 import type { Core } from './core.ts'
 import { getHealth } from './core.ts'
 import { failRequest } from './failing.ts'
-import type { AttemptRow } from './types.ts'
+import type { AttemptRow, RequestRow } from './types.ts'
 
 /** A request keeps away from an endpoint that failed it for this long. */
 const FAILED_AVOID_MS = 2_000
@@ -34,7 +34,7 @@
   const { row } = attempt
   if (row.winner === undefined) {
     row.winner = attempt.attemptId
-    cancelOthers(core, row, attempt.attemptId, context)
+    cancelOthers(core, row, attempt, context)
   }
   return row.winner === attempt.attemptId
 }
@@ -93,12 +93,21 @@
     attempt: attempt.attemptId, endpoint: attempt.endpoint, code: event.failure.code, sent: event.sent, refused: event.refused
   })
   noteEndpointFailure(core, attempt, event, now)
-  releaseGrant(core, attempt, { ran: mayHaveRun, runMs: now - attempt.dispatchedAt }, context)
-  removeAttempt(core, attempt)
+  endFailed(core, attempt, mayHaveRun, context)
   avoidEndpoint(row, attempt.endpoint, event.refused === 'leaving' ? Number.POSITIVE_INFINITY : now + FAILED_AVOID_MS)
   continueAfterFailure(core, attempt, { sent: event.sent, isFree: isRefused || !event.sent, message: event.failure.message }, context)
 }
 
+/** Gives the grant back at once only where the endpoint certainly does not run the attempt. */
+function endFailed (core: Core, attempt: AttemptRow, mayHaveRun: boolean, context: RunContext): void {
+  if (mayHaveRun) {
+    lingerAttempt(core, attempt, context.now)
+    return
+  }
+  releaseGrant(core, attempt, { ran: false, runMs: 0 }, context)
+  removeAttempt(core, attempt)
+}
+
 function noteEndpointFailure (core: Core, attempt: AttemptRow, event: Failed, now: number): void {
   const { breaker, limit } = getHealth(core.health, attempt.endpoint ?? '')
   if (event.refused === undefined) {
@@ -142,13 +151,19 @@
   }, context)
 }
 
+/** A stream is resumed only where another attempt gives exactly the parts that are missing: greedy decoding, on engines that are set to resume. */
+function canResume (core: Core, row: RequestRow): boolean {
+  const { work } = row.request
+  return core.getPolicy().resumeEnabled && work.kind === 'adapter' && work.stream && work.body.temperature === 0
+}
+
 /** Why a failed attempt must not be followed by another; undefined when it may be. */
 function findStopReason (core: Core, attempt: AttemptRow, end: AttemptEnd): string | undefined {
   const { row } = attempt
   if (core.shuttingDown && row.ran === 'no') return 'shutting down'
   if (row.detached) return 'the caller is gone'
   if (row.claim !== undefined && end.sent) return 'not repeated: the work may have run'
-  if (row.headSent) return 'the stream was cut'
+  if (row.headSent && !canResume(core, row)) return 'the stream was cut'
   if (row.retries + 1 >= core.getPolicy().retryMaxAttempts) return 'no attempts left'
   if (!end.isFree && !core.budget.tryTake()) return 'the retry budget is spent'
   return undefined
@@ -178,15 +193,11 @@
 
 /** Takes one event of an attempt. Events of attempts that were given up are dropped. */
 export function receiveAttemptEvent (core: Core, event: AttemptEvent, context: RunContext): void {
-  const attempt = core.attempts.get(event.attemptId)
-  if (attempt === undefined || attempt.state === 'asking') {
+  const attempt = core.dispatched.get(event.attemptId)
+  if (attempt === undefined) {
     countDropped('late', context)
     return
   }
-  if (attempt.state === 'cancelling') {
-    confirmCancel(core, attempt, event, context)
-    return
-  }
   attempt.lastProgressAt = context.now
   if (event.kind === 'attempt.failed') {
     handleFailed(core, attempt, event, context)
@@ -199,19 +210,3 @@
   const handler = HANDLERS[event.kind] as (core: Core, attempt: AttemptRow, event: AnswerEvent, context: RunContext) => void
   handler(core, attempt, event, context)
 }
-
-/** The shell says that a cancelled attempt has ended. */
-function confirmCancel (core: Core, attempt: AttemptRow, event: AttemptEvent, context: RunContext): void {
-  if (event.kind !== 'attempt.failed' && event.kind !== 'attempt.ended') {
-    countDropped('late', context)
-    return
-  }
-  endCancelled(core, attempt, context)
-}
-
-/** Gives the grant of a cancelled attempt back. */
-export function endCancelled (core: Core, attempt: AttemptRow, context: RunContext): void {
-  getHealth(core.health, attempt.endpoint ?? '').breaker.noteCancelled()
-  releaseGrant(core, attempt, { ran: true, runMs: context.now - attempt.dispatchedAt }, context)
-  removeAttempt(core, attempt)
-}
--- a/routing/requests/src/attemptRows.ts
+++ b/routing/requests/src/attemptRows.ts
@@ -5,18 +5,20 @@
 import { getHealth } from './core.ts'
 import type { AttemptRow, RequestRow } from './types.ts'
 
-/** An attempt that was cancelled is forgotten when its shell has not confirmed the end by then. */
-const CANCEL_CONFIRM_MS = 5_000
+/**
+ * An attempt that was given up without its end marker keeps its grant this long: the endpoint may run
+ * on until it notices, and its next reports show whether it does.
+ */
+const LINGER_MS = 2_000
 
-/** Makes the id of the next ask. Work under a claim keeps the claim's id. */
-export function buildAttemptId (row: RequestRow): AttemptId {
-  if (row.claim !== undefined) return row.claim.attemptId
+/** Makes the id of the next ask. */
+export function buildGrantId (row: RequestRow): AttemptId {
   return `${row.request.requestId}.${row.asks}`
 }
 
 /** Puts an attempt on the tables and counts it against the endpoint's limit. */
 export function addAttempt (core: Core, attempt: AttemptRow): void {
-  core.attempts.set(attempt.attemptId, attempt)
+  core.attempts.set(attempt.grantId, attempt)
   attempt.row.attempts.push(attempt)
   if (attempt.endpoint !== undefined) bindEndpoint(core, attempt, attempt.endpoint)
 }
@@ -36,8 +38,9 @@
 
 /** Takes an attempt off the tables. */
 export function removeAttempt (core: Core, attempt: AttemptRow): void {
-  if (core.attempts.get(attempt.attemptId) === attempt) core.attempts.delete(attempt.attemptId)
-  core.attemptChecks.clear(attempt.attemptId)
+  core.attempts.delete(attempt.grantId)
+  if (core.dispatched.get(attempt.attemptId) === attempt) core.dispatched.delete(attempt.attemptId)
+  core.attemptChecks.clear(attempt.grantId)
   const { attempts } = attempt.row
   const index = attempts.indexOf(attempt)
   if (index >= 0) attempts.splice(index, 1)
@@ -52,7 +55,7 @@
 /** Tells the owner that gave the grant, and the owner of now if it is another, that the slot is free. */
 export function releaseGrant (core: Core, attempt: AttemptRow, opts: { ran: boolean, runMs: DurationMs }, context: RunContext): void {
   if (attempt.owner === undefined || attempt.endpoint === undefined) return
-  const message = { kind: 'grant.release', attemptId: attempt.attemptId, endpoint: attempt.endpoint, ...opts } as const
+  const message = { kind: 'grant.release', attemptId: attempt.grantId, endpoint: attempt.endpoint, ...opts } as const
   const owners = new Set<HostId>([attempt.owner])
   const ownerNow = core.opts.zone.getEndpoint(attempt.endpoint)?.owner
   if (ownerNow !== undefined) owners.add(ownerNow)
@@ -62,8 +65,13 @@
 /** Withdraws an ask that was not granted yet. */
 export function cancelAsk (core: Core, attempt: AttemptRow, context: RunContext): void {
   if (attempt.owner !== undefined) {
-    context.send(attempt.owner, { kind: 'grant.cancel', attemptId: attempt.attemptId, endpoint: attempt.endpoint })
+    context.send(attempt.owner, { kind: 'grant.cancel', attemptId: attempt.grantId, endpoint: attempt.endpoint })
   }
+  dropAsk(core, attempt)
+}
+
+/** Forgets an ask that was refused or withdrawn. */
+export function dropAsk (core: Core, attempt: AttemptRow): void {
   if (attempt.endpoint !== undefined) {
     core.router.noteAskDropped(attempt.endpoint, attempt.row.target.adapterKey)
     getHealth(core.health, attempt.endpoint).breaker.noteCancelled()
@@ -71,21 +79,31 @@
   removeAttempt(core, attempt)
 }
 
-/**
- * Cancels a dispatched attempt. Its grant stays until the shell confirms that the attempt has ended,
- * so that the adapter keeps its pin while the engine may still run it.
- */
+/** Keeps the grant of an attempt that was given up while the endpoint may still run it. */
+export function lingerAttempt (core: Core, attempt: AttemptRow, now: MonotonicMs): void {
+  attempt.state = 'lingering'
+  if (core.dispatched.get(attempt.attemptId) === attempt) core.dispatched.delete(attempt.attemptId)
+  core.attemptChecks.set(attempt.grantId, now + LINGER_MS)
+}
+
+/** Gives the grant of a lingering attempt back. */
+export function endLingering (core: Core, attempt: AttemptRow, context: RunContext): void {
+  releaseGrant(core, attempt, { ran: true, runMs: context.now - attempt.dispatchedAt }, context)
+  removeAttempt(core, attempt)
+}
+
+/** Cancels a dispatched attempt. */
 export function cancelDispatch (core: Core, attempt: AttemptRow, context: RunContext): void {
   if (attempt.state !== 'running') return
-  attempt.state = 'cancelling'
   context.emit({ kind: 'attempt.cancel', attemptId: attempt.attemptId })
-  core.attemptChecks.set(attempt.attemptId, context.now + CANCEL_CONFIRM_MS)
+  getHealth(core.health, attempt.endpoint ?? '').breaker.noteCancelled()
+  lingerAttempt(core, attempt, context.now)
 }
 
 /** Gives up all attempts of a request except one. */
-export function cancelOthers (core: Core, row: RequestRow, keep: AttemptId | undefined, context: RunContext): void {
+export function cancelOthers (core: Core, row: RequestRow, keep: AttemptRow | undefined, context: RunContext): void {
   for (const attempt of [...row.attempts]) {
-    if (attempt.attemptId === keep) continue
+    if (attempt === keep) continue
     if (attempt.state === 'asking') cancelAsk(core, attempt, context)
     else cancelDispatch(core, attempt, context)
   }
@@ -94,7 +112,7 @@
 /** Counts attempts that are asked for or running. */
 export function countLive (row: RequestRow): number {
   let live = 0
-  for (const attempt of row.attempts) if (attempt.state !== 'cancelling') live += 1
+  for (const attempt of row.attempts) if (attempt.state !== 'lingering') live += 1
   return live
 }
 
--- a/routing/requests/src/claims.ts
+++ b/routing/requests/src/claims.ts
@@ -4,7 +4,7 @@
 import { MAX_KEPT_ANSWER_BYTES } from '@catkinferry/core.constants'
 import type { Random } from '@catkinferry/core.random'
 import type { CallerRequest, ClaimKey, DurationMs, WallMs } from '@catkinferry/core.types'
-import type { LedgerResult } from '@catkinferry/ledger.claims'
+import type { LedgerClient } from '@catkinferry/ledger.claims'
 import type { RunContext } from '@catkinferry/host.events'
 import type { ClaimOutcome, CommandOutcome, StoredAnswer } from '@catkinferry/wire.messages'
 import { closeRow, collectFacts, endCaller } from './answers.ts'
@@ -21,6 +21,9 @@
 const UUID_V7 = /^([0-9a-f]{8})-([0-9a-f]{4})-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$/i
 const HEX = 16
 
+type ClaimTake = Parameters<LedgerClient['take']>[0]
+type TakeResult = Parameters<ClaimTake['onOutcome']>[0]
+
 /** Reads the creation time of a UUIDv7; undefined for any other text. */
 export function parseKeyCreatedAt (key: ClaimKey): WallMs | undefined {
   const match = UUID_V7.exec(key)
@@ -61,7 +64,7 @@
   }
   const fingerprint = computeFingerprint(request)
   const attemptId = `${request.requestId}.1`
-  return { ok: true, claim: { claimKey, keyCreatedAt, fingerprint, attemptId, number: 1, state: 'taking', polls: 0, keptBody: [], keptBytes: 0, status: 0 } }
+  return { ok: true, claim: { claimKey, keyCreatedAt, fingerprint, attemptId, state: 'taking', polls: 0, keptBody: [], keptBytes: 0, status: 0 } }
 }
 
 /** Asks the ledger for the claim. */
@@ -76,13 +79,12 @@
     keyCreatedAt,
     fingerprint,
     deadlineAt: row.deadlineAt,
-    onOutcome: (result, ctx) => { handleTaken(core, row, claim, attemptId, result, ctx) }
+    onOutcome: (result, ctx) => { handleTaken(core, row, claim, result, ctx) }
   }, context)
 }
 
-function handleTaken (core: Core, row: RequestRow, claim: RequestClaim, attemptId: string, result: LedgerResult, context: RunContext): void {
-  const isStale = row.closed || claim.state !== 'taking' || claim.attemptId !== attemptId
-  if (isStale) return
+function handleTaken (core: Core, row: RequestRow, claim: RequestClaim, result: TakeResult, context: RunContext): void {
+  if (row.closed || claim.state !== 'taking') return
   if (result.kind === 'outcome') {
     handleClaimOutcome(core, row, claim, result.outcome, context)
     return
@@ -91,7 +93,7 @@
   if (result.kind === 'refused') claim.state = 'finished'
   failRequest(core, row, {
     code: ErrorCode.NO_QUORUM,
-    message: result.kind === 'refused' ? `the claim was refused: ${result.reason}` : 'the claim could not be confirmed',
+    message: result.kind === 'refused' ? 'no voter majority took the claim' : 'the claim could not be confirmed',
     step: 'claim',
     ran: 'no',
     retryAfterMs: QUORUM_RETRY_MS
@@ -197,28 +199,3 @@
   const body = claim.keptBody?.join('')
   recordOutcome(core, row, { kind: 'done', answer: { status, contentType, body, adapter: target.adapter, version: target.version } }, context)
 }
-
-/**
- * Gives the claim back as not run and takes it again under a new attempt id, so that an answer to an
- * ask that was given up can never be taken for the answer to a later one.
- */
-export function renewClaim (core: Core, row: RequestRow, context: RunContext): void {
-  const { claim } = row
-  if (claim === undefined || claim.state !== 'taken') return
-  claim.state = 'renewing'
-  const { claimKey, attemptId } = claim
-  core.unrecorded += 1
-  core.opts.ledger.finish({
-    claimKey,
-    attemptId,
-    outcome: { kind: 'notRun', reason: 'the grant was not used' },
-    onOutcome: (result, ctx) => {
-      core.unrecorded -= 1
-      if (row.closed || claim.state !== 'renewing') return
-      claim.number += 1
-      claim.attemptId = `${row.request.requestId}.${claim.number}`
-      claim.firstAskedAt = undefined
-      takeClaim(core, row, ctx)
-    }
-  }, context)
-}
--- a/routing/requests/src/core.ts
+++ b/routing/requests/src/core.ts
@@ -36,7 +36,10 @@
   readonly opts: RequestsOptions
   readonly getPolicy: () => Policy
   readonly requests: Map<RequestId, RequestRow>
+  /** Asks and dispatches by the id of their grant. */
   readonly attempts: Map<AttemptId, AttemptRow>
+  /** Dispatches by the id that endpoints echo. */
+  readonly dispatched: Map<AttemptId, AttemptRow>
   readonly byEndpoint: Map<EndpointId, Set<AttemptRow>>
   readonly queues: Map<string, RequestQueue>
   readonly admission: Admission
@@ -83,6 +86,7 @@
     getPolicy: createPolicyReader(opts.settings, opts.fleetPath),
     requests: new Map(),
     attempts: new Map(),
+    dispatched: new Map(),
     byEndpoint: new Map(),
     queues: new Map(),
     admission: createAdmission(),
--- a/routing/requests/src/createRequests.ts
+++ b/routing/requests/src/createRequests.ts
@@ -3,7 +3,7 @@
 import type { RunContext } from '@catkinferry/host.events'
 import { receiveAttemptEvent } from './attemptEvents.ts'
 import { cancelAsk } from './attemptRows.ts'
-import { refuseForShutdown, renewClaim } from './claims.ts'
+import { refuseForShutdown } from './claims.ts'
 import type { Core } from './core.ts'
 import { createCore } from './core.ts'
 import { runDue } from './due.ts'
@@ -18,8 +18,7 @@
     if (attempt.state !== 'asking') continue
     core.log.add(attempt.row.request.requestId, context.now, 'pause', 'the ask is void', { endpoint: attempt.endpoint })
     cancelAsk(core, attempt, context)
-    if (attempt.row.claim === undefined) queueRequest(core, attempt.row, context)
-    else renewClaim(core, attempt.row, context)
+    queueRequest(core, attempt.row, context)
   }
 }
 
@@ -61,7 +60,7 @@
     receiveCache: (event, context) => { core.router.receiveCache(event.endpoint, event.change, event.prefixHashes, context.now) },
     notePause: context => { voidAsks(core, context) },
     beginShutdown: context => { refuseUndispatched(core, context) },
-    getActiveCount: () => core.requests.size + core.unrecorded,
+    getActiveCount: () => core.requests.size + core.attempts.size + core.unrecorded,
     explain: requestId => core.log.explain(requestId)
   }
 }
--- a/routing/requests/src/dispatch.ts
+++ b/routing/requests/src/dispatch.ts
@@ -27,6 +27,7 @@
   const isRetry = row.dispatches > 0
   row.dispatches += 1
   attempt.state = 'running'
+  core.dispatched.set(attempt.attemptId, attempt)
   attempt.dispatchedAt = now
   attempt.lastProgressAt = now
   attempt.endBeforeAt = computeEnd(core, attempt, now)
@@ -35,7 +36,7 @@
   getHealth(core.health, endpoint).breaker.noteSent(now)
   core.router.noteDispatched(endpoint, work.kind === 'adapter' ? work.prefixHash : undefined, now)
   const { progressTimeoutMs, hedgeEnabled, hedgeAfterMs } = core.getPolicy()
-  core.attemptChecks.set(attempt.attemptId, Math.min(attempt.endBeforeAt, now + progressTimeoutMs))
+  core.attemptChecks.set(attempt.grantId, Math.min(attempt.endBeforeAt, now + progressTimeoutMs))
   if (hedgeEnabled && row.claim === undefined && !row.hedged) core.wakeups.set(requestId, now + hedgeAfterMs)
   core.log.add(requestId, now, 'dispatch', `sent to ${endpoint}`, { attempt: attempt.attemptId, loadStallMs: opts.loadStallMs, resumeFrom: attempt.resumeFrom })
   context.emit({
--- a/routing/requests/src/due.ts
+++ b/routing/requests/src/due.ts
@@ -1,7 +1,7 @@
 /** Everything that happens because time has passed. */
 import type { RunContext } from '@catkinferry/host.events'
-import { avoidEndpoint, cancelDispatch, countLive } from './attemptRows.ts'
-import { continueAfterFailure, endCancelled } from './attemptEvents.ts'
+import { avoidEndpoint, cancelDispatch, countLive, endLingering } from './attemptRows.ts'
+import { continueAfterFailure } from './attemptEvents.ts'
 import { takeClaim } from './claims.ts'
 import type { Core } from './core.ts'
 import { getHealth } from './core.ts'
@@ -22,8 +22,8 @@
     const row = core.requests.get(requestId)
     if (row !== undefined) failDeadline(core, row, context)
   }
-  for (const attemptId of core.attemptChecks.takeDue(now)) {
-    const attempt = core.attempts.get(attemptId)
+  for (const grantId of core.attemptChecks.takeDue(now)) {
+    const attempt = core.attempts.get(grantId)
     if (attempt !== undefined) checkAttempt(core, attempt, context)
   }
   for (const requestId of core.wakeups.takeDue(now)) {
@@ -35,7 +35,7 @@
 
 function checkAttempt (core: Core, attempt: AttemptRow, context: RunContext): void {
   if (attempt.state === 'asking') checkAsk(core, attempt, ASK_CHECK_MS, context)
-  else if (attempt.state === 'cancelling') endCancelled(core, attempt, context)
+  else if (attempt.state === 'lingering') endLingering(core, attempt, context)
   else checkRunning(core, attempt, context)
 }
 
@@ -45,7 +45,7 @@
   const silentAt = attempt.lastProgressAt + core.getPolicy().progressTimeoutMs
   const endAt = Math.min(attempt.endBeforeAt, silentAt) + SHELL_GRACE_MS
   if (now < endAt) {
-    core.attemptChecks.set(attempt.attemptId, endAt)
+    core.attemptChecks.set(attempt.grantId, endAt)
     return
   }
   const { row } = attempt
--- a/routing/requests/src/grants.ts
+++ b/routing/requests/src/grants.ts
@@ -4,14 +4,12 @@
 import type { DurationMs, HostId } from '@catkinferry/core.types'
 import type { RunContext } from '@catkinferry/host.events'
 import type { GrantMessage, GrantRefusal } from '@catkinferry/wire.messages'
-import { avoidEndpoint, bindEndpoint, cancelAsk, removeAttempt } from './attemptRows.ts'
-import { renewClaim } from './claims.ts'
+import { avoidEndpoint, bindEndpoint, cancelAsk, dropAsk } from './attemptRows.ts'
 import type { Core } from './core.ts'
-import { getHealth } from './core.ts'
 import { dispatchAttempt } from './dispatch.ts'
 import { failRequest } from './failing.ts'
 import { queueRequest } from './placing.ts'
-import type { AttemptRow, RequestRow, RequestsMessage } from './types.ts'
+import type { AttemptRow, RequestsMessage } from './types.ts'
 
 type Given = Extract<GrantMessage, { kind: 'grant.given' }>
 type Refused = Extract<GrantMessage, { kind: 'grant.refused' }>
@@ -57,16 +55,9 @@
 function giveUpGrant (core: Core, attempt: AttemptRow, from: HostId, message: Given, context: RunContext): void {
   context.send(from, { kind: 'grant.release', attemptId: attempt.attemptId, endpoint: message.endpoint, ran: false, runMs: 0 })
   core.log.add(attempt.row.request.requestId, context.now, 'grant', 'came too late', { endpoint: message.endpoint, heldMs: message.heldMs })
-  removeAttempt(core, attempt)
+  dropAsk(core, attempt)
   avoidEndpoint(attempt.row, message.endpoint, context.now + AVOID_MS.full)
-  askAgain(core, attempt.row, context)
-}
-
-/** Work under a claim asks again under its old attempt id only while answers to the first ask cannot mislead. */
-function askAgain (core: Core, row: RequestRow, context: RunContext): void {
-  const firstAskedAt = row.claim?.firstAskedAt ?? context.now
-  if (context.now - firstAskedAt >= core.getPolicy().startWithinMs / 2) renewClaim(core, row, context)
-  else queueRequest(core, row, context)
+  queueRequest(core, attempt.row, context)
 }
 
 function handleRefused (core: Core, from: HostId, message: Refused, context: RunContext): void {
@@ -76,11 +67,7 @@
   const endpoint = message.endpoint ?? attempt.endpoint
   core.log.add(row.request.requestId, context.now, 'grant', `refused: ${message.reason}`, { endpoint, owner: from, retryAfterMs: message.retryAfterMs })
   context.emit({ kind: 'metric', type: 'count', name: 'grants.refused', value: 1, tags: { reason: message.reason } })
-  if (attempt.endpoint !== undefined) {
-    core.router.noteAskDropped(attempt.endpoint, row.target.adapterKey)
-    getHealth(core.health, attempt.endpoint).breaker.noteCancelled()
-  }
-  removeAttempt(core, attempt)
+  dropAsk(core, attempt)
   avoidEndpoint(row, endpoint, context.now + (message.retryAfterMs ?? AVOID_MS[message.reason]))
   row.lastReason = `grant refused: ${message.reason}`
   if (message.reason === 'deadline') row.deadlineRefusals += 1
@@ -94,7 +81,7 @@
     }, context)
     return
   }
-  askAgain(core, row, context)
+  queueRequest(core, row, context)
 }
 
 function handleAskActive (core: Core, from: HostId, message: AskActive, context: RunContext): void {
@@ -102,7 +89,7 @@
   const active = []
   for (const attempt of core.byEndpoint.get(endpoint) ?? []) {
     if (attempt.state === 'asking') continue
-    active.push({ attemptId: attempt.attemptId, adapterKey: attempt.row.target.adapterKey, remainingMs: Math.max(0, attempt.endBeforeAt - context.now) })
+    active.push({ attemptId: attempt.grantId, adapterKey: attempt.row.target.adapterKey, remainingMs: Math.max(0, attempt.endBeforeAt - context.now) })
   }
   context.send(from, { kind: 'grant.active', endpoint, fencing, active })
 }
@@ -127,13 +114,12 @@
   const view = attempt.endpoint === undefined ? undefined : core.opts.zone.getEndpoint(attempt.endpoint)
   const isMoved = attempt.endpoint !== undefined && (view === undefined || view.leaving || view.owner !== attempt.owner)
   if (!isMoved && now < attempt.patienceUntil) {
-    core.attemptChecks.set(attempt.attemptId, now + recheckMs)
+    core.attemptChecks.set(attempt.grantId, now + recheckMs)
     return
   }
   const { row } = attempt
   core.log.add(row.request.requestId, now, 'grant', isMoved ? 'the owner changed' : 'the owner is silent', { endpoint: attempt.endpoint, owner: attempt.owner })
   cancelAsk(core, attempt, context)
   if (!isMoved) avoidEndpoint(row, attempt.endpoint, now + AVOID_MS.deadline)
-  if (row.claim === undefined) queueRequest(core, row, context)
-  else renewClaim(core, row, context)
+  queueRequest(core, row, context)
 }
--- a/routing/requests/src/placing.ts
+++ b/routing/requests/src/placing.ts
@@ -3,7 +3,7 @@
 import type { EndpointView, HostId, MonotonicMs } from '@catkinferry/core.types'
 import type { RunContext } from '@catkinferry/host.events'
 import type { CostParts, RouteChoice } from '@catkinferry/routing.router'
-import { addAttempt, buildAttemptId } from './attemptRows.ts'
+import { addAttempt, buildGrantId } from './attemptRows.ts'
 import type { Core } from './core.ts'
 import { getHealth, getQueue } from './core.ts'
 import { dispatchAttempt } from './dispatch.ts'
@@ -85,7 +85,7 @@
   const { target, request } = row
   const isServing = target.kind === 'service' || core.opts.zone.isServing(now)
   const isAvoided = (endpoint: string): boolean => !isServing || (row.avoided.get(endpoint) ?? 0) > now ||
-    row.attempts.some(attempt => attempt.endpoint === endpoint && attempt.state !== 'cancelling')
+    row.attempts.some(attempt => attempt.endpoint === endpoint && attempt.state !== 'lingering')
   return core.router.choose({
     pool: target.pool,
     adapterKey: target.adapterKey,
@@ -117,7 +117,7 @@
   const expectedMs = cost.queueMs + cost.stallMs
   const attempt = createAttempt(core, row, { endpoint, owner: endpoint.owner, expectedMs }, context)
   core.log.add(row.request.requestId, context.now, 'route', `chose ${endpoint.endpoint}`, {
-    attempt: attempt.attemptId, costMs: cost.totalMs, queueMs: cost.queueMs, stallMs: cost.stallMs, prefixMs: cost.prefixMs, fillMs: cost.fillMs
+    grant: attempt.grantId, costMs: cost.totalMs, queueMs: cost.queueMs, stallMs: cost.stallMs, prefixMs: cost.prefixMs, fillMs: cost.fillMs
   })
   if (row.target.kind === 'service') {
     const policy = core.getPolicy()
@@ -132,7 +132,7 @@
 function placeInZone (core: Core, row: RequestRow, choice: Extract<RouteChoice, { kind: 'zone' }>, context: RunContext): void {
   const { summary, costMs, queueMs } = choice
   const attempt = createAttempt(core, row, { owner: summary.contact, expectedMs: queueMs }, context)
-  core.log.add(row.request.requestId, context.now, 'route', `spilled to zone ${summary.zone}`, { attempt: attempt.attemptId, costMs, contact: summary.contact })
+  core.log.add(row.request.requestId, context.now, 'route', `spilled to zone ${summary.zone}`, { grant: attempt.grantId, costMs, contact: summary.contact })
   context.emit({ kind: 'metric', type: 'count', name: 'requests.spilled', value: 1, tags: { zone: summary.zone } })
   sendAsk(core, attempt, summary.contact, undefined, context)
 }
@@ -146,12 +146,13 @@
 function createAttempt (core: Core, row: RequestRow, target: AskTarget, context: RunContext): AttemptRow {
   row.asks += 1
   const { now } = context
-  if (row.claim !== undefined) row.claim.firstAskedAt ??= now
+  const grantId = buildGrantId(row)
   const attempt: AttemptRow = {
-    attemptId: buildAttemptId(row),
+    grantId,
+    attemptId: row.claim?.attemptId ?? grantId,
     row,
     owner: row.target.kind === 'service' ? undefined : target.owner ?? core.opts.zone.getLeaseHolder(),
-    askedAt: row.claim?.firstAskedAt ?? now,
+    askedAt: now,
     resumeFrom: row.headSent ? row.nextIndex : undefined,
     patienceUntil: now + ASK_PATIENCE_MS + target.expectedMs * PATIENCE_PER_EXPECTED_MS,
     endpoint: target.endpoint?.endpoint,
@@ -163,7 +164,7 @@
     nextIndex: row.headSent ? row.nextIndex : 0
   }
   addAttempt(core, attempt)
-  core.attemptChecks.set(attempt.attemptId, now + ASK_CHECK_MS)
+  core.attemptChecks.set(grantId, now + ASK_CHECK_MS)
   return attempt
 }
 
@@ -172,7 +173,7 @@
   const { row } = attempt
   context.send(to, {
     kind: 'grant.ask',
-    attemptId: attempt.attemptId,
+    attemptId: attempt.grantId,
     requestId: row.request.requestId,
     origin: core.opts.self.host,
     endpoint,
--- a/routing/requests/src/policy.ts
+++ b/routing/requests/src/policy.ts
@@ -18,6 +18,7 @@
   readonly startWithinMs: DurationMs
   readonly maxRunMs: DurationMs
   readonly progressTimeoutMs: DurationMs
+  readonly resumeEnabled: boolean
   readonly retentionMs: DurationMs
 }
 
@@ -57,6 +58,7 @@
     startWithinMs: get('grant.startWithinMs'),
     maxRunMs: get('request.maxRunMs'),
     progressTimeoutMs: get('stream.progressTimeoutMs'),
+    resumeEnabled: get('stream.resumeEnabled'),
     retentionMs: get('ledger.retentionMs')
   }
 }
--- a/routing/requests/src/types.ts
+++ b/routing/requests/src/types.ts
@@ -53,12 +53,8 @@
   readonly claimKey: ClaimKey
   readonly keyCreatedAt: WallMs
   readonly fingerprint: string
-  attemptId: AttemptId
-  /** Counts the attempt ids that were claimed. */
-  number: number
-  state: 'taking' | 'taken' | 'renewing' | 'othersOutcome' | 'finished'
-  /** First ask under the attempt id; grants are counted from it. */
-  firstAskedAt?: MonotonicMs
+  readonly attemptId: AttemptId
+  state: 'taking' | 'taken' | 'othersOutcome' | 'finished'
   polls: number
   /** Body kept for resends; undefined once it is over the size limit. */
   keptBody: string[] | undefined
@@ -96,6 +92,9 @@
 }
 
 export interface AttemptRow {
+  /** New for every ask, so that a late answer to an ask that was given up is never taken for another's. */
+  readonly grantId: AttemptId
+  /** Names the dispatch: the claim's id for work under a claim, else the grant's. */
   readonly attemptId: AttemptId
   readonly row: RequestRow
   /** Host that was asked for the grant; undefined for plain services. */
@@ -105,7 +104,8 @@
   readonly patienceUntil: MonotonicMs
   endpoint?: EndpointId
   url: string
-  state: 'asking' | 'running' | 'cancelling'
+  /** `lingering`: given up, but the endpoint may not have stopped yet; the grant keeps the adapter pinned. */
+  state: 'asking' | 'running' | 'lingering'
   dispatchedAt: MonotonicMs
   endBeforeAt: MonotonicMs
   lastProgressAt: MonotonicMs
--- /dev/null
+++ b/routing/requests/test/checker.ts
@@ -0,0 +1,75 @@
+/** Judges what callers got by what engines received; knows nothing of how requests are routed. */
+import type { HostOutput } from '@catkinferry/host.events'
+import type { CallerRequest } from '@catkinferry/core.types'
+
+export const PARTS_PER_ANSWER = 3
+
+/** The part of the only true answer to a request. */
+export function buildPart (requestId: string, index: number): string {
+  return `${requestId}/${index};`
+}
+
+function buildWholeAnswer (requestId: string): string {
+  return Array.from({ length: PARTS_PER_ANSWER }, (_, index) => buildPart(requestId, index)).join('')
+}
+
+export interface World {
+  readonly submitted: ReadonlyMap<string, CallerRequest>
+  /** Attempts of which a byte may have left, once for each dispatch. */
+  readonly received: readonly string[]
+  readonly outputs: readonly HostOutput[]
+}
+
+interface CallerView {
+  text: string
+  ends: number
+  fails: string[]
+  replayed: boolean
+}
+
+function collectViews (outputs: readonly HostOutput[]): Map<string, CallerView> {
+  const views = new Map<string, CallerView>()
+  const getView = (requestId: string): CallerView => {
+    const view = views.get(requestId) ?? { text: '', ends: 0, fails: [], replayed: false }
+    views.set(requestId, view)
+    return view
+  }
+  for (const output of outputs) {
+    if (output.kind === 'caller.chunk') getView(output.requestId).text += output.data
+    if (output.kind === 'caller.fail') getView(output.requestId).fails.push(output.failure.ran)
+    if (output.kind !== 'caller.end') continue
+    const view = getView(output.requestId)
+    view.ends += 1
+    view.replayed = output.facts.replayed === true
+  }
+  return views
+}
+
+function findBrokenAnswers (requestId: string, view: CallerView, mayHaveRun: boolean): string[] {
+  const broken: string[] = []
+  const whole = buildWholeAnswer(requestId)
+  if (view.ends + view.fails.length > 1) broken.push(`${requestId} got more than one final answer`)
+  if (view.ends > 0 && !view.replayed && view.text !== whole) broken.push(`${requestId} got '${view.text}' as a whole answer`)
+  if (!view.replayed && !whole.startsWith(view.text)) broken.push(`${requestId} got parts that are not its own`)
+  if (view.fails.includes('no') && mayHaveRun) broken.push(`${requestId} was told 'not run' and may have run`)
+  return broken
+}
+
+function findRepeated (world: World, attemptOf: ReadonlyMap<string, string>): string[] {
+  const byKey = new Map<string, number>()
+  for (const attemptId of world.received) {
+    const request = world.submitted.get(attemptOf.get(attemptId) ?? '')
+    if (request === undefined || request.idempotent) continue
+    const key = request.claimKey ?? request.requestId
+    byKey.set(key, (byKey.get(key) ?? 0) + 1)
+  }
+  return [...byKey].filter(([, count]) => count > 1).map(([key, count]) => `work under the key ${key} was sent ${count} times`)
+}
+
+/** Lists every promise that was broken. */
+export function findBroken (world: World): string[] {
+  const attemptOf = new Map(world.outputs.flatMap(output => output.kind === 'attempt.start' ? [[output.attemptId, output.requestId] as const] : []))
+  const ranRequests = new Set(world.received.map(attemptId => attemptOf.get(attemptId)))
+  const broken = [...collectViews(world.outputs)].flatMap(([requestId, view]) => findBrokenAnswers(requestId, view, ranRequests.has(requestId)))
+  return [...broken, ...findRepeated(world, attemptOf)]
+}
--- /dev/null
+++ b/routing/requests/test/claims.test.ts
@@ -0,0 +1,215 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import type { ClaimOutcome } from '@catkinferry/wire.messages'
+import { buildClaimKey, parseKeyCreatedAt } from '../src/claims.ts'
+import { createRandom } from '@catkinferry/core.random'
+import { createEcho, createHarness, playAnswer } from './harness.ts'
+import type { Harness } from './harness.ts'
+
+const NOW = 1_800_000_001_000
+const DAY_MS = 86_400_000
+const TAKEN = { kind: 'outcome', outcome: { kind: 'claim.taken' } } as const
+
+function createKey (createdAt = NOW): string {
+  return buildClaimKey(createdAt, createRandom(5))
+}
+
+function submitFiling (harness: Harness, requestId = 'r1', claimKey: string | undefined = createKey(), deadlineMs = 30_000): void {
+  harness.submit({ requestId, claimKey, idempotent: false, deadlineMs })
+}
+
+function answerHeld (harness: Harness, outcome: ClaimOutcome | undefined, sameFingerprint = true): void {
+  harness.answerTake({ kind: 'outcome', outcome: { kind: 'claim.held', attemptId: 'other.1', host: 'entry-9', outcome, sameFingerprint } })
+}
+
+function getFailures (harness: Harness): unknown[] {
+  return harness.list('caller.fail').map(({ failure }) => [failure.code, failure.ran])
+}
+
+describe('non-idempotent work', () => {
+  it('is asked for only after its claim is committed, and runs under the id of the claim', () => {
+    const harness = createHarness()
+    submitFiling(harness)
+    expect(harness.listSent('grant.ask').length).toEqual(0)
+    harness.answerTake(TAKEN)
+    harness.give('r1.1')
+    const start = harness.getLastStart()
+    expect([start.attemptId, start.freshConnection]).toEqual(['r1.1', true])
+    playAnswer(harness, 'r1.1')
+    expect(harness.finishes.map(({ outcome }) => outcome)).toEqual([
+      { kind: 'done', answer: { status: 200, contentType: 'text/plain', body: 'one two', adapter: 'a1', version: 'v1' } }
+    ])
+    expect(harness.list('caller.end').length).toEqual(1)
+    expect(harness.requests.getActiveCount()).toEqual(1)
+    harness.answerFinish()
+    expect(harness.requests.getActiveCount()).toEqual(0)
+  })
+
+  it('is refused as not run when the claim is refused or cannot be confirmed', () => {
+    for (const kind of ['refused', 'unknown'] as const) {
+      const harness = createHarness()
+      submitFiling(harness)
+      harness.answerTake({ kind, reason: 'busy' } as never)
+      expect(getFailures(harness)).toEqual([['ERR_CATKINFERRY_NO_QUORUM', 'no']])
+      harness.advance(60_000)
+      expect(harness.listSent('grant.ask').length).toEqual(0)
+    }
+  })
+
+  it('is never sent again once a byte may have left, and its outcome is unknown', () => {
+    const harness = createHarness()
+    submitFiling(harness)
+    harness.answerTake(TAKEN)
+    harness.give('r1.1')
+    harness.event({ kind: 'attempt.failed', attemptId: 'r1.1', sent: true, refused: 'busy', failure: { code: 'ERR_CATKINFERRY_ENDPOINT_FAILED', message: 'reset', step: 'attempt' } })
+    harness.advance(60_000)
+    expect(harness.list('attempt.start').length).toEqual(1)
+    expect(harness.finishes.map(({ outcome }) => outcome.kind)).toEqual(['unknown'])
+    expect(getFailures(harness)).toEqual([['ERR_CATKINFERRY_ENDPOINT_FAILED', 'unknown']])
+  })
+
+  it('may be sent elsewhere when no byte left', () => {
+    const harness = createHarness()
+    submitFiling(harness)
+    harness.answerTake(TAKEN)
+    harness.give('r1.1')
+    harness.event({ kind: 'attempt.failed', attemptId: 'r1.1', sent: false, failure: { code: 'ERR_CATKINFERRY_ENDPOINT_FAILED', message: 'too late', step: 'attempt' } })
+    harness.advance(2_100)
+    harness.give('r1.2')
+    expect(harness.getLastStart().attemptId).toEqual('r1.1')
+    playAnswer(harness, 'r1.1')
+    expect(harness.list('caller.end').length).toEqual(1)
+  })
+
+  it('is recorded as not run when it is given up before dispatch', () => {
+    const harness = createHarness()
+    submitFiling(harness, 'r1', createKey(), 2_000)
+    harness.answerTake(TAKEN)
+    harness.advance(2_000)
+    expect(getFailures(harness)).toEqual([['ERR_CATKINFERRY_DEADLINE', 'no']])
+    expect(harness.finishes.map(({ outcome }) => outcome.kind)).toEqual(['notRun'])
+    harness.give('r1.1')
+    expect(harness.list('attempt.start').length).toEqual(0)
+  })
+
+  it('runs on after its caller is gone, so that the outcome is recorded', () => {
+    const harness = createHarness()
+    submitFiling(harness)
+    harness.answerTake(TAKEN)
+    harness.give('r1.1')
+    harness.requests.receiveGone('r1', harness.getContext())
+    expect(harness.list('attempt.cancel').length).toEqual(0)
+    playAnswer(harness, 'r1.1')
+    expect(harness.list('caller.end').length).toEqual(0)
+    expect(harness.finishes.map(({ outcome }) => outcome.kind)).toEqual(['done'])
+  })
+
+  it('answers its caller at the deadline and still records what comes later', () => {
+    const harness = createHarness()
+    submitFiling(harness, 'r1', createKey(), 2_000)
+    harness.answerTake(TAKEN)
+    harness.give('r1.1')
+    harness.advance(2_000)
+    expect(getFailures(harness)).toEqual([['ERR_CATKINFERRY_DEADLINE', 'unknown']])
+    playAnswer(harness, 'r1.1')
+    expect(harness.finishes.map(({ outcome }) => outcome.kind)).toEqual(['done'])
+  })
+
+  it('is recorded as unknown when the answer belongs elsewhere', () => {
+    const harness = createHarness()
+    submitFiling(harness)
+    harness.answerTake(TAKEN)
+    harness.give('r1.1')
+    harness.event({ kind: 'attempt.started', attemptId: 'r1.1', echo: createEcho('r1.1', { adapter: 'a2' }), status: 200 })
+    expect(harness.list('caller.head').length).toEqual(0)
+    expect(harness.finishes.map(({ outcome }) => outcome.kind)).toEqual(['unknown'])
+  })
+
+  it('keeps no answer over the size limit', () => {
+    const harness = createHarness()
+    submitFiling(harness)
+    harness.answerTake(TAKEN)
+    harness.give('r1.1')
+    const echo = createEcho('r1.1')
+    harness.event({ kind: 'attempt.started', attemptId: 'r1.1', echo, status: 200 })
+    harness.event({ kind: 'attempt.chunk', attemptId: 'r1.1', echo, index: 0, data: 'x'.repeat(70_000), tokens: 1 })
+    harness.event({ kind: 'attempt.ended', attemptId: 'r1.1', echo, chunks: 1 })
+    const outcome = harness.finishes[0]?.outcome
+    expect(outcome?.kind === 'done' && outcome.answer?.body).toEqual(undefined)
+  })
+
+  it('is refused when a stop comes while the claim is being committed', () => {
+    const harness = createHarness()
+    submitFiling(harness)
+    harness.requests.beginShutdown(harness.getContext())
+    harness.answerTake(TAKEN)
+    expect(getFailures(harness)).toEqual([['ERR_CATKINFERRY_SHUTTING_DOWN', 'no']])
+    expect(harness.finishes.map(({ outcome }) => outcome.kind)).toEqual(['notRun'])
+  })
+})
+
+describe('a resend with the same key', () => {
+  it('waits for the outcome and gets the stored answer', () => {
+    const harness = createHarness()
+    submitFiling(harness)
+    answerHeld(harness, undefined)
+    harness.advance(100)
+    answerHeld(harness, { kind: 'done', answer: { status: 201, contentType: 'text/plain', body: 'filed', adapter: 'a1', version: 'v1' } })
+    const head = harness.list('caller.head')[0]
+    expect([head?.status, head?.facts.replayed, head?.facts.version]).toEqual([201, true, 'v1'])
+    expect(harness.list('caller.chunk').map(({ data }) => data)).toEqual(['filed'])
+    expect(harness.list('caller.end').length).toEqual(1)
+    expect([harness.list('attempt.start').length, harness.finishes.length]).toEqual([0, 0])
+  })
+
+  it('is told at its own deadline that the work is in progress', () => {
+    const harness = createHarness()
+    submitFiling(harness, 'r1', createKey(), 1_000)
+    for (let poll = 0; poll < 8; poll += 1) {
+      answerHeld(harness, undefined)
+      harness.advance(200)
+    }
+    expect(getFailures(harness)).toEqual([['ERR_CATKINFERRY_IN_PROGRESS', 'unknown']])
+    expect(harness.finishes.length).toEqual(0)
+  })
+
+  it('is told that the outcome is unknown', () => {
+    const harness = createHarness()
+    submitFiling(harness)
+    answerHeld(harness, { kind: 'unknown', reason: 'the answer was lost' })
+    expect(getFailures(harness)).toEqual([['ERR_CATKINFERRY_OUTCOME_UNKNOWN', 'unknown']])
+  })
+
+  it('is refused as a bad request when it asks for different work', () => {
+    const harness = createHarness()
+    submitFiling(harness)
+    answerHeld(harness, { kind: 'done' }, false)
+    expect(getFailures(harness)).toEqual([['ERR_CATKINFERRY_BAD_REQUEST', 'no']])
+  })
+})
+
+describe('an idempotency key', () => {
+  it('is refused beyond the retention time, in the future, or when its age cannot be told', () => {
+    const cases = [
+      [createKey(NOW - 8 * DAY_MS), 'ERR_CATKINFERRY_KEY_EXPIRED'],
+      [createKey(NOW + DAY_MS), 'ERR_CATKINFERRY_BAD_REQUEST'],
+      ['order-66', 'ERR_CATKINFERRY_BAD_REQUEST']
+    ] as const
+    for (const [key, code] of cases) {
+      const harness = createHarness()
+      submitFiling(harness, 'r1', key)
+      expect(getFailures(harness)).toEqual([[code, 'no']])
+      expect(harness.takes.length).toEqual(0)
+    }
+  })
+
+  it('is made for work that comes without one, and told to the caller', () => {
+    const harness = createHarness()
+    harness.submit({ idempotent: false })
+    expect(parseKeyCreatedAt(harness.takes[0]?.claimKey ?? '')).toEqual(NOW)
+    harness.answerTake(TAKEN)
+    harness.give('r1.1')
+    playAnswer(harness, 'r1.1')
+    expect(parseKeyCreatedAt(harness.list('caller.end')[0]?.facts.claimKey ?? '')).toEqual(NOW)
+  })
+})
--- a/routing/requests/test/harness.ts
+++ b/routing/requests/test/harness.ts
@@ -2,11 +2,15 @@
 import { createRandom } from '@catkinferry/core.random'
 import type { AnswerEcho, AttemptId, CallerRequest, EndpointView, HostId, SettingsView, ZoneSummary, ZoneView } from '@catkinferry/core.types'
 import type { AttemptEvent, AttemptStart, HostOutput, RunContext } from '@catkinferry/host.events'
-import type { FinishOptions, LedgerClient, LedgerResult, TakeOptions } from '@catkinferry/ledger.claims'
+import type { LedgerClient } from '@catkinferry/ledger.claims'
 import type { GrantMessage, PeerMessage } from '@catkinferry/wire.messages'
 import { createRequests } from '../src/index.ts'
 import type { Requests } from '../src/index.ts'
 
+type TakeOptions = Parameters<LedgerClient['take']>[0]
+type FinishOptions = Parameters<LedgerClient['finish']>[0]
+type LedgerResult = Parameters<TakeOptions['onOutcome']>[0]
+
 export const OWNER = 'owner-1'
 export const ENTRY = 'entry-1'
 const WALL_START = 1_800_000_000_000
@@ -35,6 +39,7 @@
   'grant.startWithinMs': 500,
   'request.maxRunMs': 120_000,
   'stream.progressTimeoutMs': 10_000,
+  'stream.resumeEnabled': false,
   'ledger.retentionMs': 604_800_000
 }
 
@@ -123,7 +128,7 @@
   return {
     take: opts => { takes.push(opts) },
     finish: opts => { finishes.push(opts) }
-  }
+  } as Partial<LedgerClient> as LedgerClient
 }
 
 /** Creates a system before one engine, `e1`. */
--- a/routing/requests/test/lifeOfRequest.test.ts
+++ b/routing/requests/test/lifeOfRequest.test.ts
@@ -50,4 +50,138 @@
     expect(second).not.toEqual(first)
     expect(second).not.toEqual('')
   })
+
+  it('is never dispatched on a grant that came too late', () => {
+    const harness = createHarness()
+    harness.submit()
+    harness.advance(600)
+    harness.give('r1.1', { heldMs: 50 })
+    expect(harness.list('attempt.start').length).toEqual(0)
+    expect(harness.listSent('grant.release')[0]?.ran).toEqual(false)
+    harness.advance(200)
+    expect(harness.listSent('grant.ask').length).toEqual(2)
+  })
+
+  it('releases a grant that answers an ask given up', () => {
+    const harness = createHarness()
+    harness.submit()
+    harness.requests.receiveGone('r1', harness.getContext())
+    harness.give('r1.1')
+    expect(harness.list('attempt.start').length).toEqual(0)
+    expect(harness.listSent('grant.cancel').length).toEqual(1)
+    expect(harness.listSent('grant.release').length).toEqual(1)
+  })
+
+  it('asks the new owner when ownership moves while it waits', () => {
+    const harness = createHarness()
+    harness.submit()
+    harness.endpoints.set('e1', createEndpoint({ endpoint: 'e1', owner: 'owner-2' }))
+    harness.advance(1_000)
+    expect(harness.sent.at(-1)?.to).toEqual('owner-2')
+    expect(harness.sent.at(-1)?.message.kind).toEqual('grant.ask')
+  })
+
+  it('asks elsewhere when the owner stays silent', () => {
+    const harness = createHarness()
+    harness.submit()
+    harness.endpoints.set('e2', createEndpoint({ endpoint: 'e2', isResident: () => false }))
+    harness.advance(3_600)
+    expect(harness.listSent('grant.cancel').length).toEqual(1)
+    expect(harness.listSent('grant.ask').at(-1)?.endpoint).toEqual('e2')
+  })
+
+  it('tells a new owner what it has running', () => {
+    const harness = createHarness()
+    harness.submit()
+    harness.give('r1.1')
+    harness.requests.receive('owner-2', { kind: 'grant.askActive', endpoint: 'e1', fencing: 7 }, harness.getContext())
+    const active = harness.listSent('grant.active')[0]
+    expect(active?.fencing).toEqual(7)
+    expect(active?.active.map(({ attemptId, adapterKey }) => [attemptId, adapterKey])).toEqual([['r1.1', 'a1@v1']])
+  })
+
+  it('is cancelled when the caller is gone, and keeps the adapter pinned until the engine has stopped', () => {
+    const harness = createHarness()
+    harness.submit()
+    harness.give('r1.1')
+    harness.requests.receiveGone('r1', harness.getContext())
+    expect(harness.list('attempt.cancel').length).toEqual(1)
+    expect(harness.listSent('grant.release').length).toEqual(0)
+    harness.advance(2_000)
+    expect(harness.listSent('grant.release').length).toEqual(1)
+    expect(harness.requests.getActiveCount()).toEqual(0)
+  })
+
+  it('is refused as not run when its deadline passes in the queue', () => {
+    const harness = createHarness()
+    harness.submit({ deadlineMs: 2_000 })
+    harness.advance(2_000)
+    expect(harness.list('caller.fail').map(({ failure }) => [failure.code, failure.ran])).toEqual([['ERR_CATKINFERRY_DEADLINE', 'no']])
+  })
+
+  it('is refused on arrival, with a time to come back, when its deadline cannot be met', () => {
+    const harness = createHarness()
+    harness.endpoints.set('e1', createEndpoint({ endpoint: 'e1', running: 8, waiting: 80 }))
+    harness.submit({ deadlineMs: 1_000 })
+    const failure = harness.list('caller.fail')[0]?.failure
+    expect(failure?.ran).toEqual('no')
+    expect((failure?.retryAfterMs ?? 0) > 1_000).toEqual(true)
+  })
+
+  it('is refused as not run while no owner can be reached', () => {
+    const harness = createHarness()
+    harness.serving = false
+    harness.submit()
+    expect(harness.list('caller.fail').map(({ failure }) => [failure.code, failure.ran])).toEqual([['ERR_CATKINFERRY_NOT_SERVING', 'no']])
+  })
+
+  it('spills to another zone when its own is cut off from grants, and releases to the host that granted', () => {
+    const harness = createHarness()
+    harness.serving = false
+    harness.otherZones.push({ zone: 'zone-b', region: 'region-1', contact: 'contact-b', freeCapacity: 3, queueMs: 0, ageMs: 500 })
+    harness.submit()
+    expect(harness.sent[0]?.to).toEqual('contact-b')
+    harness.requests.receive('owner-b', { kind: 'grant.given', attemptId: 'r1.1', endpoint: 'e9', url: 'http://e9', fencing: 1, heldMs: 0, startWithinMs: 500, loadStallMs: 0 }, harness.getContext())
+    expect(harness.getLastStart().endpoint).toEqual('e9')
+    playAnswer(harness, 'r1.1')
+    expect(harness.sent.at(-1)?.to).toEqual('owner-b')
+  })
+
+  it('does not cross regions with a large payload', () => {
+    const harness = createHarness()
+    harness.serving = false
+    harness.otherZones.push({ zone: 'zone-c', region: 'region-2', contact: 'contact-c', freeCapacity: 3, queueMs: 0, ageMs: 500 })
+    harness.submit({ work: { kind: 'adapter', adapter: 'a1', form: 'chat', body: { prompt: 'x'.repeat(40_000) }, stream: false, promptTokens: 9, maxTokens: 9 } })
+    expect(harness.listSent('grant.ask').length).toEqual(0)
+  })
+
+  it('voids asks over a pause and asks again', () => {
+    const harness = createHarness()
+    harness.submit()
+    harness.requests.notePause(harness.getContext())
+    harness.run()
+    harness.give('r1.1')
+    expect(harness.list('attempt.start').length).toEqual(0)
+    expect(harness.listSent('grant.ask').map(({ attemptId }) => attemptId)).toEqual(['r1.1', 'r1.2'])
+  })
+
+  it('is refused as not run when a stop finds it waiting, and finishes when it runs', () => {
+    const harness = createHarness()
+    harness.submit()
+    harness.submit({ requestId: 'r2' })
+    harness.give('r1.1')
+    harness.requests.beginShutdown(harness.getContext())
+    expect(harness.list('caller.fail').map(({ requestId, failure }) => [requestId, failure.ran])).toEqual([['r2', 'no']])
+    playAnswer(harness, 'r1.1')
+    expect(harness.list('caller.end').length).toEqual(1)
+    expect(harness.requests.getActiveCount()).toEqual(0)
+  })
+
+  it('leaves a record of what was decided', () => {
+    const harness = createHarness()
+    harness.submit()
+    harness.refuse('r1.1', 'full')
+    const steps = harness.requests.explain('r1')?.decisions.map(({ step }) => step)
+    expect(steps).toEqual(['admission', 'route', 'grant'])
+  })
 })
