--- a/adapters/load-budget/src/index.ts
+++ b/adapters/load-budget/src/index.ts
@@ -1,2 +1,4 @@
 /** Load budget shared between zones. */
-export {}
+export * from './limits.ts'
+export * from './lender.ts'
+export * from './zoneBudget.ts'
--- a/adapters/load-scheduler/src/index.ts
+++ b/adapters/load-scheduler/src/index.ts
@@ -1,2 +1,3 @@
 /** Order, sharing, back-off and prefetch of loads. */
-export {}
+export * from './chooseLoad.ts'
+export * from './loadBackoff.ts'
--- a/adapters/popularity/src/index.ts
+++ b/adapters/popularity/src/index.ts
@@ -1,2 +1,2 @@
 /** Decayed request rates per adapter. */
-export {}
+export * from './popularity.ts'
--- /dev/null
+++ b/adapters/popularity/src/popularity.ts
@@ -0,0 +1,107 @@
+/** Decayed request rates per adapter in two time constants, kept in typed arrays. */
+import type { AdapterKey, DurationMs, MonotonicMs } from '@catkinferry/core.types'
+
+/** Sees a shift within seconds. */
+const FAST_TIME_MS = 5_000
+/** Remembers what is hot over minutes. */
+const SLOW_TIME_MS = 120_000
+const MS_PER_SECOND = 1_000
+/** Rates below this are forgotten, in requests per second. */
+const FORGOTTEN_RATE = 1e-5
+/** A fast rate this many times the slow one is rising. */
+const RISING_RATIO = 2
+const INITIAL_CAPACITY = 256
+/** Rows looked at for forgetting at each note. */
+const SWEEP_ROWS = 2
+
+export interface Popularity {
+  readonly note: (adapterKey: AdapterKey, now: MonotonicMs, weight?: number) => void
+  /** Requests per second over the last seconds. */
+  readonly getFastRate: (adapterKey: AdapterKey, now: MonotonicMs) => number
+  /** Requests per second over the last minutes. */
+  readonly getSlowRate: (adapterKey: AdapterKey, now: MonotonicMs) => number
+  /** The larger of both: what to expect next. */
+  readonly getRate: (adapterKey: AdapterKey, now: MonotonicMs) => number
+  readonly isRising: (adapterKey: AdapterKey, now: MonotonicMs) => boolean
+  /** Rows kept, idle ones that are not yet forgotten included. */
+  readonly getSize: () => number
+  /** Bytes of the typed arrays. */
+  readonly getArrayBytes: () => number
+}
+
+function growArray<Kind extends Float32Array | Float64Array> (array: Kind, create: (length: number) => Kind): Kind {
+  const grown = create(array.length * 2)
+  grown.set(array)
+  return grown
+}
+
+function decay (rate: number, elapsedMs: DurationMs, timeMs: DurationMs): number {
+  return rate * Math.exp(-elapsedMs / timeMs)
+}
+
+/** Creates an empty table. Rows cost 16 bytes of arrays besides the key; rows of long idle adapters are reused. */
+export function createPopularity (): Popularity {
+  const rowsByKey = new Map<AdapterKey, number>()
+  const keys: (AdapterKey | undefined)[] = []
+  const freeRows: number[] = []
+  let fast = new Float32Array(INITIAL_CAPACITY)
+  let slow = new Float32Array(INITIAL_CAPACITY)
+  let notedAt = new Float64Array(INITIAL_CAPACITY)
+  let sweepAt = 0
+
+  function grow (): void {
+    fast = growArray(fast, length => new Float32Array(length))
+    slow = growArray(slow, length => new Float32Array(length))
+    notedAt = growArray(notedAt, length => new Float64Array(length))
+  }
+
+  function addRow (adapterKey: AdapterKey, now: MonotonicMs): number {
+    const row = freeRows.pop() ?? keys.length
+    if (row === fast.length) grow()
+    keys[row] = adapterKey
+    rowsByKey.set(adapterKey, row)
+    fast[row] = 0
+    slow[row] = 0
+    notedAt[row] = now
+    return row
+  }
+
+  function forgetIdle (now: MonotonicMs): void {
+    for (let count = 0; count < SWEEP_ROWS && keys.length > 0; count++) {
+      sweepAt = (sweepAt + 1) % keys.length
+      const key = keys[sweepAt]
+      if (key === undefined) continue
+      if (decay(slow[sweepAt] ?? 0, now - (notedAt[sweepAt] ?? now), SLOW_TIME_MS) >= FORGOTTEN_RATE) continue
+      rowsByKey.delete(key)
+      keys[sweepAt] = undefined
+      freeRows.push(sweepAt)
+    }
+  }
+
+  function getFastRate (adapterKey: AdapterKey, now: MonotonicMs): number {
+    const row = rowsByKey.get(adapterKey)
+    return row === undefined ? 0 : decay(fast[row] ?? 0, now - (notedAt[row] ?? now), FAST_TIME_MS)
+  }
+
+  function getSlowRate (adapterKey: AdapterKey, now: MonotonicMs): number {
+    const row = rowsByKey.get(adapterKey)
+    return row === undefined ? 0 : decay(slow[row] ?? 0, now - (notedAt[row] ?? now), SLOW_TIME_MS)
+  }
+
+  return {
+    note: (adapterKey, now, weight = 1) => {
+      forgetIdle(now)
+      const row = rowsByKey.get(adapterKey) ?? addRow(adapterKey, now)
+      const elapsedMs = now - (notedAt[row] ?? now)
+      fast[row] = decay(fast[row] ?? 0, elapsedMs, FAST_TIME_MS) + weight * MS_PER_SECOND / FAST_TIME_MS
+      slow[row] = decay(slow[row] ?? 0, elapsedMs, SLOW_TIME_MS) + weight * MS_PER_SECOND / SLOW_TIME_MS
+      notedAt[row] = now
+    },
+    getFastRate,
+    getSlowRate,
+    getRate: (adapterKey, now) => Math.max(getFastRate(adapterKey, now), getSlowRate(adapterKey, now)),
+    isRising: (adapterKey, now) => getFastRate(adapterKey, now) > RISING_RATIO * getSlowRate(adapterKey, now),
+    getSize: () => rowsByKey.size,
+    getArrayBytes: () => fast.byteLength + slow.byteLength + notedAt.byteLength
+  }
+}
--- a/adapters/residency/src/index.ts
+++ b/adapters/residency/src/index.ts
@@ -1,2 +1,3 @@
 /** Slots of an endpoint and the choice of what to evict. */
-export {}
+export * from './slots.ts'
+export * from './chooseEviction.ts'
--- /dev/null
+++ b/adapters/residency/src/slots.ts
@@ -0,0 +1,112 @@
+/** The slots of one engine: what its owner ordered, joined with what the engine reports with a lag. */
+import type { AdapterKey, EndpointReport, MonotonicMs } from '@catkinferry/core.types'
+
+/**
+ * `unsettledLoad` and `unsettledEvict`: the order's answer was lost; the next report taken after that settles it.
+ * `gone`: evicted, kept only until a report taken after that.
+ */
+export type SlotState = 'resident' | 'loading' | 'evicting' | 'unsettledLoad' | 'unsettledEvict' | 'gone'
+
+interface SlotRow {
+  readonly state: SlotState
+  readonly since: MonotonicMs
+}
+
+/** What a report changed. */
+export interface SlotChange {
+  readonly gained: readonly AdapterKey[]
+  readonly lost: readonly AdapterKey[]
+}
+
+export interface Slots {
+  readonly getState: (adapterKey: AdapterKey) => SlotState | undefined
+  readonly isResident: (adapterKey: AdapterKey) => boolean
+  readonly setState: (adapterKey: AdapterKey, state: SlotState, now: MonotonicMs) => void
+  readonly listResident: () => AdapterKey[]
+  readonly listLoading: () => AdapterKey[]
+  /** Slots in use, also by loads and evictions under way or unsettled. */
+  readonly countUsed: () => number
+  readonly countLoading: () => number
+  readonly getResidentSince: (adapterKey: AdapterKey) => MonotonicMs | undefined
+  /** `takenAt`: the earliest time at which the engine can have looked. */
+  readonly applyReport: (report: EndpointReport, takenAt: MonotonicMs, now: MonotonicMs) => SlotChange
+  /** Changes whenever the resident or loading set does. */
+  readonly getVersion: () => number
+}
+
+type Verdict = 'keep' | 'resident' | 'remove'
+
+/** What a report taken after the row's last change says of it. */
+const VERDICTS: Readonly<Record<SlotState, (seen: { readonly resident: boolean, readonly loading: boolean }) => Verdict>> = {
+  resident: ({ resident }) => resident ? 'keep' : 'remove',
+  loading: ({ resident }) => resident ? 'resident' : 'keep',
+  evicting: () => 'keep',
+  unsettledLoad: ({ resident, loading }) => resident ? 'resident' : loading ? 'keep' : 'remove',
+  unsettledEvict: ({ resident }) => resident ? 'resident' : 'remove',
+  gone: ({ resident }) => resident ? 'resident' : 'remove'
+}
+
+/** Creates a table without knowledge. */
+export function createSlots (): Slots {
+  const rows = new Map<AdapterKey, SlotRow>()
+  let version = 0
+
+  function setState (adapterKey: AdapterKey, state: SlotState, now: MonotonicMs): void {
+    rows.set(adapterKey, { state, since: now })
+    version++
+  }
+
+  function listIn (...states: readonly SlotState[]): AdapterKey[] {
+    const keys: AdapterKey[] = []
+    for (const [key, row] of rows) if (states.includes(row.state)) keys.push(key)
+    return keys
+  }
+
+  function countUsed (): number {
+    let used = 0
+    for (const row of rows.values()) if (row.state !== 'gone') used++
+    return used
+  }
+
+  function applyReport (report: EndpointReport, takenAt: MonotonicMs, now: MonotonicMs): SlotChange {
+    const resident = new Set(report.resident)
+    const loading = new Set(report.loading)
+    const gained: AdapterKey[] = []
+    const lost: AdapterKey[] = []
+    for (const [key, row] of rows) {
+      if (row.since >= takenAt) continue
+      const verdict = VERDICTS[row.state]({ resident: resident.has(key), loading: loading.has(key) })
+      if (verdict === 'resident') {
+        setState(key, 'resident', takenAt)
+        gained.push(key)
+      } else if (verdict === 'remove') {
+        rows.delete(key)
+        version++
+        if (row.state === 'resident') lost.push(key)
+      }
+    }
+    for (const key of resident) {
+      if (rows.has(key)) continue
+      setState(key, 'resident', takenAt)
+      gained.push(key)
+    }
+    for (const key of loading) if (!rows.has(key)) setState(key, 'unsettledLoad', now)
+    return { gained, lost }
+  }
+
+  return {
+    getState: key => rows.get(key)?.state,
+    isResident: key => rows.get(key)?.state === 'resident',
+    setState,
+    listResident: () => listIn('resident'),
+    listLoading: () => listIn('loading', 'unsettledLoad'),
+    countUsed,
+    countLoading: () => listIn('loading', 'unsettledLoad').length,
+    getResidentSince: key => {
+      const row = rows.get(key)
+      return row?.state === 'resident' ? row.since : undefined
+    },
+    applyReport,
+    getVersion: () => version
+  }
+}
--- a/core/constants/src/index.ts
+++ b/core/constants/src/index.ts
@@ -19,7 +19,10 @@
 export const MAX_SUB_LEASE_MS = 2_000
 
 /** Longest time that an order can be under way before it is cut. */
-export const MAX_ORDER_MS = 10_000
+export const MAX_ORDER_MS = 4_000
+
+/** Longest time that an order to evict can be under way before it is cut. */
+export const MAX_EVICT_MS = 1_000
 
 /** A host's heartbeat inside its zone. */
 export const HEARTBEAT_INTERVAL_MS = 500
--- a/wire/messages/src/zone.ts
+++ b/wire/messages/src/zone.ts
@@ -4,34 +4,40 @@
 export type LeaseMessage =
   /** Asks a lease voter for the zone lease. `askId` is echoed so that the holder counts from when it asked. */
   | { readonly kind: 'lease.ask', readonly zone: ZoneId, readonly ballot: number, readonly askId: number, readonly durationMs: DurationMs }
-  | { readonly kind: 'lease.answer', readonly zone: ZoneId, readonly ballot: number, readonly askId: number, readonly granted: boolean, readonly highestBallot: number, readonly remainingMs: DurationMs }
-  | { readonly kind: 'lease.release', readonly zone: ZoneId, readonly ballot: number }
+  | { readonly kind: 'lease.answer', readonly zone: ZoneId, readonly ballot: number, readonly askId: number, readonly granted: boolean, readonly highestBallot: number, readonly remainingMs: DurationMs, /** Sub-leases of the ballot before may still run. */ readonly subLeasesMayRun: boolean, /** Who holds the lease, in a refusal. */ readonly holder?: HostId }
+  /** `unused`: the ballot won no majority, so no sub-lease came from it. */
+  | { readonly kind: 'lease.release', readonly zone: ZoneId, readonly ballot: number, readonly unused: boolean }
 
 export type OwnershipMessage =
-  /** From the lease holder to an owner: these endpoints until the sub-lease ends. */
-  | { readonly kind: 'owner.assign', readonly zone: ZoneId, readonly ballot: number, readonly askId: number, readonly subLeaseMs: DurationMs, readonly endpoints: readonly AssignedEndpoint[] }
-  | { readonly kind: 'owner.accept', readonly zone: ZoneId, readonly ballot: number, readonly askId: number }
-  /** An owner asks for its sub-lease to be renewed; it counts the sub-lease from when it asked. */
-  | { readonly kind: 'owner.renew', readonly zone: ZoneId, readonly askId: number, readonly highestFencing: number }
-  | { readonly kind: 'owner.handBack', readonly zone: ZoneId, readonly endpoints: readonly EndpointId[] }
+  /** Answer to a renewal, and the holder's heartbeat. `endpoints`: all that the owner holds, absent when unchanged since the `epoch` of the renewal. */
+  | { readonly kind: 'owner.assign', readonly zone: ZoneId, readonly ballot: number, readonly askId: number, readonly subLeaseMs: DurationMs, readonly epoch: number, readonly viewSequence: number, readonly endpoints?: readonly AssignedEndpoint[] }
+  /** A host asks for its sub-lease, which it counts from when it asked; also its heartbeat. `epoch`: the last assignment applied of this ballot, else 0. */
+  | { readonly kind: 'owner.renew', readonly zone: ZoneId, readonly ballot: number, readonly askId: number, readonly epoch: number, readonly viewSequence: number, readonly highestFencing: number, readonly leaving: boolean, readonly holding: readonly HeldEndpoint[] }
+  /** The owner grants and orders no more there. `settled`: none of its orders is under way. `highestFencing`: learned from a refusal, else 0. */
+  | { readonly kind: 'owner.handBack', readonly zone: ZoneId, readonly ballot: number, readonly endpoint: EndpointId, readonly fencing: number, readonly settled: boolean, readonly highestFencing: number }
+
+/** An endpoint under a sub-lease of an earlier ballot that has not ended. */
+export interface HeldEndpoint {
+  readonly endpoint: EndpointId
+  readonly fencing: number
+}
 
 export interface AssignedEndpoint {
   readonly row: EndpointRow
   readonly fencing: number
-  /** The new owner gives no order or grant before this much time has passed. */
+  /** The new owner gives no order before this much time has passed, unless the engine has taken the fencing number. */
   readonly waitMs: DurationMs
-  /** A different owner held it before, whose grants may still run. */
-  readonly takenOver: boolean
+  /** The owner is to hand it back once its unstarted grants and its orders are over. */
+  readonly recalled: boolean
 }
 
 export type MembershipMessage =
-  /** Host to lease holder and stand-by. */
-  | { readonly kind: 'member.heartbeat', readonly zone: ZoneId, readonly startedAt: number, readonly leaving: boolean, readonly settingsRevision: number, readonly sequence: number }
-  /** Lease holder to the hosts of its zone: who owns what, full or only what changed. */
-  | { readonly kind: 'member.view', readonly zone: ZoneId, readonly ballot: number, readonly sequence: number, readonly full: boolean, readonly hosts: readonly HostId[], readonly endpoints: readonly OwnedEndpoint[], readonly removed: readonly EndpointId[], readonly zones: readonly ZoneDigest[] }
+  /** Lease holder to the hosts of its zone: who owns what, in full or what changed after `after`. */
+  | { readonly kind: 'member.view', readonly zone: ZoneId, readonly ballot: number, readonly sequence: number, readonly after: number, readonly full: boolean, readonly hosts: readonly HostId[], readonly endpoints: readonly OwnedEndpoint[], readonly removed: readonly EndpointId[], readonly zones: readonly ZoneDigest[] }
   | { readonly kind: 'member.askView', readonly zone: ZoneId }
-  /** Owner to the hosts of its zone: state of its endpoints, only what changed. */
-  | { readonly kind: 'member.endpoints', readonly states: readonly EndpointState[] }
+  /** Owner to the hosts of its zone: its endpoints that changed. `resident` and `loading` are absent when unchanged. */
+  | { readonly kind: 'member.endpoints', readonly sequence: number, readonly full: boolean, readonly states: readonly EndpointState[] }
+  | { readonly kind: 'member.askEndpoints' }
   /** Lease holder to the lease holders of other zones. */
   | { readonly kind: 'member.digest', readonly digest: ZoneDigest }
 
@@ -43,8 +49,8 @@
 
 export interface EndpointState {
   readonly endpoint: EndpointId
-  readonly resident: readonly AdapterKey[]
-  readonly loading: readonly AdapterKey[]
+  readonly resident?: readonly AdapterKey[]
+  readonly loading?: readonly AdapterKey[]
   readonly running: number
   readonly waiting: number
   readonly batchLimit: number
--- /dev/null
+++ b/zone/coordination/src/createZoneCoordination.ts
@@ -0,0 +1,279 @@
+/** Leases, ownership, membership, grants and loads of a zone as one system. */
+import { MAX_CLOCK_DRIFT_FRACTION, MAX_ZONE_LEASE_MS } from '@catkinferry/core.constants'
+import type { Random } from '@catkinferry/core.random'
+import type { EndpointId, HostPlace, MonotonicMs, NodePath, PeerRow, SettingsView, ZoneView } from '@catkinferry/core.types'
+import type { HostEvent, RunContext, System } from '@catkinferry/host.events'
+import type { GrantMessage, LeaseMessage, LoadBudgetMessage, MembershipMessage, OwnershipMessage } from '@catkinferry/wire.messages'
+import { createGrants, createZoneSettings } from '@catkinferry/zone.grants'
+import type { EndpointDescription, Grants } from '@catkinferry/zone.grants'
+import { createLeaseHolder, createLeaseVoter, listLeaseVoters } from '@catkinferry/zone.leases'
+import type { HeldLease, LeaseHolder, LeaseVoter } from '@catkinferry/zone.leases'
+import { createPlatformTable, createZoneDigests, createZoneTable } from '@catkinferry/zone.membership'
+import { createSubLease } from '@catkinferry/zone.ownership'
+import { createCrossZone } from './crossZone.ts'
+import { describeZones } from './describeZones.ts'
+import type { ZoneDescription } from './describeZones.ts'
+import { createHolder } from './holder.ts'
+import { createMessageHandlers } from './messageHandlers.ts'
+import { createStatePublisher } from './statePublisher.ts'
+import type { ZoneParts } from './zoneParts.ts'
+
+export type ZoneMessage =
+  | LeaseMessage
+  | OwnershipMessage
+  | MembershipMessage
+  | LoadBudgetMessage
+  | Extract<GrantMessage, { kind: 'grant.ask' | 'grant.release' | 'grant.cancel' | 'grant.active' }>
+
+type EventOf<Kind extends HostEvent['kind']> = Extract<HostEvent, { kind: Kind }>
+
+export interface ZoneCoordinationOptions {
+  readonly self: HostPlace
+  /** All hosts of the deployment by the settings file. */
+  readonly peers: readonly PeerRow[]
+  readonly settings: SettingsView
+  readonly random: Random
+  /** Path of this host in the fleet tree. */
+  readonly fleetPath?: NodePath
+}
+
+export interface ZoneCoordination extends System<ZoneMessage> {
+  readonly view: ZoneView
+  readonly receiveReport: (event: EventOf<'endpoint.report'>, context: RunContext) => void
+  readonly receiveUnreachable: (event: EventOf<'endpoint.unreachable'>, context: RunContext) => void
+  readonly receiveOrderResult: (event: EventOf<'order.result'>, context: RunContext) => void
+  readonly receivePlatformList: (event: EventOf<'platform.list'>, context: RunContext) => void
+  /** The loop stood still: all own leases, sub-leases and unstarted grants are void. Called before anything else. */
+  readonly notePause: (context: RunContext) => void
+  /** Begins to hand back what this host owns and holds. */
+  readonly beginShutdown: (context: RunContext) => void
+  /** True when nothing of the zone depends on this host. */
+  readonly isIdle: () => boolean
+  readonly describeZones: () => readonly ZoneDescription[]
+  /** The endpoints that this host owns. */
+  readonly describeEndpoints: () => readonly EndpointDescription[]
+}
+
+/** The holder is looked for after this much silence. */
+const HOLDER_SILENCE_MS = 1_500
+
+function listAllPeers (opts: ZoneCoordinationOptions): readonly PeerRow[] {
+  const { self, peers } = opts
+  if (peers.some(({ host }) => host === self.host)) return peers
+  return [...peers, { ...self, address: '', voter: false, leaseVoter: true }]
+}
+
+function createLazyVoter (isSoleVoter: boolean): (now: MonotonicMs) => LeaseVoter {
+  let voter: LeaseVoter | undefined
+  return now => {
+    const silenceMs = isSoleVoter ? 0 : MAX_ZONE_LEASE_MS * (1 + MAX_CLOCK_DRIFT_FRACTION)
+    voter ??= createLeaseVoter({ silentUntil: now + silenceMs })
+    return voter
+  }
+}
+
+function createParts (opts: ZoneCoordinationOptions): ZoneParts {
+  const { self, settings, random } = opts
+  const peers = listAllPeers(opts)
+  const zoneHosts = peers.filter(({ zone }) => zone === self.zone).map(({ host }) => host)
+  const voters = listLeaseVoters({ zone: self.zone, peers })
+  const getSettings = createZoneSettings(settings, opts.fleetPath ?? `fleet/${self.region}/${self.zone}`)
+  const clock = { now: 0 }
+  const getNow = (): MonotonicMs => clock.now
+  const known: ZoneParts['known'] = { holder: undefined, heardAt: -Infinity, leaving: false, released: false, held: undefined, subLeaseLive: false, platformAt: 0, askedViewAt: -Infinity }
+  const leaseHolder: LeaseHolder = createLeaseHolder({ zone: self.zone, getVoters: () => voters, getLeaseMs: () => getSettings().leaseMs, random })
+  const subLease = createSubLease({ zone: self.zone })
+  const table = createZoneTable({ getNow })
+  const platform = createPlatformTable({ zone: self.zone })
+  const digests = createZoneDigests({ region: self.region, peers })
+  const holder = createHolder({ self, peers, getSettings, getHeld: now => leaseHolder.getHeld(now), platform, table, digests, getNow })
+  const grants: Grants = createGrants({
+    self: self.host,
+    getSettings,
+    random,
+    getSubLeaseUntil: () => subLease.getUntil(),
+    zoneHosts,
+    getLeaseHolder: () => known.holder,
+    findOwner: endpoint => table.getOwned(endpoint)?.owner,
+    noteFencing: fencing => subLease.noteFencing(fencing),
+    onFencingRefused: (endpoint, highestFencing, context) => handBackRefused(parts, endpoint, highestFencing, context)
+  })
+  const publisher = createStatePublisher({ list: () => grants.listPublished() })
+  const isSoleVoter = zoneHosts.length === 1 && voters.length === 1 && voters[0] === self.host
+  const parts: ZoneParts = {
+    self,
+    zoneHosts,
+    getSettings,
+    clock,
+    known,
+    leaseHolder,
+    subLease,
+    table,
+    platform,
+    digests,
+    holder,
+    grants,
+    publisher,
+    getVoter: createLazyVoter(isSoleVoter),
+    crossZone: createCrossZone(),
+    handedBack: new Map()
+  }
+  return parts
+}
+
+/** The engine has seen a higher number: gives the endpoint back, so that it is assigned with a number above that. */
+function handBackRefused (parts: ZoneParts, endpoint: EndpointId, highestFencing: number, context: RunContext): void {
+  const { subLease, known, self } = parts
+  const owned = subLease.getOwned(endpoint)
+  subLease.noteFencing(highestFencing)
+  if (owned === undefined || owned.fencing > highestFencing || known.holder === undefined) return
+  parts.grants.dropOwned(endpoint, context)
+  parts.publisher.remove(endpoint)
+  subLease.removeOwned(endpoint)
+  subLease.renewSoon(context.now)
+  context.send(known.holder, { kind: 'owner.handBack', zone: self.zone, ballot: subLease.getBallot(), endpoint, fencing: owned.fencing, settled: false, highestFencing })
+}
+
+function isLeaseWanted (parts: ZoneParts, now: MonotonicMs): boolean {
+  const { known, leaseHolder } = parts
+  if (leaseHolder.getHeld(now) !== undefined) return !known.released
+  if (known.leaving) return false
+  return now - known.heardAt >= HOLDER_SILENCE_MS
+}
+
+function updateHeld (parts: ZoneParts, held: HeldLease | undefined, context: RunContext): void {
+  const { known, holder, self } = parts
+  if (held?.ballot === known.held?.ballot) return
+  if (known.held !== undefined) holder.stop()
+  known.held = held
+  if (held === undefined) {
+    if (known.holder === self.host) known.holder = undefined
+    return
+  }
+  known.holder = self.host
+  known.heardAt = context.now
+  known.platformAt = context.now
+  holder.begin(held, context)
+}
+
+function updateSubLease (parts: ZoneParts, context: RunContext): void {
+  const { known, subLease, grants } = parts
+  const live = subLease.isLive(context.now)
+  if (live === known.subLeaseLive) return
+  known.subLeaseLive = live
+  grants.noteSubLease(live, context)
+}
+
+/** The holder and the first other host poll the platform for the zone. */
+function pollPlatform (parts: ZoneParts, context: RunContext): void {
+  const { known, self, table } = parts
+  if (known.platformAt > context.now) return
+  known.platformAt = context.now + parts.getSettings().platformPollMs
+  const standBy = table.listHosts().filter(host => host !== known.holder).sort()[0]
+  if (known.held !== undefined || standBy === self.host) context.emit({ kind: 'platform.poll' })
+}
+
+function sendHandBacks (parts: ZoneParts, context: RunContext): void {
+  const { known, subLease, self } = parts
+  for (const handBack of parts.grants.takeHandBacks(context)) {
+    parts.publisher.remove(handBack.endpoint)
+    subLease.removeOwned(handBack.endpoint)
+    parts.handedBack.set(handBack.endpoint, handBack)
+    if (known.holder === undefined) continue
+    context.send(known.holder, { kind: 'owner.handBack', zone: self.zone, ballot: subLease.getBallot(), ...handBack, highestFencing: 0 })
+  }
+}
+
+/** A holder that leaves releases the lease once its own endpoints have new owners. */
+function releaseWhenDrained (parts: ZoneParts, context: RunContext): void {
+  const { known, leaseHolder, zoneHosts, self, holder, grants } = parts
+  if (!known.leaving || known.held === undefined || grants.getOwnedCount() > 0) return
+  const others = holder.assigner.listHosts(context.now).filter(host => host !== self.host)
+  if (others.length > 0 && holder.assigner.countUnowned() > 0) return
+  const { ballot } = known.held
+  leaseHolder.release(context)
+  known.released = true
+  for (const host of zoneHosts) if (host !== self.host) context.send(host, { kind: 'lease.release', zone: self.zone, ballot, unused: false })
+  updateHeld(parts, undefined, context)
+}
+
+function run (parts: ZoneParts, context: RunContext): void {
+  const { clock, known, leaseHolder, subLease, holder, grants, publisher, table } = parts
+  clock.now = context.now
+  parts.getVoter(context.now)
+  updateHeld(parts, leaseHolder.getHeld(context.now), context)
+  leaseHolder.run(context, isLeaseWanted(parts, context.now))
+  subLease.run({ holder: known.holder, viewSequence: table.getSequence(), leaving: known.leaving }, context)
+  holder.run(context)
+  updateSubLease(parts, context)
+  grants.run(context)
+  sendHandBacks(parts, context)
+  releaseWhenDrained(parts, context)
+  publisher.note(grants.takeChanged())
+  publisher.run(table.listHosts(), context)
+  pollPlatform(parts, context)
+}
+
+function getNextAt (parts: ZoneParts): MonotonicMs | undefined {
+  const { clock, known, leaseHolder, subLease, holder, grants, publisher } = parts
+  const wanted = isLeaseWanted(parts, clock.now)
+  const times = [
+    leaseHolder.getNextAt(wanted),
+    known.leaving || wanted ? undefined : known.heardAt + HOLDER_SILENCE_MS,
+    known.holder === undefined ? undefined : subLease.getNextAt(),
+    known.subLeaseLive ? subLease.getUntil() : undefined,
+    holder.getNextAt(),
+    grants.getNextAt(),
+    publisher.getNextAt(),
+    known.platformAt
+  ].filter(at => at !== undefined)
+  return Math.min(...times)
+}
+
+function createView (parts: ZoneParts): ZoneView {
+  const { table, known, subLease, digests, clock } = parts
+  return {
+    isServing: now => subLease.isLive(now),
+    getLeaseHolder: () => known.holder,
+    listHosts: () => table.listHosts(),
+    listEndpoints: pool => table.listViews(pool),
+    getEndpoint: endpoint => table.getView(endpoint),
+    listOtherZones: pool => digests.listSummaries(pool, clock.now)
+  }
+}
+
+/** Creates the zone's system for one host. It acts from its first run on. */
+export function createZoneCoordination (opts: ZoneCoordinationOptions): ZoneCoordination {
+  const parts = createParts(opts)
+  const handlers = createMessageHandlers(parts)
+  const { clock, known, grants } = parts
+  return {
+    view: createView(parts),
+    receive: (from, message, context) => {
+      clock.now = context.now
+      handlers.receive(from, message, context)
+    },
+    run: context => run(parts, context),
+    getNextAt: () => getNextAt(parts),
+    receiveReport: (event, context) => grants.receiveReport(event.endpoint, event.report, context),
+    receiveUnreachable: (event, context) => grants.receiveUnreachable(event.endpoint, context),
+    receiveOrderResult: (event, context) => grants.receiveOrderResult(event.orderId, event.outcome, context),
+    receivePlatformList: (event, context) => handlers.receivePlatformList(event.endpoints, context),
+    notePause: context => {
+      clock.now = context.now
+      parts.leaseHolder.drop(context.now)
+      parts.subLease.drop(context.now)
+      updateHeld(parts, undefined, context)
+      known.holder = undefined
+      known.heardAt = -Infinity
+      updateSubLease(parts, context)
+    },
+    beginShutdown: context => {
+      known.leaving = true
+      parts.subLease.renewSoon(context.now)
+    },
+    isIdle: () => known.held === undefined && grants.getOpenOrderCount() === 0 && (grants.getOwnedCount() === 0 || !parts.subLease.isLive(clock.now)),
+    describeZones: () => describeZones(parts),
+    describeEndpoints: () => grants.describe(clock.now)
+  }
+}
--- /dev/null
+++ b/zone/coordination/src/describeZones.ts
@@ -0,0 +1,44 @@
+/** The zones as this host sees them, for operators. */
+import type { DurationMs, HostId, ZoneId } from '@catkinferry/core.types'
+import type { ZoneParts } from './zoneParts.ts'
+
+export interface ZoneDescription {
+  readonly zone: ZoneId
+  /** True for the zone of the answering host. */
+  readonly own: boolean
+  readonly leaseHolder: HostId | undefined
+  readonly holderSilentMs: DurationMs | undefined
+  readonly serving: boolean | undefined
+  readonly hosts: readonly HostId[]
+  readonly endpoints: readonly { readonly endpoint: string, readonly owner: HostId | undefined, readonly fencing: number, readonly leaving: boolean }[]
+  readonly budget: { readonly ratePerSecond: number, readonly inFlight: number, readonly inFlightLimit: number, readonly waiting: number } | undefined
+  readonly pools: readonly { readonly pool: string, readonly freeCapacity: number, readonly queueMs: DurationMs }[]
+}
+
+/** Describes this zone in full and the others by their digests. */
+export function describeZones (parts: ZoneParts): readonly ZoneDescription[] {
+  const { clock, known, table, subLease, self, holder, digests } = parts
+  const own: ZoneDescription = {
+    zone: self.zone,
+    own: true,
+    leaseHolder: known.holder,
+    holderSilentMs: known.heardAt === -Infinity ? undefined : clock.now - known.heardAt,
+    serving: subLease.isLive(clock.now),
+    hosts: table.listHosts(),
+    endpoints: table.listOwned().map(({ row, owner, fencing }) => ({ endpoint: row.endpoint, owner, fencing, leaving: row.leaving })),
+    budget: known.held === undefined ? undefined : holder.budget.describe(clock.now),
+    pools: []
+  }
+  const others = digests.list().map((digest): ZoneDescription => ({
+    zone: digest.zone,
+    own: false,
+    leaseHolder: digest.contact,
+    holderSilentMs: undefined,
+    serving: undefined,
+    hosts: [],
+    endpoints: [],
+    budget: undefined,
+    pools: digest.pools
+  }))
+  return [own, ...others]
+}
--- /dev/null
+++ b/zone/coordination/src/holder.ts
@@ -0,0 +1,99 @@
+/** What the lease holder of a zone does: assigns owners, tells the hosts the view, keeps the load budget, sends digests. */
+import { createZoneBudget } from '@catkinferry/adapters.load-budget'
+import type { ZoneBudget } from '@catkinferry/adapters.load-budget'
+import type { EndpointId, EndpointRow, HostPlace, MonotonicMs, PeerRow } from '@catkinferry/core.types'
+import { EndpointKind } from '@catkinferry/core.types'
+import type { RunContext } from '@catkinferry/host.events'
+import type { ZoneSettings } from '@catkinferry/zone.grants'
+import type { HeldLease } from '@catkinferry/zone.leases'
+import type { PlatformTable, ZoneDigests, ZoneTable } from '@catkinferry/zone.membership'
+import { createAssigner } from '@catkinferry/zone.ownership'
+import type { Assigner } from '@catkinferry/zone.ownership'
+import { createDigestSender } from './digestSender.ts'
+import { createViewSender } from './viewSender.ts'
+import type { ViewSender } from './viewSender.ts'
+
+export interface Holder {
+  readonly assigner: Assigner
+  readonly budget: ZoneBudget
+  readonly views: ViewSender
+  readonly begin: (held: HeldLease, context: RunContext) => void
+  readonly stop: () => void
+  readonly putEndpoint: (row: EndpointRow, context: RunContext) => void
+  readonly removeEndpoint: (endpoint: EndpointId) => void
+  readonly run: (context: RunContext) => void
+  readonly getNextAt: () => MonotonicMs | undefined
+}
+
+export interface HolderOptions {
+  readonly self: HostPlace
+  readonly peers: readonly PeerRow[]
+  readonly getSettings: () => ZoneSettings
+  readonly getHeld: (now: MonotonicMs) => HeldLease | undefined
+  readonly platform: PlatformTable
+  readonly table: ZoneTable
+  readonly digests: ZoneDigests
+  readonly getNow: () => MonotonicMs
+}
+
+/** Creates the holder's part; it does nothing before `begin`. */
+export function createHolder (opts: HolderOptions): Holder {
+  const { self, peers, platform, table, digests } = opts
+  const counter = { sequence: 0 }
+  const assigner = createAssigner({
+    zone: self.zone,
+    getSubLeaseMs: () => opts.getSettings().subLeaseMs,
+    getLeaseUntil: now => opts.getHeld(now)?.until ?? -Infinity,
+    getViewSequence: () => counter.sequence
+  })
+  const budget = createZoneBudget({
+    zone: self.zone,
+    zones: [...new Set(peers.map(({ zone }) => zone))],
+    getLimits: () => opts.getSettings().loads,
+    getContact: zone => digests.getContact(zone, opts.getNow())
+  })
+  const views = createViewSender({ zone: self.zone, assigner, platform, digests, counter })
+  const digestSender = createDigestSender({ self, peers, table, digests })
+  let active = false
+
+  return {
+    assigner,
+    budget,
+    views,
+    begin: (held, context) => {
+      active = true
+      views.begin(held.ballot)
+      digestSender.begin()
+      platform.addKnown(table.listOwned().map(({ row }) => row))
+      for (const row of platform.rows()) if (row.kind === EndpointKind.ENGINE) assigner.putEndpoint(row, context)
+      assigner.begin({ ballot: held.ballot, subLeasesMayRun: held.subLeasesMayRun }, context)
+      budget.begin(context)
+    },
+    stop: () => {
+      active = false
+      assigner.stop()
+      budget.stop()
+    },
+    putEndpoint: (row, context) => {
+      if (row.kind === EndpointKind.ENGINE) assigner.putEndpoint(row, context)
+      views.markEndpoint(row.endpoint)
+    },
+    removeEndpoint: endpoint => {
+      assigner.removeEndpoint(endpoint)
+      views.markEndpoint(endpoint)
+    },
+    run: context => {
+      if (!active) return
+      assigner.run(context)
+      views.sendChanges(context)
+      budget.run(context)
+      digestSender.run(context)
+    },
+    getNextAt: () => {
+      if (!active) return undefined
+      const times = [assigner.getNextAt(), budget.getNextAt(), views.getNextAt(), digestSender.getNextAt()]
+      const planned = times.filter(at => at !== undefined)
+      return planned.length === 0 ? undefined : Math.min(...planned)
+    }
+  }
+}
--- a/zone/coordination/src/index.ts
+++ b/zone/coordination/src/index.ts
@@ -1,2 +1,3 @@
 /** Leases, ownership, membership and grants of a zone as one system. */
-export {}
+export * from './createZoneCoordination.ts'
+export type { ZoneDescription } from './describeZones.ts'
--- /dev/null
+++ b/zone/coordination/src/messageHandlers.ts
@@ -0,0 +1,162 @@
+/** What a host does with each message of its zone, as a lookup table by kind. */
+import type { EndpointRow, HostId } from '@catkinferry/core.types'
+import type { RunContext } from '@catkinferry/host.events'
+import type { GrantMessage, MembershipMessage, OwnershipMessage } from '@catkinferry/wire.messages'
+import type { ZoneMessage } from './createZoneCoordination.ts'
+import type { ZoneParts } from './zoneParts.ts'
+
+type MessageOf<Kind extends ZoneMessage['kind']> = Extract<ZoneMessage, { kind: Kind }>
+type Handlers = { readonly [Kind in ZoneMessage['kind']]: (from: HostId, message: MessageOf<Kind>, context: RunContext) => void }
+type GrantAsk = Extract<GrantMessage, { kind: 'grant.ask' }>
+type GrantCancel = Extract<GrantMessage, { kind: 'grant.cancel' }>
+type OwnerAssign = Extract<OwnershipMessage, { kind: 'owner.assign' }>
+type MemberView = Extract<MembershipMessage, { kind: 'member.view' }>
+
+const ASK_VIEW_INTERVAL_MS = 200
+const RETRY_NO_CAPACITY_MS = 500
+
+export interface MessageHandlers {
+  readonly receive: (from: HostId, message: ZoneMessage, context: RunContext) => void
+  readonly receivePlatformList: (rows: readonly EndpointRow[], context: RunContext) => void
+}
+
+function askView (parts: ZoneParts, context: RunContext): void {
+  const { known, self } = parts
+  if (known.holder === undefined || context.now - known.askedViewAt < ASK_VIEW_INTERVAL_MS) return
+  known.askedViewAt = context.now
+  context.send(known.holder, { kind: 'member.askView', zone: self.zone })
+}
+
+function noteHolder (parts: ZoneParts, from: HostId, context: RunContext): void {
+  parts.known.holder = from
+  parts.known.heardAt = context.now
+}
+
+function receiveAssign (parts: ZoneParts, from: HostId, assign: OwnerAssign, context: RunContext): void {
+  const { subLease, grants, publisher, table } = parts
+  const change = subLease.receiveAssign(from, assign, context)
+  if (change === undefined) return
+  noteHolder(parts, from, context)
+  for (const endpoint of change.lost) {
+    grants.dropOwned(endpoint, context)
+    publisher.remove(endpoint)
+  }
+  for (const owned of [...change.gained, ...change.updated]) grants.putOwned(owned, context)
+  for (const { endpoint, fencing } of change.recalledUnknown) {
+    const settled = parts.handedBack.get(endpoint)?.settled ?? false
+    context.send(from, { kind: 'owner.handBack', zone: parts.self.zone, ballot: assign.ballot, endpoint, fencing, settled, highestFencing: 0 })
+  }
+  if (assign.ballot !== table.getBallot() || change.viewSequence > table.getSequence()) askView(parts, context)
+}
+
+/** A leaving endpoint gets no grant from the moment that its owner hears of it, also before the next assignment. */
+function applyLeaving (parts: ZoneParts, view: MemberView, context: RunContext): void {
+  for (const { row } of view.endpoints) {
+    const owned = parts.subLease.getOwned(row.endpoint)
+    if (owned === undefined || owned.row.leaving === row.leaving || !parts.grants.hasEndpoint(row.endpoint)) continue
+    parts.grants.putOwned(parts.subLease.setRow(row) ?? owned, context)
+  }
+}
+
+function receiveView (parts: ZoneParts, view: MemberView, context: RunContext): void {
+  if (view.zone !== parts.self.zone) return
+  if (!parts.table.applyView(view)) {
+    askView(parts, context)
+    return
+  }
+  for (const digest of view.zones) if (digest.zone !== parts.self.zone) parts.digests.applyDigest(digest, context.now)
+  applyLeaving(parts, view, context)
+}
+
+/** An ask from another zone: chosen here, granted by the owner. */
+function handOnAsk (parts: ZoneParts, ask: GrantAsk, context: RunContext): void {
+  const { crossZone, table } = parts
+  const known = crossZone.get(ask.attemptId)
+  const view = known === undefined ? crossZone.choose({ views: table.listViews(ask.pool), adapterKey: ask.adapterKey }) : undefined
+  const target = known ?? (view?.owner === undefined ? undefined : { endpoint: view.endpoint, owner: view.owner })
+  if (target === undefined) {
+    context.send(ask.origin, { kind: 'grant.refused', attemptId: ask.attemptId, reason: 'full', retryAfterMs: RETRY_NO_CAPACITY_MS })
+    return
+  }
+  crossZone.note(ask.attemptId, target, context.now)
+  context.send(target.owner, { ...ask, endpoint: target.endpoint })
+}
+
+function receiveCancel (parts: ZoneParts, cancel: GrantCancel, context: RunContext): void {
+  const target = cancel.endpoint === undefined ? parts.crossZone.take(cancel.attemptId) : undefined
+  if (target !== undefined) context.send(target.owner, { ...cancel, endpoint: target.endpoint })
+  else parts.grants.receiveCancel(cancel, context)
+}
+
+function receivePlatformList (parts: ZoneParts, rows: readonly EndpointRow[], context: RunContext): void {
+  const { platform, holder, known } = parts
+  const change = platform.receiveList(rows)
+  if (known.held === undefined) return
+  for (const row of change.put) holder.putEndpoint(row, context)
+  for (const endpoint of change.removed) holder.removeEndpoint(endpoint)
+}
+
+/** Creates the table of handlers. */
+export function createMessageHandlers (parts: ZoneParts): MessageHandlers {
+  const { self, known, leaseHolder, holder, grants, digests } = parts
+  const isHolder = (): boolean => known.held !== undefined
+
+  const handlers: Handlers = {
+    'lease.ask': (from, ask, context) => parts.getVoter(context.now).receiveAsk(from, ask, context),
+    'lease.answer': (from, answer, context) => {
+      if (answer.zone !== self.zone) return
+      leaseHolder.receiveAnswer(from, answer, context)
+      if (answer.holder !== undefined && answer.holder !== self.host && !isHolder()) known.holder = answer.holder
+    },
+    'lease.release': (from, release, context) => {
+      parts.getVoter(context.now).receiveRelease(from, release, context)
+      if (release.zone !== self.zone || release.unused || known.holder !== from || from === self.host) return
+      known.heardAt = -Infinity
+      leaseHolder.askSoon(context.now)
+    },
+    'owner.assign': (from, assign, context) => receiveAssign(parts, from, assign, context),
+    'owner.renew': (from, renew, context) => {
+      if (isHolder() && renew.zone === self.zone) holder.assigner.receiveRenew(from, renew, context)
+    },
+    'owner.handBack': (from, handBack, context) => {
+      holder.assigner.noteFencing(handBack.highestFencing)
+      if (isHolder()) holder.assigner.receiveHandBack(from, handBack, context)
+    },
+    'member.view': (_from, view, context) => receiveView(parts, view, context),
+    'member.askView': (from, _ask, context) => {
+      if (isHolder()) holder.views.sendFull(from, context)
+    },
+    'member.endpoints': (from, message, context) => {
+      if (!parts.table.applyStates(from, message, context.now)) context.send(from, { kind: 'member.askEndpoints' })
+    },
+    'member.askEndpoints': (from, _ask, context) => parts.publisher.sendAll(from, context),
+    'member.digest': (from, message, context) => {
+      const news = digests.applyDigest(message.digest, context.now)
+      if (!news) return
+      if (isHolder()) holder.views.noteForeignDigest(context.now)
+      else if (known.holder !== undefined && known.holder !== from) context.send(known.holder, message)
+    },
+    'budget.ask': (from, ask, context) => holder.budget.receiveAsk(from, ask, context),
+    'budget.lend': (_from, lend, context) => holder.budget.receiveLend(lend, context),
+    'budget.take': (from, take, context) => {
+      if (isHolder()) holder.budget.receiveTake(from, take, context)
+    },
+    'budget.given': (_from, given, context) => grants.receiveBudgetGiven(given, context),
+    'budget.done': (from, done, context) => holder.budget.receiveDone(from, done, context),
+    'grant.ask': (_from, ask, context) => {
+      if (ask.endpoint === undefined) handOnAsk(parts, ask, context)
+      else grants.receiveAsk(ask, ask.endpoint, context)
+    },
+    'grant.release': (_from, release, context) => grants.receiveRelease(release, context),
+    'grant.cancel': (_from, cancel, context) => receiveCancel(parts, cancel, context),
+    'grant.active': (from, active, context) => grants.receiveActive(from, active, context)
+  }
+
+  return {
+    receive: (from, message, context) => {
+      const handle = handlers[message.kind] as (from: HostId, message: ZoneMessage, context: RunContext) => void
+      handle(from, message, context)
+    },
+    receivePlatformList: (rows, context) => receivePlatformList(parts, rows, context)
+  }
+}
--- /dev/null
+++ b/zone/coordination/test/zonePump.ts
@@ -0,0 +1,439 @@
+/** Hosts of a zone, small engines and a network with delay, loss, copies and cuts, all on virtual time. */
+import { createRandom } from '@catkinferry/core.random'
+import type { Random } from '@catkinferry/core.random'
+import type { AdapterKey, EndpointRow, HostId, Order, OrderId, PeerRow } from '@catkinferry/core.types'
+import type { HostOutput, OrderSend, RunContext } from '@catkinferry/host.events'
+import type { GrantMessage, PeerMessage } from '@catkinferry/wire.messages'
+import { createZoneCoordination } from '@catkinferry/zone.coordination'
+import type { ZoneCoordination, ZoneMessage } from '@catkinferry/zone.coordination'
+import { createTestSettings } from './testSettings.ts'
+
+const LOAD_MS = 250
+const EVICT_MS = 10
+const WALL_START_MS = 1_700_000_000_000
+
+export interface Engine {
+  readonly row: EndpointRow
+  readonly slots: number
+  readonly batchLimit: number
+  readonly checksFencing: boolean
+  instance: number
+  fencing: number
+  reachable: boolean
+  failLoads: boolean
+  readonly resident: Set<AdapterKey>
+  readonly loading: Set<AdapterKey>
+  readonly running: Map<string, { readonly adapterKey: AdapterKey, readonly endsAt: number }>
+}
+
+export interface PumpHost {
+  readonly host: HostId
+  coordination: ZoneCoordination
+  alive: boolean
+  pausedUntil: number
+  leaving: boolean
+  readonly cutOrders: Set<OrderId>
+}
+
+export interface AppliedOrder {
+  readonly at: number
+  readonly host: HostId
+  readonly endpoint: string
+  readonly order: Order
+  readonly fencing: number
+}
+
+export interface ReceivedGrant {
+  readonly at: number
+  readonly host: HostId
+  readonly message: Extract<GrantMessage, { kind: 'grant.given' | 'grant.refused' }>
+}
+
+export interface Faults {
+  lossShare: number
+  copyShare: number
+  maxDelayMs: number
+  /** Answers of orders are lost with this share. */
+  lostAnswerShare: number
+}
+
+interface Planned { readonly at: number, readonly order: number, readonly action: () => void }
+
+/** What an attempt that a host asked for does once granted. */
+export interface AttemptPlan {
+  readonly runMs: number
+  /** Starts this long after the grant arrives. */
+  readonly startAfterMs: number
+}
+
+export interface ZonePump {
+  readonly hosts: Map<HostId, PumpHost>
+  readonly engines: Map<string, Engine>
+  readonly orders: AppliedOrder[]
+  readonly grants: ReceivedGrant[]
+  readonly violations: string[]
+  readonly faults: Faults
+  readonly getNow: () => number
+  readonly runFor: (durationMs: number) => void
+  readonly addEngine: (opts: { endpoint: string, zone?: string, slots?: number, batchLimit?: number, checksFencing?: boolean, resident?: readonly AdapterKey[] }) => Engine
+  readonly ask: (opts: { host: HostId, endpoint?: string, to?: HostId, adapterKey: AdapterKey, attemptId: string, runMs?: number, startAfterMs?: number, remainingMs?: number, serviceClass?: 'urgent' | 'standard' | 'overnight' }) => void
+  readonly send: (from: HostId, to: HostId, message: PeerMessage) => void
+  readonly cut: (a: HostId, b: HostId) => void
+  readonly heal: () => void
+  readonly crash: (host: HostId) => void
+  readonly restart: (host: HostId) => void
+  readonly pause: (host: HostId, durationMs: number) => void
+  readonly restartEngine: (endpoint: string) => void
+  readonly findHolder: () => HostId | undefined
+  readonly findOwner: (endpoint: string) => HostId | undefined
+  readonly countMessages: (kind: string) => number
+}
+
+export interface ZonePumpOptions {
+  readonly hosts: number
+  readonly seed: number
+  readonly zones?: number
+  readonly settings?: Readonly<Record<string, number>>
+}
+
+/** Creates hosts `z<zone>h<n>`; zone and host numbers begin at 1. */
+export function createZonePump (opts: ZonePumpOptions): ZonePump {
+  const random: Random = createRandom(opts.seed)
+  const settings = createTestSettings(opts.settings)
+  const peers: PeerRow[] = []
+  for (let zone = 1; zone <= (opts.zones ?? 1); zone++) {
+    for (let index = 1; index <= opts.hosts; index++) {
+      peers.push({ host: `z${zone}h${index}`, zone: `z${zone}`, region: 'r', address: '', voter: false, leaseVoter: true })
+    }
+  }
+  const hosts = new Map<HostId, PumpHost>()
+  const engines = new Map<string, Engine>()
+  const planned: Planned[] = []
+  const cuts = new Set<string>()
+  const counts = new Map<string, number>()
+  const attempts = new Map<string, AttemptPlan & { readonly host: HostId, readonly adapterKey: AdapterKey, readonly askedAt: number, readonly maxRunMs: number }>()
+  const active = new Map<HostId, Map<string, { readonly endpoint: string, readonly adapterKey: AdapterKey, readonly endsAt: number }>>()
+  const orders: AppliedOrder[] = []
+  const grants: ReceivedGrant[] = []
+  const violations: string[] = []
+  const faults: Faults = { lossShare: 0, copyShare: 0, maxDelayMs: 2, lostAnswerShare: 0 }
+  let now = 1000
+  let nextOrder = 0
+  const maxRunMs = settings.getValue<number>('', 'request.maxRunMs')
+
+  function plan (delayMs: number, action: () => void): void {
+    planned.push({ at: now + delayMs, order: nextOrder++, action })
+  }
+
+  function createCoordination (host: HostId): ZoneCoordination {
+    const self = peers.find(peer => peer.host === host)
+    if (self === undefined) throw new Error(`no host ${host}`)
+    return createZoneCoordination({ self, peers, settings, random: createRandom(random.nextInt(1, 2 ** 30)) })
+  }
+
+  /** Local clocks differ by a constant; only durations cross. */
+  const getOffset = (host: HostId): number => (peers.findIndex(peer => peer.host === host) + 1) * 100_000
+
+  function deliver (from: HostId, to: HostId, message: PeerMessage): void {
+    const target = hosts.get(to)
+    if (target === undefined || !target.alive) return
+    if (target.pausedUntil > now) {
+      plan(target.pausedUntil - now + 1, () => deliver(from, to, message))
+      return
+    }
+    if (message.kind === 'grant.given' || message.kind === 'grant.refused') receiveGrant(to, message)
+    else if (message.kind === 'grant.askActive') answerActive(to, from, message)
+    else drive(target, context => target.coordination.receive(from, message as ZoneMessage, context))
+  }
+
+  function send (from: HostId, to: HostId, message: PeerMessage): void {
+    counts.set(message.kind, (counts.get(message.kind) ?? 0) + 1)
+    if (from === to) {
+      plan(0, () => deliver(from, to, message))
+      return
+    }
+    if (cuts.has(`${from}|${to}`) || random.nextFraction() < faults.lossShare) return
+    const copies = random.nextFraction() < faults.copyShare ? 2 : 1
+    for (let copy = 0; copy < copies; copy++) plan(1 + random.nextInt(0, faults.maxDelayMs), () => deliver(from, to, message))
+  }
+
+  function receiveGrant (host: HostId, message: ReceivedGrant['message']): void {
+    grants.push({ at: now, host, message })
+    if (message.kind === 'grant.refused') return
+    const attempt = attempts.get(message.attemptId)
+    if (attempt === undefined) return
+    const startBy = attempt.askedAt + message.heldMs + message.startWithinMs
+    attempts.delete(message.attemptId)
+    plan(attempt.startAfterMs, () => startAttempt(message, attempt.host, attempt, startBy))
+  }
+
+  function startAttempt (message: Extract<GrantMessage, { kind: 'grant.given' }>, host: HostId, attempt: AttemptPlan & { adapterKey: AdapterKey }, startBy: number): void {
+    const target = hosts.get(host)
+    const engine = engines.get(message.endpoint)
+    const owner = findOwnerNow(message.endpoint) ?? ''
+    if (target?.alive !== true || target.pausedUntil > now || engine === undefined || now > startBy) return
+    const endsAt = now + attempt.runMs
+    active.get(host)?.set(message.attemptId, { endpoint: message.endpoint, adapterKey: attempt.adapterKey, endsAt })
+    plan(random.nextInt(0, faults.maxDelayMs), () => {
+      if (!engine.reachable) return
+      if (!engine.resident.has(attempt.adapterKey)) violations.push(`${now}: ${message.attemptId} granted by ${owner} on ${message.endpoint} finds ${attempt.adapterKey} not resident`)
+      else engine.running.set(message.attemptId, { adapterKey: attempt.adapterKey, endsAt })
+    })
+    plan(attempt.runMs + 1 + faults.maxDelayMs, () => {
+      engine.running.delete(message.attemptId)
+      active.get(host)?.delete(message.attemptId)
+      const to = hosts.get(host)?.coordination.view.getEndpoint(message.endpoint)?.owner
+      if (hosts.get(host)?.alive === true && to !== undefined) send(host, to, { kind: 'grant.release', attemptId: message.attemptId, endpoint: message.endpoint, ran: true, runMs: attempt.runMs })
+    })
+  }
+
+  function answerActive (host: HostId, to: HostId, message: Extract<GrantMessage, { kind: 'grant.askActive' }>): void {
+    const mine = [...active.get(host)?.entries() ?? []].filter(([, row]) => row.endpoint === message.endpoint)
+    const list = mine.map(([attemptId, { adapterKey, endsAt }]) => ({ attemptId, adapterKey, remainingMs: Math.max(0, endsAt - now) }))
+    send(host, to, { kind: 'grant.active', endpoint: message.endpoint, fencing: message.fencing, active: list })
+  }
+
+  function carryOut (host: PumpHost, output: HostOutput): void {
+    if (output.kind === 'order.send') sendOrder(host, output)
+    else if (output.kind === 'order.cut') host.cutOrders.add(output.orderId)
+    else if (output.kind === 'endpoint.poll') pollEngine(host, output.endpoint)
+    else if (output.kind === 'platform.poll') plan(1, () => answerPlatform(host))
+  }
+
+  function sendOrder (host: PumpHost, output: OrderSend): void {
+    const engine = engines.get(output.endpoint)
+    if (engine === undefined) return
+    plan(1 + random.nextInt(0, faults.maxDelayMs), () => receiveOrder(host, engine, output))
+  }
+
+  function receiveOrder (host: PumpHost, engine: Engine, output: OrderSend): void {
+    const finish = (delayMs: number, outcome: Parameters<ZoneCoordination['receiveOrderResult']>[0]['outcome']): void => {
+      const lost = random.nextFraction() < faults.lostAnswerShare
+      plan(delayMs, () => {
+        if (!host.alive) return
+        drive(host, context => host.coordination.receiveOrderResult({ kind: 'order.result', orderId: output.orderId, endpoint: output.endpoint, outcome: lost ? { kind: 'unknown' } : outcome }, context))
+      })
+    }
+    if (host.cutOrders.has(output.orderId) || !engine.reachable) {
+      finish(1, { kind: 'unknown' })
+      return
+    }
+    if (engine.checksFencing && output.fencing < engine.fencing) {
+      finish(1, { kind: 'refusedFencing', highestFencing: engine.fencing })
+      return
+    }
+    engine.fencing = Math.max(engine.fencing, output.fencing)
+    const later = orders.find(applied => applied.endpoint === output.endpoint && applied.fencing > output.fencing)
+    if (later !== undefined) violations.push(`${now}: ${host.host} orders ${output.endpoint} with ${output.fencing} after ${later.host} with ${later.fencing}`)
+    orders.push({ at: now, host: host.host, endpoint: output.endpoint, order: output.order, fencing: output.fencing })
+    if (output.order.kind === 'load') applyLoad(engine, output.order.adapterKey, finish)
+    else if (output.order.kind === 'evict') applyEvict(engine, output.order.adapterKey, finish)
+    else finish(1, { kind: 'done', tookMs: 1 })
+  }
+
+  type Finish = (delayMs: number, outcome: Parameters<ZoneCoordination['receiveOrderResult']>[0]['outcome']) => void
+
+  function applyLoad (engine: Engine, adapterKey: AdapterKey, finish: Finish): void {
+    if (engine.resident.has(adapterKey)) {
+      finish(1, { kind: 'done', tookMs: 0 })
+      return
+    }
+    if (engine.failLoads || engine.resident.size + engine.loading.size >= engine.slots) {
+      finish(1, { kind: 'failed', reason: engine.failLoads ? 'store' : 'no slot' })
+      return
+    }
+    engine.loading.add(adapterKey)
+    const { instance } = engine
+    plan(LOAD_MS, () => {
+      if (engine.instance !== instance) return
+      engine.loading.delete(adapterKey)
+      engine.resident.add(adapterKey)
+    })
+    finish(LOAD_MS + 1, { kind: 'done', tookMs: LOAD_MS })
+  }
+
+  function applyEvict (engine: Engine, adapterKey: AdapterKey, finish: Finish): void {
+    for (const [attemptId, run] of engine.running) {
+      if (run.adapterKey === adapterKey) violations.push(`${now}: ${adapterKey} evicted on ${engine.row.endpoint} under ${attemptId}`)
+    }
+    engine.resident.delete(adapterKey)
+    finish(EVICT_MS, { kind: 'done', tookMs: EVICT_MS })
+  }
+
+  function pollEngine (host: PumpHost, endpoint: string): void {
+    const engine = engines.get(endpoint)
+    plan(1 + random.nextInt(0, faults.maxDelayMs), () => {
+      if (engine === undefined || !engine.reachable) {
+        drive(host, context => host.coordination.receiveUnreachable({ kind: 'endpoint.unreachable', endpoint }, context))
+        return
+      }
+      const running: Record<string, number> = {}
+      for (const { adapterKey } of engine.running.values()) running[adapterKey] = (running[adapterKey] ?? 0) + 1
+      const report = {
+        instanceId: String(engine.instance),
+        resident: [...engine.resident],
+        loading: [...engine.loading],
+        running,
+        runningCount: engine.running.size,
+        queuedCount: 0,
+        batchLimit: engine.batchLimit,
+        slots: engine.slots,
+        pool: engine.row.pool,
+        checksFencing: engine.checksFencing,
+        highestFencing: engine.fencing,
+        ageMs: 0
+      }
+      plan(1 + random.nextInt(0, faults.maxDelayMs), () => {
+        drive(host, context => host.coordination.receiveReport({ kind: 'endpoint.report', endpoint, report }, context))
+      })
+    })
+  }
+
+  function answerPlatform (host: PumpHost): void {
+    const rows = [...engines.values()].map(({ row }) => row)
+    drive(host, context => host.coordination.receivePlatformList({ kind: 'platform.list', endpoints: rows, hosts: [] }, context))
+  }
+
+  /** Runs one host: an event if there is one, then its systems. */
+  function drive (host: PumpHost, event: ((context: RunContext) => void) | undefined): void {
+    if (!host.alive) return
+    if (host.pausedUntil > now) {
+      if (event !== undefined) plan(host.pausedUntil - now + 1, () => drive(host, event))
+      return
+    }
+    const context: RunContext = {
+      now: now + getOffset(host.host),
+      wallNow: WALL_START_MS + now,
+      send: (to, message) => send(host.host, to, message),
+      emit: output => carryOut(host, output)
+    }
+    event?.(context)
+    host.coordination.run(context)
+  }
+
+  function findNextDue (): number {
+    let next = Infinity
+    for (const item of planned) next = Math.min(next, item.at)
+    for (const host of hosts.values()) {
+      if (!host.alive || host.pausedUntil > now) continue
+      next = Math.min(next, Math.max(now, (host.coordination.getNextAt() ?? Infinity) - getOffset(host.host)))
+    }
+    return next
+  }
+
+  function runPlanned (): void {
+    for (;;) {
+      let first = -1
+      for (let index = 0; index < planned.length; index++) {
+        const item = planned[index]
+        const best = planned[first]
+        if (item === undefined || item.at > now) continue
+        if (best === undefined || item.at < best.at || (item.at === best.at && item.order < best.order)) first = index
+      }
+      const [item] = first < 0 ? [] : planned.splice(first, 1)
+      if (item === undefined) return
+      item.action()
+    }
+  }
+
+  function runFor (durationMs: number): void {
+    const end = now + durationMs
+    let turns = 0
+    for (;;) {
+      const next = findNextDue()
+      if (next > end) break
+      turns = next > now ? 0 : turns + 1
+      if (turns > 1000) throw new Error(`no progress at ${now}`)
+      now = Math.max(now, next)
+      runPlanned()
+      for (const host of hosts.values()) {
+        const due = host.coordination.getNextAt()
+        if (host.alive && due !== undefined && due - getOffset(host.host) <= now) drive(host, undefined)
+      }
+      runPlanned()
+    }
+    now = end
+  }
+
+  function findOwnerNow (endpoint: string): HostId | undefined {
+    for (const host of hosts.values()) {
+      const owns = host.alive && host.coordination.view.isServing(now + getOffset(host.host)) && host.coordination.describeEndpoints().some(row => row.endpoint === endpoint)
+      if (owns) return host.host
+    }
+    return undefined
+  }
+
+  function ask (request: Parameters<ZonePump['ask']>[0]): void {
+    const { host, endpoint, adapterKey, attemptId } = request
+    const plan: AttemptPlan = { runMs: request.runMs ?? 100, startAfterMs: request.startAfterMs ?? 0 }
+    attempts.set(attemptId, { ...plan, host, adapterKey, askedAt: now, maxRunMs })
+    const owner = request.to ?? (endpoint === undefined ? undefined : hosts.get(host)?.coordination.view.getEndpoint(endpoint)?.owner)
+    if (owner === undefined) return
+    send(host, owner, { kind: 'grant.ask', attemptId, requestId: attemptId, origin: host, endpoint, pool: 'p', adapterKey, serviceClass: request.serviceClass ?? 'standard', remainingMs: request.remainingMs ?? 30_000, maxRunMs })
+  }
+
+  for (const { host } of peers) {
+    hosts.set(host, { host, coordination: createCoordination(host), alive: true, pausedUntil: 0, leaving: false, cutOrders: new Set() })
+    active.set(host, new Map())
+  }
+
+  return {
+    hosts,
+    engines,
+    orders,
+    grants,
+    violations,
+    faults,
+    runFor,
+    send,
+    ask,
+    getNow: () => now,
+    addEngine: engine => {
+      const row: EndpointRow = { endpoint: engine.endpoint, kind: 'engine', zone: engine.zone ?? 'z1', region: 'r', url: `http://${engine.endpoint}`, pool: 'p', leaving: false }
+      const added: Engine = {
+        row, slots: engine.slots ?? 2, batchLimit: engine.batchLimit ?? 8, checksFencing: engine.checksFencing ?? true, instance: 1, fencing: 0, reachable: true, failLoads: false, resident: new Set(engine.resident ?? []), loading: new Set(), running: new Map()
+      }
+      engines.set(engine.endpoint, added)
+      return added
+    },
+    cut: (a, b) => {
+      cuts.add(`${a}|${b}`)
+      cuts.add(`${b}|${a}`)
+    },
+    heal: () => cuts.clear(),
+    crash: host => {
+      const row = hosts.get(host)
+      if (row === undefined) return
+      row.alive = false
+      active.get(host)?.clear()
+      for (const engine of engines.values()) for (const [attemptId] of engine.running) if (attemptId.startsWith(`${host}.`)) engine.running.delete(attemptId)
+    },
+    restart: host => {
+      const row = hosts.get(host)
+      if (row === undefined) return
+      row.alive = true
+      row.coordination = createCoordination(host)
+    },
+    pause: (host, durationMs) => {
+      const row = hosts.get(host)
+      if (row === undefined) return
+      row.pausedUntil = now + durationMs
+      plan(durationMs, () => drive(row, context => row.coordination.notePause(context)))
+    },
+    restartEngine: endpoint => {
+      const engine = engines.get(endpoint)
+      if (engine === undefined) return
+      engine.instance++
+      engine.fencing = 0
+      engine.resident.clear()
+      engine.loading.clear()
+      engine.running.clear()
+    },
+    findHolder: () => {
+      for (const host of hosts.values()) if (host.alive && host.coordination.describeZones()[0]?.budget !== undefined) return host.host
+      return undefined
+    },
+    findOwner: findOwnerNow,
+    countMessages: kind => counts.get(kind) ?? 0
+  }
+}
--- /dev/null
+++ b/zone/grants/src/zoneSettings.ts
@@ -0,0 +1,53 @@
+/** The settings that a zone's systems use, read again only when the revision changes. */
+import type { LoadLimits } from '@catkinferry/adapters.load-budget'
+import type { DurationMs, NodePath, SettingsView } from '@catkinferry/core.types'
+
+export interface ZoneSettings {
+  readonly leaseMs: DurationMs
+  readonly subLeaseMs: DurationMs
+  readonly startWithinMs: DurationMs
+  readonly maxRunMs: DurationMs
+  readonly endpointPollMs: DurationMs
+  readonly platformPollMs: DurationMs
+  readonly queueLimit: number
+  readonly ageingMs: DurationMs
+  readonly evictHysteresis: number
+  readonly prefetchShare: number
+  readonly loads: LoadLimits
+}
+
+function readZoneSettings (settings: SettingsView, path: NodePath): ZoneSettings {
+  const get = (key: string): number => settings.getValue<number>(path, key)
+  return {
+    leaseMs: get('zone.leaseMs'),
+    subLeaseMs: get('zone.subLeaseMs'),
+    startWithinMs: get('grant.startWithinMs'),
+    maxRunMs: get('request.maxRunMs'),
+    endpointPollMs: get('endpoint.pollMs'),
+    platformPollMs: get('platform.pollMs'),
+    queueLimit: get('queue.limit'),
+    ageingMs: get('queue.ageingMs'),
+    evictHysteresis: get('adapters.evictHysteresis'),
+    prefetchShare: get('loads.prefetchShare'),
+    loads: {
+      perSecond: get('loads.perSecond'),
+      fullSpeedInFlight: get('loads.fullSpeedInFlight'),
+      maxInFlight: get('loads.maxInFlight'),
+      expectedMs: get('loads.expectedMs')
+    }
+  }
+}
+
+/** Creates a getter of the settings in force at a node. */
+export function createZoneSettings (settings: SettingsView, path: NodePath): () => ZoneSettings {
+  let revision = settings.getRevision()
+  let current: ZoneSettings | undefined
+  return () => {
+    const latest = settings.getRevision()
+    if (current === undefined || latest !== revision) {
+      revision = latest
+      current = readZoneSettings(settings, path)
+    }
+    return current
+  }
+}
--- a/zone/leases/src/index.ts
+++ b/zone/leases/src/index.ts
@@ -1,2 +1,4 @@
 /** Majority lease of an availability zone. */
-export {}
+export * from './leaseVoter.ts'
+export * from './leaseHolder.ts'
+export * from './leaseVoterSet.ts'
--- a/zone/membership/src/index.ts
+++ b/zone/membership/src/index.ts
@@ -1,2 +1,4 @@
 /** Hosts and endpoints from the platform list and heartbeats. */
-export {}
+export * from './platformTable.ts'
+export * from './zoneTable.ts'
+export * from './zoneDigests.ts'
--- /dev/null
+++ b/zone/membership/src/platformTable.ts
@@ -0,0 +1,69 @@
+/** The platform's lagging list of endpoints, joined over time. */
+import type { EndpointId, EndpointRow, ZoneId } from '@catkinferry/core.types'
+
+/** An endpoint missing from this many lists in a row is taken as leaving. */
+const LISTS_UNTIL_LEAVING = 2
+/** And from this many as gone. */
+const LISTS_UNTIL_REMOVED = 10
+
+export interface PlatformChange {
+  readonly put: readonly EndpointRow[]
+  readonly removed: readonly EndpointId[]
+}
+
+export interface PlatformTable {
+  readonly receiveList: (rows: readonly EndpointRow[]) => PlatformChange
+  readonly get: (endpoint: EndpointId) => EndpointRow | undefined
+  readonly rows: () => readonly EndpointRow[]
+  /** Takes over rows known from an earlier lease holder. */
+  readonly addKnown: (rows: readonly EndpointRow[]) => void
+}
+
+function isSameRow (a: EndpointRow, b: EndpointRow): boolean {
+  return a.url === b.url && a.pool === b.pool && a.kind === b.kind && a.leaving === b.leaving && a.model === b.model
+}
+
+/** Creates a table of the endpoints of one zone. */
+export function createPlatformTable (opts: { readonly zone: ZoneId }): PlatformTable {
+  const known = new Map<EndpointId, { row: EndpointRow, missing: number }>()
+
+  function putRow (row: EndpointRow, put: EndpointRow[]): void {
+    const old = known.get(row.endpoint)
+    known.set(row.endpoint, { row, missing: 0 })
+    if (old === undefined || !isSameRow(old.row, row)) put.push(row)
+  }
+
+  function countMissing (listed: ReadonlySet<EndpointId>, put: EndpointRow[], removed: EndpointId[]): void {
+    for (const [endpoint, entry] of known) {
+      if (listed.has(endpoint)) continue
+      entry.missing++
+      if (entry.missing >= LISTS_UNTIL_REMOVED) {
+        known.delete(endpoint)
+        removed.push(endpoint)
+      } else if (entry.missing >= LISTS_UNTIL_LEAVING && !entry.row.leaving) {
+        entry.row = { ...entry.row, leaving: true }
+        put.push(entry.row)
+      }
+    }
+  }
+
+  return {
+    receiveList: rows => {
+      const put: EndpointRow[] = []
+      const removed: EndpointId[] = []
+      const listed = new Set<EndpointId>()
+      for (const row of rows) {
+        if (row.zone !== opts.zone) continue
+        listed.add(row.endpoint)
+        putRow(row, put)
+      }
+      countMissing(listed, put, removed)
+      return { put, removed }
+    },
+    get: endpoint => known.get(endpoint)?.row,
+    rows: () => [...known.values()].map(({ row }) => row),
+    addKnown: rows => {
+      for (const row of rows) if (!known.has(row.endpoint)) known.set(row.endpoint, { row, missing: 0 })
+    }
+  }
+}
--- /dev/null
+++ b/zone/ownership/src/rendezvous.ts
@@ -0,0 +1,41 @@
+/** Rendezvous hashing of endpoints to hosts with bounded load. */
+import type { EndpointId, HostId } from '@catkinferry/core.types'
+
+const FNV_OFFSET = 0x811c9dc5
+const FNV_PRIME = 0x01000193
+/** A host takes at most this much more than its even share. */
+const LOAD_BOUND = 1.25
+
+/** Hashes a text to an unsigned 32-bit number whose bits all depend on every character. */
+export function hashText (text: string): number {
+  let hash = FNV_OFFSET
+  for (let index = 0; index < text.length; index++) hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME)
+  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b)
+  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35)
+  return (hash ^ (hash >>> 16)) >>> 0
+}
+
+/** Computes the most endpoints that one host is given. */
+export function computeOwnerLimit (endpointCount: number, hostCount: number): number {
+  return Math.ceil(LOAD_BOUND * endpointCount / Math.max(1, hostCount))
+}
+
+/** Chooses the host with the highest hash for the endpoint among those below the limit. */
+export function chooseOwner (opts: {
+  readonly endpoint: EndpointId
+  readonly hosts: readonly HostId[]
+  readonly limit: number
+  readonly getCount: (host: HostId) => number
+}): HostId | undefined {
+  let best: HostId | undefined
+  let bestHash = -1
+  for (const host of opts.hosts) {
+    if (opts.getCount(host) >= opts.limit) continue
+    const hash = hashText(`${opts.endpoint}|${host}`)
+    if (hash > bestHash) {
+      best = host
+      bestHash = hash
+    }
+  }
+  return best
+}
