Add the command client and the ledger client

Cause: hosts need to reach the leader, and may say 'not committed' only when it is certain. Change: every send has an id of its own; refused is said only when each send was refused; a take whose answer was lost is recorded as not run by its host, and past attempts can never hold the key again. Conclusion: covered by tests that lose, delay and repeat answers.

--- a/ledger/claims/src/claimRow.ts
+++ b/ledger/claims/src/claimRow.ts
@@ -13,6 +13,8 @@
   /** The retention counts from here: when it was taken, or resolved after a long wait. */
   readonly keptFrom: WallMs
   readonly outcome?: ClaimOutcome
+  /** Earlier attempts that were recorded as not run, newest last; none of them may hold the key again. */
+  readonly pastAttempts?: readonly AttemptId[]
   /** Set where an operator resolved it. */
   readonly resolvedBy?: string
 }
--- a/ledger/claims/src/claimsTable.ts
+++ b/ledger/claims/src/claimsTable.ts
@@ -4,6 +4,9 @@
 import type { ClaimDescription, ClaimLimits, ClaimRow, ClaimState, SavedClaims } from './claimRow.ts'
 import { createClaimStore } from './claimStore.ts'
 
+/** Earlier attempts of a key that are remembered. */
+const MAX_PAST_ATTEMPTS = 16
+
 /** A key made later than this after the leader's clock is refused. */
 export const MAX_KEY_SKEW_MS = 300_000
 
@@ -49,6 +52,11 @@
   return row.takenAt + limits.openLimitMs < now ? 'overdue' : 'open'
 }
 
+/** All attempts that have held the key, the current one last. */
+function listAttempts (row: ClaimRow): AttemptId[] {
+  return [...row.pastAttempts ?? [], row.attemptId]
+}
+
 function describeHeld (row: ClaimRow, fingerprint: string): CommandOutcome {
   const { attemptId, host, outcome } = row
   return { kind: 'claim.held', attemptId, host, ...(outcome === undefined ? {} : { outcome }), sameFingerprint: row.fingerprint === fingerprint }
@@ -61,7 +69,7 @@
   function take (opts: TakeCommand): CommandOutcome {
     const { claimKey, attemptId, host, keyCreatedAt, fingerprint, now, limits } = opts
     const row = store.find(claimKey)
-    const isFree = row === undefined || (row.outcome?.kind === 'notRun' && row.attemptId !== attemptId)
+    const isFree = row === undefined || (row.outcome?.kind === 'notRun' && !listAttempts(row).includes(attemptId))
     if (!isFree) {
       const isOurs = row.attemptId === attemptId && row.outcome === undefined
       return isOurs ? { kind: 'claim.taken' } : describeHeld(row, fingerprint)
@@ -69,7 +77,8 @@
     if (keyCreatedAt + limits.retentionMs < now) return { kind: 'claim.expired', reason: 'tooOld' }
     if (keyCreatedAt > now + MAX_KEY_SKEW_MS) return { kind: 'claim.expired', reason: 'inFuture' }
     if (row !== undefined && row.fingerprint !== '' && row.fingerprint !== fingerprint) return describeHeld(row, fingerprint)
-    store.add({ claimKey, attemptId, host, fingerprint, keyCreatedAt, takenAt: now, keptFrom: Math.max(now, keyCreatedAt) })
+    const pastAttempts = row === undefined ? [] : listAttempts(row).slice(-MAX_PAST_ATTEMPTS)
+    store.add({ claimKey, attemptId, host, fingerprint, keyCreatedAt, takenAt: now, keptFrom: Math.max(now, keyCreatedAt), ...(pastAttempts.length === 0 ? {} : { pastAttempts }) })
     return { kind: 'claim.taken' }
   }
 
--- a/ledger/claims/test/claimsTable.test.ts
+++ b/ledger/claims/test/claimsTable.test.ts
@@ -61,6 +61,16 @@
     expect(take(table, 'k', 'b', 3).kind).toEqual('claim.taken')
   })
 
+  it('does not give a key back to an earlier attempt whose take was delayed', () => {
+    const table = createClaimsTable()
+    for (const attempt of ['a', 'b']) {
+      take(table, 'k', attempt, 1)
+      finish(table, 'k', attempt, NOT_RUN, 2)
+    }
+    expect(take(table, 'k', 'a', 3).kind).toEqual('claim.held')
+    expect(take(table, 'k', 'c', 4).kind).toEqual('claim.taken')
+  })
+
   it('refuses keys older than the horizon and keys made in the future', () => {
     const table = createClaimsTable()
     expect(take(table, 'k', 'a', 5_000, 3_999)).toEqual({ kind: 'claim.expired', reason: 'tooOld' })
--- /dev/null
+++ b/settings/command-client/src/commandClient.ts
@@ -0,0 +1,103 @@
+/** Submits commands and queries to the voters: follows leader hints, resends over other voters, and says only what is certain. */
+import { ErrorCode } from '@catkinferry/core.errors'
+import type { Failure, Result } from '@catkinferry/core.errors'
+import type { Random } from '@catkinferry/core.random'
+import type { HostId, MonotonicMs } from '@catkinferry/core.types'
+import type { RunContext, System } from '@catkinferry/host.events'
+import type { Command, CommandMessage, CommandOutcome, CommandResult, Query } from '@catkinferry/wire.messages'
+import { createResender } from './resender.ts'
+
+/** Submissions and queries under way at once; more are refused. */
+export const MAX_UNDER_WAY = 10_000
+
+export type CommandClientMessage = Extract<CommandMessage, { kind: 'command.outcome' | 'command.refused' | 'query.answer' }>
+
+export interface SubmitOptions {
+  readonly command: Command
+  /** Infinity: resent until it is answered. */
+  readonly deadlineAt: MonotonicMs
+  /** Called once. */
+  readonly onOutcome: (result: CommandResult, context: RunContext) => void
+}
+
+export interface AskOptions {
+  readonly query: Query
+  /** True: the answer must hold everything committed before the query was asked. */
+  readonly fresh: boolean
+  readonly deadlineAt: MonotonicMs
+  /** Called once. */
+  readonly onAnswer: (answer: Result<unknown>, context: RunContext) => void
+}
+
+export interface CommandClient extends System<CommandClientMessage> {
+  readonly submit: (opts: SubmitOptions, context: RunContext) => void
+  readonly ask: (opts: AskOptions, context: RunContext) => void
+  readonly getUnderWayCount: () => number
+}
+
+const NO_QUORUM: Failure = {
+  code: ErrorCode.NO_QUORUM,
+  message: 'no voter answered in time',
+  step: 'query.ask',
+  hint: 'the host may be cut off from the majority; see status'
+}
+
+/** Creates a client. `voters` lists the voters known to this host; the random numbers also make its ids unique. */
+export function createCommandClient (opts: { host: HostId, voters: () => readonly HostId[], random: Random }): CommandClient {
+  const { host } = opts
+  const commands = createResender<CommandOutcome>(opts)
+  const queries = createResender<unknown>(opts)
+
+  function submit (submission: SubmitOptions, context: RunContext): void {
+    const { command, deadlineAt, onOutcome } = submission
+    // A command without a deadline is an outcome that must be recorded: its number is bounded where it arises.
+    if (commands.getSize() >= MAX_UNDER_WAY && deadlineAt !== Infinity) {
+      onOutcome({ kind: 'refused', reason: 'too many commands are under way at this host' }, context)
+      return
+    }
+    commands.begin({
+      deadlineAt,
+      send: (commandId, to, ctx) => { ctx.send(to, { kind: 'command.submit', commandId, origin: host, command, hops: 0 }) },
+      onDeadline: (certain, reason, ctx) => { onOutcome(certain ? { kind: 'refused', reason } : { kind: 'unknown' }, ctx) },
+      onAnswer: (outcome, ctx) => { onOutcome({ kind: 'outcome', outcome }, ctx) }
+    }, context)
+  }
+
+  function ask (question: AskOptions, context: RunContext): void {
+    const { query, fresh, deadlineAt, onAnswer } = question
+    if (queries.getSize() >= MAX_UNDER_WAY) {
+      onAnswer({ ok: false, failure: { ...NO_QUORUM, code: ErrorCode.OVER_LIMIT, message: 'too many queries are under way at this host' } }, context)
+      return
+    }
+    queries.begin({
+      deadlineAt,
+      send: (queryId, to, ctx) => { ctx.send(to, { kind: 'query.ask', queryId, origin: host, query, fresh, hops: 0 }) },
+      onDeadline: (_certain, reason, ctx) => { onAnswer({ ok: false, failure: { ...NO_QUORUM, message: `${NO_QUORUM.message}: ${reason}` } }, ctx) },
+      onAnswer: (value, ctx) => { onAnswer({ ok: true, value }, ctx) }
+    }, context)
+  }
+
+  const handlers: { readonly [Kind in CommandClientMessage['kind']]: (from: HostId, message: Extract<CommandClientMessage, { kind: Kind }>, context: RunContext) => void } = {
+    'command.outcome': (from, { commandId, outcome }, context) => { commands.receiveAnswer(from, commandId, outcome, context) },
+    'command.refused': (_from, { commandId, reason, leader }, context) => { commands.receiveRefusal(commandId, { leader, reason }, context) },
+    'query.answer': (from, { queryId, answer, failure, leader }, context) => {
+      if (failure === undefined) queries.receiveAnswer(from, queryId, answer, context)
+      else queries.receiveRefusal(queryId, { leader, reason: failure.message }, context)
+    }
+  }
+
+  return {
+    submit,
+    ask,
+    receive: (from, message, context) => { handlers[message.kind](from, message as never, context) },
+    run: context => {
+      commands.run(context)
+      queries.run(context)
+    },
+    getNextAt: () => {
+      const times = [commands.getNextAt(), queries.getNextAt()].filter(time => time !== undefined)
+      return times.length === 0 ? undefined : Math.min(...times)
+    },
+    getUnderWayCount: () => commands.getSize() + queries.getSize()
+  }
+}
--- a/settings/command-client/src/index.ts
+++ b/settings/command-client/src/index.ts
@@ -1,2 +1,3 @@
-/** Submits commands to the leader and settles lost answers. */
-export {}
+/** Submits commands to the leader and settles lost answers; the ledger client on top. */
+export * from './commandClient.ts'
+export * from './ledgerClient.ts'
--- /dev/null
+++ b/settings/command-client/test/commandClient.test.ts
@@ -0,0 +1,200 @@
+import { createRandom } from '@catkinferry/core.random'
+import type { HostId } from '@catkinferry/core.types'
+import type { RunContext } from '@catkinferry/host.events'
+import { createCommandClient, createLedgerClient } from '@catkinferry/settings.command-client'
+import type { CommandClient, HostLedgerClient } from '@catkinferry/settings.command-client'
+import { createReplicatedState } from '@catkinferry/settings.replicated-state'
+import type { ReplicatedState } from '@catkinferry/settings.replicated-state'
+import type { Command, CommandMessage, CommandResult, PeerMessage } from '@catkinferry/wire.messages'
+import { expect } from 'earl'
+import { describe, it } from 'node:test'
+
+const command: Command = { kind: 'endpoint.fact', endpoint: 'e', checksFencing: true }
+type Submit = Extract<CommandMessage, { kind: 'command.submit' }>
+interface Sent { readonly to: HostId, readonly message: PeerMessage }
+
+/** A client on virtual time; the test plays the voters. */
+interface Bench {
+  readonly client: CommandClient
+  readonly ledger: HostLedgerClient
+  readonly context: RunContext
+  readonly sent: Sent[]
+  readonly advanceTo: (now: number) => void
+  readonly getLastSubmit: () => Submit & { to: HostId }
+  readonly listSubmits: (kind: Command['kind']) => Submit[]
+}
+
+function createBench (voters: readonly HostId[] = ['v1', 'v2', 'v3']): Bench {
+  let now = 0
+  const sent: Sent[] = []
+  const context: RunContext = {
+    get now () { return now },
+    wallNow: 0,
+    send: (to, message) => { sent.push({ to, message }) },
+    emit: () => {}
+  }
+  const client = createCommandClient({ host: 'h', voters: () => voters, random: createRandom(1) })
+  return {
+    client,
+    ledger: createLedgerClient({ host: 'h', client }),
+    context,
+    sent,
+    advanceTo: end => {
+      for (let at = client.getNextAt(); at !== undefined && at <= end; at = client.getNextAt()) {
+        now = Math.max(now, at)
+        client.run(context)
+      }
+      now = end
+    },
+    getLastSubmit: () => {
+      const { to, message } = sent.at(-1)!
+      return { ...message as Submit, to }
+    },
+    listSubmits: kind => sent.map(({ message }) => message).filter((message): message is Submit => message.kind === 'command.submit' && message.command.kind === kind)
+  }
+}
+
+describe('createCommandClient', () => {
+  it('follows a leader hint at once and gives the outcome once', () => {
+    const bench = createBench()
+    const results: CommandResult[] = []
+    bench.client.submit({ command, deadlineAt: 5_000, onOutcome: result => results.push(result) }, bench.context)
+    const first = bench.getLastSubmit()
+    const leader = ['v1', 'v2', 'v3'].find(voter => voter !== first.to)!
+    bench.client.receive(first.to, { kind: 'command.refused', commandId: first.commandId, reason: 'notLeader', leader }, bench.context)
+    const second = bench.getLastSubmit()
+    expect(second.to).toEqual(leader)
+    const answer = { kind: 'command.outcome', commandId: second.commandId, outcome: { kind: 'recorded' } } as const
+    bench.client.receive(leader, answer, bench.context)
+    bench.client.receive(leader, answer, bench.context)
+    expect(results).toEqual([{ kind: 'outcome', outcome: { kind: 'recorded' } }])
+  })
+
+  it('resends over other voters when one stays silent', () => {
+    const bench = createBench()
+    bench.client.submit({ command, deadlineAt: 60_000, onOutcome: () => {} }, bench.context)
+    bench.advanceTo(10_000)
+    expect(new Set(bench.sent.map(({ to }) => to)).size).toEqual(3)
+    expect(new Set(bench.listSubmits('endpoint.fact').map(({ commandId }) => commandId)).size).toEqual(bench.sent.length)
+  })
+
+  it('says refused only when every send was refused', () => {
+    const bench = createBench()
+    const results: CommandResult[] = []
+    bench.client.submit({ command, deadlineAt: 300, onOutcome: result => results.push(result) }, bench.context)
+    while (results.length === 0) {
+      const { to, commandId } = bench.getLastSubmit()
+      bench.client.receive(to, { kind: 'command.refused', commandId, reason: 'busy' }, bench.context)
+      bench.advanceTo(bench.client.getNextAt()!)
+    }
+    expect(results).toEqual([{ kind: 'refused', reason: 'busy' }])
+  })
+
+  it('says unknown when one answer was lost, although all later sends were refused', () => {
+    const bench = createBench()
+    const results: CommandResult[] = []
+    bench.client.submit({ command, deadlineAt: 2_000, onOutcome: result => results.push(result) }, bench.context)
+    bench.advanceTo(400)
+    while (results.length === 0) {
+      const { to, commandId } = bench.getLastSubmit()
+      bench.client.receive(to, { kind: 'command.refused', commandId, reason: 'notLeader' }, bench.context)
+      bench.advanceTo(bench.client.getNextAt()!)
+    }
+    expect(results).toEqual([{ kind: 'unknown' }])
+  })
+
+  it('takes the outcome of an earlier send although a later one is under way', () => {
+    const bench = createBench()
+    const results: CommandResult[] = []
+    bench.client.submit({ command, deadlineAt: 9_000, onOutcome: result => results.push(result) }, bench.context)
+    const first = bench.getLastSubmit()
+    bench.advanceTo(1_000)
+    bench.client.receive(first.to, { kind: 'command.outcome', commandId: first.commandId, outcome: { kind: 'recorded' } }, bench.context)
+    expect(results.length).toEqual(1)
+    expect(bench.client.getNextAt()).toEqual(undefined)
+  })
+
+  it('fails a query at its deadline with the reason of the last refusal', () => {
+    const bench = createBench()
+    const answers: unknown[] = []
+    bench.client.ask({ query: { kind: 'voters' }, fresh: true, deadlineAt: 1_000, onAnswer: answer => answers.push(answer.ok) }, bench.context)
+    bench.advanceTo(1_000)
+    expect(answers).toEqual([false])
+  })
+
+  it('refuses at once a command at its deadline or with no voter known', () => {
+    const bench = createBench([])
+    const results: CommandResult[] = []
+    bench.client.submit({ command, deadlineAt: 500, onOutcome: result => results.push(result) }, bench.context)
+    bench.advanceTo(500)
+    expect(results).toEqual([{ kind: 'refused', reason: 'no voter is known' }])
+  })
+})
+
+/** Commits a submission on a state and, where asked, answers it. */
+function commit (bench: Bench, state: ReplicatedState, submit: Submit, answer: boolean): void {
+  const outcome = state.apply({ index: 1, proposedAt: 1_000, command: submit.command })
+  if (answer) bench.client.receive('v1', { kind: 'command.outcome', commandId: submit.commandId, outcome }, bench.context)
+}
+
+function takeKey (bench: Bench, attemptId: string, results: CommandResult[], deadlineAt = 1_000): void {
+  bench.ledger.take({ claimKey: 'k', attemptId, keyCreatedAt: 1_000, fingerprint: 'f', deadlineAt, onOutcome: result => results.push(result) }, bench.context)
+}
+
+describe('createLedgerClient', () => {
+  it('settles a claim that was committed although its host never learnt of it, as not run, and the key serves another attempt', () => {
+    const bench = createBench()
+    const state = createReplicatedState()
+    const results: CommandResult[] = []
+    takeKey(bench, 'r1.1', results)
+    commit(bench, state, bench.listSubmits('claim.take')[0]!, false)
+    bench.advanceTo(1_000)
+    expect(results).toEqual([{ kind: 'unknown' }])
+    expect(bench.ledger.getPendingCount()).toEqual(1)
+    commit(bench, state, bench.listSubmits('claim.finish').at(-1)!, true)
+    expect(bench.ledger.getPendingCount()).toEqual(0)
+    expect(state.answerQuery({ kind: 'claims', state: 'notRun', limit: 9 }) as unknown[]).toHaveLength(1)
+    takeKey(bench, 'r2.1', results, 9_000)
+    commit(bench, state, bench.listSubmits('claim.take').at(-1)!, true)
+    expect(results[1]).toEqual({ kind: 'outcome', outcome: { kind: 'claim.taken' } })
+  })
+
+  it('keeps a delayed take from holding the key after its attempt was given up', () => {
+    const bench = createBench()
+    const state = createReplicatedState()
+    takeKey(bench, 'r1.1', [])
+    const delayed = bench.listSubmits('claim.take')[0]!
+    bench.advanceTo(1_000)
+    commit(bench, state, bench.listSubmits('claim.finish')[0]!, true)
+    expect(state.apply({ index: 2, proposedAt: 1_000, command: delayed.command }).kind).toEqual('claim.held')
+  })
+
+  it('answers a take whose answer was lost with taken when it is sent again', () => {
+    const bench = createBench()
+    const state = createReplicatedState()
+    const results: CommandResult[] = []
+    takeKey(bench, 'r1.1', results, 9_000)
+    commit(bench, state, bench.listSubmits('claim.take')[0]!, false)
+    bench.advanceTo(500)
+    commit(bench, state, bench.listSubmits('claim.take')[1]!, true)
+    expect(results).toEqual([{ kind: 'outcome', outcome: { kind: 'claim.taken' } }])
+  })
+
+  it('sends an outcome until it is recorded, however long the voters are silent', () => {
+    const bench = createBench()
+    const recorded: string[] = []
+    bench.ledger.finish({ claimKey: 'k', attemptId: 'a', outcome: { kind: 'unknown', reason: 'cut' }, onOutcome: result => recorded.push(result.kind) }, bench.context)
+    bench.advanceTo(3_600_000)
+    expect(recorded).toEqual([])
+    commit(bench, createReplicatedState(), bench.getLastSubmit(), true)
+    expect(recorded).toEqual(['outcome'])
+  })
+
+  it('records outcomes without their answers while too many bytes wait', () => {
+    const bench = createBench()
+    const body = 'x'.repeat(6 * 1024 * 1024)
+    for (const attemptId of ['a', 'b', 'c']) bench.ledger.finish({ claimKey: attemptId, attemptId, outcome: { kind: 'done', answer: { status: 200, body } } }, bench.context)
+    const kept = bench.listSubmits('claim.finish').map(({ command }) => command.kind === 'claim.finish' && command.outcome.kind === 'done' && command.outcome.answer?.body !== undefined)
+    expect(kept).toEqual([true, true, false])
+  })
+})
