Test the zone's safety rules and hand the lease over without a gap

Cause: rival candidates split the votes and then waited out a whole lease; the new holder was found only by asking. Change: a candidate frees the voters of a lost ballot, candidates ask one after another, a new holder announces itself. Voters warn a new holder of sub-leases that may still run after a release or a new ballot. Tests: faults on virtual time for each rule, and random schedules judged by what engines saw.

--- /dev/null
+++ b/adapters/load-budget/test/loadBudget.test.ts
@@ -0,0 +1,126 @@
+import { computeFloors, createLender, createZoneBudget } from '@catkinferry/adapters.load-budget'
+import type { LoadLimits, ZoneBudget } from '@catkinferry/adapters.load-budget'
+import type { RunContext } from '@catkinferry/host.events'
+import type { PeerMessage } from '@catkinferry/wire.messages'
+import { expect } from 'earl'
+import fc from 'fast-check'
+import { describe, it } from 'node:test'
+
+const LIMITS: LoadLimits = { perSecond: 6, fullSpeedInFlight: 2, maxInFlight: 16, expectedMs: 250 }
+const ZONES = ['a', 'b', 'c']
+
+interface Bench {
+  readonly budgets: Map<string, ZoneBudget>
+  readonly givenAt: number[]
+  readonly runFor: (durationMs: number) => void
+  readonly cut: Set<string>
+  now: number
+}
+
+/** Three zones whose holders are named as their zones; each wants a load all the time that `wants` says. */
+function createBench (wants: (zone: string, now: number) => boolean, tookMs = 250): Bench {
+  const queue: { at: number, from: string, to: string, message: PeerMessage }[] = []
+  const bench: Bench = { budgets: new Map(), givenAt: [], cut: new Set(), now: 0, runFor }
+  let nextLoad = 1
+
+  function createContext (zone: string): RunContext {
+    return {
+      now: bench.now,
+      wallNow: bench.now,
+      emit: () => {},
+      send: (to, message) => {
+        const cut = to !== zone && (bench.cut.has(zone) || bench.cut.has(to))
+        if (!cut) queue.push({ at: bench.now + (to === zone ? 0 : 5), from: zone, to, message })
+      }
+    }
+  }
+
+  function deliver (from: string, to: string, message: PeerMessage): void {
+    const budget = bench.budgets.get(to)
+    const context = createContext(to)
+    if (message.kind === 'budget.ask') budget?.receiveAsk(from, message, context)
+    else if (message.kind === 'budget.lend') budget?.receiveLend(message, context)
+    else if (message.kind === 'budget.given') {
+      bench.givenAt.push(bench.now)
+      queue.push({ at: bench.now + tookMs, from: to, to, message: { kind: 'budget.done', loadId: message.loadId, tookMs, ok: true } })
+    } else if (message.kind === 'budget.done') budget?.receiveDone(from, message, context)
+  }
+
+  function runFor (durationMs: number): void {
+    const end = bench.now + durationMs
+    for (; bench.now < end; bench.now += 5) {
+      for (const item of queue.filter(({ at }) => at <= bench.now)) {
+        queue.splice(queue.indexOf(item), 1)
+        deliver(item.from, item.to, item.message)
+      }
+      for (const zone of ZONES) {
+        const budget = bench.budgets.get(zone)
+        if (wants(zone, bench.now) && (budget?.describe(bench.now).waiting ?? 0) < 5) budget?.receiveTake(zone, { kind: 'budget.take', loadId: `${zone}${nextLoad++}`, weight: 1 }, createContext(zone))
+        budget?.run(createContext(zone))
+      }
+    }
+  }
+
+  for (const zone of ZONES) {
+    const budget = createZoneBudget({ zone, zones: ZONES, getLimits: () => LIMITS, getContact: other => other })
+    budget.begin(createContext(zone))
+    bench.budgets.set(zone, budget)
+  }
+  return bench
+}
+
+function countBetween (bench: Bench, from: number, to: number): number {
+  return bench.givenAt.filter(at => at >= from && at < to).length
+}
+
+describe('createZoneBudget', () => {
+  it('has floors that add up to less than the limit', () => {
+    expect(3 * computeFloors(LIMITS, 3).perSecond).toBeLessThan(LIMITS.perSecond)
+    expect(computeFloors(LIMITS, 1).perSecond).toEqual(LIMITS.perSecond)
+  })
+
+  it('lets one busy zone borrow what the others leave', () => {
+    const bench = createBench(zone => zone === 'b')
+    bench.runFor(30_000)
+    const perSecond = countBetween(bench, 10_000, 30_000) / 20
+    expect(perSecond).toBeGreaterThan(3)
+    expect(perSecond).toBeLessThan(6)
+  })
+
+  it('never passes the limit over any five seconds, also when a zone is cut off, and serves its floor there', () => {
+    const bench = createBench(() => true)
+    bench.runFor(20_000)
+    bench.cut.add('b')
+    bench.runFor(20_000)
+    for (let from = 0; from < 35_000; from += 500) expect(countBetween(bench, from, from + 5_000)).toBeLessThan(5 * 6 + 4)
+    expect(bench.budgets.get('b')?.describe(bench.now).ratePerSecond).toEqual(computeFloors(LIMITS, 3).perSecond)
+    expect(countBetween(bench, 30_000, 40_000)).toBeGreaterThan(40)
+  })
+
+  it('lowers the loads in flight while they are slow', () => {
+    const bench = createBench(zone => zone === 'a', 1_000)
+    const before = bench.budgets.get('a')?.describe(0).inFlightLimit ?? 0
+    bench.runFor(20_000)
+    expect(bench.budgets.get('a')?.describe(bench.now).inFlightLimit ?? before).toBeLessThan(before)
+  })
+})
+
+describe('createLender', () => {
+  it('never has more lent out than its pool', () => {
+    const ask = fc.record({ zone: fc.constantFrom('a', 'b', 'c'), wanted: fc.double({ min: 0, max: 10, noNaN: true }), afterMs: fc.integer({ min: 0, max: 2_000 }) })
+    const property = fc.property(fc.array(ask, { maxLength: 40 }), asks => {
+      const lender = createLender({ getPool: () => 4 })
+      lender.begin(0)
+      const promises: { zone: string, extra: number, until: number }[] = []
+      let now = 0
+      for (const { zone, wanted, afterMs } of asks) {
+        now += afterMs
+        promises.push({ zone, extra: lender.lend({ zone, wanted }, 3_000, now), until: now + 3_000 })
+        const largest = new Map<string, number>()
+        for (const promise of promises) if (promise.until > now) largest.set(promise.zone, Math.max(largest.get(promise.zone) ?? 0, promise.extra))
+        expect([...largest.values()].reduce((sum, extra) => sum + extra, 0)).toBeLessThan(4.000001)
+      }
+    })
+    fc.assert(property, { seed: 1, numRuns: 200 })
+  })
+})
--- /dev/null
+++ b/adapters/load-scheduler/test/loadScheduler.test.ts
@@ -0,0 +1,24 @@
+import { createLoadBackoff, sortLoadWishes } from '@catkinferry/adapters.load-scheduler'
+import { createRandom } from '@catkinferry/core.random'
+import { expect } from 'earl'
+import { describe, it } from 'node:test'
+
+describe('sortLoadWishes', () => {
+  it('puts live waits before prefetches, more waiting before fewer, then the rate', () => {
+    const wish = (adapterKey: string, bestRank: number, waiting: number, ratePerSecond = 0): Parameters<typeof sortLoadWishes>[0][number] => ({ adapterKey, bestRank, waiting, waitingSince: 0, ratePerSecond })
+    const sorted = sortLoadWishes([wish('cold', Infinity, 0, 1), wish('hot', Infinity, 0, 9), wish('late', 1_000, 1), wish('many', 1_200, 5)])
+    expect(sorted.map(({ adapterKey }) => adapterKey)).toEqual(['many', 'late', 'hot', 'cold'])
+  })
+})
+
+describe('createLoadBackoff', () => {
+  it('waits longer after each failure, and not at other endpoints or after a success', () => {
+    const backoff = createLoadBackoff({ random: createRandom(1) })
+    const first = backoff.noteFailure('e1', 'a@1', 0)
+    for (let count = 0; count < 4; count++) backoff.noteFailure('e1', 'a@1', 0)
+    expect(backoff.getWaitMs('e1', 'a@1', 0)).toBeGreaterThan(first * 4)
+    expect(backoff.getWaitMs('e2', 'a@1', 0)).toEqual(0)
+    backoff.noteSuccess('e1', 'a@1')
+    expect(backoff.getWaitMs('e1', 'a@1', 0)).toEqual(0)
+  })
+})
--- /dev/null
+++ b/adapters/residency/test/residency.test.ts
@@ -0,0 +1,50 @@
+import { chooseEviction, createSlots } from '@catkinferry/adapters.residency'
+import type { EndpointReport } from '@catkinferry/core.types'
+import { expect } from 'earl'
+import { describe, it } from 'node:test'
+
+function createReport (resident: readonly string[], loading: readonly string[] = []): EndpointReport {
+  return { instanceId: '1', resident, loading, running: {}, runningCount: 0, queuedCount: 0, batchLimit: 8, slots: 4, pool: 'p', checksFencing: true, highestFencing: 0, ageMs: 0 }
+}
+
+describe('createSlots', () => {
+  it('does not take a late report for news of what was ordered after it', () => {
+    const slots = createSlots()
+    slots.setState('a@1', 'resident', 100)
+    slots.setState('b@1', 'gone', 100)
+    slots.applyReport(createReport(['b@1']), 90, 120)
+    expect(slots.listResident()).toEqual(['a@1'])
+    slots.applyReport(createReport(['b@1']), 110, 130)
+    expect(slots.listResident()).toEqual(['b@1'])
+  })
+
+  it('keeps the slot of an order without an answer until a later report settles it', () => {
+    const slots = createSlots()
+    slots.setState('a@1', 'unsettledLoad', 100)
+    slots.setState('b@1', 'unsettledEvict', 100)
+    slots.applyReport(createReport([]), 90, 120)
+    expect(slots.countUsed()).toEqual(2)
+    slots.applyReport(createReport(['a@1', 'b@1']), 110, 130)
+    expect(slots.listResident().sort()).toEqual(['a@1', 'b@1'])
+  })
+
+  it('counts the slots of loads that others ordered', () => {
+    const slots = createSlots()
+    slots.applyReport(createReport(['a@1'], ['b@1']), 10, 20)
+    expect(slots.countUsed()).toEqual(2)
+    expect(slots.listLoading()).toEqual(['b@1'])
+  })
+})
+
+describe('chooseEviction', () => {
+  const candidates = [{ adapterKey: 'hot@1', ratePerSecond: 5 }, { adapterKey: 'cold@1', ratePerSecond: 0.1 }]
+
+  it('takes the coldest, if the load is worth more by the hysteresis', () => {
+    expect(chooseEviction({ candidates, expectedLoadMs: 250, loadValue: 33, hysteresis: 1.3 })).toEqual('cold@1')
+    expect(chooseEviction({ candidates, expectedLoadMs: 250, loadValue: 32, hysteresis: 1.3 })).toEqual(undefined)
+  })
+
+  it('takes nothing where all are pinned', () => {
+    expect(chooseEviction({ candidates: [], expectedLoadMs: 250, loadValue: Infinity, hysteresis: 1.3 })).toEqual(undefined)
+  })
+})
--- a/wire/messages/src/zone.ts
+++ b/wire/messages/src/zone.ts
@@ -5,6 +5,8 @@
   /** Asks a lease voter for the zone lease. `askId` is echoed so that the holder counts from when it asked. */
   | { readonly kind: 'lease.ask', readonly zone: ZoneId, readonly ballot: number, readonly askId: number, readonly durationMs: DurationMs }
   | { readonly kind: 'lease.answer', readonly zone: ZoneId, readonly ballot: number, readonly askId: number, readonly granted: boolean, readonly highestBallot: number, readonly remainingMs: DurationMs, /** Sub-leases of the ballot before may still run. */ readonly subLeasesMayRun: boolean, /** Who holds the lease, in a refusal. */ readonly holder?: HostId }
+  /** A new holder tells the hosts of its zone. */
+  | { readonly kind: 'lease.held', readonly zone: ZoneId, readonly ballot: number }
   /** `unused`: the ballot won no majority, so no sub-lease came from it. */
   | { readonly kind: 'lease.release', readonly zone: ZoneId, readonly ballot: number, readonly unused: boolean }
 
--- a/zone/coordination/src/createZoneCoordination.ts
+++ b/zone/coordination/src/createZoneCoordination.ts
@@ -16,6 +16,7 @@
 import { createHolder } from './holder.ts'
 import { createMessageHandlers } from './messageHandlers.ts'
 import { createStatePublisher } from './statePublisher.ts'
+import { HOLDER_SILENCE_MS } from './zoneParts.ts'
 import type { ZoneParts } from './zoneParts.ts'
 
 export type ZoneMessage =
@@ -54,8 +55,9 @@
   readonly describeEndpoints: () => readonly EndpointDescription[]
 }
 
-/** The holder is looked for after this much silence. */
-const HOLDER_SILENCE_MS = 1_500
+/** Candidates ask for the lease one after another, so that the first one wins. */
+const CANDIDATE_STEP_MS = 40
+const LAST_CANDIDATE_STEP = 10
 
 function listAllPeers (opts: ZoneCoordinationOptions): readonly PeerRow[] {
   const { self, peers } = opts
@@ -138,11 +140,18 @@
   const { known, leaseHolder } = parts
   if (leaseHolder.getHeld(now) !== undefined) return !known.released
   if (known.leaving) return false
-  return now - known.heardAt >= HOLDER_SILENCE_MS
+  return now >= getCandidacyAt(parts)
+}
+
+/** When this host asks for the lease unless the holder is heard before. */
+function getCandidacyAt (parts: ZoneParts): MonotonicMs {
+  const { known, table, self } = parts
+  const rank = table.listHosts().filter(host => host !== known.holder).indexOf(self.host)
+  return known.heardAt + HOLDER_SILENCE_MS + CANDIDATE_STEP_MS * Math.min(LAST_CANDIDATE_STEP, Math.max(0, rank))
 }
 
 function updateHeld (parts: ZoneParts, held: HeldLease | undefined, context: RunContext): void {
-  const { known, holder, self } = parts
+  const { known, holder, self, zoneHosts } = parts
   if (held?.ballot === known.held?.ballot) return
   if (known.held !== undefined) holder.stop()
   known.held = held
@@ -154,6 +163,7 @@
   known.heardAt = context.now
   known.platformAt = context.now
   holder.begin(held, context)
+  for (const host of zoneHosts) if (host !== self.host) context.send(host, { kind: 'lease.held', zone: self.zone, ballot: held.ballot })
 }
 
 function updateSubLease (parts: ZoneParts, context: RunContext): void {
@@ -219,7 +229,7 @@
   const wanted = isLeaseWanted(parts, clock.now)
   const times = [
     leaseHolder.getNextAt(wanted),
-    known.leaving || wanted ? undefined : known.heardAt + HOLDER_SILENCE_MS,
+    known.leaving || wanted ? undefined : getCandidacyAt(parts),
     known.holder === undefined ? undefined : subLease.getNextAt(),
     known.subLeaseLive ? subLease.getUntil() : undefined,
     holder.getNextAt(),
--- a/zone/coordination/src/messageHandlers.ts
+++ b/zone/coordination/src/messageHandlers.ts
@@ -3,6 +3,7 @@
 import type { RunContext } from '@catkinferry/host.events'
 import type { GrantMessage, MembershipMessage, OwnershipMessage } from '@catkinferry/wire.messages'
 import type { ZoneMessage } from './createZoneCoordination.ts'
+import { HOLDER_SILENCE_MS } from './zoneParts.ts'
 import type { ZoneParts } from './zoneParts.ts'
 
 type MessageOf<Kind extends ZoneMessage['kind']> = Extract<ZoneMessage, { kind: Kind }>
@@ -111,8 +112,12 @@
     'lease.release': (from, release, context) => {
       parts.getVoter(context.now).receiveRelease(from, release, context)
       if (release.zone !== self.zone || release.unused || known.holder !== from || from === self.host) return
-      known.heardAt = -Infinity
-      leaseHolder.askSoon(context.now)
+      known.holder = undefined
+      known.heardAt = context.now - HOLDER_SILENCE_MS
+      leaseHolder.askAt(context.now)
+    },
+    'lease.held': (from, held, context) => {
+      if (held.zone === self.zone && held.ballot > parts.subLease.getBallot() && !isHolder()) noteHolder(parts, from, context)
     },
     'owner.assign': (from, assign, context) => receiveAssign(parts, from, assign, context),
     'owner.renew': (from, renew, context) => {
--- a/zone/coordination/src/zoneParts.ts
+++ b/zone/coordination/src/zoneParts.ts
@@ -8,6 +8,9 @@
 import type { Holder } from './holder.ts'
 import type { StatePublisher } from './statePublisher.ts'
 
+/** The lease is asked for after this much silence of its holder. */
+export const HOLDER_SILENCE_MS = 1_500
+
 /** What this host knows of its zone's lease and of its own part in it. */
 export interface ZoneKnowledge {
   holder: HostId | undefined
--- /dev/null
+++ b/zone/coordination/test/zonePumpTypes.ts
@@ -0,0 +1,90 @@
+/** What the in-test zone consists of. */
+import type { AdapterKey, EndpointRow, HostId, Order, OrderId } from '@catkinferry/core.types'
+import type { GrantMessage, PeerMessage } from '@catkinferry/wire.messages'
+import type { ZoneCoordination } from '@catkinferry/zone.coordination'
+
+export interface Engine {
+  readonly row: EndpointRow
+  readonly slots: number
+  readonly batchLimit: number
+  readonly checksFencing: boolean
+  instance: number
+  restartedAt: number
+  fencing: number
+  reachable: boolean
+  failLoads: boolean
+  readonly resident: Set<AdapterKey>
+  readonly loading: Set<AdapterKey>
+  readonly running: Map<string, { readonly adapterKey: AdapterKey, readonly endsAt: number }>
+}
+
+export interface PumpHost {
+  readonly host: HostId
+  coordination: ZoneCoordination
+  alive: boolean
+  pausedUntil: number
+  leaving: boolean
+  readonly cutOrders: Set<OrderId>
+}
+
+export interface AppliedOrder {
+  readonly at: number
+  readonly host: HostId
+  readonly endpoint: string
+  readonly order: Order
+  readonly fencing: number
+}
+
+export interface ReceivedGrant {
+  readonly at: number
+  readonly host: HostId
+  readonly message: Extract<GrantMessage, { kind: 'grant.given' | 'grant.refused' }>
+}
+
+export interface Faults {
+  lossShare: number
+  copyShare: number
+  maxDelayMs: number
+  /** Answers of orders are lost with this share. */
+  lostAnswerShare: number
+}
+
+/** What an attempt that a host asked for does once granted. */
+export interface AttemptPlan {
+  readonly runMs: number
+  /** Starts this long after the grant arrives. */
+  readonly startAfterMs: number
+}
+
+export interface ZonePump {
+  readonly hosts: Map<HostId, PumpHost>
+  readonly engines: Map<string, Engine>
+  readonly orders: AppliedOrder[]
+  readonly grants: ReceivedGrant[]
+  readonly violations: string[]
+  readonly faults: Faults
+  readonly getNow: () => number
+  readonly runFor: (durationMs: number) => void
+  readonly addEngine: (opts: { endpoint: string, zone?: string, slots?: number, batchLimit?: number, checksFencing?: boolean, resident?: readonly AdapterKey[] }) => Engine
+  readonly ask: (opts: { host: HostId, endpoint?: string, to?: HostId, adapterKey: AdapterKey, attemptId: string, runMs?: number, startAfterMs?: number, remainingMs?: number, serviceClass?: 'urgent' | 'standard' | 'overnight' }) => void
+  readonly send: (from: HostId, to: HostId, message: PeerMessage) => void
+  readonly cut: (a: HostId, b: HostId) => void
+  readonly heal: () => void
+  readonly crash: (host: HostId) => void
+  readonly restart: (host: HostId) => void
+  readonly pause: (host: HostId, durationMs: number) => void
+  readonly restartEngine: (endpoint: string) => void
+  readonly beginShutdown: (host: HostId) => void
+  readonly findHolder: () => HostId | undefined
+  readonly findOwner: (endpoint: string) => HostId | undefined
+  /** When the sub-lease that a host has now ends. */
+  readonly findSubLeaseEnd: (host: HostId) => number
+  readonly countMessages: (kind: string) => number
+}
+
+export interface ZonePumpOptions {
+  readonly hosts: number
+  readonly seed: number
+  readonly zones?: number
+  readonly settings?: Readonly<Record<string, number>>
+}
--- /dev/null
+++ b/zone/coordination/test/zoneSafety.test.ts
@@ -0,0 +1,64 @@
+/** Random schedules of faults, judged by what the engines saw. */
+import { expect } from 'earl'
+import fc from 'fast-check'
+import { describe, it } from 'node:test'
+import { createZonePump } from './zonePump.ts'
+import type { ZonePump } from './zonePumpTypes.ts'
+
+const HOSTS = 3
+const ENGINES = ['e1', 'e2', 'e3']
+const ADAPTERS = ['a@1', 'b@1', 'c@1', 'd@1', 'e@1']
+
+type Step =
+  | { readonly kind: 'ask', readonly host: number, readonly endpoint: number, readonly adapter: number, readonly runMs: number, readonly startAfterMs: number }
+  | { readonly kind: 'cut' | 'crash' | 'restart', readonly host: number, readonly other: number }
+  | { readonly kind: 'pause', readonly host: number, readonly durationMs: number }
+  | { readonly kind: 'heal' }
+  | { readonly kind: 'restartEngine', readonly endpoint: number }
+  | { readonly kind: 'wait', readonly durationMs: number }
+
+const host = fc.integer({ min: 1, max: HOSTS })
+const endpoint = fc.integer({ min: 0, max: ENGINES.length - 1 })
+const ask = fc.record({ kind: fc.constant('ask' as const), host, endpoint, adapter: fc.integer({ min: 0, max: ADAPTERS.length - 1 }), runMs: fc.integer({ min: 50, max: 6_000 }), startAfterMs: fc.integer({ min: 0, max: 300 }) })
+const wait = fc.record({ kind: fc.constant('wait' as const), durationMs: fc.integer({ min: 10, max: 1_500 }) })
+const step: fc.Arbitrary<Step> = fc.oneof(
+  { weight: 12, arbitrary: ask },
+  { weight: 6, arbitrary: wait },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constantFrom('cut' as const, 'crash' as const, 'restart' as const), host, other: host }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('pause' as const), host, durationMs: fc.integer({ min: 500, max: 8_000 }) }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('heal' as const) }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('restartEngine' as const), endpoint }) }
+)
+
+function runStep (pump: ZonePump, step: Step, number: number): void {
+  if (step.kind === 'wait') pump.runFor(step.durationMs)
+  else if (step.kind === 'heal') pump.heal()
+  else if (step.kind === 'restartEngine') pump.restartEngine(ENGINES[step.endpoint] ?? '')
+  else if (step.kind === 'pause') pump.pause(`z1h${step.host}`, step.durationMs)
+  else if (step.kind === 'ask') pump.ask({ host: `z1h${step.host}`, endpoint: ENGINES[step.endpoint], adapterKey: ADAPTERS[step.adapter] ?? '', attemptId: `z1h${step.host}.${number}`, runMs: step.runMs, startAfterMs: step.startAfterMs })
+  else if (step.kind === 'cut') pump.cut(`z1h${step.host}`, `z1h${step.other}`)
+  else if (step.kind === 'crash') pump.crash(`z1h${step.host}`)
+  else if (pump.hosts.get(`z1h${step.host}`)?.alive === false) pump.restart(`z1h${step.host}`)
+}
+
+describe('zone safety under random faults', () => {
+  it('never evicts under a running attempt, never lets a stale owner order, grants only resident adapters', () => {
+    let given = 0
+    let evicted = 0
+    const property = fc.property(fc.integer({ min: 1, max: 2 ** 30 }), fc.array(step, { minLength: 20, maxLength: 90 }), (seed, steps) => {
+      const pump = createZonePump({ hosts: HOSTS, seed })
+      for (const [index, name] of ENGINES.entries()) pump.addEngine({ endpoint: name, slots: 2, batchLimit: 4, checksFencing: index === 0 })
+      pump.runFor(9_000)
+      Object.assign(pump.faults, { lossShare: 0.05, copyShare: 0.05, maxDelayMs: 30, lostAnswerShare: 0.05 })
+      for (const [number, next] of steps.entries()) runStep(pump, next, number)
+      pump.runFor(4_000)
+      given += pump.grants.filter(({ message }) => message.kind === 'grant.given').length
+      evicted += pump.orders.filter(({ order }) => order.kind === 'evict').length
+      expect(pump.violations).toEqual([])
+    })
+    fc.assert(property, { seed: 1, numRuns: Number(process.env.ZONE_RUNS ?? 40) })
+    if (process.env.ZONE_RUNS !== undefined) console.log({ given, evicted })
+    expect(given).toBeGreaterThan(100)
+    expect(evicted).toBeGreaterThan(10)
+  })
+})
--- a/zone/grants/src/loads.ts
+++ b/zone/grants/src/loads.ts
@@ -159,6 +159,7 @@
   let blocked: LoadWish | undefined
   for (const wish of listWishes(core, state, now)) {
     if (state.loads.size >= MAX_LOADS_AT_ENDPOINT) break
+    if (wish.waiting === 0 && state.loads.size > 0) break
     if (state.loads.has(wish.adapterKey)) continue
     if (core.backoff.getWaitMs(state.owned.row.endpoint, wish.adapterKey, now) > 0) continue
     if (hasFreeSlot(state) || chooseVictim(core, state, wish, now) !== undefined) startLoad(core, state, wish, context)
--- a/zone/leases/src/leaseHolder.ts
+++ b/zone/leases/src/leaseHolder.ts
@@ -13,6 +13,8 @@
 const MAX_OPEN_ASKS = 8
 const MIN_RETRY_MS = 60
 const MAX_RETRY_MS = 240
+/** A refusal may come from a rival that wins no majority either. */
+const LONGEST_PAUSE_MS = 400
 
 interface OpenAsk {
   readonly askId: number
@@ -45,8 +47,8 @@
   readonly drop: (now: MonotonicMs) => void
   /** Gives up the lease and tells the voters. */
   readonly release: (context: RunContext) => void
-  /** Brings the next ask forward: the holder has released the lease. */
-  readonly askSoon: (now: MonotonicMs) => void
+  /** Brings the next ask forward, for instance when the holder has released the lease. */
+  readonly askAt: (at: MonotonicMs) => void
 }
 
 export interface LeaseHolderOptions {
@@ -100,7 +102,7 @@
   /** Frees the voters that granted, so that rival candidates do not block each other for a whole lease. */
   function abandon (asked: OpenAsk, remainingMs: DurationMs, context: RunContext): void {
     open.splice(open.indexOf(asked), 1)
-    const pauseMs = Math.min(remainingMs, MAX_ZONE_LEASE_MS) + opts.random.nextInt(MIN_RETRY_MS, MAX_RETRY_MS)
+    const pauseMs = Math.min(remainingMs, LONGEST_PAUSE_MS) + opts.random.nextInt(MIN_RETRY_MS, MAX_RETRY_MS)
     nextAskAt = Math.max(nextAskAt, context.now + pauseMs)
     for (const voter of asked.voters) context.send(voter, { kind: 'lease.release', zone: opts.zone, ballot: asked.ballot, unused: true })
   }
@@ -139,6 +141,6 @@
       if (current === undefined) return
       for (const voter of opts.getVoters()) context.send(voter, { kind: 'lease.release', zone: opts.zone, ballot: current.ballot, unused: false })
     },
-    askSoon: now => { nextAskAt = Math.min(nextAskAt, now + opts.random.nextInt(0, MIN_RETRY_MS)) }
+    askAt: at => { nextAskAt = Math.min(nextAskAt, at) }
   }
 }
--- /dev/null
+++ b/zone/leases/test/leases.test.ts
@@ -0,0 +1,120 @@
+import { MAX_ZONE_LEASE_MS } from '@catkinferry/core.constants'
+import { createRandom } from '@catkinferry/core.random'
+import type { PeerRow } from '@catkinferry/core.types'
+import type { RunContext } from '@catkinferry/host.events'
+import type { LeaseMessage, PeerMessage } from '@catkinferry/wire.messages'
+import { createLeaseHolder, createLeaseVoter, listLeaseVoters } from '@catkinferry/zone.leases'
+import { expect } from 'earl'
+import { describe, it } from 'node:test'
+
+type Answer = Extract<LeaseMessage, { kind: 'lease.answer' }>
+
+function createContext (now: number): RunContext & { readonly sent: { to: string, message: PeerMessage }[] } {
+  const sent: { to: string, message: PeerMessage }[] = []
+  return { now, wallNow: 1_000_000, send: (to, message) => { sent.push({ to, message }) }, emit: () => {}, sent }
+}
+
+function askVoter (voter: ReturnType<typeof createLeaseVoter>, from: string, ballot: number, now: number): Answer | undefined {
+  const context = createContext(now)
+  voter.receiveAsk(from, { kind: 'lease.ask', zone: 'z', ballot, askId: 1, durationMs: 3_000 }, context)
+  return context.sent[0]?.message as Answer | undefined
+}
+
+describe('createLeaseVoter', () => {
+  it('says nothing for one longest lease after its start', () => {
+    const voter = createLeaseVoter({ silentUntil: MAX_ZONE_LEASE_MS })
+    expect(askVoter(voter, 'a', 1, MAX_ZONE_LEASE_MS - 1)).toEqual(undefined)
+    expect(askVoter(voter, 'a', 1, MAX_ZONE_LEASE_MS)?.granted).toEqual(true)
+  })
+
+  it('counts a lease longer than the holder by the drift bound, and names the holder to others', () => {
+    const voter = createLeaseVoter({ silentUntil: 0 })
+    askVoter(voter, 'a', 1, 0)
+    expect(askVoter(voter, 'b', 2, 3_020)?.granted).toEqual(false)
+    expect(askVoter(voter, 'b', 2, 3_020)?.holder).toEqual('a')
+    expect(askVoter(voter, 'b', 2, 3_031)?.granted).toEqual(true)
+  })
+
+  it('refuses a ballot that is not above the last holder\'s', () => {
+    const voter = createLeaseVoter({ silentUntil: 0 })
+    askVoter(voter, 'a', 5, 0)
+    expect(askVoter(voter, 'b', 5, 4_000)?.granted).toEqual(false)
+    expect(askVoter(voter, 'a', 4, 4_000)?.granted).toEqual(false)
+    expect(askVoter(voter, 'b', 6, 4_000)?.granted).toEqual(true)
+  })
+
+  it('warns of sub-leases after a release and a new ballot, also across an unused ballot, and not after an end', () => {
+    const voter = createLeaseVoter({ silentUntil: 0 })
+    askVoter(voter, 'a', 1, 0)
+    voter.receiveRelease('a', { kind: 'lease.release', zone: 'z', ballot: 1, unused: false }, createContext(100))
+    expect(askVoter(voter, 'b', 2, 200)?.subLeasesMayRun).toEqual(true)
+    voter.receiveRelease('b', { kind: 'lease.release', zone: 'z', ballot: 2, unused: true }, createContext(300))
+    expect(askVoter(voter, 'c', 3, 400)?.subLeasesMayRun).toEqual(true)
+    expect(askVoter(voter, 'c', 4, 500)?.subLeasesMayRun).toEqual(true)
+    expect(askVoter(voter, 'a', 5, 9_000)?.subLeasesMayRun).toEqual(false)
+  })
+})
+
+describe('createLeaseHolder', () => {
+  const create = (): ReturnType<typeof createLeaseHolder> => createLeaseHolder({ zone: 'z', getVoters: () => ['a', 'b', 'c'], getLeaseMs: () => 3_000, random: createRandom(1) })
+
+  function answer (holder: ReturnType<typeof createLeaseHolder>, from: string, ask: { ballot: number, askId: number }, now: number, granted = true): void {
+    holder.receiveAnswer(from, { kind: 'lease.answer', zone: 'z', ballot: ask.ballot, askId: ask.askId, granted, highestBallot: ask.ballot, remainingMs: 3_000, subLeasesMayRun: false }, createContext(now))
+  }
+
+  function takeAsk (holder: ReturnType<typeof createLeaseHolder>, now: number): { ballot: number, askId: number } {
+    const context = createContext(now)
+    holder.run(context, true)
+    return context.sent[0]?.message as Extract<LeaseMessage, { kind: 'lease.ask' }>
+  }
+
+  it('holds the lease with a majority, from when it asked and less the drift bound', () => {
+    const holder = create()
+    const ask = takeAsk(holder, 1_000)
+    answer(holder, 'a', ask, 2_000)
+    answer(holder, 'a', ask, 2_000)
+    expect(holder.getHeld(2_000)).toEqual(undefined)
+    answer(holder, 'b', ask, 2_000)
+    expect(holder.getHeld(2_000)?.until).toEqual(1_000 + 2_970)
+    expect(holder.getHeld(3_970)).toEqual(undefined)
+  })
+
+  it('takes no grant of an ask from before a pause, or of a host that does not vote', () => {
+    const holder = create()
+    const ask = takeAsk(holder, 1_000)
+    holder.drop(1_100)
+    answer(holder, 'a', ask, 1_200)
+    answer(holder, 'b', ask, 1_200)
+    expect(holder.getHeld(1_200)).toEqual(undefined)
+    const again = takeAsk(holder, 5_000)
+    answer(holder, 'a', again, 5_000)
+    answer(holder, 'x', again, 5_000)
+    expect(holder.getHeld(5_000)).toEqual(undefined)
+  })
+
+  it('frees the voters of an ask that was refused somewhere', () => {
+    const holder = create()
+    const ask = takeAsk(holder, 1_000)
+    answer(holder, 'a', ask, 1_010)
+    const context = createContext(1_020)
+    holder.receiveAnswer('b', { kind: 'lease.answer', zone: 'z', ballot: ask.ballot, askId: ask.askId, granted: false, highestBallot: 9, remainingMs: 3_000, subLeasesMayRun: false }, context)
+    expect(context.sent.map(({ message }) => message.kind === 'lease.release' && message.unused)).toEqual([true, true, true])
+    answer(holder, 'c', ask, 1_030)
+    expect(holder.getHeld(1_030)).toEqual(undefined)
+  })
+})
+
+describe('listLeaseVoters', () => {
+  const peer = (host: string, zone: string, region: string, leaseVoter = true): PeerRow => ({ host, zone, region, address: '', voter: false, leaseVoter })
+
+  it('takes a third from the nearest zone for a zone of two', () => {
+    const peers = [peer('a1', 'a', 'r'), peer('a2', 'a', 'r'), peer('b1', 'b', 'far'), peer('c1', 'c', 'r')]
+    expect(listLeaseVoters({ zone: 'a', peers })).toEqual(['a1', 'a2', 'c1'])
+  })
+
+  it('takes the named hosts of the zone, or all when none is named', () => {
+    const peers = [peer('a1', 'a', 'r'), peer('a2', 'a', 'r', false), peer('b1', 'b', 'r', false), peer('b2', 'b', 'r', false), peer('b3', 'b', 'r', false)]
+    expect(listLeaseVoters({ zone: 'a', peers })).toEqual(['a1'])
+    expect(listLeaseVoters({ zone: 'b', peers })).toEqual(['b1', 'b2', 'b3'])
+  })
+})
