Add the dissemination of settings

Cause: accepted settings must be in force everywhere within seconds and never revert. Change: hosts subscribe to the first live host before them in their zone, that one to a voter; deltas are pushed, gaps are asked for, the full state goes in parts under later deltas; a starting host takes the highest revision that it can reach before it is ready; applied revisions travel back to the voters. A start-up round that began anew while a transfer ran made it start over; a test with lost parts and concurrent changes found it.

--- /dev/null
+++ b/settings/dissemination/src/constants.ts
@@ -0,0 +1,35 @@
+/** Times and sizes of the dissemination. */
+
+/** A subscriber that was sent nothing for this long is sent a heartbeat. */
+export const HEARTBEAT_MS = 1_000
+
+/** Silence of the upstream that counts as its loss. */
+export const SILENCE_MS = 1_500
+
+/** Time in which a newly asked upstream must answer. */
+export const FIRST_ANSWER_MS = 500
+
+/** A subscription is renewed this often, and ends without renewal after the lease. */
+export const RENEW_MS = 5_000
+export const SUBSCRIPTION_LEASE_MS = 12_000
+
+/** How often a better upstream is tried. */
+export const TRIAL_MS = 5_000
+
+/** Age of the last sign of a majority from which on this host counts as cut off. */
+export const CUT_OFF_MS = 4_000
+
+/** A starting host waits this long for answers of all whom it probes. */
+export const PROBE_WINDOW_MS = 1_000
+export const PROBE_AGAIN_MS = 250
+
+/** Applied revisions are gathered this long before they are passed on, and all of them are passed on again after the refresh. */
+export const REPORT_DELAY_MS = 200
+export const REPORT_REFRESH_MS = 60_000
+
+/** Least time between two repairs of a gap. */
+export const REPAIR_MS = 200
+
+/** Node ids in one part of the full state; nodes in one message of deltas. */
+export const PART_IDS = 2_000
+export const MAX_MESSAGE_NODES = 2_000
--- /dev/null
+++ b/settings/dissemination/src/core.ts
@@ -0,0 +1,91 @@
+/** State that the parts of the dissemination share. */
+import type { Random } from '@catkinferry/core.random'
+import { createDueTimes } from '@catkinferry/core.tables'
+import type { DueTimes } from '@catkinferry/core.tables'
+import type { HostId, HostPlace, MonotonicMs, PeerRow } from '@catkinferry/core.types'
+import type { RunContext } from '@catkinferry/host.events'
+import type { SettingsMessage } from '@catkinferry/wire.messages'
+import { encode } from 'cbor-x'
+import { CUT_OFF_MS } from './constants.ts'
+import { createInForce } from './inForce.ts'
+import type { InForce, VoterState } from './inForce.ts'
+import { createTransfer } from './transfer.ts'
+import type { Transfer } from './transfer.ts'
+
+export interface DisseminationOptions {
+  readonly self: HostPlace
+  /** Hosts of the settings file; this host may be among them. */
+  readonly peers: readonly PeerRow[]
+  /** On voters only. */
+  readonly voterState?: VoterState
+  /** On voters only: whether this voter leads or hears a leader that has a majority. */
+  readonly isInContact?: () => boolean
+  readonly random: Random
+}
+
+/** What is due, by name. */
+export type Task = 'heartbeat' | 'silence' | 'renew' | 'trial' | 'probe' | 'report' | 'refresh' | 'repair'
+
+/** A host that is sent what comes after `sent`. */
+export interface Subscriber {
+  sent: number
+  leaseUntil: MonotonicMs
+  lastSentAt: MonotonicMs
+}
+
+export interface Core {
+  readonly self: HostPlace
+  readonly random: Random
+  readonly inForce: InForce
+  readonly transfer: Transfer
+  readonly due: DueTimes<Task>
+  readonly subscribers: Map<HostId, Subscriber>
+  peers: ReadonlyMap<HostId, PeerRow>
+  now: MonotonicMs
+  startedAt?: MonotonicMs
+  ready: boolean
+  /** When a majority was last known of, as told by others. */
+  majorityAt?: MonotonicMs
+  /** True on a voter that takes its settings from the log at this time. */
+  readonly isSource: () => boolean
+}
+
+const MAX_EPOCH = 2 ** 30
+
+/** Creates the shared state of one host. */
+export function createCore (opts: DisseminationOptions): Core {
+  const { self, random, voterState, isInContact = () => false } = opts
+  return {
+    self,
+    random,
+    inForce: createInForce(voterState, random.nextInt(0, MAX_EPOCH)),
+    transfer: createTransfer(),
+    due: createDueTimes(),
+    subscribers: new Map(),
+    peers: new Map(opts.peers.map(peer => [peer.host, peer])),
+    now: 0,
+    ready: false,
+    isSource: () => voterState !== undefined && isInContact()
+  }
+}
+
+/** How long ago a majority was known of; undefined when it never was. */
+export function getMajorityAge (core: Core): number | undefined {
+  if (core.isSource()) return 0
+  return core.majorityAt === undefined ? undefined : Math.max(0, core.now - core.majorityAt)
+}
+
+/** True when the last sign of a majority is too old. */
+export function isCutOff (core: Core): boolean {
+  return (getMajorityAge(core) ?? Infinity) > CUT_OFF_MS
+}
+
+/** Sends a message and counts its bytes where it crosses to another region. */
+export function sendSettings (core: Core, to: HostId, message: SettingsMessage, context: RunContext): void {
+  const peer = core.peers.get(to)
+  if (peer !== undefined && peer.region !== core.self.region) {
+    const tags = { to: peer.region, kind: message.kind }
+    context.emit({ kind: 'metric', type: 'count', name: 'settings.longLinkBytes', value: encode(message).length, tags })
+  }
+  context.send(to, message)
+}
--- /dev/null
+++ b/settings/dissemination/src/transfer.ts
@@ -0,0 +1,83 @@
+/** Receives the full state in parts. It goes in force only when it is whole. */
+import type { HostId } from '@catkinferry/core.types'
+import { createSettingsTree } from '@catkinferry/settings.tree'
+import type { SettingsTree } from '@catkinferry/settings.tree'
+import type { RevisionDelta, SettingsMessage } from '@catkinferry/wire.messages'
+
+type Part = Extract<SettingsMessage, { kind: 'settings.part' }>
+
+/** What to ask for next. */
+export type TransferStep = { readonly kind: 'askPart', readonly part: number } | { readonly kind: 'askDeltas', readonly after: number } | { readonly kind: 'done', readonly tree: SettingsTree } | { readonly kind: 'ignored' }
+
+export interface Transfer {
+  readonly isActive: () => boolean
+  readonly receivePart: (from: HostId, part: Part) => TransferStep
+  /** Deltas that bring the nodes, read at different revisions, to one revision. */
+  readonly receiveDeltas: (from: HostId, deltas: readonly RevisionDelta[]) => TransferStep
+  /** What to ask for again after a loss. */
+  readonly getPendingStep: () => TransferStep
+  readonly cancel: () => void
+}
+
+interface Progress {
+  readonly from: HostId
+  readonly epoch: number
+  readonly tree: SettingsTree
+  /** Next part to come. */
+  next: number
+  parts: number
+  /** Revision at which the last part was read. */
+  wholeAt: number
+}
+
+/** Creates a transfer that has not begun. */
+export function createTransfer (): Transfer {
+  let progress: Progress | undefined
+
+  function begin (from: HostId, part: Part): Progress {
+    const tree = createSettingsTree()
+    tree.setRevision(part.revision)
+    return { from, epoch: part.epoch, tree, next: 0, parts: part.parts, wholeAt: part.revision }
+  }
+
+  function getStep (current: Progress): TransferStep {
+    if (current.next < current.parts) return { kind: 'askPart', part: current.next }
+    if (current.tree.getRevision() < current.wholeAt) return { kind: 'askDeltas', after: current.tree.getRevision() }
+    return { kind: 'done', tree: current.tree }
+  }
+
+  function advance (current: Progress): TransferStep {
+    const step = getStep(current)
+    if (step.kind === 'done') progress = undefined
+    return step
+  }
+
+  return {
+    isActive: () => progress !== undefined,
+    receivePart: (from, part) => {
+      const isOther = progress === undefined || progress.from !== from || progress.epoch !== part.epoch
+      if (isOther && part.part !== 0) {
+        progress = undefined
+        return { kind: 'ignored' }
+      }
+      const current = progress === undefined || isOther ? begin(from, part) : progress
+      progress = current
+      if (part.part !== current.next) return { kind: 'ignored' }
+      for (const node of part.nodes) current.tree.putNode(node)
+      current.next++
+      current.parts = part.parts
+      current.wholeAt = part.revision
+      return advance(current)
+    },
+    receiveDeltas: (from, deltas) => {
+      const current = progress
+      if (current === undefined || current.from !== from || current.next < current.parts) return { kind: 'ignored' }
+      for (const delta of deltas) {
+        if (delta.revision === current.tree.getRevision() + 1) current.tree.applyDelta(delta)
+      }
+      return advance(current)
+    },
+    getPendingStep: () => progress === undefined ? { kind: 'ignored' } : getStep(progress),
+    cancel: () => { progress = undefined }
+  }
+}
--- a/wire/messages/src/settings.ts
+++ b/wire/messages/src/settings.ts
@@ -19,8 +19,10 @@
   | { readonly kind: 'settings.deltas', readonly deltas: readonly RevisionDelta[], readonly highest: number, readonly majorityAgeMs?: DurationMs }
   /** Subscribes to what follows `after`. With `part`, asks for that part of the full state. */
   | { readonly kind: 'settings.ask', readonly after: number, readonly part?: number }
-  /** Answer to an ask that lies before the kept deltas: all nodes, in parts. Each part is read at its own `revision`. */
-  | { readonly kind: 'settings.part', readonly revision: number, readonly part: number, readonly parts: number, readonly nodes: readonly NodeDelta[] }
+  /** Ends a subscription. */
+  | { readonly kind: 'settings.leave' }
+  /** Answer to an ask that lies before the kept deltas: all nodes, in parts. Each part is read at its own `revision`; parts of another `epoch` do not fit together. */
+  | { readonly kind: 'settings.part', readonly epoch: number, readonly revision: number, readonly part: number, readonly parts: number, readonly nodes: readonly NodeDelta[] }
   /** Applied revisions by host, gathered by the relay; `forwarded` between voters. */
   | { readonly kind: 'settings.applied', readonly applied: readonly { readonly host: HostId, readonly revision: number }[], readonly forwarded?: boolean }
   /** A starting host asks which revision is in force at the receiver. */
