Hold the settings of 120,000 adapters in columns, templates and blocks

Change: values are split into a shared template and a digest of 32 bytes; the child links lose two columns; older audit entries lie in compressed blocks;

--- a/settings/replicated-state/src/auditTrail.ts
+++ b/settings/replicated-state/src/auditTrail.ts
@@ -1,6 +1,7 @@
 /** The replicated audit trail: one entry for each accepted or refused change, oldest dropped first. */
 import type { Failure } from '@catkinferry/core.errors'
 import type { ChangeId, ClaimKey, NodePath, OperatorIdentity, WallMs } from '@catkinferry/core.types'
+import { createEntryBlocks } from './entryBlocks.ts'
 
 /** One node of an audited change. `after` is absent for a removal, `before` for a creation. */
 export interface AuditedNode {
@@ -39,16 +40,21 @@
   readonly lastSequence: number
 }
 
-/** An entry in store: its JSON, and the revision of the state after it. */
-export interface StoredAuditEntry {
+/** What is held of an entry beside its text. */
+interface EntryRow {
   readonly at: WallMs
+  /** Revision of the state after it. */
   readonly revisionAfter: number
-  readonly json: string
+  /** Characters of its text. */
+  readonly length: number
 }
 
+/** An entry in a snapshot: time, revision of the state after it, text. */
+export type SavedAuditEntry = readonly [at: WallMs, revisionAfter: number, text: string]
+
 export interface SavedAudit {
   readonly firstSequence: number
-  readonly entries: readonly StoredAuditEntry[]
+  readonly entries: readonly SavedAuditEntry[]
 }
 
 export interface AuditTrail {
@@ -74,82 +80,101 @@
   return path === undefined || entry.nodes.some(node => node.path === path || node.path.startsWith(`${path}/`))
 }
 
+/** The first number from `low` up to `high` for which `holds` is true; it must stay true from there on. */
+function findFirst (low: number, high: number, holds: (value: number) => boolean): number {
+  let from = low
+  let to = high
+  while (from < to) {
+    const middle = Math.floor((from + to) / 2)
+    if (holds(middle)) to = middle
+    else from = middle + 1
+  }
+  return from
+}
+
 /** Creates an empty trail. */
 export function createAuditTrail (): AuditTrail {
-  let entries: StoredAuditEntry[] = []
-  /** Entries before this index were dropped. */
+  let rows: EntryRow[] = []
+  /** Rows before this index were dropped. */
   let head = 0
   let firstSequence = 1
   let bytes = 0
+  const texts = createEntryBlocks()
 
   function getLastSequence (): number {
-    return firstSequence + entries.length - head - 1
+    return firstSequence + rows.length - head - 1
+  }
+
+  function getRow (sequence: number): EntryRow {
+    return rows[head + sequence - firstSequence]!
   }
 
   function dropFirst (): void {
-    bytes -= entries[head]!.json.length
+    bytes -= rows[head]!.length
     head++
     firstSequence++
-    if (head < COMPACT_AT || head * 2 < entries.length) return
-    entries = entries.slice(head)
+    if (head < COMPACT_AT || head * 2 < rows.length) return
+    rows = rows.slice(head)
     head = 0
   }
 
-  function read (sequence: number): AuditEntry {
-    return JSON.parse(entries[head + sequence - firstSequence]!.json) as AuditEntry
+  function addText (at: WallMs, revisionAfter: number, text: string): void {
+    rows.push({ at, revisionAfter, length: text.length })
+    texts.add(text)
+    bytes += text.length
   }
 
-  /** The first sequence whose entry left the state at a revision above `revision`. */
-  function findFirstAbove (revision: number): number {
-    let low = firstSequence
-    let high = getLastSequence() + 1
-    while (low < high) {
-      const middle = Math.floor((low + high) / 2)
-      if (entries[head + middle - firstSequence]!.revisionAfter > revision) high = middle
-      else low = middle + 1
-    }
-    return low
+  function read (sequence: number): AuditEntry {
+    return JSON.parse(texts.get(sequence)) as AuditEntry
   }
 
   function listAcceptedAfter (revision: number): AuditEntry[] {
     const found: AuditEntry[] = []
-    for (let sequence = findFirstAbove(revision); sequence <= getLastSequence(); sequence++) {
+    const first = findFirst(firstSequence, getLastSequence() + 1, sequence => getRow(sequence).revisionAfter > revision)
+    for (let sequence = first; sequence <= getLastSequence(); sequence++) {
       const entry = read(sequence)
       if (entry.revision !== undefined) found.push(entry)
     }
     return found
   }
 
+  function list (opts: { afterSequence: number, limit: number, path?: NodePath, who?: string }): AuditPage {
+    const found: AuditEntry[] = []
+    let sequence = Math.max(opts.afterSequence + 1, firstSequence)
+    const end = Math.min(getLastSequence(), sequence + MAX_SCANNED - 1)
+    for (; sequence <= end && found.length < opts.limit; sequence++) {
+      const entry = read(sequence)
+      if (matches(entry, opts)) found.push(entry)
+    }
+    return { entries: found, nextAfter: sequence - 1, firstSequence, lastSequence: getLastSequence() }
+  }
+
   return {
     add: (entry, revisionAfter) => {
       const sequence = getLastSequence() + 1
-      const json = JSON.stringify({ sequence, ...entry })
-      entries.push({ at: entry.at, revisionAfter, json })
-      bytes += json.length
+      addText(entry.at, revisionAfter, JSON.stringify({ sequence, ...entry }))
       return sequence
     },
     get: sequence => sequence < firstSequence || sequence > getLastSequence() ? undefined : read(sequence),
     expire: (now, bounds) => {
-      while (head < entries.length && (entries[head]!.at + bounds.retentionMs <= now || bytes > bounds.keptBytes)) dropFirst()
-    },
-    list: opts => {
-      const found: AuditEntry[] = []
-      let sequence = Math.max(opts.afterSequence + 1, firstSequence)
-      const end = Math.min(getLastSequence(), sequence + MAX_SCANNED - 1)
-      for (; sequence <= end && found.length < opts.limit; sequence++) {
-        const entry = read(sequence)
-        if (matches(entry, opts)) found.push(entry)
-      }
-      return { entries: found, nextAfter: sequence - 1, firstSequence, lastSequence: getLastSequence() }
+      const first = firstSequence
+      while (head < rows.length && (rows[head]!.at + bounds.retentionMs <= now || bytes > bounds.keptBytes)) dropFirst()
+      if (firstSequence > first) texts.dropBelow(firstSequence)
     },
+    list,
     listAcceptedAfter,
     getBytes: () => bytes,
-    save: () => ({ firstSequence, entries: entries.slice(head) }),
+    save: () => ({
+      firstSequence,
+      entries: rows.slice(head).map(({ at, revisionAfter }, index) => [at, revisionAfter, texts.get(firstSequence + index)])
+    }),
     load: saved => {
-      entries = [...saved.entries]
+      rows = []
       head = 0
+      bytes = 0
       firstSequence = saved.firstSequence
-      bytes = entries.reduce((sum, entry) => sum + entry.json.length, 0)
+      texts.reset(firstSequence)
+      for (const [at, revisionAfter, text] of saved.entries) addText(at, revisionAfter, text)
     }
   }
 }
--- a/settings/replicated-state/src/stateSnapshot.ts
+++ b/settings/replicated-state/src/stateSnapshot.ts
@@ -2,7 +2,7 @@
 import { CatkinferryError, ErrorCode } from '@catkinferry/core.errors'
 import type { SavedClaims } from '@catkinferry/ledger.claims'
 import { createSettingsTree } from '@catkinferry/settings.tree'
-import type { SettingsTree } from '@catkinferry/settings.tree'
+import type { SavedTree } from '@catkinferry/settings.tree'
 import { Encoder } from 'cbor-x'
 import type { SavedAudit } from './auditTrail.ts'
 import type { SavedAnswers } from './changeAnswers.ts'
@@ -14,15 +14,6 @@
 
 const encoder = new Encoder({ useRecords: false, mapsAsObjects: true, structuredClone: false, tagUint8Array: false })
 
-/** Nodes in walk order; each path is given as the length it shares with the one before, and the rest. */
-interface SavedTree {
-  readonly revision: number
-  readonly shared: number[]
-  readonly rest: string[]
-  readonly revisions: number[]
-  readonly values: string[]
-}
-
 interface SavedState {
   readonly format: number
   readonly now: number
@@ -33,44 +24,12 @@
   readonly endpointFacts: readonly (readonly [string, boolean])[]
 }
 
-function countShared (a: string, b: string): number {
-  const end = Math.min(a.length, b.length)
-  let index = 0
-  while (index < end && a.charCodeAt(index) === b.charCodeAt(index)) index++
-  return index
-}
-
-function saveTree (tree: SettingsTree): SavedTree {
-  const saved: SavedTree = { revision: tree.getRevision(), shared: [], rest: [], revisions: [], values: [] }
-  let previous = ''
-  for (const { path, revision, json } of tree.walkPacked()) {
-    const shared = countShared(previous, path)
-    saved.shared.push(shared)
-    saved.rest.push(path.slice(shared))
-    saved.revisions.push(revision)
-    saved.values.push(json)
-    previous = path
-  }
-  return saved
-}
-
-function loadTree (saved: SavedTree): SettingsTree {
-  const tree = createSettingsTree()
-  let path = ''
-  for (const [index, rest] of saved.rest.entries()) {
-    path = path.slice(0, saved.shared[index]) + rest
-    tree.putNode({ path, nodeRevision: saved.revisions[index]!, values: JSON.parse(saved.values[index]!) as Record<string, unknown> })
-  }
-  tree.setRevision(saved.revision)
-  return tree
-}
-
 /** Encodes the whole state. */
 export function encodeSnapshot (tables: StateTables): Uint8Array {
   const state: SavedState = {
     format: SNAPSHOT_FORMAT,
     now: tables.clock.now,
-    tree: saveTree(tables.tree),
+    tree: tables.tree.save(),
     audit: tables.audit.save(),
     answers: tables.answers.save(),
     claims: tables.claims.save(),
@@ -85,7 +44,7 @@
   if (state.format !== SNAPSHOT_FORMAT) {
     throw new CatkinferryError({ code: ErrorCode.DAMAGED_FILE, message: `snapshot format ${String(state.format)} is not ${SNAPSHOT_FORMAT}`, step: 'snapshot.restore', hint: 'run a release that knows this format' })
   }
-  const tables = createStateTables(loadTree(state.tree))
+  const tables = createStateTables(createSettingsTree(state.tree))
   tables.audit.load(state.audit)
   tables.answers.load(state.answers)
   tables.claims.load(state.claims)
--- a/settings/tree/src/hashIndex.ts
+++ b/settings/tree/src/hashIndex.ts
@@ -16,7 +16,7 @@
 }
 
 export interface HashIndex {
-  /** The id with this hash for which `isMatch` holds, or -1. */
+  /** The id for which `isMatch` holds among those that may have this hash, or -1. */
   readonly find: (hash: number, isMatch: (id: number) => boolean) => number
   readonly add: (id: number) => void
   readonly remove: (id: number) => void
@@ -65,7 +65,7 @@
       const mask = slots.length - 1
       let slot = hash & mask
       for (let entry = slots[slot]!; entry !== 0; entry = slots[slot]!) {
-        if (getHash(entry - 1) === hash && isMatch(entry - 1)) return entry - 1
+        if (isMatch(entry - 1)) return entry - 1
         slot = (slot + 1) & mask
       }
       return -1
--- a/settings/tree/src/nodeStore.ts
+++ b/settings/tree/src/nodeStore.ts
@@ -1,7 +1,8 @@
 /** Nodes of the settings trees in columns: a few dozen bytes a node, since the models tree holds hundreds of thousands. */
+import { createDigestStore, NO_DIGEST } from './digestStore.ts'
 import { createHashIndex, hashName } from './hashIndex.ts'
-import { formatPacked, packValues, unpackValues } from './packValues.ts'
-import type { NodeValues, PackedValues } from './packValues.ts'
+import { formatPacked, mayHaveKey, packValues, unpackValues } from './packValues.ts'
+import type { NodeValues, Packed, PackedValues, TemplateNames } from './packValues.ts'
 import { createNameSharer } from './shareNames.ts'
 
 /** No node: absent parent, child or sibling. */
@@ -27,6 +28,10 @@
   readonly getValues: (id: number) => NodeValues
   /** The values as JSON, keys sorted. */
   readonly getValuesJson: (id: number) => string
+  readonly hasKey: (id: number, key: string) => boolean
+  readonly getPacked: (id: number) => Packed
+  readonly setPacked: (id: number, packed: Packed) => void
+  readonly setRevision: (id: number, revision: number) => void
   readonly setNode: (id: number, revision: number, values: NodeValues) => void
   readonly getFirstChild: (id: number) => number
   readonly getNextSibling: (id: number) => number
@@ -36,12 +41,12 @@
 
 interface Columns {
   parent: Int32Array
-  hash: Int32Array
   firstChild: Int32Array
-  lastChild: Int32Array
   next: Int32Array
+  /** The first child holds the last one here. */
   previous: Int32Array
-  revision: Float64Array
+  digestSlot: Int32Array
+  revision: Uint32Array
   /** Bit 0: in use; bit 1: adapter. */
   flags: Uint8Array
 }
@@ -52,12 +57,11 @@
 function createColumns (size: number): Columns {
   return {
     parent: new Int32Array(size),
-    hash: new Int32Array(size),
     firstChild: new Int32Array(size),
-    lastChild: new Int32Array(size),
     next: new Int32Array(size),
     previous: new Int32Array(size),
-    revision: new Float64Array(size),
+    digestSlot: new Int32Array(size),
+    revision: new Uint32Array(size),
     flags: new Uint8Array(size)
   }
 }
@@ -68,6 +72,30 @@
   return to
 }
 
+function linkLast (columns: Columns, parent: number, id: number): void {
+  const first = columns.firstChild[parent]!
+  columns.next[id] = NO_NODE
+  if (first === NO_NODE) {
+    columns.firstChild[parent] = id
+    columns.previous[id] = id
+    return
+  }
+  const last = columns.previous[first]!
+  columns.next[last] = id
+  columns.previous[id] = last
+  columns.previous[first] = id
+}
+
+function unlink (columns: Columns, parent: number, id: number): void {
+  const first = columns.firstChild[parent]!
+  const previous = columns.previous[id]!
+  const next = columns.next[id]!
+  if (first === id) columns.firstChild[parent] = next
+  else columns.next[previous] = next
+  if (next !== NO_NODE) columns.previous[next] = previous
+  else if (first !== id) columns.previous[first] = previous
+}
+
 /** Creates a store without nodes. */
 export function createNodeStore (): NodeStore {
   let columns = createColumns(INITIAL_CAPACITY)
@@ -76,7 +104,8 @@
   const values: PackedValues[] = []
   const freeIds: number[] = []
   const shareName = createNameSharer()
-  const children = createHashIndex({ getHash: id => columns.hash[id]! })
+  const digests = createDigestStore()
+  const children = createHashIndex({ getHash: id => hashName(columns.parent[id]!, names[id]!) })
   const adapters = createHashIndex({ getHash: id => hashName(0, names[id]!) })
 
   function takeId (): number {
@@ -86,22 +115,21 @@
     return idLimit++
   }
 
-  function linkLast (parent: number, id: number): void {
-    const last = columns.lastChild[parent]!
-    columns.previous[id] = last
-    columns.next[id] = NO_NODE
-    if (last === NO_NODE) columns.firstChild[parent] = id
-    else columns.next[last] = id
-    columns.lastChild[parent] = id
+  function getNames (id: number): TemplateNames {
+    const parent = columns.parent[id]!
+    return { name: names[id]!, parent: parent === NO_NODE ? names[id]! : names[parent]! }
   }
 
-  function unlink (parent: number, id: number): void {
-    const previous = columns.previous[id]!
-    const next = columns.next[id]!
-    if (previous === NO_NODE) columns.firstChild[parent] = next
-    else columns.next[previous] = next
-    if (next === NO_NODE) columns.lastChild[parent] = previous
-    else columns.previous[next] = previous
+  function getPacked (id: number): Packed {
+    const slot = columns.digestSlot[id]!
+    return { values: values[id], digest: slot === NO_DIGEST ? undefined : digests.get(slot) }
+  }
+
+  function setPacked (id: number, packed: Packed): void {
+    const slot = columns.digestSlot[id]!
+    if (slot !== NO_DIGEST) digests.remove(slot)
+    columns.digestSlot[id] = packed.digest === undefined ? NO_DIGEST : digests.add(packed.digest)
+    values[id] = packed.values
   }
 
   return {
@@ -112,13 +140,12 @@
       names[id] = shareName(name)
       values[id] = undefined
       columns.parent[id] = parent
-      columns.hash[id] = hashName(parent, name)
       columns.firstChild[id] = NO_NODE
-      columns.lastChild[id] = NO_NODE
+      columns.next[id] = NO_NODE
+      columns.digestSlot[id] = NO_DIGEST
       columns.revision[id] = 0
       columns.flags[id] = isAdapter ? IN_USE | ADAPTER : IN_USE
-      columns.next[id] = NO_NODE
-      if (parent !== NO_NODE) linkLast(parent, id)
+      if (parent !== NO_NODE) linkLast(columns, parent, id)
       children.add(id)
       if (isAdapter) adapters.add(id)
       return id
@@ -127,10 +154,10 @@
       children.remove(id)
       if ((columns.flags[id]! & ADAPTER) !== 0) adapters.remove(id)
       const parent = columns.parent[id]!
-      if (parent !== NO_NODE) unlink(parent, id)
+      if (parent !== NO_NODE) unlink(columns, parent, id)
+      setPacked(id, { values: undefined })
       columns.flags[id] = 0
       names[id] = ''
-      values[id] = undefined
       freeIds.push(id)
     },
     isUsed: id => (columns.flags[id]! & IN_USE) !== 0,
@@ -138,11 +165,15 @@
     getName: id => names[id]!,
     getParent: id => columns.parent[id]!,
     getRevision: id => columns.revision[id]!,
-    getValues: id => unpackValues(values[id]),
-    getValuesJson: id => formatPacked(values[id]),
+    getValues: id => unpackValues(getPacked(id), getNames(id)),
+    getValuesJson: id => formatPacked(getPacked(id), getNames(id)),
+    hasKey: (id, key) => mayHaveKey(values[id], key, getNames(id)) && Object.hasOwn(unpackValues(getPacked(id), getNames(id)), key),
+    getPacked,
+    setPacked,
+    setRevision: (id, revision) => { columns.revision[id] = revision },
     setNode: (id, revision, nodeValues) => {
       columns.revision[id] = revision
-      values[id] = packValues(nodeValues)
+      setPacked(id, packValues(nodeValues, getNames(id)))
     },
     getFirstChild: id => columns.firstChild[id]!,
     getNextSibling: id => columns.next[id]!,
--- a/settings/tree/src/readStore.ts
+++ b/settings/tree/src/readStore.ts
@@ -43,7 +43,7 @@
 /** The nearest node from `id` upwards that sets the key, or `NO_NODE`. */
 function findSetter (store: NodeStore, id: number, key: string): number {
   let at = id
-  while (at !== NO_NODE && !Object.hasOwn(store.getValues(at), key)) at = store.getParent(at)
+  while (at !== NO_NODE && !store.hasKey(at, key)) at = store.getParent(at)
   return at
 }
 
@@ -114,12 +114,17 @@
   return NO_NODE
 }
 
+/** Ids of all nodes, placeholders included, parents before children. */
+export function * walkAllIds (store: NodeStore): IterableIterator<number> {
+  for (let root = 0; root < store.getIdLimit() && store.getParent(root) === NO_NODE; root++) {
+    for (let id = root; id !== NO_NODE; id = findNextInWalk(store, id)) yield id
+  }
+}
+
 /** Ids of all existing nodes, parents before children. */
 function * walkIds (store: NodeStore): IterableIterator<number> {
-  for (let root = 0; root < store.getIdLimit() && store.getParent(root) === NO_NODE; root++) {
-    for (let id = root; id !== NO_NODE; id = findNextInWalk(store, id)) {
-      if (store.getRevision(id) > 0) yield id
-    }
+  for (const id of walkAllIds(store)) {
+    if (store.getRevision(id) > 0) yield id
   }
 }
 
--- /dev/null
+++ b/settings/tree/src/saveTree.ts
@@ -0,0 +1,76 @@
+/** Trees as plain columns, for snapshots: equal trees made by equal commands give equal columns. */
+import { NO_NODE } from './nodeStore.ts'
+import type { NodeStore } from './nodeStore.ts'
+import { DIGEST_BYTES, DIGEST_MARK, restorePacked } from './packValues.ts'
+import { walkAllIds } from './readStore.ts'
+
+/** All nodes in depth-first order, placeholders included. Numbers of several bytes are little-endian. */
+export interface SavedTree {
+  readonly revision: number
+  /** Depth of each node, 0 for the roots. */
+  readonly depths: Uint8Array
+  /** Names of the nodes, one a line. */
+  readonly names: string
+  /** Revisions of the nodes, 4 bytes each; 0 for a placeholder. */
+  readonly revisions: Uint8Array
+  /** Index into `templates` of each node, 4 bytes each. */
+  readonly templateIndexes: Uint8Array
+  /** JSON of values, with marks for names and digest, in the order of first use. */
+  readonly templates: readonly string[]
+  /** Digests of the nodes whose template has one, in order. */
+  readonly digests: Uint8Array
+}
+
+const NAME_SEPARATOR = '\n'
+
+function getDepth (store: NodeStore, id: number): number {
+  let depth = 0
+  for (let at = store.getParent(id); at !== NO_NODE; at = store.getParent(at)) depth++
+  return depth
+}
+
+/** Saves every node of a store. */
+export function saveStore (store: NodeStore, revision: number): SavedTree {
+  const ids = [...walkAllIds(store)]
+  const depths = new Uint8Array(ids.length)
+  const revisions = Buffer.alloc(ids.length * 4)
+  const templateIndexes = Buffer.alloc(ids.length * 4)
+  const templates = new Map<string, number>()
+  const digests: Uint8Array[] = []
+  for (const [index, id] of ids.entries()) {
+    depths[index] = getDepth(store, id)
+    revisions.writeUInt32LE(store.getRevision(id), index * 4)
+    const { values, digest } = store.getPacked(id)
+    const template = typeof values === 'string' ? values : JSON.stringify(values ?? {})
+    if (!templates.has(template)) templates.set(template, templates.size)
+    templateIndexes.writeUInt32LE(templates.get(template)!, index * 4)
+    if (digest !== undefined) digests.push(Uint8Array.from(digest))
+  }
+  const names = ids.map(id => store.getName(id)).join(NAME_SEPARATOR)
+  return { revision, depths, names, revisions, templateIndexes, templates: [...templates.keys()], digests: Buffer.concat(digests) }
+}
+
+/** Adds every saved node to an empty store that has its roots. Gives the number of nodes that exist. */
+export function loadStore (store: NodeStore, saved: SavedTree, isAdapterDepth: (root: string, depth: number) => boolean): number {
+  const names = saved.names.split(NAME_SEPARATOR)
+  const revisions = Buffer.from(saved.revisions)
+  const templateIndexes = Buffer.from(saved.templateIndexes)
+  const path: number[] = []
+  let digestOffset = 0
+  let count = 0
+  for (const [index, name] of names.entries()) {
+    const depth = saved.depths[index]!
+    const parent = depth === 0 ? NO_NODE : path[depth - 1]!
+    const id = depth === 0 ? store.findChild(NO_NODE, name) : store.addChild(parent, name, isAdapterDepth(store.getName(path[0]!), depth))
+    path[depth] = id
+    const template = saved.templates[templateIndexes.readUInt32LE(index * 4)]!
+    const hasDigest = template.includes(DIGEST_MARK)
+    const digest = hasDigest ? saved.digests.subarray(digestOffset, digestOffset + DIGEST_BYTES) : undefined
+    if (hasDigest) digestOffset += DIGEST_BYTES
+    store.setPacked(id, restorePacked(template, digest))
+    const revision = revisions.readUInt32LE(index * 4)
+    store.setRevision(id, revision)
+    if (revision > 0) count++
+  }
+  return count
+}
--- a/settings/tree/src/settingsTree.ts
+++ b/settings/tree/src/settingsTree.ts
@@ -6,6 +6,8 @@
 import { createNodeStore, NO_NODE } from './nodeStore.ts'
 import type { NodeStore } from './nodeStore.ts'
 import type { NodeValues } from './packValues.ts'
+import { loadStore, saveStore } from './saveTree.ts'
+import type { SavedTree } from './saveTree.ts'
 import {
   explainValue, findNearest, findNode, formatPath, listAdapters, listChildNames, listIds, readNode, readValue, resolveAdapter, walkPacked, walkStore
 } from './readStore.ts'
@@ -57,17 +59,19 @@
   readonly getIdLimit: () => number
   /** All nodes, parents before children, in an order that follows from the commands alone. */
   readonly walkNodes: () => IterableIterator<TreeNode>
+  /** The whole tree as columns, for snapshots. */
+  readonly save: () => SavedTree
   /** As `walkNodes`, with the values as JSON. */
   readonly walkPacked: () => IterableIterator<PackedNode>
 }
 
-/** Creates trees without nodes at revision 0. */
-export function createSettingsTree (): SettingsTree {
+/** Creates trees without nodes at revision 0, or restores saved ones. */
+export function createSettingsTree (saved?: SavedTree): SettingsTree {
   const store = createNodeStore()
   for (const root of Object.keys(TREE_LEVELS)) store.addChild(NO_NODE, root, false)
   const cache = createEffectiveCache()
-  let revision = 0
-  let count = 0
+  let revision = saved?.revision ?? 0
+  let count = saved === undefined ? 0 : loadStore(store, saved, isAdapterDepth)
 
   function removeNode (path: NodePath): void {
     const id = findNode(store, path)
@@ -114,17 +118,22 @@
     listIds: (from, limit) => listIds(store, from, limit),
     getIdLimit: store.getIdLimit,
     walkNodes: () => walkStore(store),
-    walkPacked: () => walkPacked(store)
+    walkPacked: () => walkPacked(store),
+    save: () => saveStore(store, revision)
   }
 }
 
+function isAdapterDepth (root: string, depth: number): boolean {
+  return depth === TREE_LEVELS.models.indexOf('adapter') && root === TREE_LEVELS.models[0]
+}
+
 /** Finds a node, adding it and its ancestors as placeholders where they are absent. */
 function findOrAdd (store: NodeStore, path: NodePath): number {
   let id = NO_NODE
-  for (const [depth, name] of path.split('/').entries()) {
+  const segments = path.split('/')
+  for (const [depth, name] of segments.entries()) {
     const child = store.findChild(id, name)
-    const isAdapter = depth === TREE_LEVELS.models.indexOf('adapter') && path.startsWith('models/')
-    id = child === NO_NODE ? store.addChild(id, name, isAdapter) : child
+    id = child === NO_NODE ? store.addChild(id, name, isAdapterDepth(segments[0]!, depth)) : child
   }
   return id
 }
--- a/settings/tree/test/settingsTree.test.ts
+++ b/settings/tree/test/settingsTree.test.ts
@@ -35,6 +35,23 @@
     expect(tree.listAdapters({ limit: 5 }).map(row => row.adapterKey)).toEqual(['a@v1'])
   })
 
+  it('gives back long values whatever the names in them, also after a snapshot', () => {
+    const digest = 'sha256:' + '0123456789abcdef'.repeat(4)
+    const name = fc.constantFrom('a', 'v1', 'digest', 'enabled', 'sha256', 'weightsUri', 'notice-000123', '0')
+    fc.assert(fc.property(name, name, fc.string({ maxLength: 90 }), (adapter, version, text) => {
+      const values = { weightsUri: `store://weights/${adapter}/${version}.safetensors${JSON.stringify(text)}`, digest, pool: `${adapter}${version}`.repeat(4) }
+      const tree = createSettingsTree()
+      const path = `models/m/${adapter}/${version}`
+      tree.applyDelta({ revision: 3, nodes: [{ path: `models/m/${adapter}`, nodeRevision: 2, values: { inForce: version } }, { path, nodeRevision: 3, values }] })
+      for (const read of [tree, createSettingsTree(tree.save())]) {
+        expect(read.getNode(path)).toEqual({ path, revision: 3, values })
+        expect(read.getValue(path, 'enabled')).toEqual(true)
+        expect(read.getValue(path, 'digest')).toEqual(digest)
+        expect(read.resolveAdapter(adapter)?.version).toEqual(version)
+      }
+    }), { seed: 1, numRuns: 300 })
+  })
+
   it('describes the effective keys of a node with their origin', () => {
     const tree = createSettingsTree()
     tree.putNode({ path: 'models/m', nodeRevision: 3, values: { pool: 'notices' } })
