Test the parts of routing one by one

Cause: admission, queues, breakers, limits, retries and the router were only tested through the requests system. Conclusion: faults in a part show in its own test.

--- /dev/null
+++ b/routing/router/test/router.test.ts
@@ -0,0 +1,114 @@
+import { describe, it } from 'node:test'
+import type { EndpointView, ZoneSummary, ZoneView } from '@catkinferry/core.types'
+import { expect } from 'earl'
+import { createPrefixIndex, createRouter } from '../src/index.ts'
+import type { RouteAsk, Router, RouterWeights } from '../src/index.ts'
+
+const WEIGHTS: RouterWeights = { loadStallWeight: 1, batchFillWeight: 1, prefixMissMs: 40, spillCostPerKilobyteMs: 5, spillQueueMs: 500 }
+
+function createView (opts: Partial<EndpointView> & { endpoint: string }): EndpointView {
+  return {
+    kind: 'engine',
+    zone: 'a',
+    region: 'r',
+    url: '',
+    pool: 'p',
+    leaving: false,
+    owner: 'h2',
+    fencing: 1,
+    isResident: () => false,
+    isLoading: () => false,
+    running: 0,
+    waiting: 0,
+    batchLimit: 8,
+    slots: 4,
+    freeSlots: 4,
+    expectedLoadMs: 250,
+    expectedRunMs: 1_000,
+    reportAgeMs: 500,
+    ...opts
+  }
+}
+
+function createTestRouter (endpoints: EndpointView[], zones: ZoneSummary[] = []): Router {
+  const zone = { listEndpoints: () => endpoints, listOtherZones: () => zones } as unknown as ZoneView
+  return createRouter({ self: { host: 'h1', zone: 'a', region: 'r' }, zone, isAllowed: () => true })
+}
+
+function createAsk (opts: Partial<RouteAsk> = {}): RouteAsk {
+  return { pool: 'p', adapterKey: 'a1@v1', payloadBytes: 100, now: 1_000, isAvoided: () => false, mayLeaveZone: true, ...opts }
+}
+
+function choose (router: Router, ask: Partial<RouteAsk> = {}, weights: Partial<RouterWeights> = {}): string {
+  const choice = router.choose(createAsk(ask), { ...WEIGHTS, ...weights })
+  if (choice.kind === 'endpoint') return choice.endpoint.endpoint
+  return choice.kind === 'zone' ? choice.summary.zone : choice.reason
+}
+
+describe('createRouter', () => {
+  it('prefers the endpoint that has the adapter, until its queue costs more than a load', () => {
+    const busy = { isResident: () => true, running: 8 }
+    expect(choose(createTestRouter([createView({ endpoint: 'warm', ...busy }), createView({ endpoint: 'cold' })]))).toEqual('warm')
+    expect(choose(createTestRouter([createView({ endpoint: 'warm', ...busy, waiting: 8 }), createView({ endpoint: 'cold' })]))).toEqual('cold')
+  })
+
+  it('fills batches where that is weighed, and spares loads where these are', () => {
+    const endpoints = [
+      createView({ endpoint: 'empty', isResident: () => true }),
+      createView({ endpoint: 'full', running: 6, isLoading: () => true })
+    ]
+    expect(choose(createTestRouter(endpoints), {}, { loadStallWeight: 4 })).toEqual('empty')
+    expect(choose(createTestRouter(endpoints), {}, { loadStallWeight: 0.25, batchFillWeight: 4 })).toEqual('full')
+  })
+
+  it('gathers a cold adapter on the same endpoint whatever else is idle', () => {
+    const endpoints = Array.from({ length: 12 }, (_, index) => createView({ endpoint: `e${index}` }))
+    const first = choose(createTestRouter(endpoints))
+    expect(choose(createTestRouter([...endpoints].reverse()))).toEqual(first)
+  })
+
+  it('counts its own asks that no report contains yet', () => {
+    const endpoints = ['e1', 'e2'].map(endpoint => createView({ endpoint, isResident: () => true, running: 7 }))
+    const router = createTestRouter(endpoints)
+    const first = choose(router)
+    router.noteAsked(first, 'a1@v1', 1_000)
+    router.noteAsked(first, 'a1@v1', 1_000)
+    expect(choose(router)).not.toEqual(first)
+    expect(choose(router, { now: 2_000 })).toEqual(first)
+  })
+
+  it('keeps prompts with the same prefix together', () => {
+    const router = createTestRouter(['e1', 'e2'].map(endpoint => createView({ endpoint, isResident: () => true })))
+    router.receiveCache('e2', 'stored', ['p1'], 900)
+    router.receiveCache('e1', 'stored', ['p2'], 900)
+    expect([choose(router, { prefixHash: 'p1' }), choose(router, { prefixHash: 'p2' })]).toEqual(['e2', 'e1'])
+  })
+
+  it('spills only when its own queue costs more, to its own region first', () => {
+    const far = { zone: 'far', region: 'other', contact: 'x', freeCapacity: 4, queueMs: 0, ageMs: 100 }
+    const near = { ...far, zone: 'near', region: 'r' }
+    const idle = createView({ endpoint: 'e1' })
+    const swamped = createView({ endpoint: 'e1', running: 8, waiting: 40 })
+    expect(choose(createTestRouter([idle], [near]))).toEqual('e1')
+    expect(choose(createTestRouter([swamped], [far, near]))).toEqual('near')
+    expect(choose(createTestRouter([swamped], [{ ...near, ageMs: 9_000 }]))).toEqual('e1')
+    expect(choose(createTestRouter([swamped], [far]), { payloadBytes: 100_000 })).toEqual('e1')
+  })
+
+  it('never chooses a leaving endpoint', () => {
+    expect(choose(createTestRouter([createView({ endpoint: 'e1', leaving: true })]))).toEqual('noEndpoint')
+  })
+})
+
+describe('createPrefixIndex', () => {
+  it('does not let a late drop undo a newer dispatch, and forgets by itself', () => {
+    const index = createPrefixIndex()
+    index.noteDispatched('p1', 1_000)
+    index.noteDropped('p1', 2_000)
+    expect(index.has('p1', 2_000)).toEqual(true)
+    index.noteDropped('p1', 5_000)
+    expect(index.has('p1', 5_000)).toEqual(false)
+    index.noteStored('p2', 5_000)
+    expect(index.has('p2', 400_000)).toEqual(false)
+  })
+})
