Measure the policy against baselines and gather cold adapters by region

Cause: each zone loaded the cold adapters by itself, eviction went by a rate that one request made hot, and a zone that was idle kept no load budget. Change: the policy experiment with engine and store models, baselines and a bound; cold adapters gather in one zone of the region and on one engine there, by one hash for entry hosts and contacts; eviction by the rate over a minute; the load budget keeps three seconds of tokens, lends all of its pool, floors at 0.7; refusals that cost the endpoint nothing do not use up retries.

--- a/adapters/load-budget/src/lender.ts
+++ b/adapters/load-budget/src/lender.ts
@@ -19,6 +19,9 @@
   readonly lend: (ask: { readonly zone: ZoneId, readonly wanted: number }, durationMs: DurationMs, now: MonotonicMs) => number
 }
 
+/** Nothing of the pool stays unlent: each zone counts as wanting this many more loads per second. */
+const EVEN_PART = 0.2
+
 /** Creates a lender of a pool of loads per second. */
 export function createLender (opts: { readonly getPool: () => number }): Lender {
   const loans = new Map<ZoneId, Loan>()
@@ -27,8 +30,8 @@
   function computeShare (wanted: number, pool: number): number {
     let wantedByAll = 0
     for (const loan of loans.values()) wantedByAll += loan.wanted
-    if (wantedByAll <= pool) return wanted
-    return pool * wanted / wantedByAll
+    const zones = Math.max(1, loans.size)
+    return pool * (wanted + EVEN_PART) / (wantedByAll + EVEN_PART * zones)
   }
 
   function lend (ask: { readonly zone: ZoneId, readonly wanted: number }, durationMs: DurationMs, now: MonotonicMs): number {
--- a/adapters/load-budget/src/limits.ts
+++ b/adapters/load-budget/src/limits.ts
@@ -2,7 +2,7 @@
 import type { DurationMs } from '@catkinferry/core.types'
 
 /** Share of the limits that the floors add up to. */
-const FLOOR_SHARE = 0.6
+const FLOOR_SHARE = 0.7
 
 /** Limits of the whole deployment, from the settings. */
 export interface LoadLimits {
--- a/adapters/load-budget/src/zoneBudget.ts
+++ b/adapters/load-budget/src/zoneBudget.ts
@@ -22,12 +22,12 @@
 type Lend = Extract<LoadBudgetMessage, { kind: 'budget.lend' }>
 
 const MS_PER_SECOND = 1_000
-const BURST_MS = 600
+const BURST_MS = 3_000
 /** An owner must start a load within this time of being given it. */
 const GIVEN_FOR_MS = 2_000
 const TAKE_KEPT_MS = 5_000
-const LEND_MS = 3_000
-const ASK_INTERVAL_MS = 500
+const LEND_MS = 1_000
+const ASK_INTERVAL_MS = 250
 const SLOW_FACTOR = 1.5
 const BACK_OFF_FACTOR = 0.8
 const STEER_INTERVAL_MS = 1_000
--- a/adapters/popularity/src/popularity.ts
+++ b/adapters/popularity/src/popularity.ts
@@ -4,7 +4,7 @@
 /** Sees a shift within seconds. */
 const FAST_TIME_MS = 5_000
 /** Remembers what is hot over minutes. */
-const SLOW_TIME_MS = 120_000
+const SLOW_TIME_MS = 60_000
 const MS_PER_SECOND = 1_000
 /** Rates below this are forgotten, in requests per second. */
 const FORGOTTEN_RATE = 1e-5
@@ -99,7 +99,7 @@
     },
     getFastRate,
     getSlowRate,
-    getRate: (adapterKey, now) => Math.max(getFastRate(adapterKey, now), getSlowRate(adapterKey, now)),
+    getRate: getSlowRate,
     isRising: (adapterKey, now) => getFastRate(adapterKey, now) > RISING_RATIO * getSlowRate(adapterKey, now),
     getSize: () => rowsByKey.size,
     getArrayBytes: () => fast.byteLength + slow.byteLength + notedAt.byteLength
--- a/routing/requests/src/attemptEvents.ts
+++ b/routing/requests/src/attemptEvents.ts
@@ -11,6 +11,9 @@
 import { failRequest } from './failing.ts'
 import type { AttemptRow, RequestRow } from './types.ts'
 
+/** Retries after refusals that cost the endpoints nothing. */
+const MAX_FREE_RETRIES = 12
+
 /** A request keeps away from an endpoint that failed it for this long. */
 const FAILED_AVOID_MS = 2_000
 
@@ -131,6 +134,7 @@
   const { now } = context
   if (row.winner === attempt.attemptId) row.winner = undefined
   if (countLive(row) > 0) return
+  if (!end.isFree) row.failures += 1
   const reason = findStopReason(core, attempt, end)
   if (reason === undefined) {
     row.retries += 1
@@ -164,9 +168,9 @@
   if (row.detached) return 'the caller is gone'
   if (row.claim !== undefined && end.sent) return 'not repeated: the work may have run'
   if (row.headSent && !canResume(core, row)) return 'the stream was cut'
-  if (row.retries + 1 >= core.getPolicy().retryMaxAttempts) return 'no attempts left'
-  if (!end.isFree && !core.budget.tryTake()) return 'the retry budget is spent'
-  return undefined
+  if (end.isFree) return row.retries >= MAX_FREE_RETRIES ? 'no attempts left' : undefined
+  if (row.failures >= core.getPolicy().retryMaxAttempts) return 'no attempts left'
+  return core.budget.tryTake() ? undefined : 'the retry budget is spent'
 }
 
 /** An answer that belongs elsewhere, or has parts missing: dropped, and the attempt counts as failed. */
--- a/routing/requests/src/placing.ts
+++ b/routing/requests/src/placing.ts
@@ -101,7 +101,7 @@
 function checkOutage (core: Core, row: RequestRow, reason: string, context: RunContext): boolean {
   row.lastReason = reason
   const isServing = row.target.kind === 'service' || core.opts.zone.isServing(context.now)
-  const isOutage = !isServing || core.opts.zone.listEndpoints(row.target.pool).length === 0
+  const isOutage = !isServing || !core.opts.zone.listEndpoints(row.target.pool).some(view => view.kind === 'service' || view.batchLimit > 0)
   if (!isOutage || context.now - row.arrivedAt < OUTAGE_PATIENCE_MS) return false
   failRequest(core, row, {
     code: isServing ? ErrorCode.NO_CAPACITY : ErrorCode.NOT_SERVING,
--- a/routing/requests/src/submit.ts
+++ b/routing/requests/src/submit.ts
@@ -64,6 +64,7 @@
     asks: 0,
     dispatches: 0,
     retries: 0,
+    failures: 0,
     hedged: false,
     deadlineRefusals: 0,
     headSent: false,
--- a/routing/requests/src/types.ts
+++ b/routing/requests/src/types.ts
@@ -76,6 +76,8 @@
   asks: number
   dispatches: number
   retries: number
+  /** Attempts that failed and may have run. */
+  failures: number
   hedged: boolean
   deadlineRefusals: number
   /** The attempt whose answer the caller gets. */
--- a/routing/router/src/cost.ts
+++ b/routing/router/src/cost.ts
@@ -1,19 +1,26 @@
 /** Cost of an endpoint for one request, in milliseconds. */
-import type { DurationMs, HostId } from '@catkinferry/core.types'
+import type { DurationMs, EndpointView } from '@catkinferry/core.types'
 import type { Candidate, CostParts, RouteAsk, RouterWeights } from './types.ts'
 
 /** Value of a full batch over an empty one at weight 1. */
 const FULL_BATCH_VALUE_MS = 60
 
-/** Own asks are in the figures already when this host owns the endpoint. */
-function countOwnAsks (ask: RouteAsk, { endpoint, memory }: Candidate, self: HostId): number {
-  return endpoint.owner === self ? 0 : memory.asks.countSince(ask.now, endpoint.reportAgeMs)
+/** Owners publish changes faster than this; asks older than that are in the figures. */
+const LONGEST_FIGURES_AGE_MS = 400
+
+function getFiguresAge (endpoint: EndpointView): DurationMs {
+  return Math.min(endpoint.reportAgeMs, LONGEST_FIGURES_AGE_MS)
+}
+
+/** Own asks that the endpoint's figures cannot contain yet. */
+function countOwnAsks (ask: RouteAsk, { endpoint, memory }: Candidate): number {
+  return memory.asks.countSince(ask.now, getFiguresAge(endpoint))
 }
 
 /** True where the adapter is loaded or being loaded, and for plain services. */
 export function isWarm (ask: RouteAsk, { endpoint, memory }: Candidate): boolean {
   return endpoint.kind === 'service' || endpoint.isResident(ask.adapterKey) || endpoint.isLoading(ask.adapterKey) ||
-    memory.asks.hasAdapter(ask.adapterKey, ask.now, endpoint.reportAgeMs)
+    memory.asks.hasAdapter(ask.adapterKey, ask.now, getFiguresAge(endpoint))
 }
 
 function estimateStall (ask: RouteAsk, candidate: Candidate): DurationMs {
@@ -25,10 +32,10 @@
 }
 
 /** Queue wait + load stall x weight + prefix miss - batch fill x weight. */
-export function computeCost (ask: RouteAsk, candidate: Candidate, weights: RouterWeights, self: HostId): CostParts {
+export function computeCost (ask: RouteAsk, candidate: Candidate, weights: RouterWeights): CostParts {
   const { endpoint, memory } = candidate
   const batchLimit = Math.max(1, endpoint.batchLimit)
-  const load = endpoint.running + endpoint.waiting + countOwnAsks(ask, candidate, self)
+  const load = endpoint.running + endpoint.waiting + countOwnAsks(ask, candidate)
   const excess = Math.max(0, load + 1 - batchLimit)
   const queueMs = excess * endpoint.expectedRunMs / batchLimit
   const stallMs = estimateStall(ask, candidate)
--- a/routing/router/src/router.ts
+++ b/routing/router/src/router.ts
@@ -2,16 +2,16 @@
  * Chooses an endpoint by cost in milliseconds. A cold adapter is gathered on a small candidate set by
  * rendezvous hashing, so that its requests share one load and one batch.
  */
+import { computeWeight, hashText } from '@catkinferry/core.hash'
 import type { EndpointId, EndpointView, HostPlace, MonotonicMs, ZoneView } from '@catkinferry/core.types'
 import { computeCost, isWarm } from './cost.ts'
 import { createOwnAsks } from './ownAsks.ts'
 import { createPrefixIndex } from './prefixIndex.ts'
-import { computeWeight, hashText } from './rendezvous.ts'
-import { chooseZone } from './spill.ts'
+import { chooseZone, findHomeZone, ZONE_STEP_MS } from './spill.ts'
 import type { Candidate, CostParts, EndpointMemory, RouteAsk, RouteChoice, Router, RouterWeights } from './types.ts'
 
 /** Endpoints that a cold adapter may be loaded on. */
-const COLD_CANDIDATES = 2
+const COLD_CANDIDATES = 1
 
 export interface RouterOptions {
   readonly self: HostPlace
@@ -31,6 +31,11 @@
   }
 }
 
+/** True of an engine that is unreachable or has not reported to this host yet. */
+function isUnknown (endpoint: EndpointView): boolean {
+  return endpoint.kind === 'engine' && endpoint.batchLimit === 0
+}
+
 /** Adds the rendezvous candidates among the cold endpoints. */
 function addHeaviest (candidates: Candidate[], cold: Candidate[]): void {
   for (let added = 0; added < COLD_CANDIDATES; added += 1) {
@@ -69,7 +74,7 @@
     for (const endpoint of opts.zone.listEndpoints(ask.pool)) {
       if (endpoint.leaving || ask.isAvoided(endpoint.endpoint)) continue
       known += 1
-      if (!opts.isAllowed(endpoint, ask.now)) continue
+      if (isUnknown(endpoint) || !opts.isAllowed(endpoint, ask.now)) continue
       const memory = getMemory(endpoint.endpoint)
       const candidate = { endpoint, memory, weight: computeWeight(adapterHash, memory.hash) }
       if (isWarm(ask, candidate)) candidates.push(candidate)
@@ -81,14 +86,26 @@
 
   function chooseInZone (ask: RouteAsk, weights: RouterWeights): RouteChoice {
     const { candidates, known } = listCandidates(ask)
-    const found = pickCheapest(candidates, candidate => computeCost(ask, candidate, weights, opts.self.host))
+    const found = pickCheapest(candidates, candidate => computeCost(ask, candidate, weights))
     if (found === undefined) return { kind: 'none', reason: known === 0 ? 'noEndpoint' : 'allBusy' }
     return { kind: 'endpoint', endpoint: found.best.endpoint, cost: found.cost, weighed: candidates.length }
   }
 
+  /** A load here is spared when another zone of the region gathers the adapter and has room for it. */
+  function chooseHome (ask: RouteAsk, weights: RouterWeights, inZone: RouteChoice): RouteChoice | undefined {
+    if (inZone.kind !== 'endpoint' || inZone.cost.stallMs === 0) return undefined
+    const summary = findHomeZone({ adapterKey: ask.adapterKey, self: opts.self, zones: opts.zone.listOtherZones(ask.pool) })
+    if (summary === undefined || summary.freeCapacity <= 0) return undefined
+    const costMs = summary.queueMs + ZONE_STEP_MS
+    if (costMs > inZone.cost.stallMs * weights.loadStallWeight) return undefined
+    return { kind: 'zone', summary, costMs, queueMs: summary.queueMs }
+  }
+
   return {
     choose: (ask, weights) => {
       const inZone = chooseInZone(ask, weights)
+      const home = ask.mayLeaveZone ? chooseHome(ask, weights, inZone) : undefined
+      if (home !== undefined) return home
       const isGoodEnough = inZone.kind === 'endpoint' && inZone.cost.queueMs <= weights.spillQueueMs
       if (isGoodEnough || !ask.mayLeaveZone) return inZone
       const spill = chooseZone({ ask, weights, self: opts.self, zones: opts.zone.listOtherZones(ask.pool) })
--- a/routing/router/src/spill.ts
+++ b/routing/router/src/spill.ts
@@ -1,15 +1,16 @@
 /** Cost of sending a request to another zone. */
-import type { HostPlace, ZoneSummary } from '@catkinferry/core.types'
+import { computeWeight, hashText } from '@catkinferry/core.hash'
+import type { AdapterKey, HostPlace, ZoneSummary } from '@catkinferry/core.types'
 import type { RouteAsk, RouterWeights, ZoneChoice } from './types.ts'
 
 /** Cost of one more network step to another zone of the same region. */
-const ZONE_STEP_MS = 2
+export const ZONE_STEP_MS = 2
 
 /** Cost of one more network step to another region. */
 const REGION_STEP_MS = 12
 
 /** Digests of other zones older than this are not used. */
-const MAX_DIGEST_AGE_MS = 5_000
+const MAX_DIGEST_AGE_MS = 12_000
 
 /** Larger payloads do not cross between regions. */
 const MAX_CROSS_REGION_BYTES = 16 * 1024
@@ -38,3 +39,22 @@
   }
   return best
 }
+
+/**
+ * Finds the zone of the own region that gathers an adapter: all hosts of the region that hear of the
+ * same zones find the same one. Undefined: this zone.
+ */
+export function findHomeZone (opts: { readonly adapterKey: AdapterKey, readonly self: HostPlace, readonly zones: readonly ZoneSummary[] }): ZoneSummary | undefined {
+  const { adapterKey, self, zones } = opts
+  const adapterHash = hashText(adapterKey)
+  let home: ZoneSummary | undefined
+  let heaviest = computeWeight(adapterHash, hashText(self.zone))
+  for (const summary of zones) {
+    if (summary.region !== self.region || summary.ageMs > MAX_DIGEST_AGE_MS) continue
+    const weight = computeWeight(adapterHash, hashText(summary.zone))
+    if (weight <= heaviest) continue
+    heaviest = weight
+    home = summary
+  }
+  return home
+}
--- a/settings/schema/src/keys.ts
+++ b/settings/schema/src/keys.ts
@@ -57,6 +57,7 @@
   createFleetKey('grant.startWithinMs', createIntRule('ms', 10, 1_000), 500, 'Time in which a grant must be used.', 'zone'),
   createFleetKey('request.maxRunMs', longMs, 120_000, 'Longest run of one attempt at an endpoint.', 'zone'),
   createFleetKey('stream.progressTimeoutMs', shortMs, 10_000, 'Silence on a stream that counts as a failure.'),
+  createFleetKey('stream.resumeEnabled', flag, false, 'Whether engines resume a cut stream exactly at its offset; used for greedy decoding only.'),
   createFleetKey('endpoint.pollMs', createIntRule('ms', 50, 60_000), 500, 'Interval at which an owner reads an endpoint\'s report.', 'zone'),
   createFleetKey('platform.pollMs', createIntRule('ms', 50, 60_000), 1_000, 'Interval at which the platform list is read.', 'zone'),
   createFleetKey('roles.minimumStayMs', longMs, 600_000, 'Time that an engine stays in a pool before it may be moved.', 'zone'),
--- a/testing/measure/src/experiments/index.ts
+++ b/testing/measure/src/experiments/index.ts
@@ -1,7 +1,9 @@
 /** Lookup table of experiments by name. */
 import type { Experiment } from '../experiment.ts'
 import { memory } from './memory.ts'
+import { policyExperiment } from './policy.ts'
 
 export const experiments: Readonly<Record<string, Experiment>> = {
-  memory
+  memory,
+  policy: policyExperiment
 }
--- /dev/null
+++ b/testing/measure/src/policy/store.ts
@@ -0,0 +1,36 @@
+/** The weights store: a rate with a small burst, and loads that slow down when too many are in flight. */
+import type { StoreLimits } from './deployments.ts'
+import type { VirtualTime } from './virtualTime.ts'
+
+const MS_PER_SECOND = 1_000
+
+export interface Store {
+  /** Calls back when the weights have arrived. */
+  readonly fetch: (onDone: () => void) => void
+  readonly getFetchCount: () => number
+}
+
+/** Creates an idle store. */
+export function createStore (time: VirtualTime, limits: StoreLimits): Store {
+  const perLoadMs = MS_PER_SECOND / limits.loadsPerSecond
+  /** When the next load may begin, were the burst 1. */
+  let nextAt = 0
+  let inFlight = 0
+  let fetches = 0
+  return {
+    fetch: onDone => {
+      fetches += 1
+      inFlight += 1
+      const now = time.getNow()
+      nextAt = Math.max(nextAt, now - (limits.burst - 1) * perLoadMs)
+      const startAt = Math.max(now, nextAt)
+      nextAt += perLoadMs
+      const slowdown = Math.max(1, inFlight / limits.fullSpeedInFlight)
+      time.at(startAt + limits.loadMs * slowdown, () => {
+        inFlight -= 1
+        onDone()
+      })
+    },
+    getFetchCount: () => fetches
+  }
+}
--- a/zone/coordination/src/crossZone.ts
+++ b/zone/coordination/src/crossZone.ts
@@ -1,4 +1,5 @@
 /** Asks from other zones: a contact chooses an endpoint and hands the ask to its owner. */
+import { computeWeight, hashText } from '@catkinferry/core.hash'
 import { createDueTimes } from '@catkinferry/core.tables'
 import type { AdapterKey, AttemptId, EndpointId, EndpointView, HostId, MonotonicMs } from '@catkinferry/core.types'
 
@@ -19,23 +20,43 @@
   return load + queueMs + view.running / view.batchLimit
 }
 
+/** The endpoint that the hosts of this zone, too, load a cold adapter on. */
+function findHeaviest (views: readonly EndpointView[], adapterKey: AdapterKey): EndpointView | undefined {
+  const adapterHash = hashText(adapterKey)
+  let heaviest: EndpointView | undefined
+  let most = -1
+  for (const view of views) {
+    const weight = computeWeight(adapterHash, hashText(view.endpoint))
+    if (weight <= most) continue
+    heaviest = view
+    most = weight
+  }
+  return heaviest
+}
+
+function findCheapest (views: readonly EndpointView[], adapterKey: AdapterKey): EndpointView | undefined {
+  let best: EndpointView | undefined
+  let bestCost = Infinity
+  for (const view of views) {
+    const cost = computeCost(view, adapterKey)
+    if (cost >= bestCost) continue
+    best = view
+    bestCost = cost
+  }
+  return best
+}
+
 /** Creates the contact's memory of asks that it handed on. */
 export function createCrossZone (): CrossZone {
   const targets = new Map<AttemptId, { readonly endpoint: EndpointId, readonly owner: HostId }>()
   const forgetting = createDueTimes<AttemptId>()
   return {
     choose: ({ views, adapterKey }) => {
-      let best: EndpointView | undefined
-      let bestCost = Infinity
-      for (const view of views) {
-        if (view.leaving || view.owner === undefined || view.batchLimit === 0) continue
-        const cost = computeCost(view, adapterKey)
-        if (cost < bestCost) {
-          best = view
-          bestCost = cost
-        }
-      }
-      return best
+      const usable = views.filter(view => !view.leaving && view.owner !== undefined && view.batchLimit > 0)
+      const warm = usable.filter(view => view.isResident(adapterKey) || view.isLoading(adapterKey))
+      const gathering = findHeaviest(usable, adapterKey)
+      const candidates = gathering === undefined || warm.includes(gathering) ? warm : [...warm, gathering]
+      return findCheapest(candidates, adapterKey)
     },
     note: (attemptId, target, now) => {
       for (const old of forgetting.takeDue(now)) targets.delete(old)
