--- /dev/null
+++ b/endpoints/engine-driver/src/answerReader.ts
@@ -0,0 +1,98 @@
+/** Picks the reader for an engine's answer: stream, whole answer or refusal. */
+import { ErrorCode } from '@catkinferry/core.errors'
+import type { Failure } from '@catkinferry/core.errors'
+import type { AttemptId, EndpointId } from '@catkinferry/core.types'
+import type { HostEvent } from '@catkinferry/host.events'
+import { findTokenCount, parseEcho } from './echo.ts'
+import { createStreamReader } from './streamReader.ts'
+
+export interface AnswerReaderOptions {
+  readonly attemptId: AttemptId
+  readonly endpoint: EndpointId
+  readonly status: number
+  readonly contentType: string
+  /** Index of the first chunk; over 0 when a stream is resumed. */
+  readonly firstIndex: number
+  readonly emit: (event: HostEvent) => void
+}
+
+export interface AnswerReader {
+  /** `failed`: the failure was emitted and the call is to be given up. */
+  readonly read: (data: Buffer) => 'ok' | 'failed'
+  readonly end: () => void
+}
+
+export const MAX_WHOLE_ANSWER_BYTES = 16 * 1024 * 1024
+const MAX_REFUSAL_BYTES = 64 * 1024
+const MAX_SHOWN_CHARACTERS = 200
+
+type Refused = 'busy' | 'notResident' | 'leaving'
+
+/** Statuses by which an engine says that it did not begin the work. */
+const REFUSALS: Readonly<Record<number, Refused>> = { 404: 'notResident', 429: 'busy', 503: 'busy' }
+
+function emitFailure (opts: AnswerReaderOptions, failure: Pick<Failure, 'code' | 'message' | 'ran'>, refused?: Refused): void {
+  const { attemptId, endpoint, emit } = opts
+  emit({ kind: 'attempt.failed', attemptId, failure: { ...failure, step: 'attempt.answer', peer: endpoint }, sent: true, refused })
+}
+
+function createCollector (maxBytes: number): { add: (data: Buffer) => boolean, getText: () => string } {
+  const parts: Buffer[] = []
+  let bytes = 0
+  return {
+    add: data => {
+      bytes += data.length
+      parts.push(data)
+      return bytes <= maxBytes
+    },
+    getText: () => Buffer.concat(parts).toString('utf8')
+  }
+}
+
+function createWholeReader (opts: AnswerReaderOptions): AnswerReader {
+  const { attemptId, emit, status, contentType } = opts
+  const collector = createCollector(MAX_WHOLE_ANSWER_BYTES)
+  return {
+    read: data => {
+      if (collector.add(data)) return 'ok'
+      emitFailure(opts, { code: ErrorCode.TOO_LARGE, message: `the answer is over ${MAX_WHOLE_ANSWER_BYTES} bytes`, ran: 'unknown' })
+      return 'failed'
+    },
+    end: () => {
+      const data = collector.getText()
+      const parsed = parseEcho(data)
+      if (parsed === undefined) {
+        emitFailure(opts, { code: ErrorCode.BAD_FRAME, message: 'the answer names no attempt and model', ran: 'unknown' })
+        return
+      }
+      emit({ kind: 'attempt.started', attemptId, echo: parsed.echo, status, contentType })
+      emit({ kind: 'attempt.chunk', attemptId, echo: parsed.echo, index: 0, data, tokens: findTokenCount(parsed.body) })
+      emit({ kind: 'attempt.ended', attemptId, echo: parsed.echo, chunks: 1 })
+    }
+  }
+}
+
+function createRefusalReader (opts: AnswerReaderOptions): AnswerReader {
+  const collector = createCollector(MAX_REFUSAL_BYTES)
+  return {
+    read: data => {
+      collector.add(data)
+      return 'ok'
+    },
+    end: () => {
+      const text = collector.getText()
+      const refused = text.includes('"leaving"') ? 'leaving' : REFUSALS[opts.status]
+      const badRequest = opts.status === 400 || opts.status === 422
+      const code = badRequest ? ErrorCode.BAD_REQUEST : ErrorCode.ENDPOINT_FAILED
+      const ran = refused !== undefined || badRequest ? 'no' : 'unknown'
+      emitFailure(opts, { code, message: `status ${opts.status}: ${text.slice(0, MAX_SHOWN_CHARACTERS)}`, ran }, refused)
+    }
+  }
+}
+
+/** Creates the reader that the response head asks for. */
+export function createAnswerReader (opts: AnswerReaderOptions): AnswerReader {
+  if (opts.status !== 200) return createRefusalReader(opts)
+  if (!opts.contentType.startsWith('text/event-stream')) return createWholeReader(opts)
+  return createStreamReader({ ...opts, emitFailure: failure => emitFailure(opts, failure) })
+}
--- /dev/null
+++ b/endpoints/engine-driver/src/engineDriver.ts
@@ -0,0 +1,57 @@
+/** Carries out attempts, orders and polls at model engines and turns the answers into events. */
+import type { Clock } from '@catkinferry/core.clock'
+import type { AttemptId, EndpointId, OrderId } from '@catkinferry/core.types'
+import { createAttemptTable, createConnections } from '@catkinferry/endpoints.http-dispatch'
+import type { ConnectionsOptions } from '@catkinferry/endpoints.http-dispatch'
+import type { AttemptStart, HostEvent, OrderSend } from '@catkinferry/host.events'
+import { startEngineAttempt } from './engineAttempt.ts'
+import { createOrders } from './orders.ts'
+import { pollEngine } from './pollEngine.ts'
+
+export interface EngineDriverOptions {
+  readonly clock: Clock
+  readonly emit: (event: HostEvent) => void
+  readonly connections?: ConnectionsOptions
+}
+
+export interface EngineDriver {
+  readonly startAttempt: (start: AttemptStart) => void
+  /** The attempt gives no more events. */
+  readonly cancelAttempt: (attemptId: AttemptId) => void
+  /** Holds the engine's stream back for a slow caller. */
+  readonly setAttemptPaused: (attemptId: AttemptId, paused: boolean) => void
+  readonly sendOrder: (order: OrderSend) => void
+  /** Resets the order's connection. */
+  readonly cutOrder: (orderId: OrderId) => void
+  readonly pollEndpoint: (endpoint: EndpointId, url: string) => void
+  readonly close: () => Promise<void>
+}
+
+/** Creates a driver without connections. */
+export function createEngineDriver (opts: EngineDriverOptions): EngineDriver {
+  const { clock, emit } = opts
+  const connections = createConnections(opts.connections)
+  const attempts = createAttemptTable()
+  const orders = createOrders({ clock, emit, connections })
+  const polling = new Set<EndpointId>()
+
+  return {
+    startAttempt: start => {
+      const call = startEngineAttempt({ start, clock, emit, connections, onDone: () => attempts.remove(start.attemptId) })
+      attempts.put(start.attemptId, call)
+    },
+    cancelAttempt: attemptId => { attempts.cancel(attemptId) },
+    setAttemptPaused: attempts.setPaused,
+    sendOrder: orders.send,
+    cutOrder: orders.cut,
+    pollEndpoint: (endpoint, url) => {
+      if (polling.has(endpoint)) return
+      polling.add(endpoint)
+      void pollEngine({ endpoint, url, clock, connections }).then(event => {
+        polling.delete(endpoint)
+        emit(event)
+      })
+    },
+    close: connections.close
+  }
+}
--- a/endpoints/engine-driver/src/index.ts
+++ b/endpoints/engine-driver/src/index.ts
@@ -1,2 +1,2 @@
 /** Model engine protocol over HTTP. */
-export {}
+export * from './engineDriver.ts'
--- /dev/null
+++ b/endpoints/engine-driver/src/orders.ts
@@ -0,0 +1,107 @@
+/** Orders to engines: fenced, each on a connection of its own, cut with a reset. */
+import type { Clock } from '@catkinferry/core.clock'
+import type { Order, OrderId, OrderOutcome } from '@catkinferry/core.types'
+import { startHttpCall } from '@catkinferry/endpoints.http-dispatch'
+import type { CallFailure, Connections } from '@catkinferry/endpoints.http-dispatch'
+import type { HostEvent, OrderSend } from '@catkinferry/host.events'
+
+export interface OrdersOptions {
+  readonly clock: Clock
+  readonly emit: (event: HostEvent) => void
+  readonly connections: Connections
+}
+
+export interface Orders {
+  readonly send: (order: OrderSend) => void
+  readonly cut: (orderId: OrderId) => void
+}
+
+interface OrderRequest {
+  readonly path: string
+  readonly body: Readonly<Record<string, unknown>>
+}
+
+const MAX_ANSWER_BYTES = 64 * 1024
+const MAX_SHOWN_CHARACTERS = 200
+const FENCING_STATUS = 409
+
+const REQUESTS: { readonly [K in Order['kind']]: (order: Extract<Order, { kind: K }>) => OrderRequest } = {
+  load: order => ({ path: '/v1/load_lora_adapter', body: { lora_name: order.adapterKey } }),
+  evict: order => ({ path: '/v1/unload_lora_adapter', body: { lora_name: order.adapterKey } }),
+  setRole: order => ({ path: '/v1/role', body: { pool: order.pool } })
+}
+
+function buildRequest (order: Order): OrderRequest {
+  return (REQUESTS[order.kind] as (order: Order) => OrderRequest)(order)
+}
+
+function findHighestFencing (text: string): number | undefined {
+  try {
+    const { error } = JSON.parse(text) as { error?: { code?: unknown, highest_fencing?: unknown } }
+    return error?.code === 'old_fencing' && typeof error.highest_fencing === 'number' ? error.highest_fencing : undefined
+  } catch {
+    return undefined
+  }
+}
+
+function buildOutcome (status: number, text: string, tookMs: number): OrderOutcome {
+  if (status >= 200 && status < 300) return { kind: 'done', tookMs }
+  const highestFencing = status === FENCING_STATUS ? findHighestFencing(text) : undefined
+  if (highestFencing !== undefined) return { kind: 'refusedFencing', highestFencing }
+  return { kind: 'failed', reason: `status ${status}: ${text.slice(0, MAX_SHOWN_CHARACTERS)}` }
+}
+
+/** Creates the table of orders under way. Each order gives exactly one result. */
+export function createOrders (opts: OrdersOptions): Orders {
+  const { clock, emit, connections } = opts
+  const underWay = new Map<OrderId, () => void>()
+
+  function send (order: OrderSend): void {
+    const { orderId, endpoint } = order
+    const connection = connections.openFresh(order.url)
+    const request = buildRequest(order.order)
+    const startedAt = clock.getMonotonicMs()
+    let status = 0
+    let bytes = 0
+    const parts: Buffer[] = []
+
+    function finish (outcome: OrderOutcome): void {
+      if (!underWay.delete(orderId)) return
+      emit({ kind: 'order.result', orderId, endpoint, outcome })
+    }
+
+    function finishLost (sent: boolean): void {
+      finish({ kind: sent ? 'unknown' : 'notSent' })
+    }
+
+    underWay.set(orderId, () => {
+      call.cancel()
+      finishLost(call.isSent())
+    })
+    const call = startHttpCall({
+      dispatcher: connection.dispatcher,
+      clock,
+      method: 'POST',
+      path: request.path,
+      headers: { 'content-type': 'application/json', 'x-catkinferry-fencing': String(order.fencing), 'x-catkinferry-order': orderId },
+      body: JSON.stringify(request.body),
+      sendBeforeMs: order.sendBeforeMs,
+      endBeforeMs: order.cutAtMs,
+      reset: connection.reset,
+      handler: {
+        onHead: value => { status = value },
+        onData: data => {
+          bytes += data.length
+          if (bytes <= MAX_ANSWER_BYTES) parts.push(data)
+        },
+        onEnd: () => {
+          connection.close()
+          finish(buildOutcome(status, Buffer.concat(parts).toString('utf8'), clock.getMonotonicMs() - startedAt))
+        },
+        onFail: (failure: CallFailure) => { finishLost(failure.sent) }
+      }
+    })
+  }
+
+  return { send, cut: orderId => { underWay.get(orderId)?.() } }
+}
--- /dev/null
+++ b/endpoints/engine-driver/test/engineDriver.test.ts
@@ -0,0 +1,186 @@
+import { createSystemClock } from '@catkinferry/core.clock'
+import type { AdapterWork } from '@catkinferry/core.types'
+import type { AttemptStart, HostEvent, OrderSend } from '@catkinferry/host.events'
+import { startFakeEngine } from '@catkinferry/testing.fakes'
+import type { FakeEngine, FakeEngineOptions } from '@catkinferry/testing.fakes'
+import { expect } from 'earl'
+import { createServer } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
+import { once } from 'node:events'
+import { afterEach, beforeEach, describe, it } from 'node:test'
+import { createEngineDriver } from '../src/index.ts'
+import type { EngineDriver } from '../src/index.ts'
+
+const clock = createSystemClock()
+const FAR_MS = 60_000
+
+describe('engine driver', () => {
+  let engine: FakeEngine | undefined
+  let driver: EngineDriver
+  let events: HostEvent[]
+  let waiting: { readonly isDone: () => boolean, readonly resolve: () => void } | undefined
+
+  /** Waits until an event of the kind has come. */
+  async function waitFor (kind: HostEvent['kind']): Promise<HostEvent> {
+    const isDone = (): boolean => events.some(event => event.kind === kind)
+    if (!isDone()) await new Promise<void>(resolve => { waiting = { isDone, resolve } })
+    return events.find(event => event.kind === kind) as HostEvent
+  }
+
+  async function startEngine (opts: FakeEngineOptions): Promise<FakeEngine> {
+    engine = await startFakeEngine({ resident: ['a@1'], ...opts })
+    return engine
+  }
+
+  function buildStart (change: Partial<Omit<AttemptStart, 'work'>> & { work?: Partial<AdapterWork> }): AttemptStart {
+    const work = { kind: 'adapter', adapter: 'a', version: '1', form: 'completions', body: { prompt: 'x', max_tokens: 3 }, stream: true, promptTokens: 1, maxTokens: 3, ...change.work } as const
+    const now = clock.getMonotonicMs()
+    return { kind: 'attempt.start', attemptId: 'r1.0', requestId: 'r1', endpoint: 'e1', url: engine?.url ?? '', serviceClass: 'standard', freshConnection: false, sendBeforeMs: now + FAR_MS, endBeforeMs: now + FAR_MS, progressTimeoutMs: FAR_MS, ...change, work }
+  }
+
+  function buildOrder (change: Partial<OrderSend> = {}): OrderSend {
+    const now = clock.getMonotonicMs()
+    return { kind: 'order.send', orderId: 'o1', endpoint: 'e1', url: engine?.url ?? '', order: { kind: 'load', adapterKey: 'b@1' }, fencing: 5, sendBeforeMs: now + FAR_MS, cutAtMs: now + FAR_MS, ...change }
+  }
+
+  beforeEach(() => {
+    events = []
+    waiting = undefined
+    const emit = (event: HostEvent): void => {
+      events.push(event)
+      if (waiting?.isDone() === true) waiting.resolve()
+    }
+    driver = createEngineDriver({ clock, emit })
+  })
+
+  afterEach(async () => {
+    await driver.close()
+    await engine?.close()
+    engine = undefined
+  })
+
+  it('turns a stream into started, chunks in order and ended, with the echo of each', async () => {
+    await startEngine({})
+    driver.startAttempt(buildStart({}))
+    await waitFor('attempt.ended')
+    const echo = { attemptId: 'r1.0', adapter: 'a', version: '1' }
+    expect(events.map(({ kind }) => kind)).toEqual(['attempt.started', 'attempt.chunk', 'attempt.chunk', 'attempt.chunk', 'attempt.ended'])
+    expect(events.flatMap(event => event.kind === 'attempt.chunk' ? [event.index] : [])).toEqual([0, 1, 2])
+    expect(events[4]).toEqual({ kind: 'attempt.ended', attemptId: 'r1.0', echo, chunks: 3 })
+  })
+
+  it('resumes a stream from a chunk', async () => {
+    await startEngine({})
+    driver.startAttempt(buildStart({ resumeFrom: 2 }))
+    await waitFor('attempt.ended')
+    expect(events.flatMap(event => event.kind === 'attempt.chunk' ? [event.index] : [])).toEqual([2])
+  })
+
+  it('gives a whole answer as one chunk with its token count', async () => {
+    await startEngine({})
+    driver.startAttempt(buildStart({ work: { stream: false }, freshConnection: true }))
+    await waitFor('attempt.ended')
+    expect(events[1]).toEqual(expect.subset({ kind: 'attempt.chunk', index: 0, tokens: 3 }))
+  })
+
+  it('passes a crossed echo on as it came', async () => {
+    await startEngine({ faults: { crossedAttemptId: 'r9.0', wrongVersion: '2' } })
+    driver.startAttempt(buildStart({}))
+    const started = await waitFor('attempt.started')
+    expect(started).toEqual(expect.subset({ attemptId: 'r1.0', echo: { attemptId: 'r9.0', adapter: 'a', version: '2' } }))
+  })
+
+  it('says that a refused connection sent nothing', async () => {
+    driver.startAttempt({ ...buildStart({}), url: 'http://127.0.0.1:1' })
+    expect(await waitFor('attempt.failed')).toEqual(expect.subset({ sent: false, failure: expect.subset({ ran: 'no', peer: 'e1' }) }))
+  })
+
+  it('sends nothing after the time limit for sending', async () => {
+    const { runs } = await startEngine({})
+    driver.startAttempt(buildStart({ sendBeforeMs: clock.getMonotonicMs() - 1 }))
+    expect(await waitFor('attempt.failed')).toEqual(expect.subset({ sent: false }))
+    expect(runs).toEqual([])
+  })
+
+  it('fails a stream that is cut without its end marker as sent', async () => {
+    await startEngine({ faults: { cutAfterChunks: 1 } })
+    driver.startAttempt(buildStart({}))
+    expect(await waitFor('attempt.failed')).toEqual(expect.subset({ sent: true }))
+    expect(events.some(({ kind }) => kind === 'attempt.ended')).toEqual(false)
+  })
+
+  it('fails a silent stream after the progress timeout', async () => {
+    await startEngine({ faults: { silentAfterChunks: 1 } })
+    driver.startAttempt(buildStart({ progressTimeoutMs: 50 }))
+    expect(await waitFor('attempt.failed')).toEqual(expect.subset({ sent: true, failure: expect.subset({ code: 'ERR_CATKINFERRY_STREAM_CUT' }) }))
+  })
+
+  it('gives an attempt up at its end time', async () => {
+    await startEngine({ faults: { silentAfterChunks: 1 } })
+    driver.startAttempt(buildStart({ endBeforeMs: clock.getMonotonicMs() + 50 }))
+    expect(await waitFor('attempt.failed')).toEqual(expect.subset({ failure: expect.subset({ code: 'ERR_CATKINFERRY_DEADLINE' }) }))
+  })
+
+  it('tells a refusal for want of the adapter from a failure', async () => {
+    await startEngine({ resident: [] })
+    driver.startAttempt(buildStart({}))
+    expect(await waitFor('attempt.failed')).toEqual(expect.subset({ refused: 'notResident', sent: true, failure: expect.subset({ ran: 'no' }) }))
+  })
+
+  it('ends the engine\'s work when an attempt is cancelled, without further events', async () => {
+    const { runs } = await startEngine({ tokenMs: 5 })
+    driver.startAttempt(buildStart({ work: { body: { prompt: 'x', max_tokens: 10_000 } } }))
+    await waitFor('attempt.chunk')
+    driver.cancelAttempt('r1.0')
+    const seen = events.length
+    while (runs[0]?.ended !== 'cut') await new Promise(resolve => setTimeout(resolve, 5))
+    expect(events.length).toEqual(seen)
+  })
+
+  it('reports orders as done, refused by fencing, failed or unknown', async () => {
+    const { faults, orders } = await startEngine({})
+    const outcomes: unknown[] = []
+    for (const [orderId, fencing] of [['o1', 5], ['o2', 4], ['o3', 5], ['o4', 5]] as const) {
+      if (orderId === 'o3') faults.loadFails = true
+      if (orderId === 'o4') faults.loseOrderAnswers = true
+      driver.sendOrder(buildOrder({ orderId, fencing, order: { kind: 'load', adapterKey: `${orderId}@1` } }))
+      const result = await waitFor('order.result')
+      outcomes.push(result.kind === 'order.result' ? result.outcome.kind : undefined)
+      events.length = 0
+    }
+    expect(outcomes).toEqual(['done', 'refusedFencing', 'failed', 'unknown'])
+    expect(orders.map(({ status }) => status)).toEqual([200, 409, 500, 500])
+  })
+
+  it('resets the connection of an order that is cut', async () => {
+    const server = createServer({ pauseOnConnect: true })
+    server.listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    const accepted = once(server, 'connection')
+    driver.sendOrder(buildOrder({ url: `http://127.0.0.1:${(server.address() as AddressInfo).port}` }))
+    const [socket] = await accepted as [Socket]
+    const failed = once(socket, 'error')
+    socket.resume()
+    await once(socket, 'data')
+    driver.cutOrder('o1')
+    const [error] = await failed as [NodeJS.ErrnoException]
+    server.close()
+    expect(error.code).toEqual('ECONNRESET')
+    expect(await waitFor('order.result')).toEqual({ kind: 'order.result', orderId: 'o1', endpoint: 'e1', outcome: { kind: 'unknown' } })
+  })
+
+  it('does not send an order after its time limit', async () => {
+    const { orders } = await startEngine({})
+    driver.sendOrder(buildOrder({ sendBeforeMs: clock.getMonotonicMs() - 1 }))
+    expect(await waitFor('order.result')).toEqual(expect.subset({ outcome: { kind: 'notSent' } }))
+    expect(orders).toEqual([])
+  })
+
+  it('reads the report, and says when there is none', async () => {
+    await startEngine({ slots: 3 })
+    driver.pollEndpoint('e1', engine?.url ?? '')
+    expect(await waitFor('endpoint.report')).toEqual(expect.subset({ endpoint: 'e1', report: expect.subset({ resident: ['a@1'], slots: 3, checksFencing: true }) }))
+    driver.pollEndpoint('e2', 'http://127.0.0.1:1')
+    expect(await waitFor('endpoint.unreachable')).toEqual({ kind: 'endpoint.unreachable', endpoint: 'e2' })
+  })
+})
--- /dev/null
+++ b/endpoints/http-dispatch/src/failures.ts
@@ -0,0 +1,17 @@
+/** Turns failed calls into failures that carry step and peer. */
+import { ErrorCode } from '@catkinferry/core.errors'
+import type { Failure } from '@catkinferry/core.errors'
+import type { CallFailure } from './httpCall.ts'
+
+const CODES: Readonly<Record<CallFailure['kind'], ErrorCode>> = {
+  tooLate: ErrorCode.DEADLINE,
+  connection: ErrorCode.ENDPOINT_FAILED,
+  silent: ErrorCode.STREAM_CUT,
+  ended: ErrorCode.DEADLINE
+}
+
+/** The failure of a call to `peer`. */
+export function buildCallFailure (opts: { readonly failure: CallFailure, readonly step: string, readonly peer: string }): Failure {
+  const { failure, step, peer } = opts
+  return { code: CODES[failure.kind], message: failure.message, step, peer, ran: failure.sent ? 'unknown' : 'no' }
+}
--- /dev/null
+++ b/endpoints/http-dispatch/src/readJson.ts
@@ -0,0 +1,60 @@
+/** Reads a small JSON document with a time limit. */
+import type { Clock } from '@catkinferry/core.clock'
+import type { Result } from '@catkinferry/core.errors'
+import { createFailed, createOk, ErrorCode } from '@catkinferry/core.errors'
+import type { DurationMs } from '@catkinferry/core.types'
+import type { Dispatcher } from 'undici'
+import { buildCallFailure } from './failures.ts'
+import { startHttpCall } from './httpCall.ts'
+
+export interface ReadJsonOptions {
+  readonly dispatcher: Dispatcher
+  readonly clock: Clock
+  readonly path: string
+  readonly timeoutMs: DurationMs
+  readonly maxBytes: number
+  readonly step: string
+  readonly peer: string
+}
+
+function parseJson (opts: ReadJsonOptions, status: number, text: string): Result<unknown> {
+  const { step, peer } = opts
+  if (status !== 200) return createFailed({ code: ErrorCode.ENDPOINT_FAILED, message: `status ${status}`, step, peer })
+  try {
+    return createOk(JSON.parse(text) as unknown)
+  } catch {
+    return createFailed({ code: ErrorCode.BAD_FRAME, message: 'the answer is not JSON', step, peer })
+  }
+}
+
+/** GETs `path` and parses the answer. */
+export async function readJson (opts: ReadJsonOptions): Promise<Result<unknown>> {
+  const { step, peer } = opts
+  const endBeforeMs = opts.clock.getMonotonicMs() + opts.timeoutMs
+  return await new Promise(resolve => {
+    const parts: Buffer[] = []
+    let bytes = 0
+    let status = 0
+    const call = startHttpCall({
+      dispatcher: opts.dispatcher,
+      clock: opts.clock,
+      method: 'GET',
+      path: opts.path,
+      headers: {},
+      sendBeforeMs: endBeforeMs,
+      endBeforeMs,
+      handler: {
+        onHead: value => { status = value },
+        onData: data => {
+          bytes += data.length
+          parts.push(data)
+          if (bytes <= opts.maxBytes) return
+          call.cancel()
+          resolve(createFailed({ code: ErrorCode.TOO_LARGE, message: `over ${opts.maxBytes} bytes`, step, peer }))
+        },
+        onEnd: () => { resolve(parseJson(opts, status, Buffer.concat(parts).toString('utf8'))) },
+        onFail: failure => { resolve(createFailed(buildCallFailure({ failure, step, peer }))) }
+      }
+    })
+  })
+}
--- a/endpoints/platform-driver/src/index.ts
+++ b/endpoints/platform-driver/src/index.ts
@@ -1,2 +1,2 @@
-/** The platform list over HTTP. */
-export {}
+/** The platform list over HTTP, or from the settings file. */
+export * from './platformDriver.ts'
--- /dev/null
+++ b/endpoints/platform-driver/src/platformDriver.ts
@@ -0,0 +1,83 @@
+/** Reads the platform's list of endpoints and hosts. */
+import type { Clock } from '@catkinferry/core.clock'
+import { createConnections, readJson } from '@catkinferry/endpoints.http-dispatch'
+import type { Connections } from '@catkinferry/endpoints.http-dispatch'
+import type { HostEvent } from '@catkinferry/host.events'
+import { z } from 'zod'
+
+const endpointRowSchema = z.object({
+  endpoint: z.string().min(1),
+  kind: z.enum(['engine', 'service']),
+  zone: z.string().min(1),
+  region: z.string().min(1),
+  url: z.url(),
+  pool: z.string().min(1),
+  model: z.string().optional(),
+  leaving: z.boolean().default(false)
+})
+
+const platformHostSchema = z.object({ host: z.string().min(1), zone: z.string().min(1), leaving: z.boolean().default(false) })
+
+const listSchema = z.object({ endpoints: z.array(endpointRowSchema), hosts: z.array(platformHostSchema).default([]) })
+
+export type PlatformList = z.infer<typeof listSchema>
+
+/** Where the list comes from. */
+export type PlatformSource =
+  | { readonly kind: 'http', readonly url: string }
+  /** A list that never changes, such as that of the settings file. */
+  | { readonly kind: 'fixed', readonly list: PlatformList }
+
+export interface PlatformDriverOptions {
+  readonly clock: Clock
+  readonly emit: (event: HostEvent) => void
+  readonly source: PlatformSource
+}
+
+export interface PlatformDriver {
+  /** Reads the list once; polls do not overlap. */
+  readonly poll: () => void
+  readonly close: () => Promise<void>
+}
+
+const POLL_TIMEOUT_MS = 2_000
+/** Room for the target size: 6,400 endpoints. */
+const MAX_LIST_BYTES = 8 * 1024 * 1024
+
+async function readList (clock: Clock, connections: Connections, url: string): Promise<HostEvent> {
+  const { origin, pathname, search } = new URL(url)
+  const answer = await readJson({
+    dispatcher: connections.getShared(origin),
+    clock,
+    path: pathname + search,
+    timeoutMs: POLL_TIMEOUT_MS,
+    maxBytes: MAX_LIST_BYTES,
+    step: 'platform.poll',
+    peer: origin
+  })
+  const parsed = answer.ok ? listSchema.safeParse(answer.value) : undefined
+  if (parsed?.success !== true) return { kind: 'platform.unreachable' }
+  return { kind: 'platform.list', ...parsed.data }
+}
+
+/** Creates a driver for one source. */
+export function createPlatformDriver (opts: PlatformDriverOptions): PlatformDriver {
+  const { clock, emit, source } = opts
+  const connections = createConnections()
+  let polling = false
+  return {
+    poll: () => {
+      if (source.kind === 'fixed') {
+        emit({ kind: 'platform.list', ...source.list })
+        return
+      }
+      if (polling) return
+      polling = true
+      void readList(clock, connections, source.url).then(event => {
+        polling = false
+        emit(event)
+      })
+    },
+    close: connections.close
+  }
+}
--- a/endpoints/service-driver/src/index.ts
+++ b/endpoints/service-driver/src/index.ts
@@ -1,2 +1,2 @@
 /** Plain service calls over HTTP. */
-export {}
+export * from './serviceDriver.ts'
--- /dev/null
+++ b/endpoints/service-driver/src/serviceDriver.ts
@@ -0,0 +1,126 @@
+/** Carries out attempts at plain services and turns the answers into events. */
+import type { Clock } from '@catkinferry/core.clock'
+import { ErrorCode } from '@catkinferry/core.errors'
+import type { AnswerEcho, AttemptId, ServiceWork } from '@catkinferry/core.types'
+import { buildCallFailure, createAttemptTable, createConnections, startHttpCall } from '@catkinferry/endpoints.http-dispatch'
+import type { CallHandler, Connections, ConnectionsOptions, HttpCall } from '@catkinferry/endpoints.http-dispatch'
+import type { AttemptStart, HostEvent } from '@catkinferry/host.events'
+
+export interface ServiceDriverOptions {
+  readonly clock: Clock
+  readonly emit: (event: HostEvent) => void
+  readonly connections?: ConnectionsOptions
+}
+
+export interface ServiceDriver {
+  /** `idempotencyKey` goes to the service as the `idempotency-key` header. */
+  readonly startAttempt: (start: AttemptStart, idempotencyKey?: string) => void
+  /** The attempt gives no more events. */
+  readonly cancelAttempt: (attemptId: AttemptId) => void
+  readonly setAttemptPaused: (attemptId: AttemptId, paused: boolean) => void
+  readonly close: () => Promise<void>
+}
+
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024
+const TOO_MANY_REQUESTS = 429
+
+function buildHeaders (start: AttemptStart, work: ServiceWork, idempotencyKey: string | undefined): Record<string, string> {
+  const headers: Record<string, string> = { 'x-catkinferry-attempt': start.attemptId }
+  if (work.contentType !== undefined) headers['content-type'] = work.contentType
+  if (idempotencyKey !== undefined) headers['idempotency-key'] = idempotencyKey
+  return headers
+}
+
+/** Services that do not echo the attempt are taken at the word of their connection. */
+function buildEcho (attemptId: AttemptId, header: string | string[] | undefined): AnswerEcho {
+  return { attemptId: typeof header === 'string' && header !== '' ? header : attemptId }
+}
+
+interface ServiceAttemptOptions extends ServiceDriverOptions {
+  readonly start: AttemptStart
+  readonly idempotencyKey: string | undefined
+  readonly table: Connections
+  readonly onDone: () => void
+}
+
+function startServiceAttempt (opts: ServiceAttemptOptions): HttpCall {
+  const { start, clock, emit } = opts
+  const { attemptId, endpoint } = start
+  const work = start.work as ServiceWork
+  const fresh = start.freshConnection ? opts.table.openFresh(start.url) : undefined
+  const parts: Buffer[] = []
+  let echo: AnswerEcho = { attemptId }
+  let status = 0
+  let contentType: string | undefined
+  let bytes = 0
+
+  function finish (): void {
+    opts.onDone()
+    fresh?.close()
+  }
+
+  const handler: CallHandler = {
+    onHead: (value, headers) => {
+      status = value
+      contentType = headers['content-type'] as string | undefined
+      echo = buildEcho(attemptId, headers['x-catkinferry-attempt'])
+    },
+    onData: data => {
+      bytes += data.length
+      parts.push(data)
+      if (bytes <= MAX_ANSWER_BYTES) return
+      call.cancel()
+      finish()
+      const message = `the answer is over ${MAX_ANSWER_BYTES} bytes`
+      emit({ kind: 'attempt.failed', attemptId, sent: true, failure: { code: ErrorCode.TOO_LARGE, message, step: 'attempt.answer', peer: endpoint, ran: 'unknown' } })
+    },
+    onEnd: () => {
+      finish()
+      if (status === TOO_MANY_REQUESTS) {
+        const failure = { code: ErrorCode.ENDPOINT_FAILED, message: `status ${status}`, step: 'attempt.answer', peer: endpoint, ran: 'no' as const }
+        emit({ kind: 'attempt.failed', attemptId, sent: true, failure, refused: 'busy' })
+        return
+      }
+      emit({ kind: 'attempt.started', attemptId, echo, status, contentType })
+      emit({ kind: 'attempt.chunk', attemptId, echo, index: 0, data: Buffer.concat(parts).toString('utf8'), tokens: 0 })
+      emit({ kind: 'attempt.ended', attemptId, echo, chunks: 1 })
+    },
+    onFail: failure => {
+      finish()
+      emit({ kind: 'attempt.failed', attemptId, sent: failure.sent, failure: buildCallFailure({ failure, step: 'attempt.dispatch', peer: endpoint }) })
+    }
+  }
+  const call = startHttpCall({
+    dispatcher: fresh?.dispatcher ?? opts.table.getShared(start.url),
+    clock,
+    method: work.method,
+    path: work.path,
+    headers: buildHeaders(start, work, opts.idempotencyKey),
+    body: work.body === '' ? undefined : work.body,
+    sendBeforeMs: start.sendBeforeMs,
+    endBeforeMs: start.endBeforeMs,
+    handler
+  })
+  return {
+    ...call,
+    cancel: () => {
+      call.cancel()
+      fresh?.close()
+    }
+  }
+}
+
+/** Creates a driver without connections. */
+export function createServiceDriver (opts: ServiceDriverOptions): ServiceDriver {
+  const table = createConnections(opts.connections)
+  const attempts = createAttemptTable()
+  return {
+    startAttempt: (start, idempotencyKey) => {
+      const call = startServiceAttempt({ ...opts, start, idempotencyKey, table, onDone: () => attempts.remove(start.attemptId) })
+      attempts.put(start.attemptId, call)
+    },
+    cancelAttempt: attemptId => { attempts.cancel(attemptId) },
+    setAttemptPaused: attempts.setPaused,
+    close: table.close
+  }
+}
--- /dev/null
+++ b/endpoints/service-driver/test/serviceDriver.test.ts
@@ -0,0 +1,67 @@
+import { createSystemClock } from '@catkinferry/core.clock'
+import type { AttemptStart, HostEvent } from '@catkinferry/host.events'
+import { startFakeService } from '@catkinferry/testing.fakes'
+import type { FakeFaults, FakeService } from '@catkinferry/testing.fakes'
+import { expect } from 'earl'
+import { describe, it } from 'node:test'
+import { createServiceDriver } from '../src/index.ts'
+
+const clock = createSystemClock()
+
+async function runAttempt (faults: Partial<FakeFaults>, url?: string): Promise<{ events: HostEvent[], service: FakeService }> {
+  const service = await startFakeService({ faults })
+  const events: HostEvent[] = []
+  let finish = (): void => undefined
+  const done = new Promise<void>(resolve => { finish = resolve })
+  const driver = createServiceDriver({
+    clock,
+    emit: event => {
+      events.push(event)
+      if (event.kind === 'attempt.ended' || event.kind === 'attempt.failed') finish()
+    }
+  })
+  const limit = clock.getMonotonicMs() + 60_000
+  const start: AttemptStart = {
+    kind: 'attempt.start',
+    attemptId: 'r1.0',
+    requestId: 'r1',
+    endpoint: 's1',
+    url: url ?? service.url,
+    work: { kind: 'service', route: 'filings', method: 'POST', path: '/file?x=1', body: '{"boat":1}', contentType: 'application/json' },
+    serviceClass: 'standard',
+    freshConnection: true,
+    sendBeforeMs: limit,
+    endBeforeMs: limit,
+    progressTimeoutMs: 1_000
+  }
+  driver.startAttempt(start, 'key-1')
+  await done
+  await driver.close()
+  await service.close()
+  return { events, service }
+}
+
+describe('service driver', () => {
+  it('sends method, path, body and key, and gives the answer as it is', async () => {
+    const { events, service } = await runAttempt({})
+    expect(service.runs.get('key-1')).toEqual(1)
+    const chunk = events.find(event => event.kind === 'attempt.chunk')
+    expect(JSON.parse(chunk?.kind === 'attempt.chunk' ? chunk.data : '')).toEqual({ method: 'POST', path: '/file?x=1', received: '{"boat":1}', runs: 1 })
+  })
+
+  it('says that a call whose answer was lost may have run', async () => {
+    const { events, service } = await runAttempt({ cutAfterChunks: 0 })
+    expect(events).toEqual([expect.subset({ kind: 'attempt.failed', sent: true, failure: expect.subset({ ran: 'unknown' }) })])
+    expect(service.runs.get('key-1')).toEqual(1)
+  })
+
+  it('says that a call without a connection has not run', async () => {
+    const { events } = await runAttempt({}, 'http://127.0.0.1:1')
+    expect(events).toEqual([expect.subset({ sent: false, failure: expect.subset({ ran: 'no' }) })])
+  })
+
+  it('passes the echo of another attempt on', async () => {
+    const { events } = await runAttempt({ crossedAttemptId: 'r9.0' })
+    expect(events[0]).toEqual(expect.subset({ kind: 'attempt.started', echo: { attemptId: 'r9.0' } }))
+  })
+})
