Settle assignments before a leaving holder releases the lease

Cause: a holder that left released the lease before the new owner of its endpoints had heard of them, which cost about 2.5 s without an owner. Seen in the shutdown test once hosts' clocks drifted. Change: the holder waits until every owner has applied its assignment; a host that reads in the view that it was assigned an endpoint renews at once. The in-test zone has drifting clocks, slow orders and requests, lagging reports and a check that no two hosts own an endpoint at once.

--- a/zone/coordination/src/createZoneCoordination.ts
+++ b/zone/coordination/src/createZoneCoordination.ts
@@ -199,7 +199,7 @@
   const { known, leaseHolder, zoneHosts, self, holder, grants } = parts
   if (!known.leaving || known.held === undefined || grants.getOwnedCount() > 0) return
   const others = holder.assigner.listHosts(context.now).filter(host => host !== self.host)
-  if (others.length > 0 && holder.assigner.countUnowned() > 0) return
+  if (others.length > 0 && !holder.assigner.isSettled(context.now)) return
   const { ballot } = known.held
   leaseHolder.release(context)
   known.released = true
--- a/zone/coordination/src/messageHandlers.ts
+++ b/zone/coordination/src/messageHandlers.ts
@@ -43,6 +43,7 @@
     publisher.remove(endpoint)
   }
   for (const owned of [...change.gained, ...change.updated]) grants.putOwned(owned, context)
+  if (change.gained.length > 0) subLease.renewSoon(context.now)
   for (const { endpoint, fencing } of change.recalledUnknown) {
     const settled = parts.handedBack.get(endpoint)?.settled ?? false
     context.send(from, { kind: 'owner.handBack', zone: parts.self.zone, ballot: assign.ballot, endpoint, fencing, settled, highestFencing: 0 })
@@ -67,6 +68,8 @@
   }
   for (const digest of view.zones) if (digest.zone !== parts.self.zone) parts.digests.applyDigest(digest, context.now)
   applyLeaving(parts, view, context)
+  const assigned = view.endpoints.some(({ row, owner }) => owner === parts.self.host && parts.subLease.getOwned(row.endpoint) === undefined)
+  if (assigned) parts.subLease.renewSoon(context.now)
 }
 
 /** An ask from another zone: chosen here, granted by the owner. */
--- a/zone/coordination/test/zonePump.ts
+++ b/zone/coordination/test/zonePump.ts
@@ -1,4 +1,5 @@
 /** Hosts of a zone, small engines and a network with delay, loss, copies and cuts, all on virtual time. */
+import { MAX_CLOCK_DRIFT_FRACTION } from '@catkinferry/core.constants'
 import { createRandom } from '@catkinferry/core.random'
 import type { Random } from '@catkinferry/core.random'
 import type { AdapterKey, EndpointRow, HostId, PeerRow } from '@catkinferry/core.types'
@@ -6,13 +7,13 @@
 import type { GrantMessage, PeerMessage } from '@catkinferry/wire.messages'
 import { createZoneCoordination } from '@catkinferry/zone.coordination'
 import type { ZoneCoordination, ZoneMessage } from '@catkinferry/zone.coordination'
+import { applyEvict, applyLoad, takeReport } from './fakeEngine.ts'
 import { createTestSettings } from './testSettings.ts'
 import type { AppliedOrder, AttemptPlan, Engine, Faults, PumpHost, ReceivedGrant, ZonePump, ZonePumpOptions } from './zonePumpTypes.ts'
 
-const LOAD_MS = 250
 /** Grants given before a restart is seen find the engine empty. */
 const RESTART_SEEN_MS = 4_000
-const EVICT_MS = 10
+const CLOCK_GRAIN_MS = 0.001
 const WALL_START_MS = 1_700_000_000_000
 
 interface Planned { readonly at: number, readonly order: number, readonly action: () => void }
@@ -37,7 +38,7 @@
   const orders: AppliedOrder[] = []
   const grants: ReceivedGrant[] = []
   const violations: string[] = []
-  const faults: Faults = { lossShare: 0, copyShare: 0, maxDelayMs: 2, lostAnswerShare: 0 }
+  const faults: Faults = { lossShare: 0, copyShare: 0, maxDelayMs: 2, lostAnswerShare: 0, slowShare: 0, maxSendMs: 0, maxOrderMs: 0, maxReportAgeMs: 0 }
   let now = 1000
   let nextOrder = 0
   const maxRunMs = settings.getValue<number>('', 'request.maxRunMs')
@@ -52,8 +53,11 @@
     return createZoneCoordination({ self, peers, settings, random: createRandom(random.nextInt(1, 2 ** 30)) })
   }
 
-  /** Local clocks differ by a constant; only durations cross. */
-  const getOffset = (host: HostId): number => (peers.findIndex(peer => peer.host === host) + 1) * 100_000
+  /** Local clocks have their own start and drift; only durations cross. */
+  const clocks = new Map(peers.map(({ host }, index) => [host, { offset: (index + 1) * 100_000, rate: 1 + (index % 3 - 1) * MAX_CLOCK_DRIFT_FRACTION / 2.1 }]))
+  const getClock = (host: HostId): { offset: number, rate: number } => clocks.get(host) ?? { offset: 0, rate: 1 }
+  const toLocal = (host: HostId, at: number): number => getClock(host).offset + at * getClock(host).rate
+  const toReal = (host: HostId, at: number): number => (at - getClock(host).offset) / getClock(host).rate
 
   function deliver (from: HostId, to: HostId, message: PeerMessage): void {
     const target = hosts.get(to)
@@ -95,8 +99,9 @@
     if (target?.alive !== true || target.pausedUntil > now || engine === undefined || now > startBy) return
     const endsAt = now + attempt.runMs
     active.get(host)?.set(message.attemptId, { endpoint: message.endpoint, adapterKey: attempt.adapterKey, endsAt })
-    plan(random.nextInt(0, faults.maxDelayMs), () => {
-      if (!engine.reachable) return
+    const slow = random.nextFraction() < faults.slowShare
+    plan(random.nextInt(0, slow ? faults.maxSendMs : faults.maxDelayMs), () => {
+      if (!engine.reachable || now >= endsAt || active.get(host)?.has(message.attemptId) !== true) return
       if (!engine.resident.has(attempt.adapterKey)) {
         if (now - engine.restartedAt > RESTART_SEEN_MS) violations.push(`${now}: ${message.attemptId} granted by ${owner} on ${message.endpoint} finds ${attempt.adapterKey} not resident`)
       } else engine.running.set(message.attemptId, { adapterKey: attempt.adapterKey, endsAt })
@@ -125,7 +130,8 @@
   function sendOrder (host: PumpHost, output: OrderSend): void {
     const engine = engines.get(output.endpoint)
     if (engine === undefined) return
-    plan(1 + random.nextInt(0, faults.maxDelayMs), () => receiveOrder(host, engine, output))
+    const slow = random.nextFraction() < faults.slowShare
+    plan(1 + random.nextInt(0, slow ? faults.maxOrderMs : faults.maxDelayMs), () => receiveOrder(host, engine, output))
   }
 
   function receiveOrder (host: PumpHost, engine: Engine, output: OrderSend): void {
@@ -148,40 +154,11 @@
     const later = orders.find(applied => applied.endpoint === output.endpoint && applied.fencing > output.fencing)
     if (later !== undefined) violations.push(`${now}: ${host.host} orders ${output.endpoint} with ${output.fencing} after ${later.host} with ${later.fencing}`)
     orders.push({ at: now, host: host.host, endpoint: output.endpoint, order: output.order, fencing: output.fencing })
-    if (output.order.kind === 'load') applyLoad(engine, output.order.adapterKey, finish)
-    else if (output.order.kind === 'evict') applyEvict(engine, output.order.adapterKey, finish)
+    if (output.order.kind === 'load') applyLoad({ engine, adapterKey: output.order.adapterKey, finish, plan })
+    else if (output.order.kind === 'evict') violations.push(...applyEvict({ engine, adapterKey: output.order.adapterKey, finish, now }))
     else finish(1, { kind: 'done', tookMs: 1 })
   }
 
-  type Finish = (delayMs: number, outcome: Parameters<ZoneCoordination['receiveOrderResult']>[0]['outcome']) => void
-
-  function applyLoad (engine: Engine, adapterKey: AdapterKey, finish: Finish): void {
-    if (engine.resident.has(adapterKey)) {
-      finish(1, { kind: 'done', tookMs: 0 })
-      return
-    }
-    if (engine.failLoads || engine.resident.size + engine.loading.size >= engine.slots) {
-      finish(1, { kind: 'failed', reason: engine.failLoads ? 'store' : 'no slot' })
-      return
-    }
-    engine.loading.add(adapterKey)
-    const { instance } = engine
-    plan(LOAD_MS, () => {
-      if (engine.instance !== instance) return
-      engine.loading.delete(adapterKey)
-      engine.resident.add(adapterKey)
-    })
-    finish(LOAD_MS + 1, { kind: 'done', tookMs: LOAD_MS })
-  }
-
-  function applyEvict (engine: Engine, adapterKey: AdapterKey, finish: Finish): void {
-    for (const [attemptId, run] of engine.running) {
-      if (run.adapterKey === adapterKey) violations.push(`${now}: ${adapterKey} evicted on ${engine.row.endpoint} under ${attemptId}`)
-    }
-    engine.resident.delete(adapterKey)
-    finish(EVICT_MS, { kind: 'done', tookMs: EVICT_MS })
-  }
-
   function pollEngine (host: PumpHost, endpoint: string): void {
     const engine = engines.get(endpoint)
     plan(1 + random.nextInt(0, faults.maxDelayMs), () => {
@@ -189,22 +166,7 @@
         drive(host, context => host.coordination.receiveUnreachable({ kind: 'endpoint.unreachable', endpoint }, context))
         return
       }
-      const running: Record<string, number> = {}
-      for (const { adapterKey } of engine.running.values()) running[adapterKey] = (running[adapterKey] ?? 0) + 1
-      const report = {
-        instanceId: String(engine.instance),
-        resident: [...engine.resident],
-        loading: [...engine.loading],
-        running,
-        runningCount: engine.running.size,
-        queuedCount: 0,
-        batchLimit: engine.batchLimit,
-        slots: engine.slots,
-        pool: engine.row.pool,
-        checksFencing: engine.checksFencing,
-        highestFencing: engine.fencing,
-        ageMs: 0
-      }
+      const report = takeReport(engine, now, random.nextInt(0, faults.maxReportAgeMs))
       plan(1 + random.nextInt(0, faults.maxDelayMs), () => {
         drive(host, context => host.coordination.receiveReport({ kind: 'endpoint.report', endpoint, report }, context))
       })
@@ -224,13 +186,24 @@
       return
     }
     const context: RunContext = {
-      now: now + getOffset(host.host),
+      now: toLocal(host.host, now) + CLOCK_GRAIN_MS,
       wallNow: WALL_START_MS + now,
       send: (to, message) => send(host.host, to, message),
       emit: output => carryOut(host, output)
     }
     event?.(context)
     host.coordination.run(context)
+    checkOwners(host)
+  }
+
+  function checkOwners (host: PumpHost): void {
+    if (!host.coordination.view.isServing(toLocal(host.host, now))) return
+    for (const { endpoint } of host.coordination.describeEndpoints()) {
+      for (const other of hosts.values()) {
+        if (other === host || !other.alive || other.pausedUntil > now || !other.coordination.view.isServing(toLocal(other.host, now))) continue
+        if (other.coordination.describeEndpoints().some(row => row.endpoint === endpoint)) violations.push(`${now}: ${host.host} and ${other.host} both own ${endpoint}`)
+      }
+    }
   }
 
   function findNextDue (): number {
@@ -238,7 +211,7 @@
     for (const item of planned) next = Math.min(next, item.at)
     for (const host of hosts.values()) {
       if (!host.alive || host.pausedUntil > now) continue
-      next = Math.min(next, Math.max(now, (host.coordination.getNextAt() ?? Infinity) - getOffset(host.host)))
+      next = Math.min(next, Math.max(now, toReal(host.host, host.coordination.getNextAt() ?? Infinity)))
     }
     return next
   }
@@ -270,7 +243,7 @@
       runPlanned()
       for (const host of hosts.values()) {
         const due = host.coordination.getNextAt()
-        if (host.alive && due !== undefined && due - getOffset(host.host) <= now) drive(host, undefined)
+        if (host.alive && due !== undefined && toReal(host.host, due) <= now + CLOCK_GRAIN_MS) drive(host, undefined)
       }
       runPlanned()
     }
@@ -279,7 +252,7 @@
 
   function findOwnerNow (endpoint: string): HostId | undefined {
     for (const host of hosts.values()) {
-      const owns = host.alive && host.coordination.view.isServing(now + getOffset(host.host)) && host.coordination.describeEndpoints().some(row => row.endpoint === endpoint)
+      const owns = host.alive && host.coordination.view.isServing(toLocal(host.host, now)) && host.coordination.describeEndpoints().some(row => row.endpoint === endpoint)
       if (owns) return host.host
     }
     return undefined
@@ -294,6 +267,13 @@
     send(host, owner, { kind: 'grant.ask', attemptId, requestId: attemptId, origin: host, endpoint, pool: 'p', adapterKey, serviceClass: request.serviceClass ?? 'standard', remainingMs: request.remainingMs ?? 30_000, maxRunMs })
   }
 
+  function stopHost (row: PumpHost): void {
+    row.alive = false
+    row.pausedUntil = 0
+    active.get(row.host)?.clear()
+    for (const engine of engines.values()) for (const [attemptId] of engine.running) if (attemptId.startsWith(`${row.host}.`)) engine.running.delete(attemptId)
+  }
+
   for (const { host } of peers) {
     hosts.set(host, { host, coordination: createCoordination(host), alive: true, pausedUntil: 0, leaving: false, cutOrders: new Set() })
     active.set(host, new Map())
@@ -313,7 +293,7 @@
     addEngine: engine => {
       const row: EndpointRow = { endpoint: engine.endpoint, kind: 'engine', zone: engine.zone ?? 'z1', region: 'r', url: `http://${engine.endpoint}`, pool: 'p', leaving: false }
       const added: Engine = {
-        row, slots: engine.slots ?? 2, batchLimit: engine.batchLimit ?? 8, checksFencing: engine.checksFencing ?? true, instance: 1, restartedAt: -Infinity, fencing: 0, reachable: true, failLoads: false, resident: new Set(engine.resident ?? []), loading: new Set(), running: new Map()
+        row, slots: engine.slots ?? 2, batchLimit: engine.batchLimit ?? 8, checksFencing: engine.checksFencing ?? true, instance: 1, restartedAt: -Infinity, fencing: 0, reachable: true, failLoads: false, resident: new Set(engine.resident ?? []), loading: new Set(), running: new Map(), snapshots: []
       }
       engines.set(engine.endpoint, added)
       return added
@@ -326,13 +306,12 @@
     crash: host => {
       const row = hosts.get(host)
       if (row === undefined) return
-      row.alive = false
-      active.get(host)?.clear()
-      for (const engine of engines.values()) for (const [attemptId] of engine.running) if (attemptId.startsWith(`${host}.`)) engine.running.delete(attemptId)
+      stopHost(row)
     },
     restart: host => {
       const row = hosts.get(host)
       if (row === undefined) return
+      if (row.alive) stopHost(row)
       row.alive = true
       row.coordination = createCoordination(host)
     },
@@ -363,7 +342,7 @@
     findOwner: findOwnerNow,
     findSubLeaseEnd: host => {
       let end = now
-      while (hosts.get(host)?.coordination.view.isServing(end + getOffset(host)) === true) end++
+      while (hosts.get(host)?.coordination.view.isServing(toLocal(host, end)) === true) end++
       return end
     },
     countMessages: kind => counts.get(kind) ?? 0
--- a/zone/coordination/test/zonePumpTypes.ts
+++ b/zone/coordination/test/zonePumpTypes.ts
@@ -1,5 +1,5 @@
 /** What the in-test zone consists of. */
-import type { AdapterKey, EndpointRow, HostId, Order, OrderId } from '@catkinferry/core.types'
+import type { AdapterKey, EndpointReport, EndpointRow, HostId, Order, OrderId } from '@catkinferry/core.types'
 import type { GrantMessage, PeerMessage } from '@catkinferry/wire.messages'
 import type { ZoneCoordination } from '@catkinferry/zone.coordination'
 
@@ -16,6 +16,8 @@
   readonly resident: Set<AdapterKey>
   readonly loading: Set<AdapterKey>
   readonly running: Map<string, { readonly adapterKey: AdapterKey, readonly endsAt: number }>
+  /** Earlier states, newest last; reports lag. */
+  readonly snapshots: { readonly at: number, readonly report: EndpointReport }[]
 }
 
 export interface PumpHost {
@@ -47,6 +49,11 @@
   maxDelayMs: number
   /** Answers of orders are lost with this share. */
   lostAnswerShare: number
+  /** Orders and requests are slow with this share, up to the times below. */
+  slowShare: number
+  maxSendMs: number
+  maxOrderMs: number
+  maxReportAgeMs: number
 }
 
 /** What an attempt that a host asked for does once granted. */
--- a/zone/coordination/test/zoneSafety.test.ts
+++ b/zone/coordination/test/zoneSafety.test.ts
@@ -11,7 +11,7 @@
 
 type Step =
   | { readonly kind: 'ask', readonly host: number, readonly endpoint: number, readonly adapter: number, readonly runMs: number, readonly startAfterMs: number }
-  | { readonly kind: 'cut' | 'crash' | 'restart', readonly host: number, readonly other: number }
+  | { readonly kind: 'cut' | 'crash' | 'restart' | 'shutdown', readonly host: number, readonly other: number }
   | { readonly kind: 'pause', readonly host: number, readonly durationMs: number }
   | { readonly kind: 'heal' }
   | { readonly kind: 'restartEngine', readonly endpoint: number }
@@ -24,7 +24,7 @@
 const step: fc.Arbitrary<Step> = fc.oneof(
   { weight: 12, arbitrary: ask },
   { weight: 6, arbitrary: wait },
-  { weight: 1, arbitrary: fc.record({ kind: fc.constantFrom('cut' as const, 'crash' as const, 'restart' as const), host, other: host }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constantFrom('cut' as const, 'crash' as const, 'restart' as const, 'shutdown' as const), host, other: host }) },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('pause' as const), host, durationMs: fc.integer({ min: 500, max: 8_000 }) }) },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('heal' as const) }) },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('restartEngine' as const), endpoint }) }
@@ -38,7 +38,8 @@
   else if (step.kind === 'ask') pump.ask({ host: `z1h${step.host}`, endpoint: ENGINES[step.endpoint], adapterKey: ADAPTERS[step.adapter] ?? '', attemptId: `z1h${step.host}.${number}`, runMs: step.runMs, startAfterMs: step.startAfterMs })
   else if (step.kind === 'cut') pump.cut(`z1h${step.host}`, `z1h${step.other}`)
   else if (step.kind === 'crash') pump.crash(`z1h${step.host}`)
-  else if (pump.hosts.get(`z1h${step.host}`)?.alive === false) pump.restart(`z1h${step.host}`)
+  else if (step.kind === 'shutdown') pump.beginShutdown(`z1h${step.host}`)
+  else pump.restart(`z1h${step.host}`)
 }
 
 describe('zone safety under random faults', () => {
@@ -49,7 +50,7 @@
       const pump = createZonePump({ hosts: HOSTS, seed })
       for (const [index, name] of ENGINES.entries()) pump.addEngine({ endpoint: name, slots: 2, batchLimit: 4, checksFencing: index === 0 })
       pump.runFor(9_000)
-      Object.assign(pump.faults, { lossShare: 0.05, copyShare: 0.05, maxDelayMs: 30, lostAnswerShare: 0.05 })
+      Object.assign(pump.faults, { lossShare: 0.05, copyShare: 0.05, maxDelayMs: 30, lostAnswerShare: 0.05, slowShare: 0.2, maxSendMs: 2_000, maxOrderMs: 900, maxReportAgeMs: 800 })
       for (const [number, next] of steps.entries()) runStep(pump, next, number)
       pump.runFor(4_000)
       given += pump.grants.filter(({ message }) => message.kind === 'grant.given').length
--- a/zone/ownership/src/assigner.ts
+++ b/zone/ownership/src/assigner.ts
@@ -38,7 +38,8 @@
   readonly getNextAt: () => MonotonicMs | undefined
   readonly listHosts: (now: MonotonicMs) => readonly HostId[]
   readonly getOwned: (endpoint: EndpointId) => OwnedEndpoint | undefined
-  readonly countUnowned: () => number
+  /** True when everything is assigned and every owner has applied its assignment. */
+  readonly isSettled: (now: MonotonicMs) => boolean
   /** Endpoints and hosts changed since the last call. */
   readonly takeChanges: () => { readonly endpoints: readonly EndpointId[], readonly hosts: boolean }
 }
@@ -113,7 +114,7 @@
 }
 
 function addOwner (state: AssignerState, host: HostId, leaving: boolean): OwnerRow {
-  const owner: OwnerRow = { until: 0, epoch: state.nextEpoch++, leaving, endpoints: new Set() }
+  const owner: OwnerRow = { until: 0, epoch: state.nextEpoch++, appliedEpoch: 0, leaving, endpoints: new Set() }
   state.owners.set(host, owner)
   state.hostsChanged = true
   return owner
@@ -123,6 +124,7 @@
   if (!state.active) return
   state.highestFencing = Math.max(state.highestFencing, renew.highestFencing)
   const owner = state.owners.get(from) ?? addOwner(state, from, renew.leaving)
+  if (renew.ballot === state.ballot) owner.appliedEpoch = renew.epoch
   if (owner.leaving !== renew.leaving) {
     owner.leaving = renew.leaving
     rebalance(state, context.now)
@@ -193,6 +195,14 @@
   if (state.unowned.size > 0) assignUnowned(state, context, computeMaxHostCount(state, context.now))
 }
 
+function isSettled (state: AssignerState, now: MonotonicMs): boolean {
+  if (state.unowned.size > 0) return false
+  for (const owner of state.owners.values()) {
+    if (isLive(owner, now) && owner.endpoints.size > 0 && owner.appliedEpoch !== owner.epoch) return false
+  }
+  return true
+}
+
 /** Creates the holder's table of assignments. */
 export function createAssigner (opts: AssignerOptions): Assigner {
   const state = createAssignerState(opts)
@@ -216,7 +226,7 @@
       const row = state.rows.get(endpoint)
       return row === undefined ? undefined : { row: row.row, owner: row.owner, fencing: row.fencing }
     },
-    countUnowned: () => state.unowned.size,
+    isSettled: now => isSettled(state, now),
     takeChanges: () => {
       const taken = { endpoints: [...state.changed], hosts: state.hostsChanged }
       state.changed.clear()
--- a/zone/ownership/src/assignerState.ts
+++ b/zone/ownership/src/assignerState.ts
@@ -31,6 +31,8 @@
   /** End of the sub-lease as the holder counts it: from its answer, plus the drift bound. */
   until: MonotonicMs
   epoch: number
+  /** The last epoch that the owner is known to have applied. */
+  appliedEpoch: number
   leaving: boolean
   readonly endpoints: Set<EndpointId>
 }
