Lend the load budget load by load

Cause: a rate lent for seconds could not follow the waiting loads, so zones waited while the pool lay idle. Change: the lender keeps a token bucket of the pool and gives whole loads to zones that have loads waiting; the floor's limit of loads in flight no longer counts them.

--- a/adapters/load-budget/src/limits.ts
+++ b/adapters/load-budget/src/limits.ts
@@ -23,9 +23,3 @@
 export function computeLentPool (limits: LoadLimits, zoneCount: number): number {
   return Math.max(0, limits.perSecond - computeFloors(limits, zoneCount).perSecond * zoneCount)
 }
-
-/** Computes the loads that a zone may have in flight: its share of the rate, but at least its floor. */
-export function computeInFlightLimit (limits: LoadLimits, zoneCount: number, rate: number): number {
-  const share = limits.perSecond > 0 ? Math.min(1, rate / limits.perSecond) : 0
-  return Math.max(computeFloors(limits, zoneCount).inFlight, Math.floor(limits.maxInFlight * share))
-}
--- a/adapters/load-budget/src/zoneBudget.ts
+++ b/adapters/load-budget/src/zoneBudget.ts
@@ -2,8 +2,8 @@
  * The load budget of one zone, kept by its lease holder: a token rate and a limit of loads in flight.
  *
  * The weights store is shared by the deployment. Each zone always has its floor; the floors add up to a share of the
- * limit. One zone lends the rest to the zones that want it, by leases that end by themselves, so that a zone that is cut
- * off falls back to its floor and the sum never passes the limit.
+ * limit. One zone lends the rest, load by load, to the zones that have loads waiting, so that a zone that is cut off falls
+ * back to its floor and the sum never passes the limit.
  */
 import { MAX_CLOCK_DRIFT_FRACTION, MAX_ORDER_MS } from '@catkinferry/core.constants'
 import { createDueTimes } from '@catkinferry/core.tables'
@@ -13,7 +13,7 @@
 import type { LoadBudgetMessage } from '@catkinferry/wire.messages'
 import { createLender } from './lender.ts'
 import type { Lender } from './lender.ts'
-import { computeFloors, computeInFlightLimit, computeLentPool } from './limits.ts'
+import { computeFloors, computeLentPool } from './limits.ts'
 import type { LoadLimits } from './limits.ts'
 
 type Take = Extract<LoadBudgetMessage, { kind: 'budget.take' }>
@@ -26,8 +26,12 @@
 /** An owner must start a load within this time of being given it. */
 const GIVEN_FOR_MS = 2_000
 const TAKE_KEPT_MS = 5_000
+/** Loads that were lent must be given within this time, counted from the ask. */
 const LEND_MS = 1_000
-const ASK_INTERVAL_MS = 250
+/** While loads wait, more are asked for this often. */
+const ASK_INTERVAL_MS = 100
+/** Loads that come together are asked for together. */
+const ASK_DELAY_MS = 2
 const SLOW_FACTOR = 1.5
 const BACK_OFF_FACTOR = 0.8
 const STEER_INTERVAL_MS = 1_000
@@ -73,21 +77,24 @@
   readonly opts: ZoneBudgetOptions
   readonly zones: readonly ZoneId[]
   readonly waiting: Map<string, TakeRow>
-  readonly given: Map<string, { readonly from: HostId, readonly until: MonotonicMs }>
+  readonly given: Map<string, { readonly from: HostId, readonly until: MonotonicMs, readonly lent: boolean }>
   readonly due: DueTimes<string>
   readonly lender: Lender
   readonly askedAt: Map<number, MonotonicMs>
   active: boolean
   tokens: number
   filledAt: MonotonicMs
+  /** Loads lent and not yet given, and when they lapse. */
   borrowed: number
   borrowedUntil: MonotonicMs
+  /** Loads given that were lent, and not yet done. */
+  lentInFlight: number
   nextAskId: number
   /** Smoothed time that loads took. */
   tookMs: DurationMs
   /** Factor on the in-flight limit, lowered while loads are slow. */
   steering: number
-  recentTakes: number
+  lendPlanned: boolean
 }
 
 function createBudgetState (opts: ZoneBudgetOptions): BudgetState {
@@ -105,10 +112,11 @@
     filledAt: 0,
     borrowed: 0,
     borrowedUntil: -Infinity,
+    lentInFlight: 0,
     nextAskId: 1,
     tookMs: 0,
     steering: 1,
-    recentTakes: 0
+    lendPlanned: false
   }
 }
 
@@ -116,31 +124,31 @@
   return state.zones[0] === state.opts.zone
 }
 
-function getRate (state: BudgetState, now: MonotonicMs): number {
-  return computeFloors(state.opts.getLimits(), state.zones.length).perSecond + (state.borrowedUntil > now ? state.borrowed : 0)
+function getRate (state: BudgetState): number {
+  return computeFloors(state.opts.getLimits(), state.zones.length).perSecond
 }
 
-function getInFlightLimit (state: BudgetState, now: MonotonicMs): number {
-  return Math.max(1, Math.floor(computeInFlightLimit(state.opts.getLimits(), state.zones.length, getRate(state, now)) * state.steering))
+/** Loads of the floor in flight at once; those that were lent are bounded by the lender. */
+function getInFlightLimit (state: BudgetState): number {
+  return Math.max(1, Math.floor(computeFloors(state.opts.getLimits(), state.zones.length).inFlight * state.steering))
 }
 
 /** Loads that nobody waits for stay below the number that the store serves at full speed. */
-function getQuietLimit (state: BudgetState, now: MonotonicMs): number {
+function getQuietLimit (state: BudgetState): number {
   const { fullSpeedInFlight, perSecond } = state.opts.getLimits()
-  return Math.max(1, Math.floor(fullSpeedInFlight * Math.min(1, getRate(state, now) / perSecond)))
+  return Math.max(1, Math.floor(fullSpeedInFlight * Math.min(1, getRate(state) / perSecond)))
 }
 
 function fillTokens (state: BudgetState, now: MonotonicMs): void {
-  const lentUntil = Math.max(state.filledAt, Math.min(now, state.borrowedUntil))
-  const floor = computeFloors(state.opts.getLimits(), state.zones.length).perSecond
-  const earned = floor * (now - state.filledAt) + state.borrowed * (lentUntil - state.filledAt)
-  const burst = Math.max(1, getRate(state, now) * BURST_MS / MS_PER_SECOND)
-  state.tokens = Math.min(burst, state.tokens + earned / MS_PER_SECOND)
+  const rate = getRate(state)
+  const burst = Math.max(1, rate * BURST_MS / MS_PER_SECOND)
+  state.tokens = Math.min(burst, state.tokens + rate * (now - state.filledAt) / MS_PER_SECOND)
   state.filledAt = now
+  if (state.borrowedUntil <= now) state.borrowed = 0
 }
 
-function pickNext (state: BudgetState, now: MonotonicMs): TakeRow | undefined {
-  const quiet = state.given.size < getQuietLimit(state, now)
+function pickNext (state: BudgetState): TakeRow | undefined {
+  const quiet = state.given.size < getQuietLimit(state)
   let best: TakeRow | undefined
   for (const take of state.waiting.values()) {
     if (take.weight <= 0 && !quiet) continue
@@ -149,10 +157,10 @@
   return best
 }
 
-function giveLoad (state: BudgetState, take: TakeRow, context: RunContext): void {
+function giveLoad (state: BudgetState, take: TakeRow, lent: boolean, context: RunContext): void {
   const until = context.now + GIVEN_FOR_MS
   state.waiting.delete(take.loadId)
-  state.given.set(take.loadId, { from: take.from, until })
+  state.given.set(take.loadId, { from: take.from, until, lent })
   state.due.set(take.loadId, until + MAX_ORDER_MS * (1 + MAX_CLOCK_DRIFT_FRACTION))
   context.send(take.from, { kind: 'budget.given', loadId: take.loadId, forMs: GIVEN_FOR_MS })
 }
@@ -160,14 +168,34 @@
 function giveLoads (state: BudgetState, context: RunContext): void {
   const { now } = context
   fillTokens(state, now)
-  while (state.waiting.size > 0 && state.tokens >= 1 && state.given.size < getInFlightLimit(state, now)) {
-    const next = pickNext(state, now)
+  while (state.waiting.size > 0) {
+    const isOwn = state.tokens >= 1 && state.given.size - state.lentInFlight < getInFlightLimit(state)
+    if (!isOwn && state.borrowed < 1) break
+    const next = pickNext(state)
     if (next === undefined) return
-    state.tokens -= 1
-    giveLoad(state, next, context)
+    if (isOwn) state.tokens -= 1
+    else takeBorrowed(state)
+    giveLoad(state, next, !isOwn, context)
   }
-  if (state.waiting.size === 0 || state.tokens >= 1) return
-  state.due.set(TOKEN, now + Math.ceil((1 - state.tokens) * MS_PER_SECOND / getRate(state, now)))
+  if (state.waiting.size === 0) return
+  if (!state.lendPlanned) planLend(state, now + ASK_DELAY_MS)
+  if (state.tokens < 1) state.due.set(TOKEN, now + Math.ceil((1 - state.tokens) * MS_PER_SECOND / getRate(state)))
+}
+
+function planLend (state: BudgetState, at: MonotonicMs): void {
+  state.lendPlanned = true
+  state.due.set(LEND, at)
+}
+
+function takeBorrowed (state: BudgetState): void {
+  state.borrowed -= 1
+  state.lentInFlight += 1
+}
+
+/** Forgets a load that was given. */
+function removeGiven (state: BudgetState, loadId: string): void {
+  if (state.given.get(loadId)?.lent === true) state.lentInFlight -= 1
+  state.given.delete(loadId)
 }
 
 function receiveTake (state: BudgetState, from: HostId, take: Take, context: RunContext): void {
@@ -178,7 +206,6 @@
     if (forMs > 0) context.send(from, { kind: 'budget.given', loadId: take.loadId, forMs })
     return
   }
-  if (!state.waiting.has(take.loadId)) state.recentTakes++
   state.waiting.set(take.loadId, { loadId: take.loadId, from, weight: take.weight })
   state.due.set(take.loadId, context.now + TAKE_KEPT_MS)
   giveLoads(state, context)
@@ -190,7 +217,7 @@
   state.waiting.delete(done.loadId)
   state.due.clear(done.loadId)
   if (given?.from === from) {
-    state.given.delete(done.loadId)
+    removeGiven(state, done.loadId)
     if (!done.ok && done.tookMs === 0) state.tokens += 1
   }
   if (done.ok) state.tookMs = state.tookMs === 0 ? done.tookMs : state.tookMs + TOOK_SMOOTHING * (done.tookMs - state.tookMs)
@@ -208,17 +235,17 @@
 
 function askToBorrow (state: BudgetState, context: RunContext): void {
   const { opts, zones } = state
-  state.due.set(LEND, context.now + ASK_INTERVAL_MS)
-  if (zones.length <= 1) return
-  const floor = computeFloors(opts.getLimits(), zones.length).perSecond
-  const wanted = Math.max(0, state.waiting.size + state.recentTakes * MS_PER_SECOND / ASK_INTERVAL_MS - floor)
-  state.recentTakes /= 2
+  state.lendPlanned = false
+  if (zones.length <= 1 || state.waiting.size === 0) return
+  planLend(state, context.now + ASK_INTERVAL_MS)
+  const wanted = [...state.waiting.values()].filter(({ weight }) => weight > 0).length
+  if (wanted === 0) return
   const askId = state.nextAskId++
   state.askedAt.set(askId, context.now)
   state.askedAt.delete(askId - LEND_MS / ASK_INTERVAL_MS)
-  const ask = { kind: 'budget.ask', zone: opts.zone, askId, wanted, using: getRate(state, context.now) } as const
+  const ask = { kind: 'budget.ask', zone: opts.zone, askId, wanted, using: state.given.size } as const
   if (isLender(state)) {
-    applyLend(state, { askId, extra: state.lender.lend(ask, LEND_MS, context.now), durationMs: LEND_MS }, context)
+    applyLend(state, { askId, extra: state.lender.lend(wanted, context.now), durationMs: LEND_MS }, context)
     return
   }
   const to = opts.getContact(zones[0] ?? '')
@@ -228,9 +255,12 @@
 function applyLend (state: BudgetState, lend: Pick<Lend, 'askId' | 'extra' | 'durationMs'>, context: RunContext): void {
   const askedAt = state.askedAt.get(lend.askId)
   if (askedAt === undefined || !state.active) return
+  state.askedAt.delete(lend.askId)
+  const until = askedAt + lend.durationMs * (1 - MAX_CLOCK_DRIFT_FRACTION)
+  if (lend.extra <= 0 || until <= context.now) return
   fillTokens(state, context.now)
-  state.borrowed = lend.extra
-  state.borrowedUntil = askedAt + lend.durationMs * (1 - MAX_CLOCK_DRIFT_FRACTION)
+  state.borrowed += lend.extra
+  state.borrowedUntil = until
   giveLoads(state, context)
 }
 
@@ -239,7 +269,7 @@
   else if (key === STEER) steer(state, context.now)
   else if (key !== TOKEN) {
     state.waiting.delete(key)
-    state.given.delete(key)
+    removeGiven(state, key)
   }
 }
 
@@ -250,9 +280,9 @@
   state.filledAt = context.now
   state.borrowed = 0
   state.borrowedUntil = -Infinity
+  state.lentInFlight = 0
   state.askedAt.clear()
   state.lender.begin(context.now + LEND_MS * (1 + MAX_CLOCK_DRIFT_FRACTION))
-  state.due.set(LEND, context.now)
   state.due.set(STEER, context.now + STEER_INTERVAL_MS)
 }
 
@@ -260,6 +290,7 @@
   state.active = false
   state.waiting.clear()
   state.given.clear()
+  state.lendPlanned = false
   for (const key of [LEND, STEER, TOKEN]) state.due.clear(key)
 }
 
@@ -273,8 +304,8 @@
     receiveDone: (from, done, context) => receiveDone(state, from, done, context),
     receiveAsk: (from, ask, context) => {
       if (!state.active || !isLender(state)) return
-      const extra = state.lender.lend(ask, LEND_MS, context.now)
-      context.send(from, { kind: 'budget.lend', zone: ask.zone, askId: ask.askId, extra, durationMs: LEND_MS })
+      const extra = state.lender.lend(ask.wanted, context.now)
+      if (extra > 0) context.send(from, { kind: 'budget.lend', zone: ask.zone, askId: ask.askId, extra, durationMs: LEND_MS })
     },
     receiveLend: (lend, context) => applyLend(state, lend, context),
     run: context => {
@@ -285,6 +316,6 @@
       giveLoads(state, context)
     },
     getNextAt: () => state.active ? state.due.getNextAt() : undefined,
-    describe: now => ({ ratePerSecond: getRate(state, now), inFlight: state.given.size, inFlightLimit: getInFlightLimit(state, now), waiting: state.waiting.size })
+    describe: () => ({ ratePerSecond: getRate(state), inFlight: state.given.size, inFlightLimit: getInFlightLimit(state), waiting: state.waiting.size })
   }
 }
