Add the HTTP APIs for callers and operators

Cause: requests and changes need a way in and truthful answers out. Change: OpenAI-style forms and service routes with bounded buffers, error bodies that say whether the work ran; operator questions by kind with scrypt tokens, roles and rotation.

--- /dev/null
+++ b/gateway/caller-api/src/answer.ts
@@ -0,0 +1,168 @@
+/** One answer under way to a caller: batches writes, holds slow callers back, ends exactly once. */
+import type { ServerResponse } from 'node:http'
+import type { AnswerFacts, RequestFailure, RequestId } from '@catkinferry/core.types'
+import { computeRetryAfterSeconds, findStatus, renderErrorBody } from './errorBody.ts'
+
+export interface AnswerLimits {
+  /** Above this many unsent bytes the engine's stream is paused. */
+  readonly pauseAboveBytes: number
+  /** Above this many unsent bytes the caller counts as gone. */
+  readonly dropAboveBytes: number
+  /** A caller that does not read for this long counts as gone. */
+  readonly maxPauseMs: number
+}
+
+export interface AnswerOptions {
+  readonly requestId: RequestId
+  readonly res: ServerResponse
+  readonly limits: AnswerLimits
+  readonly setPaused: (paused: boolean) => void
+  readonly onGone: (reason: 'left' | 'slow') => void
+}
+
+export interface Answer {
+  readonly begin: (facts: AnswerFacts, status: number, contentType: string | undefined) => void
+  readonly addChunk: (data: string) => void
+  readonly end: () => void
+  readonly fail: (failure: RequestFailure) => void
+  /** Writes what was gathered in this turn. */
+  readonly flush: () => void
+}
+
+const EVENT_STREAM = 'text/event-stream'
+const DEFAULT_CONTENT_TYPE = 'application/json'
+const STREAM_END = 'data: [DONE]\n\n'
+
+/** Headers that tell a caller about its answer. */
+export function buildFactHeaders (facts: AnswerFacts): Record<string, string> {
+  const all: Record<string, string | number | boolean | undefined> = {
+    'x-catkinferry-request-id': facts.requestId,
+    'x-catkinferry-adapter': facts.adapter,
+    'x-catkinferry-version': facts.version,
+    'x-catkinferry-endpoint': facts.endpoint,
+    'x-catkinferry-claim-key': facts.claimKey,
+    'x-catkinferry-attempts': facts.attempts,
+    'x-catkinferry-queue-ms': Math.round(facts.queueMs),
+    'x-catkinferry-load-stall-ms': Math.round(facts.loadStallMs),
+    'x-catkinferry-replayed': facts.replayed
+  }
+  const present = Object.entries(all).filter(([, value]) => value !== undefined)
+  return Object.fromEntries(present.map(([name, value]) => [name, encodeHeaderValue(String(value))]))
+}
+
+/** Keeps names outside of Latin-1 out of headers. */
+function encodeHeaderValue (value: string): string {
+  return /^[\x20-\x7e]*$/.test(value) ? value : encodeURIComponent(value)
+}
+
+interface AnswerState {
+  readonly opts: AnswerOptions
+  head: { readonly status: number, readonly headers: Record<string, string> } | undefined
+  headSent: boolean
+  isStream: boolean
+  text: string
+  ending: boolean
+  done: boolean
+  paused: boolean
+  pauseTimer: NodeJS.Timeout | undefined
+}
+
+function finishAnswer (state: AnswerState): void {
+  state.done = true
+  state.text = ''
+  clearTimeout(state.pauseTimer)
+}
+
+function dropCaller (state: AnswerState, reason: 'left' | 'slow'): void {
+  if (state.done) return
+  finishAnswer(state)
+  state.opts.res.destroy()
+  state.opts.onGone(reason)
+}
+
+function checkPressure (state: AnswerState): void {
+  const { res, limits, setPaused } = state.opts
+  const unsent = res.writableLength
+  if (unsent > limits.dropAboveBytes) {
+    dropCaller(state, 'slow')
+    return
+  }
+  if (state.paused || unsent <= limits.pauseAboveBytes) return
+  state.paused = true
+  setPaused(true)
+  state.pauseTimer = setTimeout(() => dropCaller(state, 'slow'), limits.maxPauseMs)
+  res.once('drain', () => {
+    state.paused = false
+    clearTimeout(state.pauseTimer)
+    if (!state.done) setPaused(false)
+  })
+}
+
+function flushAnswer (state: AnswerState): void {
+  const { res } = state.opts
+  if (state.done) return
+  const { text } = state
+  state.text = ''
+  if (!state.headSent && state.head !== undefined) {
+    state.headSent = true
+    const { status, headers } = state.head
+    if (state.ending && !state.isStream) headers['content-length'] = String(Buffer.byteLength(text))
+    res.writeHead(status, headers)
+  }
+  if (state.ending) {
+    finishAnswer(state)
+    res.setTimeout(state.opts.limits.maxPauseMs, () => res.destroy())
+    res.end(text)
+    return
+  }
+  if (text === '') return
+  res.write(text)
+  checkPressure(state)
+}
+
+function failBeforeHead (state: AnswerState, failure: RequestFailure): void {
+  const { res, requestId } = state.opts
+  const headers: Record<string, string> = { 'content-type': DEFAULT_CONTENT_TYPE, 'x-catkinferry-request-id': requestId }
+  const retryAfter = computeRetryAfterSeconds(failure)
+  if (retryAfter !== undefined) headers['retry-after'] = String(retryAfter)
+  finishAnswer(state)
+  res.writeHead(findStatus(failure), headers)
+  res.end(renderErrorBody(failure, requestId))
+}
+
+/** After the head a stream ends with an error event and no end marker; another body is cut. */
+function failAfterHead (state: AnswerState, failure: RequestFailure): void {
+  const { res, requestId } = state.opts
+  if (!state.isStream) {
+    finishAnswer(state)
+    res.destroy()
+    return
+  }
+  state.text += `event: error\ndata: ${renderErrorBody(failure, requestId)}\n\n`
+  state.ending = true
+  flushAnswer(state)
+}
+
+/** Takes over a response whose request was admitted. */
+export function createAnswer (opts: AnswerOptions): Answer {
+  const state: AnswerState = { opts, head: undefined, headSent: false, isStream: false, text: '', ending: false, done: false, paused: false, pauseTimer: undefined }
+  opts.res.once('close', () => dropCaller(state, 'left'))
+  return {
+    begin: (facts, status, contentType = DEFAULT_CONTENT_TYPE) => {
+      state.isStream = contentType.startsWith(EVENT_STREAM)
+      state.head = { status, headers: { 'content-type': contentType, ...buildFactHeaders(facts) } }
+      if (state.isStream) state.head.headers['cache-control'] = 'no-store'
+    },
+    addChunk: data => { state.text += state.isStream ? `data: ${data}\n\n` : data },
+    end: () => {
+      if (state.isStream) state.text += STREAM_END
+      state.ending = true
+    },
+    fail: failure => {
+      if (state.done) return
+      if (state.headSent) failAfterHead(state, failure)
+      else failBeforeHead(state, failure)
+    },
+    flush: () => flushAnswer(state)
+  }
+}
--- a/gateway/caller-api/src/index.ts
+++ b/gateway/caller-api/src/index.ts
@@ -1,2 +1,5 @@
 /** HTTP API for callers. */
-export {}
+export * from './callerApi.ts'
+export * from './callerTokens.ts'
+export * from './errorBody.ts'
+export * from './serviceRoutes.ts'
--- /dev/null
+++ b/gateway/caller-api/src/readBody.ts
@@ -0,0 +1,25 @@
+/** Reads a request body up to a size limit. */
+import type { IncomingMessage } from 'node:http'
+import { createFailed, createOk, ErrorCode } from '@catkinferry/core.errors'
+import type { Result } from '@catkinferry/core.errors'
+
+/** Reads the whole body as text; `undefined` when the caller left before its end. */
+export async function readBody (req: IncomingMessage, maxBytes: number): Promise<Result<string> | undefined> {
+  const tooLarge = createFailed({ code: ErrorCode.TOO_LARGE, message: `the body is over ${maxBytes} bytes`, step: 'caller.read', ran: 'no', hint: 'send less at once' })
+  if (Number(req.headers['content-length'] ?? 0) > maxBytes) return tooLarge
+  return await new Promise(resolve => {
+    const parts: Buffer[] = []
+    let bytes = 0
+    req.on('data', (part: Buffer) => {
+      bytes += part.length
+      if (bytes <= maxBytes) {
+        parts.push(part)
+        return
+      }
+      req.pause()
+      resolve(tooLarge)
+    })
+    req.on('end', () => resolve(createOk(Buffer.concat(parts).toString('utf8'))))
+    req.on('close', () => resolve(undefined))
+  })
+}
--- /dev/null
+++ b/gateway/caller-api/src/serviceRoutes.ts
@@ -0,0 +1,14 @@
+/** Plain service routes, by path prefix. */
+
+export interface ServiceRoute {
+  readonly route: string
+  /** Requests to this path and below it belong to the route. */
+  readonly pathPrefix: string
+  readonly idempotent: boolean
+}
+
+/** Finds the route with the longest matching prefix. */
+export function findRoute (routes: readonly ServiceRoute[], path: string): ServiceRoute | undefined {
+  const matching = routes.filter(({ pathPrefix }) => path === pathPrefix || path.startsWith(pathPrefix.endsWith('/') ? pathPrefix : pathPrefix + '/'))
+  return matching.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)[0]
+}
--- a/gateway/operator-api/src/index.ts
+++ b/gateway/operator-api/src/index.ts
@@ -1,2 +1,4 @@
 /** HTTP API for operators. */
-export {}
+export * from './operatorApi.ts'
+export * from './operatorTokens.ts'
+export * from './questionSchema.ts'
--- /dev/null
+++ b/gateway/operator-api/src/operatorApi.ts
@@ -0,0 +1,164 @@
+/** Serves operators over HTTP: `POST /operator/v1/<kind>` with the question's fields as JSON. */
+import { randomBytes } from 'node:crypto'
+import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http'
+import { ErrorCode } from '@catkinferry/core.errors'
+import type { Failure } from '@catkinferry/core.errors'
+import type { Logger } from '@catkinferry/core.logger'
+import type { OperatorIdentity, OperatorQuestion, OperatorReply } from '@catkinferry/core.types'
+import type { HostEvent } from '@catkinferry/host.events'
+import type { AuthenticatedOperator, OperatorTokens } from './operatorTokens.ts'
+import { hasRole, QUESTION_RULES } from './questionSchema.ts'
+
+export interface OperatorApiOptions {
+  readonly emit: (event: HostEvent) => void
+  readonly logger: Logger
+  /** Absent only where the settings file allows operators without tokens; everyone is then `local` with all roles. */
+  readonly tokens?: OperatorTokens
+}
+
+export interface OperatorApi {
+  readonly handle: RequestListener
+  readonly receiveReply: (opId: string, reply: OperatorReply) => void
+}
+
+type Failed = Extract<OperatorReply, { ok: false }>
+
+const PATH_PREFIX = '/operator/v1/'
+const MAX_BODY_BYTES = 4 * 1024 * 1024
+const BEARER = /^Bearer (\S+)$/i
+/** Token checks under way at once; each costs some 50 ms of one thread. */
+const MAX_CHECKS = 4
+/** Waits this much longer than the question's own deadline. */
+const REPLY_MARGIN_MS = 2_000
+const READ_TIMEOUT_MS = 15_000
+const LOCAL_OPERATOR: AuthenticatedOperator = { name: 'local', role: 'admin' }
+
+const STATUSES: Readonly<Partial<Record<ErrorCode, number>>> = {
+  [ErrorCode.BAD_REQUEST]: 400,
+  [ErrorCode.BAD_ARGUMENT]: 400,
+  [ErrorCode.BAD_SETTINGS]: 400,
+  [ErrorCode.UNAUTHENTICATED]: 401,
+  [ErrorCode.FORBIDDEN]: 403,
+  [ErrorCode.NOT_FOUND]: 404,
+  [ErrorCode.UNKNOWN_ADAPTER]: 404,
+  [ErrorCode.CONFLICT]: 409,
+  [ErrorCode.TOO_LARGE]: 413,
+  [ErrorCode.OVER_LIMIT]: 429,
+  [ErrorCode.NO_QUORUM]: 503,
+  [ErrorCode.NOT_SERVING]: 503,
+  [ErrorCode.SHUTTING_DOWN]: 503,
+  [ErrorCode.OUTCOME_UNKNOWN]: 504
+}
+
+function sendReply (res: ServerResponse, reply: OperatorReply): void {
+  const status = reply.ok ? 200 : reply.outcome === 'unknown' ? 504 : STATUSES[reply.failure.code] ?? 500
+  res.writeHead(status, { 'content-type': 'application/json' })
+  res.end(JSON.stringify(reply))
+}
+
+function buildRefusal (code: ErrorCode, message: string, hint?: string): Failed {
+  return { ok: false, outcome: 'refused', failure: { code, message, step: 'operator.api', hint } }
+}
+
+async function readBody (req: IncomingMessage): Promise<string | undefined> {
+  const parts: Buffer[] = []
+  let bytes = 0
+  for await (const part of req) {
+    bytes += (part as Buffer).length
+    if (bytes > MAX_BODY_BYTES) return undefined
+    parts.push(part as Buffer)
+  }
+  return Buffer.concat(parts).toString('utf8')
+}
+
+function parseQuestion (kind: string, body: string): { readonly question: OperatorQuestion } | Failed {
+  const rule = QUESTION_RULES[kind as OperatorQuestion['kind']]
+  let json: unknown
+  try {
+    json = body === '' ? {} : JSON.parse(body)
+  } catch (error) {
+    return buildRefusal(ErrorCode.BAD_REQUEST, `the body is not JSON: ${(error as Error).message}`)
+  }
+  const parsed = rule.schema.safeParse(json)
+  if (parsed.success) return { question: { kind, ...parsed.data as object } as OperatorQuestion }
+  const message = parsed.error.issues.map(issue => `${issue.path.map(String).join('.') || 'body'}: ${issue.message}`).join('; ')
+  return buildRefusal(ErrorCode.BAD_REQUEST, message)
+}
+
+/** What a lost answer means: only a change can have an unknown outcome. */
+function buildTimeout (question: OperatorQuestion): Failed {
+  const changes = 'changeId' in question
+  const failure: Failure = {
+    code: changes ? ErrorCode.OUTCOME_UNKNOWN : ErrorCode.NO_QUORUM,
+    message: 'no answer in time',
+    step: 'operator.wait',
+    hint: changes ? `send it again with the change id ${question.changeId}` : 'ask again, or ask another host'
+  }
+  return { ok: false, outcome: changes ? 'unknown' : 'refused', failure }
+}
+
+/** Creates the API; the shell listens and hands it the replies. */
+export function createOperatorApi (opts: OperatorApiOptions): OperatorApi {
+  const idPrefix = randomBytes(5).toString('hex')
+  const waiting = new Map<string, (reply: OperatorReply) => void>()
+  let asked = 0
+  let checks = 0
+
+  async function authenticate (req: IncomingMessage): Promise<AuthenticatedOperator | Failed> {
+    if (opts.tokens === undefined) return LOCAL_OPERATOR
+    const token = BEARER.exec(req.headers.authorization ?? '')?.[1]
+    const unknown = buildRefusal(ErrorCode.UNAUTHENTICATED, 'no known operator token', 'set CATKINFERRY_TOKEN or --token-file')
+    if (token === undefined) return unknown
+    if (checks >= MAX_CHECKS) return buildRefusal(ErrorCode.OVER_LIMIT, 'too many token checks at once', 'try again shortly')
+    checks += 1
+    try {
+      return await opts.tokens.authenticate(token) ?? unknown
+    } catch (error) {
+      opts.logger.error('the operator tokens cannot be read', { step: 'operator.authenticate', cause: error })
+      return buildRefusal(ErrorCode.INTERNAL, 'the operator tokens cannot be read', 'see the log of this host')
+    } finally {
+      checks -= 1
+    }
+  }
+
+  async function ask (operator: OperatorIdentity, question: OperatorQuestion): Promise<OperatorReply> {
+    asked += 1
+    const opId = `${idPrefix}-${asked}`
+    const waitMs = 'deadlineMs' in question ? question.deadlineMs + REPLY_MARGIN_MS : READ_TIMEOUT_MS
+    return await new Promise(resolve => {
+      const timer = setTimeout(() => {
+        waiting.delete(opId)
+        resolve(buildTimeout(question))
+      }, waitMs)
+      waiting.set(opId, reply => {
+        clearTimeout(timer)
+        waiting.delete(opId)
+        resolve(reply)
+      })
+      opts.emit({ kind: 'operator.request', opId, request: { ...question, operator } })
+    })
+  }
+
+  async function answer (req: IncomingMessage): Promise<OperatorReply> {
+    const kind = (req.url ?? '').slice(PATH_PREFIX.length)
+    if (!(req.url ?? '').startsWith(PATH_PREFIX) || !Object.hasOwn(QUESTION_RULES, kind)) {
+      return buildRefusal(ErrorCode.NOT_FOUND, `no such question: ${req.url ?? ''}`, `known: ${Object.keys(QUESTION_RULES).join(', ')}`)
+    }
+    const operator = await authenticate(req)
+    if ('ok' in operator) return operator
+    const { role } = QUESTION_RULES[kind as OperatorQuestion['kind']]
+    if (!hasRole(operator.role, role)) return buildRefusal(ErrorCode.FORBIDDEN, `${kind} needs the role ${role}; ${operator.name} has ${operator.role}`)
+    const body = await readBody(req)
+    if (body === undefined) return buildRefusal(ErrorCode.TOO_LARGE, `the body is over ${MAX_BODY_BYTES} bytes`)
+    const parsed = parseQuestion(kind, body)
+    if ('ok' in parsed) return parsed
+    return await ask({ ...operator, from: req.socket.remoteAddress ?? 'unknown' }, parsed.question)
+  }
+
+  return {
+    handle: (req, res) => {
+      answer(req).then(reply => sendReply(res, reply), () => { res.destroy() })
+    },
+    receiveReply: (opId, reply) => waiting.get(opId)?.(reply)
+  }
+}
--- /dev/null
+++ b/gateway/operator-api/src/operatorTokens.ts
@@ -0,0 +1,94 @@
+/** Operators' tokens: `name.secret`, kept as scrypt hashes in a file that is read again when it changes. */
+import { createHash, randomBytes, scrypt, timingSafeEqual } from 'node:crypto'
+import { readFile, stat } from 'node:fs/promises'
+import type { OperatorRole } from '@catkinferry/core.types'
+import { z } from 'zod'
+
+export interface OperatorToken {
+  readonly name: string
+  readonly role: OperatorRole
+  /** `scrypt:<salt>:<hash>`, both base64url. */
+  readonly hash: string
+}
+
+export interface AuthenticatedOperator {
+  readonly name: string
+  readonly role: OperatorRole
+}
+
+export interface OperatorTokens {
+  /** Undefined when the token is not known; rejects when the file cannot be read. */
+  readonly authenticate: (token: string) => Promise<AuthenticatedOperator | undefined>
+}
+
+const SALT_BYTES = 16
+const HASH_BYTES = 32
+const SECRET_BYTES = 32
+const SCRYPT_OPTIONS = { N: 16_384, r: 8, p: 1 } as const
+/** Verified tokens that are remembered until the file changes. */
+const MAX_REMEMBERED = 1_024
+
+const fileSchema = z.array(z.object({
+  name: z.string().regex(/^[\w-]+$/),
+  role: z.enum(['read', 'write', 'admin']),
+  hash: z.string().regex(/^scrypt:[\w-]+:[\w-]+$/)
+}))
+
+async function computeHash (secret: string, salt: Buffer): Promise<Buffer> {
+  return await new Promise((resolve, reject) => {
+    scrypt(secret, salt, HASH_BYTES, SCRYPT_OPTIONS, (error, hash) => {
+      if (error === null) resolve(hash)
+      else reject(error)
+    })
+  })
+}
+
+/** Makes a token and the entry that is kept of it. */
+export async function createOperatorToken (name: string, role: OperatorRole): Promise<{ readonly token: string, readonly entry: OperatorToken }> {
+  const secret = randomBytes(SECRET_BYTES).toString('base64url')
+  const salt = randomBytes(SALT_BYTES)
+  const hash = await computeHash(secret, salt)
+  return { token: `${name}.${secret}`, entry: { name, role, hash: `scrypt:${salt.toString('base64url')}:${hash.toString('base64url')}` } }
+}
+
+async function verifySecret (secret: string, hash: string): Promise<boolean> {
+  const [, salt = '', expected = ''] = hash.split(':')
+  const computed = await computeHash(secret, Buffer.from(salt, 'base64url'))
+  const wanted = Buffer.from(expected, 'base64url')
+  return wanted.length === computed.length && timingSafeEqual(wanted, computed)
+}
+
+/** Several entries of one name are all valid, so that a token can be rotated without a gap. */
+export function createOperatorTokens (file: string): OperatorTokens {
+  let version = ''
+  let entries: readonly OperatorToken[] = []
+  const remembered = new Map<string, AuthenticatedOperator>()
+
+  async function readAgain (): Promise<void> {
+    const { mtimeMs, size, ino } = await stat(file)
+    const found = `${mtimeMs}:${size}:${ino}`
+    if (found === version) return
+    entries = fileSchema.parse(JSON.parse(await readFile(file, 'utf8')))
+    version = found
+    remembered.clear()
+  }
+
+  return {
+    authenticate: async token => {
+      await readAgain()
+      const digest = createHash('sha256').update(token).digest('base64url')
+      const known = remembered.get(digest)
+      if (known !== undefined) return known
+      const dot = token.indexOf('.')
+      const name = token.slice(0, Math.max(0, dot))
+      const checkedVersion = version
+      for (const entry of entries.filter(candidate => candidate.name === name)) {
+        if (!await verifySecret(token.slice(dot + 1), entry.hash)) continue
+        const operator = { name, role: entry.role }
+        if (remembered.size < MAX_REMEMBERED && checkedVersion === version) remembered.set(digest, operator)
+        return operator
+      }
+      return undefined
+    }
+  }
+}
