--- /dev/null
+++ b/consensus/log-machine/src/disk.ts
@@ -0,0 +1,69 @@
+/** Writes to the disk, and what has to wait for them. */
+import type { HostId } from '@catkinferry/core.types'
+import type { ConsensusMessage, DiskRequest, LogEntry, Snapshot } from '@catkinferry/wire.messages'
+import { noteMemberships } from './state.ts'
+import type { MachineContext, MachineState, PendingWrite } from './state.ts'
+
+type RequestBody = DiskRequest extends infer Request ? Request extends DiskRequest ? Omit<Request, 'writeId'> : never : never
+
+function requestWrite (state: MachineState, body: RequestBody, pending: Omit<PendingWrite, 'writeId'>, context: MachineContext): number {
+  const writeId = ++state.lastWriteId
+  state.pendingWrites.push({ writeId, ...pending })
+  context.requestDisk({ ...body, writeId } as DiskRequest)
+  return writeId
+}
+
+/** Writes term and vote. */
+export function saveHardState (state: MachineState, context: MachineContext): number {
+  const { term, votedFor } = state
+  return requestWrite(state, { kind: 'hardState', state: votedFor === undefined ? { term } : { term, votedFor } }, {}, context)
+}
+
+/** Adds entries that follow the last one, in memory at once and on the disk later. */
+export function addEntries (state: MachineState, entries: readonly LogEntry[], context: MachineContext): void {
+  if (entries.length === 0) return
+  state.log.add(entries)
+  noteMemberships(state, entries)
+  requestWrite(state, { kind: 'append', entries }, { lastIndex: state.log.getLastIndex() }, context)
+}
+
+/** Replaces everything from the first of `entries` on. */
+export function replaceEntries (state: MachineState, entries: readonly LogEntry[], context: MachineContext): void {
+  const index = entries[0]?.index
+  if (index === undefined) return
+  if (index <= state.commitIndex) throw new Error(`entry ${index} is committed and must not be replaced`)
+  state.log.dropFrom(index)
+  while ((state.memberships.at(-1)?.index ?? 0) >= index && state.memberships.length > 1) state.memberships.pop()
+  state.durableIndex = Math.min(state.durableIndex, index - 1)
+  for (const pending of state.pendingWrites) {
+    if (pending.lastIndex !== undefined) pending.lastIndex = Math.min(pending.lastIndex, index - 1)
+  }
+  state.log.add(entries)
+  noteMemberships(state, entries)
+  requestWrite(state, { kind: 'replaceFrom', index, entries }, { lastIndex: state.log.getLastIndex() }, context)
+}
+
+/** Writes a snapshot, own or from the leader. */
+export function saveSnapshot (state: MachineState, snapshot: Snapshot, use: { replacesState: true } | { tailEntries: number }, context: MachineContext): number {
+  return requestWrite(state, { kind: 'snapshot', snapshot }, { snapshot, ...use }, context)
+}
+
+/** Sends once everything that was asked of the disk so far is durable, unless the term has changed by then. */
+export function sendAfterDisk (state: MachineState, to: HostId, message: ConsensusMessage, context: MachineContext): void {
+  if (state.durableWriteId >= state.lastWriteId) {
+    context.send(to, message)
+    return
+  }
+  state.held.push({ afterWrite: state.lastWriteId, term: state.term, to, message })
+}
+
+/** Sends what waited for the writes that are now durable. */
+export function sendHeld (state: MachineState, context: MachineContext): void {
+  let sent = 0
+  for (const { afterWrite, term, to, message } of state.held) {
+    if (afterWrite > state.durableWriteId) break
+    sent++
+    if (term === state.term) context.send(to, message)
+  }
+  state.held.splice(0, sent)
+}
--- /dev/null
+++ b/consensus/log-machine/src/elections.ts
@@ -0,0 +1,170 @@
+/** Elections with a pre-vote round, and stepping down. */
+import type { HostId, MonotonicMs } from '@catkinferry/core.types'
+import type { ConsensusMessage, LogPayload } from '@catkinferry/wire.messages'
+import { CHECK_QUORUM_MS, MIN_ELECTION_TIMEOUT_MS } from './constants.ts'
+import { addEntries, saveHardState, sendAfterDisk } from './disk.ts'
+import { assignIncarnations, computeQuorumValue, countQuorum, isSameMember, isUnbound } from './membership.ts'
+import { updatePeers } from './peers.ts'
+import { computeElectionAt, getLastTerm, getMembership, isOwnVoter, Role } from './state.ts'
+import type { MachineContext, MachineState } from './state.ts'
+
+type MessageOf<Kind extends ConsensusMessage['kind']> = Extract<ConsensusMessage, { kind: Kind }>
+
+/** Leaves leadership or candidacy. A higher term is made durable before anything is answered in it. */
+export function resetToFollower (state: MachineState, opts: { readonly term: number, readonly leader?: HostId }, context: MachineContext): void {
+  const wasLeader = state.role === Role.LEADER
+  state.role = Role.FOLLOWER
+  state.leader = opts.leader
+  state.votes.clear()
+  if (wasLeader) clearLeadership(state)
+  if (opts.term > state.term) {
+    state.term = opts.term
+    state.votedFor = undefined
+    saveHardState(state, context)
+  }
+  if (wasLeader) state.electionAt = computeElectionAt(state, context.now)
+}
+
+function clearLeadership (state: MachineState): void {
+  state.peers.clear()
+  state.transferTo = undefined
+  state.failedReads.push(...state.pendingReads.map(({ readId }) => readId))
+  state.pendingReads = []
+}
+
+/** Asks whether an election could be won, without raising the term. */
+export function beginPreVote (state: MachineState, context: MachineContext): void {
+  state.electionAt = computeElectionAt(state, context.now)
+  if (!isOwnVoter(state)) return
+  state.role = Role.PRE_CANDIDATE
+  state.leader = undefined
+  state.votes = new Map([[state.host, state.incarnation]])
+  askVoters(state, 'consensus.preVote', false, context)
+  if (hasQuorum(state)) beginElection(state, false, context)
+}
+
+function beginElection (state: MachineState, transfer: boolean, context: MachineContext): void {
+  state.role = Role.CANDIDATE
+  state.leader = undefined
+  state.term += 1
+  state.votedFor = state.host
+  state.votes = new Map([[state.host, state.incarnation]])
+  state.electionAt = computeElectionAt(state, context.now)
+  state.voteWriteId = saveHardState(state, context)
+  askVoters(state, 'consensus.vote', transfer, context)
+}
+
+function askVoters (state: MachineState, kind: 'consensus.preVote' | 'consensus.vote', transfer: boolean, context: MachineContext): void {
+  const { group, incarnation } = state
+  const lastIndex = state.log.getLastIndex()
+  const lastTerm = getLastTerm(state)
+  for (const { host } of getMembership(state).voters) {
+    if (host === state.host) continue
+    if (kind === 'consensus.vote') context.send(host, { kind, group, incarnation, term: state.term, lastIndex, lastTerm, transfer })
+    else context.send(host, { kind, group, incarnation, term: state.term + 1, lastIndex, lastTerm })
+  }
+}
+
+function hasQuorum (state: MachineState): boolean {
+  const membership = getMembership(state)
+  const granted = membership.voters.filter(voter => {
+    const incarnation = state.votes.get(voter.host)
+    return incarnation !== undefined && isSameMember(voter, incarnation)
+  })
+  return granted.length >= countQuorum(membership)
+}
+
+function isLogCurrent (state: MachineState, message: { lastIndex: number, lastTerm: number }): boolean {
+  const lastTerm = getLastTerm(state)
+  if (message.lastTerm !== lastTerm) return message.lastTerm > lastTerm
+  return message.lastIndex >= state.log.getLastIndex()
+}
+
+function holdsToLeader (state: MachineState, now: MonotonicMs): boolean {
+  return state.role === Role.LEADER || now - state.leaderHeardAt < MIN_ELECTION_TIMEOUT_MS
+}
+
+export function receivePreVote (state: MachineState, from: HostId, message: MessageOf<'consensus.preVote'>, context: MachineContext): void {
+  const granted = message.term > state.term && isLogCurrent(state, message) && !holdsToLeader(state, context.now)
+  const { group, incarnation } = state
+  const term = granted ? message.term : state.term
+  sendAfterDisk(state, from, { kind: 'consensus.preVoteAnswer', group, incarnation, term, granted }, context)
+}
+
+export function receivePreVoteAnswer (state: MachineState, from: HostId, message: MessageOf<'consensus.preVoteAnswer'>, context: MachineContext): void {
+  if (state.role !== Role.PRE_CANDIDATE) return
+  if (!message.granted) {
+    if (message.term > state.term) resetToFollower(state, { term: message.term }, context)
+    return
+  }
+  if (message.term !== state.term + 1) return
+  state.votes.set(from, message.incarnation)
+  if (hasQuorum(state)) beginElection(state, false, context)
+}
+
+export function receiveVote (state: MachineState, from: HostId, message: MessageOf<'consensus.vote'>, context: MachineContext): void {
+  if (message.term > state.term) {
+    if (!message.transfer && holdsToLeader(state, context.now)) return
+    resetToFollower(state, { term: message.term }, context)
+  }
+  const { group, incarnation } = state
+  const free = state.votedFor === undefined || state.votedFor === from
+  const granted = message.term === state.term && free && isLogCurrent(state, message)
+  if (granted && state.votedFor === undefined) {
+    state.votedFor = from
+    saveHardState(state, context)
+  }
+  if (granted) {
+    state.role = Role.FOLLOWER
+    state.electionAt = computeElectionAt(state, context.now)
+  }
+  sendAfterDisk(state, from, { kind: 'consensus.voteAnswer', group, incarnation, term: state.term, granted }, context)
+}
+
+export function receiveVoteAnswer (state: MachineState, from: HostId, message: MessageOf<'consensus.voteAnswer'>, context: MachineContext): void {
+  if (message.term > state.term) {
+    resetToFollower(state, { term: message.term }, context)
+    return
+  }
+  if (state.role !== Role.CANDIDATE || message.term !== state.term || !message.granted) return
+  state.votes.set(from, message.incarnation)
+  tryLead(state, context)
+}
+
+export function receiveTimeoutNow (state: MachineState, from: HostId, message: MessageOf<'consensus.timeoutNow'>, context: MachineContext): void {
+  if (message.term !== state.term || state.leader !== from || state.role === Role.LEADER || !isOwnVoter(state)) return
+  beginElection(state, true, context)
+}
+
+/** Becomes the leader when a quorum has voted for it, its own vote being durable. */
+export function tryLead (state: MachineState, context: MachineContext): void {
+  if (state.role !== Role.CANDIDATE || state.durableWriteId < state.voteWriteId || !hasQuorum(state)) return
+  state.role = Role.LEADER
+  state.leader = state.host
+  state.leaderSince = context.now
+  state.heartbeatAt = context.now
+  state.readRound = 0
+  state.readRoundDue = false
+  state.peers.clear()
+  state.termStartIndex = state.log.getLastIndex() + 1
+  addEntries(state, [{ index: state.termStartIndex, term: state.term, payload: createFirstPayload(state) }], context)
+  updatePeers(state, context.now)
+  state.replicationDue = true
+}
+
+/** The first leader of a group binds every voter to the data folder that voted; later ones begin with an empty entry. */
+function createFirstPayload (state: MachineState): LogPayload {
+  const membership = getMembership(state)
+  if (!isUnbound(membership)) return { kind: 'noop' }
+  return { kind: 'membership', membership: assignIncarnations(membership, state.votes) }
+}
+
+/** Steps down when a majority has not been heard from. */
+export function checkQuorum (state: MachineState, context: MachineContext): void {
+  const membership = getMembership(state)
+  const heardAt = computeQuorumValue(membership, voter => {
+    if (voter.host === state.host) return context.now
+    return state.peers.get(voter.host)?.lastHeardAt ?? state.leaderSince
+  })
+  if (context.now - heardAt >= CHECK_QUORUM_MS) resetToFollower(state, { term: state.term }, context)
+}
--- /dev/null
+++ b/consensus/log-machine/src/entryStore.ts
@@ -0,0 +1,72 @@
+/** The entries of the log that are kept in memory. */
+import type { LogEntry } from '@catkinferry/wire.messages'
+import { estimateBytes } from './estimateBytes.ts'
+
+export interface EntryStore {
+  /** Index of the first entry that is kept; `getLastIndex() + 1` when there is none. */
+  readonly getFirstIndex: () => number
+  readonly getLastIndex: () => number
+  /** Term of an entry or of the one before the first; undefined when it is not known here. */
+  readonly getTerm: (index: number) => number | undefined
+  readonly get: (index: number) => LogEntry | undefined
+  /** Entries from `index` on, within both bounds; at least one when there is any. */
+  readonly list: (opts: { readonly index: number, readonly maxEntries: number, readonly maxBytes: number }) => LogEntry[]
+  readonly add: (entries: readonly LogEntry[]) => void
+  /** Removes this index and all that follow. */
+  readonly dropFrom: (index: number) => void
+  /** Removes all up to this index. */
+  readonly dropTo: (index: number) => void
+  /** Removes everything; the next entry follows `index`. */
+  readonly reset: (index: number, term: number) => void
+}
+
+/** Creates a store whose first entry follows `baseIndex`. */
+export function createEntryStore (baseIndex: number, baseTerm: number): EntryStore {
+  let base = { index: baseIndex, term: baseTerm }
+  let entries: LogEntry[] = []
+  let sizes: number[] = []
+
+  const getLastIndex = (): number => base.index + entries.length
+  const getTerm = (index: number): number | undefined => index === base.index ? base.term : entries[index - base.index - 1]?.term
+
+  return {
+    getFirstIndex: () => base.index + 1,
+    getLastIndex,
+    getTerm,
+    get: index => entries[index - base.index - 1],
+    list: ({ index, maxEntries, maxBytes }) => {
+      const from = index - base.index - 1
+      let bytes = 0
+      let to = from
+      while (to < entries.length && to - from < maxEntries) {
+        bytes += sizes[to] ?? 0
+        if (bytes > maxBytes && to > from) break
+        to++
+      }
+      return entries.slice(from, to)
+    },
+    add: added => {
+      for (const entry of added) {
+        entries.push(entry)
+        sizes.push(estimateBytes(entry))
+      }
+    },
+    dropFrom: index => {
+      const kept = Math.max(0, index - base.index - 1)
+      entries.length = Math.min(entries.length, kept)
+      sizes.length = entries.length
+    },
+    dropTo: index => {
+      const term = getTerm(index)
+      if (index <= base.index || term === undefined) return
+      entries = entries.slice(index - base.index)
+      sizes = sizes.slice(index - base.index)
+      base = { index, term }
+    },
+    reset: (index, term) => {
+      base = { index, term }
+      entries = []
+      sizes = []
+    }
+  }
+}
--- /dev/null
+++ b/consensus/log-machine/src/estimateBytes.ts
@@ -0,0 +1,13 @@
+/** Estimates how large plain data is when encoded. */
+
+const SCALAR_BYTES = 9
+
+/** Bytes of a value within about a factor of two; costs no encoding. */
+export function estimateBytes (value: unknown): number {
+  if (typeof value === 'string') return value.length + 3
+  if (typeof value !== 'object' || value === null) return SCALAR_BYTES
+  if (value instanceof Uint8Array) return value.byteLength + 5
+  let bytes = SCALAR_BYTES
+  for (const [key, inner] of Object.entries(value)) bytes += key.length + 1 + estimateBytes(inner)
+  return bytes
+}
--- /dev/null
+++ b/consensus/log-machine/src/followers.ts
@@ -0,0 +1,68 @@
+/** The follower's side of replication. */
+import type { HostId } from '@catkinferry/core.types'
+import type { ConsensusMessage, LogEntry } from '@catkinferry/wire.messages'
+import { addEntries, replaceEntries, sendAfterDisk } from './disk.ts'
+import { resetToFollower } from './elections.ts'
+import { computeElectionAt, Role } from './state.ts'
+import type { MachineContext, MachineState } from './state.ts'
+
+type Append = Extract<ConsensusMessage, { kind: 'consensus.append' }>
+
+/** Follows the leader of this term or a higher one. */
+export function noteLeader (state: MachineState, from: HostId, term: number, context: MachineContext): void {
+  if (term > state.term || state.role !== Role.FOLLOWER) resetToFollower(state, { term, leader: from }, context)
+  state.leader = from
+  state.leaderHeardAt = context.now
+  state.electionAt = computeElectionAt(state, context.now)
+}
+
+export function receiveAppend (state: MachineState, from: HostId, message: Append, context: MachineContext): void {
+  if (message.term < state.term) {
+    sendAppendAnswer(state, from, { success: false, matchIndex: state.log.getLastIndex(), readRound: 0 }, context)
+    return
+  }
+  noteLeader(state, from, message.term, context)
+  if (state.intake?.saving === true) return
+  const { readRound } = message
+  if (!hasPrevious(state, message)) {
+    sendAppendAnswer(state, from, { success: false, matchIndex: computeHint(state, message), readRound }, context)
+    return
+  }
+  takeEntries(state, message, context)
+  const matchIndex = message.previousIndex + message.entries.length
+  state.commitIndex = Math.max(state.commitIndex, Math.min(message.commitIndex, matchIndex))
+  sendAppendAnswer(state, from, { success: true, matchIndex, readRound }, context)
+}
+
+function hasPrevious (state: MachineState, message: Append): boolean {
+  if (message.previousIndex < state.log.getFirstIndex() - 1) return true
+  return state.log.getTerm(message.previousIndex) === message.previousTerm
+}
+
+/** Last index at which the logs may still agree. */
+function computeHint (state: MachineState, message: Append): number {
+  const last = state.log.getLastIndex()
+  if (message.previousIndex > last) return last
+  const conflicting = state.log.getTerm(message.previousIndex)
+  let index = message.previousIndex - 1
+  while (index > state.commitIndex && state.log.getTerm(index) === conflicting) index--
+  return index
+}
+
+/** Skips entries that are here already, replaces from the first that differs, adds the rest. */
+function takeEntries (state: MachineState, message: Append, context: MachineContext): void {
+  const firstKept = state.log.getFirstIndex()
+  const isNew = (entry: LogEntry): boolean => entry.index >= firstKept && state.log.getTerm(entry.index) !== entry.term
+  const from = message.entries.findIndex(isNew)
+  if (from === -1) return
+  const entries = message.entries.slice(from)
+  const first = entries[0]
+  if (first === undefined) return
+  if (first.index <= state.log.getLastIndex()) replaceEntries(state, entries, context)
+  else addEntries(state, entries, context)
+}
+
+function sendAppendAnswer (state: MachineState, to: HostId, answer: { success: boolean, matchIndex: number, readRound: number }, context: MachineContext): void {
+  const { group, incarnation, term } = state
+  sendAfterDisk(state, to, { kind: 'consensus.appendAnswer', group, incarnation, term, ...answer }, context)
+}
--- /dev/null
+++ b/consensus/log-machine/src/machine.ts
@@ -0,0 +1,145 @@
+/** The replicated log as a machine without input or output of its own. */
+import type { Result } from '@catkinferry/core.errors'
+import type { HostId, MonotonicMs } from '@catkinferry/core.types'
+import type { ConsensusMessage, DiskAnswer, LogEntry, LogPayload, Membership, Snapshot } from '@catkinferry/wire.messages'
+import { saveSnapshot, sendHeld } from './disk.ts'
+import * as elections from './elections.ts'
+import { receiveAppend } from './followers.ts'
+import { isCaughtUp, proposeMembership } from './membershipChanges.ts'
+import type { MembershipStep } from './membershipChanges.ts'
+import { beginRead } from './reads.ts'
+import { addLeaderEntry, receiveAppendAnswer, sendAppends, updateCommit } from './replication.ts'
+import { applySavedSnapshot, receiveSnapshotAnswer, receiveSnapshotChunk } from './snapshots.ts'
+import { createState, getMembership, Role } from './state.ts'
+import type { LogMachineOptions, MachineContext, MachineState } from './state.ts'
+import { beginTransfer, continueTransfer } from './transfer.ts'
+
+/** What is ready to be applied: first a snapshot to restore, if any, then committed entries in order. */
+export interface ReadyToApply {
+  readonly restore?: Snapshot
+  readonly entries: readonly LogEntry[]
+}
+
+export interface LogMachine {
+  readonly receive: (from: HostId, message: ConsensusMessage, context: MachineContext) => void
+  readonly receiveDisk: (answer: DiskAnswer, context: MachineContext) => void
+  readonly run: (context: MachineContext) => void
+  readonly getNextAt: () => MonotonicMs | undefined
+  /** Adds an entry; undefined when this voter does not lead or is transferring leadership. */
+  readonly propose: (payload: LogPayload, context: MachineContext) => { readonly index: number, readonly term: number } | undefined
+  readonly proposeMembership: (step: MembershipStep, context: MachineContext) => Result<number>
+  readonly beginRead: () => number | undefined
+  /** Reads that may be answered now, and those that must be asked again elsewhere. */
+  readonly takeReads: () => { readonly ready: readonly number[], readonly failed: readonly number[] }
+  readonly takeReady: (maxEntries: number) => ReadyToApply
+  /** Writes a snapshot of the state as applied up to `lastIndex`; entries before the tail leave memory when it is durable. */
+  readonly compact: (opts: { readonly lastIndex: number, readonly data: Uint8Array, readonly tailEntries: number }, context: MachineContext) => void
+  readonly transferLeadership: (context: MachineContext) => boolean
+  readonly isCaughtUp: (host: HostId, context: MachineContext) => boolean
+  readonly getState: () => Readonly<MachineState>
+  readonly getMembership: () => Membership
+}
+
+type Handlers = { readonly [Kind in ConsensusMessage['kind']]: (state: MachineState, from: HostId, message: Extract<ConsensusMessage, { kind: Kind }>, context: MachineContext) => void }
+
+const handlers: Handlers = {
+  'consensus.preVote': elections.receivePreVote,
+  'consensus.preVoteAnswer': elections.receivePreVoteAnswer,
+  'consensus.vote': elections.receiveVote,
+  'consensus.voteAnswer': elections.receiveVoteAnswer,
+  'consensus.append': receiveAppend,
+  'consensus.appendAnswer': receiveAppendAnswer,
+  'consensus.snapshotChunk': receiveSnapshotChunk,
+  'consensus.snapshotAnswer': receiveSnapshotAnswer,
+  'consensus.timeoutNow': elections.receiveTimeoutNow
+}
+
+function receiveDisk (state: MachineState, answer: DiskAnswer, context: MachineContext): void {
+  if (state.role === Role.FAILED) return
+  if (!answer.ok) {
+    elections.resetToFollower(state, { term: state.term }, context)
+    state.role = Role.FAILED
+    state.failure = answer.reason
+    state.held = []
+    return
+  }
+  state.durableWriteId = answer.writeId
+  while ((state.pendingWrites[0]?.writeId ?? Number.POSITIVE_INFINITY) <= answer.writeId) {
+    const done = state.pendingWrites.shift()
+    if (done?.lastIndex !== undefined) state.durableIndex = Math.max(state.durableIndex, done.lastIndex)
+    if (done?.snapshot !== undefined) applySavedSnapshot(state, done, context)
+  }
+  sendHeld(state, context)
+  elections.tryLead(state, context)
+  updateCommit(state, context)
+}
+
+function run (state: MachineState, context: MachineContext): void {
+  if (state.role === Role.FAILED) return
+  if (state.role !== Role.LEADER) {
+    if (context.now >= state.electionAt) elections.beginPreVote(state, context)
+    return
+  }
+  elections.checkQuorum(state, context)
+  if (state.role !== Role.LEADER) return
+  continueTransfer(state, context)
+  if (state.replicationDue || context.now >= state.heartbeatAt) sendAppends(state, context)
+}
+
+function getNextAt (state: MachineState): MonotonicMs | undefined {
+  if (state.role === Role.FAILED) return undefined
+  if (state.role !== Role.LEADER) return state.electionAt
+  return state.replicationDue ? Number.NEGATIVE_INFINITY : state.heartbeatAt
+}
+
+function takeReady (state: MachineState, maxEntries: number): ReadyToApply {
+  const { restore } = state
+  state.restore = undefined
+  const count = Math.min(maxEntries, state.commitIndex - state.takenIndex)
+  const entries = state.log.list({ index: state.takenIndex + 1, maxEntries: count, maxBytes: Number.POSITIVE_INFINITY })
+  state.takenIndex += entries.length
+  return restore === undefined ? { entries } : { restore, entries }
+}
+
+/** The membership in force at an index that is in the log. */
+function findMembershipAt (state: MachineState, index: number): Membership {
+  const found = state.memberships.findLast(known => known.index <= index)
+  return found?.membership ?? getMembership(state)
+}
+
+/** Creates the machine from what was found on the disk. */
+export function createLogMachine (opts: LogMachineOptions): LogMachine {
+  const state = createState(opts)
+  return {
+    receive: (from, message, context) => {
+      if (state.role === Role.FAILED || message.group !== state.group || from === state.host) return
+      const handle = handlers[message.kind] as (state: MachineState, from: HostId, message: ConsensusMessage, context: MachineContext) => void
+      handle(state, from, message, context)
+    },
+    receiveDisk: (answer, context) => receiveDisk(state, answer, context),
+    run: context => run(state, context),
+    getNextAt: () => getNextAt(state),
+    propose: (payload, context) => {
+      if (state.role !== Role.LEADER || state.transferTo !== undefined) return undefined
+      return { index: addLeaderEntry(state, payload, context), term: state.term }
+    },
+    proposeMembership: (step, context) => proposeMembership(state, step, context),
+    beginRead: () => beginRead(state),
+    takeReads: () => {
+      const { readyReads: ready, failedReads: failed } = state
+      state.readyReads = []
+      state.failedReads = []
+      return { ready, failed }
+    },
+    takeReady: maxEntries => takeReady(state, maxEntries),
+    compact: ({ lastIndex, data, tailEntries }, context) => {
+      const lastTerm = state.log.getTerm(lastIndex)
+      if (lastTerm === undefined || lastIndex > state.takenIndex || state.role === Role.FAILED || state.intake?.saving === true) return
+      saveSnapshot(state, { lastIndex, lastTerm, membership: findMembershipAt(state, lastIndex), data }, { tailEntries }, context)
+    },
+    transferLeadership: context => beginTransfer(state, context),
+    isCaughtUp: (host, context) => isCaughtUp(state, host, context),
+    getState: () => state,
+    getMembership: () => getMembership(state)
+  }
+}
--- /dev/null
+++ b/consensus/log-machine/src/peers.ts
@@ -0,0 +1,29 @@
+/** What the leader keeps of each member. */
+import type { MonotonicMs } from '@catkinferry/core.types'
+import { getMembership } from './state.ts'
+import type { MachineState, Progress } from './state.ts'
+
+export function createProgress (state: MachineState, now: MonotonicMs): Progress {
+  return {
+    matchIndex: 0,
+    nextIndex: state.log.getLastIndex() + 1,
+    mode: 'probe',
+    inFlight: 0,
+    lastProgressAt: now,
+    lastHeardAt: now,
+    readRound: 0,
+    bindFromRound: state.readRound
+  }
+}
+
+/** Adds and removes progress rows after a membership was taken into use. */
+export function updatePeers (state: MachineState, now: MonotonicMs): void {
+  const { voters, learners } = getMembership(state)
+  const members = new Set([...voters, ...learners].map(({ host }) => host))
+  for (const host of state.peers.keys()) {
+    if (!members.has(host)) state.peers.delete(host)
+  }
+  for (const host of members) {
+    if (host !== state.host && !state.peers.has(host)) state.peers.set(host, createProgress(state, now))
+  }
+}
--- /dev/null
+++ b/consensus/log-machine/src/replication.ts
@@ -0,0 +1,156 @@
+/** The leader's side of replication. */
+import type { HostId } from '@catkinferry/core.types'
+import type { ConsensusMessage } from '@catkinferry/wire.messages'
+import { IN_FLIGHT_TIMEOUT_MS, LEADER_HEARTBEAT_MS, MAX_APPEND_BYTES, MAX_APPEND_ENTRIES, MAX_APPENDS_IN_FLIGHT } from './constants.ts'
+import { addEntries } from './disk.ts'
+import { resetToFollower } from './elections.ts'
+import { assignIncarnations, computeQuorumValue, findMember, isSameMember, UNBOUND } from './membership.ts'
+import { updatePeers } from './peers.ts'
+import { finishReads } from './reads.ts'
+import { sendSnapshotChunk } from './snapshots.ts'
+import { getMembership, getMembershipIndex, isOwnVoter, Role } from './state.ts'
+import type { MachineContext, MachineState, Progress } from './state.ts'
+import { continueTransfer } from './transfer.ts'
+
+type AppendAnswer = Extract<ConsensusMessage, { kind: 'consensus.appendAnswer' }>
+
+/** Sends what each peer lacks; on a heartbeat also to peers that lack nothing. */
+export function sendAppends (state: MachineState, context: MachineContext): void {
+  const isHeartbeat = context.now >= state.heartbeatAt || state.readRoundDue
+  if (isHeartbeat) state.heartbeatAt = context.now + LEADER_HEARTBEAT_MS
+  state.readRoundDue = false
+  state.replicationDue = false
+  for (const [host, progress] of state.peers) {
+    expireInFlight(progress, context)
+    const sent = sendEntries(state, host, progress, context)
+    if (isHeartbeat && !sent) sendAppend(state, host, progress, [], context)
+  }
+}
+
+function expireInFlight (progress: Progress, context: MachineContext): void {
+  if (progress.inFlight === 0 || context.now - progress.lastProgressAt < IN_FLIGHT_TIMEOUT_MS) return
+  progress.inFlight = 0
+  progress.lastProgressAt = context.now
+  if (progress.mode !== 'replicate') return
+  progress.mode = 'probe'
+  progress.nextIndex = progress.matchIndex + 1
+}
+
+/** Sends as many batches as may be under way; false when none was sent. */
+function sendEntries (state: MachineState, host: HostId, progress: Progress, context: MachineContext): boolean {
+  if (progress.foreignIncarnation !== undefined) return false
+  if (progress.mode === 'snapshot' || state.log.getTerm(progress.nextIndex - 1) === undefined) {
+    sendSnapshotChunk(state, host, progress, context)
+    return false
+  }
+  const limit = progress.mode === 'probe' ? 1 : MAX_APPENDS_IN_FLIGHT
+  let sent = false
+  while (progress.inFlight < limit && progress.nextIndex <= state.log.getLastIndex()) {
+    const entries = state.log.list({ index: progress.nextIndex, maxEntries: MAX_APPEND_ENTRIES, maxBytes: MAX_APPEND_BYTES })
+    sendAppend(state, host, progress, entries, context)
+    if (progress.inFlight === 0) progress.lastProgressAt = context.now
+    progress.inFlight += 1
+    if (progress.mode === 'replicate') progress.nextIndex += entries.length
+    sent = true
+  }
+  return sent
+}
+
+function sendAppend (state: MachineState, host: HostId, progress: Progress, entries: ReturnType<MachineState['log']['list']>, context: MachineContext): void {
+  const lowest = state.log.getFirstIndex() - 1
+  const previousIndex = Math.max(lowest, progress.nextIndex - 1)
+  context.send(host, {
+    kind: 'consensus.append',
+    group: state.group,
+    incarnation: state.incarnation,
+    term: state.term,
+    previousIndex,
+    previousTerm: state.log.getTerm(previousIndex) ?? 0,
+    entries,
+    commitIndex: state.commitIndex,
+    readRound: state.readRound
+  })
+}
+
+/** Whether an answer counts; a learner is bound to the data folder that answers first. */
+export function checkAnswerer (state: MachineState, from: HostId, incarnation: string, context: MachineContext): Progress | undefined {
+  const progress = state.peers.get(from)
+  const member = findMember(getMembership(state), from)
+  if (progress === undefined || member === undefined) return undefined
+  if (!isSameMember(member, incarnation)) {
+    progress.foreignIncarnation = incarnation
+    return undefined
+  }
+  progress.foreignIncarnation = undefined
+  progress.lastHeardAt = context.now
+  return progress
+}
+
+export function receiveAppendAnswer (state: MachineState, from: HostId, message: AppendAnswer, context: MachineContext): void {
+  if (message.term > state.term) {
+    resetToFollower(state, { term: message.term }, context)
+    return
+  }
+  if (state.role !== Role.LEADER || message.term < state.term) return
+  const progress = checkAnswerer(state, from, message.incarnation, context)
+  if (progress === undefined) return
+  progress.readRound = Math.max(progress.readRound, message.readRound)
+  if (message.success) noteMatch(state, progress, message.matchIndex, context)
+  else noteMismatch(state, progress, message.matchIndex)
+  bindMember(state, from, message, progress, context)
+  if (state.role !== Role.LEADER) return
+  finishReads(state)
+  continueTransfer(state, context)
+}
+
+function noteMatch (state: MachineState, progress: Progress, matchIndex: number, context: MachineContext): void {
+  progress.inFlight = Math.max(0, progress.inFlight - 1)
+  const advanced = matchIndex > progress.matchIndex
+  if (advanced) {
+    progress.matchIndex = matchIndex
+    progress.lastProgressAt = context.now
+  }
+  if (progress.mode === 'probe') progress.mode = 'replicate'
+  progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1)
+  if (progress.nextIndex <= state.log.getLastIndex()) state.replicationDue = true
+  if (advanced) updateCommit(state, context)
+}
+
+function noteMismatch (state: MachineState, progress: Progress, hint: number): void {
+  if (progress.mode === 'snapshot') return
+  progress.mode = 'probe'
+  progress.inFlight = 0
+  progress.nextIndex = Math.max(progress.matchIndex, Math.min(hint, progress.nextIndex - 2)) + 1
+  state.replicationDue = true
+}
+
+function bindMember (state: MachineState, from: HostId, message: AppendAnswer, progress: Progress, context: MachineContext): void {
+  const membership = getMembership(state)
+  if (findMember(membership, from)?.incarnation !== UNBOUND || message.readRound < progress.bindFromRound) return
+  if (getMembershipIndex(state) > state.commitIndex || state.commitIndex < state.termStartIndex) return
+  const bound = assignIncarnations(membership, new Map([[from, message.incarnation]]))
+  addLeaderEntry(state, { kind: 'membership', membership: bound }, context)
+}
+
+/** Adds an entry of the leader's own and has it replicated. */
+export function addLeaderEntry (state: MachineState, payload: Parameters<typeof addEntries>[1][number]['payload'], context: MachineContext): number {
+  const index = state.log.getLastIndex() + 1
+  addEntries(state, [{ index, term: state.term, payload }], context)
+  if (payload.kind === 'membership') updatePeers(state, context.now)
+  state.replicationDue = true
+  return index
+}
+
+/** Commits what a quorum holds durably, if it is of the leader's own term. */
+export function updateCommit (state: MachineState, context: MachineContext): void {
+  if (state.role !== Role.LEADER) return
+  const index = computeQuorumValue(getMembership(state), voter => {
+    if (voter.host === state.host) return isSameMember(voter, state.incarnation) ? state.durableIndex : 0
+    return state.peers.get(voter.host)?.matchIndex ?? 0
+  })
+  if (index <= state.commitIndex || state.log.getTerm(index) !== state.term) return
+  state.commitIndex = index
+  state.replicationDue = true
+  finishReads(state)
+  if (!isOwnVoter(state) && getMembershipIndex(state) <= index) resetToFollower(state, { term: state.term }, context)
+}
--- /dev/null
+++ b/consensus/log-machine/src/state.ts
@@ -0,0 +1,222 @@
+/** The state of one machine. Functions of the sibling modules work on it. */
+import type { Random } from '@catkinferry/core.random'
+import type { HostId, MonotonicMs } from '@catkinferry/core.types'
+import type { ConsensusMessage, DiskRequest, LogEntry, Membership, Snapshot, StoredState } from '@catkinferry/wire.messages'
+import { MAX_ELECTION_TIMEOUT_MS, MIN_ELECTION_TIMEOUT_MS, MIN_FIRST_ELECTION_TIMEOUT_MS } from './constants.ts'
+import { createEntryStore } from './entryStore.ts'
+import type { EntryStore } from './entryStore.ts'
+import { createInitialMembership, findVoter, isSameMember } from './membership.ts'
+
+export const Role = { FOLLOWER: 'follower', PRE_CANDIDATE: 'preCandidate', CANDIDATE: 'candidate', LEADER: 'leader', FAILED: 'failed' } as const
+export type Role = typeof Role[keyof typeof Role]
+
+/** Handed to the machine with each call. */
+export interface MachineContext {
+  readonly now: MonotonicMs
+  readonly send: (to: HostId, message: ConsensusMessage) => void
+  readonly requestDisk: (request: DiskRequest) => void
+}
+
+/** What the leader knows of one peer. */
+export interface Progress {
+  matchIndex: number
+  nextIndex: number
+  /** `probe`: one append at a time until the logs agree. */
+  mode: 'probe' | 'replicate' | 'snapshot'
+  inFlight: number
+  lastProgressAt: MonotonicMs
+  lastHeardAt: MonotonicMs
+  /** Highest read round that the peer has echoed. */
+  readRound: number
+  /** Answers before this round do not bind an incarnation. */
+  readonly bindFromRound: number
+  /** An incarnation that answered under this name and does not count. */
+  foreignIncarnation?: string
+  transfer?: SnapshotTransfer
+}
+
+export interface SnapshotTransfer {
+  readonly snapshot: Snapshot
+  offset: number
+  sentAt: MonotonicMs
+}
+
+/** A snapshot on its way in. */
+export interface SnapshotIntake {
+  readonly from: HostId
+  readonly term: number
+  readonly lastIndex: number
+  readonly parts: Uint8Array[]
+  bytes: number
+  saving: boolean
+}
+
+export interface PendingWrite {
+  readonly writeId: number
+  /** Last log index that is durable once this write is. */
+  lastIndex?: number
+  readonly snapshot?: Snapshot
+  /** The snapshot came from the leader and replaces the state. */
+  readonly replacesState?: boolean
+  /** Entries kept in memory before an own snapshot. */
+  readonly tailEntries?: number
+}
+
+export interface HeldMessage {
+  readonly afterWrite: number
+  readonly term: number
+  readonly to: HostId
+  readonly message: ConsensusMessage
+}
+
+export interface PendingRead {
+  readonly readId: number
+  readonly round: number
+  readonly index: number
+}
+
+export interface MachineState {
+  readonly host: HostId
+  readonly group: string
+  readonly incarnation: string
+  readonly random: Random
+  role: Role
+  term: number
+  votedFor: HostId | undefined
+  leader: HostId | undefined
+  readonly log: EntryStore
+  snapshot: Snapshot | undefined
+  commitIndex: number
+  /** Last index handed out to be applied. */
+  takenIndex: number
+  /** A snapshot from the leader, to be restored before further entries are applied. */
+  restore: Snapshot | undefined
+  /** Memberships in the log, ascending by index; the first is the base. */
+  memberships: { index: number, membership: Membership }[]
+  electionAt: MonotonicMs
+  heartbeatAt: MonotonicMs
+  leaderHeardAt: MonotonicMs
+  leaderSince: MonotonicMs
+  /** Incarnation of each voter that granted the current round. */
+  votes: Map<HostId, string>
+  voteWriteId: number
+  readonly peers: Map<HostId, Progress>
+  termStartIndex: number
+  replicationDue: boolean
+  readRound: number
+  /** A round that has not been sent yet. */
+  readRoundDue: boolean
+  nextReadId: number
+  pendingReads: PendingRead[]
+  readyReads: number[]
+  failedReads: number[]
+  transferTo: HostId | undefined
+  transferUntil: MonotonicMs
+  intake: SnapshotIntake | undefined
+  lastWriteId: number
+  durableWriteId: number
+  durableIndex: number
+  pendingWrites: PendingWrite[]
+  held: HeldMessage[]
+  failure: string | undefined
+}
+
+export interface LogMachineOptions {
+  readonly host: HostId
+  readonly stored: StoredState
+  /** Voters named in the settings file; used until the log holds a membership. */
+  readonly initialVoters: readonly HostId[]
+  readonly random: Random
+  readonly now: MonotonicMs
+}
+
+/** Picks when the next election is due if no leader is heard from. */
+export function computeElectionAt (state: MachineState, now: MonotonicMs): MonotonicMs {
+  return now + state.random.nextInt(MIN_ELECTION_TIMEOUT_MS, MAX_ELECTION_TIMEOUT_MS)
+}
+
+/** After a start a short wait will do: the pre-vote keeps it from disturbing a leader that is not heard from yet. */
+function computeFirstElectionMs (state: MachineState): number {
+  const { voters } = getMembership(state)
+  if (voters.length === 1) return 0
+  return state.random.nextInt(MIN_FIRST_ELECTION_TIMEOUT_MS, MIN_ELECTION_TIMEOUT_MS)
+}
+
+export function getMembership (state: MachineState): Membership {
+  const last = state.memberships.at(-1)
+  if (last === undefined) throw new Error('a machine always has a membership')
+  return last.membership
+}
+
+export function getMembershipIndex (state: MachineState): number {
+  return state.memberships.at(-1)?.index ?? 0
+}
+
+/** Whether this data folder may campaign and whether its own vote counts. */
+export function isOwnVoter (state: MachineState): boolean {
+  return isSameMember(findVoter(getMembership(state), state.host), state.incarnation)
+}
+
+export function getLastTerm (state: MachineState): number {
+  return state.log.getTerm(state.log.getLastIndex()) ?? 0
+}
+
+/** Takes the memberships among new entries into use at once, committed or not. */
+export function noteMemberships (state: MachineState, entries: readonly LogEntry[]): void {
+  for (const { index, payload } of entries) {
+    if (payload.kind === 'membership') state.memberships.push({ index, membership: payload.membership })
+  }
+}
+
+/** Creates the state from what was found on the disk. */
+export function createState (opts: LogMachineOptions): MachineState {
+  const { stored } = opts
+  const { snapshot, hardState } = stored
+  const baseIndex = snapshot?.lastIndex ?? 0
+  const log = createEntryStore(baseIndex, snapshot?.lastTerm ?? 0)
+  log.add(stored.entries)
+  const membership = snapshot?.membership ?? createInitialMembership(opts.initialVoters)
+  const state: MachineState = {
+    host: opts.host,
+    group: stored.group,
+    incarnation: stored.incarnation,
+    random: opts.random,
+    role: Role.FOLLOWER,
+    term: hardState.term,
+    votedFor: hardState.votedFor,
+    leader: undefined,
+    log,
+    snapshot,
+    commitIndex: baseIndex,
+    takenIndex: baseIndex,
+    restore: undefined,
+    memberships: [{ index: baseIndex, membership }],
+    electionAt: 0,
+    heartbeatAt: 0,
+    leaderHeardAt: Number.NEGATIVE_INFINITY,
+    leaderSince: 0,
+    votes: new Map(),
+    voteWriteId: 0,
+    peers: new Map(),
+    termStartIndex: 0,
+    replicationDue: false,
+    readRound: 0,
+    readRoundDue: false,
+    nextReadId: 1,
+    pendingReads: [],
+    readyReads: [],
+    failedReads: [],
+    transferTo: undefined,
+    transferUntil: 0,
+    intake: undefined,
+    lastWriteId: 0,
+    durableWriteId: 0,
+    durableIndex: log.getLastIndex(),
+    pendingWrites: [],
+    held: [],
+    failure: undefined
+  }
+  noteMemberships(state, stored.entries)
+  state.electionAt = opts.now + computeFirstElectionMs(state)
+  return state
+}
--- /dev/null
+++ b/consensus/log-machine/test/group.ts
@@ -0,0 +1,222 @@
+/** Several machines on virtual time, over an in-memory network and disks that lose what was not synced. */
+import { createRandom } from '@catkinferry/core.random'
+import type { Random } from '@catkinferry/core.random'
+import type { HostId } from '@catkinferry/core.types'
+import type { ConsensusMessage, DiskRequest, LogEntry, Snapshot, StoredState } from '@catkinferry/wire.messages'
+import TinyQueue from 'tinyqueue'
+import { createLogMachine, Role } from '../src/index.ts'
+import type { LogMachine, MachineContext } from '../src/index.ts'
+
+type Stored = { -readonly [Key in keyof StoredState]: StoredState[Key] }
+
+interface Member {
+  readonly host: HostId
+  machine: LogMachine | undefined
+  disk: Stored
+  life: number
+  folders: number
+  unsynced: DiskRequest[]
+  applied: string[]
+}
+
+export interface GroupOptions {
+  readonly seed: number
+  readonly hosts: readonly HostId[]
+  readonly spares?: readonly HostId[]
+  readonly dropFraction?: number
+  readonly duplicateFraction?: number
+  readonly maxDelayMs?: number
+  readonly diskMs?: number
+}
+
+export function applyToDisk (disk: Stored, request: DiskRequest): void {
+  if (request.kind === 'hardState') disk.hardState = request.state
+  else if (request.kind === 'append') disk.entries = [...disk.entries, ...request.entries]
+  else if (request.kind === 'replaceFrom') disk.entries = [...disk.entries.filter(({ index }) => index < request.index), ...request.entries]
+  else {
+    const { lastIndex, lastTerm } = request.snapshot
+    const before = lastIndex === (disk.snapshot?.lastIndex ?? 0) || disk.entries.some(({ index, term }) => index === lastIndex && term === lastTerm)
+    disk.entries = before ? disk.entries.filter(({ index }) => index > lastIndex) : []
+    disk.snapshot = request.snapshot
+  }
+}
+
+/** A snapshot here is the list of what was applied. */
+const encodeApplied = (applied: readonly string[]): Uint8Array => new TextEncoder().encode(JSON.stringify(applied))
+const decodeApplied = ({ data }: Snapshot): string[] => JSON.parse(new TextDecoder().decode(data)) as string[]
+
+export function createGroup (opts: GroupOptions) {
+  const random: Random = createRandom(opts.seed)
+  const events = new TinyQueue<{ at: number, order: number, act: () => void }>([], (a, b) => a.at - b.at || a.order - b.order)
+  const members = new Map<HostId, Member>()
+  const cuts = new Set<string>()
+  const committed = new Map<number, string>()
+  const leaders = new Map<number, string>()
+  const violations: string[] = []
+  const diskHooks: { fail?: HostId } = {}
+  let now = 0
+  let order = 0
+
+  function schedule (afterMs: number, act: () => void): void {
+    events.push({ at: now + afterMs, order: order++, act })
+  }
+
+  function deliver (from: HostId, to: HostId, message: ConsensusMessage): void {
+    schedule(random.nextInt(1, opts.maxDelayMs ?? 5), () => {
+      const member = members.get(to)
+      if (member?.machine === undefined || cuts.has(`${from}>${to}`)) return
+      member.machine.receive(from, message, createContext(member))
+      settle(member)
+    })
+  }
+
+  function createContext (member: Member): MachineContext {
+    return {
+      now,
+      send: (to, message) => {
+        if (cuts.has(`${member.host}>${to}`) || random.nextFraction() < (opts.dropFraction ?? 0)) return
+        deliver(member.host, to, message)
+        if (random.nextFraction() < (opts.duplicateFraction ?? 0)) deliver(member.host, to, message)
+      },
+      requestDisk: request => {
+        const { life } = member
+        member.unsynced.push(request)
+        schedule(random.nextInt(1, opts.diskMs ?? 3), () => { if (member.life === life) syncDisk(member, request.writeId) })
+      }
+    }
+  }
+
+  function syncDisk (member: Member, upTo: number): void {
+    while ((member.unsynced[0]?.writeId ?? Number.POSITIVE_INFINITY) <= upTo) {
+      const request = member.unsynced.shift()
+      if (request === undefined || member.machine === undefined) return
+      const ok = diskHooks.fail !== member.host
+      if (ok) applyToDisk(member.disk, request)
+      const answer = ok ? { writeId: request.writeId, ok: true } as const : { writeId: request.writeId, ok: false, reason: 'sync failed' } as const
+      member.machine.receiveDisk(answer, createContext(member))
+    }
+    settle(member)
+  }
+
+  /** Applies what is ready, checks it, and arms the timer. */
+  function settle (member: Member): void {
+    const { machine, life } = member
+    if (machine === undefined) return
+    machine.run(createContext(member))
+    const { restore, entries } = machine.takeReady(1_000)
+    if (restore !== undefined) member.applied = decodeApplied(restore)
+    for (const entry of entries) applyEntry(member, entry)
+    const { role, term } = machine.getState()
+    if (role === Role.LEADER) noteLeader(member, term)
+    const nextAt = machine.getNextAt()
+    if (nextAt === undefined) return
+    schedule(Math.max(1, nextAt - now), () => { if (member.life === life && (machine.getNextAt() ?? Infinity) <= now) settle(member) })
+  }
+
+  function noteLeader (member: Member, term: number): void {
+    const name = `${member.host}/${member.disk.incarnation}`
+    const known = leaders.get(term)
+    if (known !== undefined && known !== name) violations.push(`two leaders of term ${term}: ${known} and ${name}`)
+    leaders.set(term, name)
+  }
+
+  function applyEntry (member: Member, entry: LogEntry): void {
+    const text = `${entry.term}:${JSON.stringify(entry.payload)}`
+    const known = committed.get(entry.index)
+    if (known !== undefined && known !== text) violations.push(`entry ${entry.index} was ${known} and is ${text} at ${member.host}`)
+    committed.set(entry.index, text)
+    if (entry.payload.kind === 'commands') member.applied.push(entry.payload.commands.map(command => 'changeId' in command ? command.changeId : '').join())
+  }
+
+  function start (host: HostId): void {
+    const member = members.get(host)
+    if (member === undefined || member.machine !== undefined) return
+    member.life++
+    member.unsynced = []
+    const { snapshot } = member.disk
+    member.applied = snapshot === undefined ? [] : decodeApplied(snapshot)
+    member.machine = createLogMachine({ host, stored: { ...member.disk }, initialVoters: opts.hosts, random: createRandom(random.nextInt(0, 1e9)), now })
+    settle(member)
+  }
+
+  /** Ends a process; of the writes that were not synced, some of the first may have reached the disk. */
+  function kill (host: HostId): void {
+    const member = members.get(host)
+    if (member?.machine === undefined) return
+    const kept = random.nextInt(0, member.unsynced.length)
+    for (const request of member.unsynced.slice(0, kept)) applyToDisk(member.disk, request)
+    member.unsynced = []
+    member.machine = undefined
+    member.life++
+  }
+
+  function wipe (host: HostId): void {
+    const member = members.get(host)
+    if (member === undefined) return
+    member.folders++
+    member.disk = { group: 'g', incarnation: `${host}#${member.folders}`, hardState: { term: 0 }, entries: [] }
+  }
+
+  function setCut (a: HostId, b: HostId, isCut: boolean): void {
+    for (const pair of [`${a}>${b}`, `${b}>${a}`]) isCut ? cuts.add(pair) : cuts.delete(pair)
+  }
+
+  const all = [...opts.hosts, ...(opts.spares ?? [])]
+  for (const host of all) {
+    members.set(host, { host, machine: undefined, disk: { group: 'g', incarnation: '', hardState: { term: 0 }, entries: [] }, life: 0, folders: 0, unsynced: [], applied: [] })
+    wipe(host)
+    start(host)
+  }
+
+  const getMember = (host: HostId): Member => members.get(host) as Member
+  const getMachine = (host: HostId): LogMachine => getMember(host).machine as LogMachine
+
+  return {
+    violations,
+    committed,
+    cuts,
+    diskHooks,
+    random,
+    start,
+    kill,
+    wipe,
+    getMachine,
+    getMember,
+    deliver,
+    getNow: () => now,
+    isolate: (host: HostId, isCut: boolean) => { for (const other of all) if (other !== host) setCut(host, other, isCut) },
+    /** Runs until a time has passed. */
+    runFor: (ms: number) => {
+      const end = now + ms
+      for (let next = events.peek(); next !== undefined && next.at <= end; next = events.peek()) {
+        events.pop()
+        now = next.at
+        next.act()
+      }
+      now = end
+    },
+    findLeader: (): HostId | undefined => {
+      const leading = [...members.values()].filter(({ machine }) => machine?.getState().role === Role.LEADER)
+      return leading.sort((a, b) => (b.machine?.getState().term ?? 0) - (a.machine?.getState().term ?? 0))[0]?.host
+    },
+    propose: (host: HostId, changeId: string): number | undefined => {
+      const member = getMember(host)
+      const operator = { name: 'op', role: 'write', from: '' } as const
+      const proposed = member.machine?.propose({ kind: 'commands', proposedAt: now, commands: [{ kind: 'settings.change', changeId, operator, changes: [] }] }, createContext(member))
+      settle(member)
+      return proposed?.index
+    },
+    act: <T>(host: HostId, work: (machine: LogMachine, context: MachineContext) => T): T => {
+      const member = getMember(host)
+      const result = work(getMachine(host), createContext(member))
+      settle(member)
+      return result
+    },
+    compact: (host: HostId, tailEntries: number) => {
+      const member = getMember(host)
+      member.machine?.compact({ lastIndex: member.machine.getState().takenIndex, data: encodeApplied(member.applied), tailEntries }, createContext(member))
+    }
+  }
+}
+
+export type Group = ReturnType<typeof createGroup>
--- /dev/null
+++ b/consensus/log-machine/test/logMachine.test.ts
@@ -0,0 +1,216 @@
+import { describe, it } from 'node:test'
+import type { HostId } from '@catkinferry/core.types'
+import { expect } from 'earl'
+import { Role } from '../src/index.ts'
+import { createGroup } from './group.ts'
+import type { Group } from './group.ts'
+
+const HOSTS = ['a', 'b', 'c']
+const HOUR_MS = 3_600_000
+
+function electLeader (group: Group): HostId {
+  group.runFor(5_000)
+  const leader = group.findLeader()
+  if (leader === undefined) throw new Error('no leader')
+  return leader
+}
+
+function listOthers (leader: HostId): [HostId, HostId] {
+  return HOSTS.filter(host => host !== leader) as [HostId, HostId]
+}
+
+describe('elections', () => {
+  it('binds every voter to its data folder with the first entry', () => {
+    const group = createGroup({ seed: 1, hosts: HOSTS })
+    const leader = electLeader(group)
+    expect(group.getMachine(leader).getMembership().voters).toEqual([
+      { host: 'a', incarnation: 'a#1' }, { host: 'b', incarnation: 'b#1' }, { host: 'c', incarnation: 'c#1' }
+    ])
+  })
+
+  it('does not begin a group while an initial voter is missing', () => {
+    const group = createGroup({ seed: 1, hosts: HOSTS })
+    group.kill('c')
+    group.runFor(20_000)
+    expect(group.findLeader()).toEqual(undefined)
+  })
+
+  it('has a leader that is silently cut off for hours step down, and its return raises no term', () => {
+    const group = createGroup({ seed: 2, hosts: HOSTS })
+    const old = electLeader(group)
+    group.isolate(old, true)
+    group.runFor(3_000)
+    expect(group.getMachine(old).getState().role === Role.LEADER).toEqual(false)
+    const next = group.findLeader() as HostId
+    const { term } = group.getMachine(next).getState()
+    expect(group.propose(next, 'x') !== undefined).toEqual(true)
+    group.runFor(2 * HOUR_MS)
+    group.isolate(old, false)
+    group.runFor(5_000)
+    expect(group.findLeader()).toEqual(next)
+    expect(group.getMachine(next).getState().term).toEqual(term)
+    expect(group.getMember(old).applied).toEqual(['x'])
+  })
+
+  it('hands leadership over without waiting for an election timeout', () => {
+    const group = createGroup({ seed: 3, hosts: HOSTS })
+    const old = electLeader(group)
+    group.propose(old, 'x')
+    expect(group.act(old, (machine, context) => machine.transferLeadership(context))).toEqual(true)
+    expect(group.propose(old, 'refused while transferring')).toEqual(undefined)
+    group.runFor(100)
+    const next = group.findLeader()
+    expect(next !== undefined && next !== old).toEqual(true)
+  })
+})
+
+describe('disk', () => {
+  it('acknowledges nothing after a failed sync and reports it', () => {
+    const group = createGroup({ seed: 4, hosts: HOSTS })
+    const leader = electLeader(group)
+    const [bad, other] = listOthers(leader)
+    group.diskHooks.fail = bad
+    group.propose(leader, 'x')
+    group.runFor(500)
+    expect(group.getMachine(bad).getState().failure).toEqual('sync failed')
+    const { matchIndex } = group.getMachine(leader).getState().peers.get(bad) ?? {}
+    delete group.diskHooks.fail
+    group.kill(other)
+    group.propose(leader, 'y')
+    group.runFor(500)
+    expect(group.getMachine(leader).getState().peers.get(bad)?.matchIndex).toEqual(matchIndex)
+    expect(group.getMember(leader).applied).toEqual(['x'])
+  })
+
+  it('commits nothing before a majority has synced', () => {
+    const group = createGroup({ seed: 5, hosts: HOSTS, diskMs: 1 })
+    const leader = electLeader(group)
+    const [first, second] = listOthers(leader)
+    group.kill(first)
+    group.kill(second)
+    group.propose(leader, 'x')
+    group.runFor(500)
+    expect(group.getMember(leader).applied).toEqual([])
+  })
+
+  it('does not count a wiped disk under its old name', () => {
+    const group = createGroup({ seed: 6, hosts: HOSTS })
+    const leader = electLeader(group)
+    const [wiped, lost] = listOthers(leader)
+    group.propose(leader, 'x')
+    group.runFor(500)
+    group.kill(wiped)
+    group.kill(lost)
+    group.wipe(wiped)
+    group.start(wiped)
+    group.runFor(10_000)
+    expect(group.findLeader()).toEqual(undefined)
+    expect(group.getMember(wiped).applied).toEqual([])
+    group.start(lost)
+    group.runFor(5_000)
+    const next = group.findLeader() as HostId
+    expect(next === wiped).toEqual(false)
+    expect(group.getMachine(next).getState().peers.get(wiped)?.foreignIncarnation).toEqual(`${wiped}#2`)
+  })
+})
+
+describe('membership', () => {
+  it('refuses to promote a learner that has not caught up, and a second change at once', () => {
+    const group = createGroup({ seed: 7, hosts: HOSTS, spares: ['d'] })
+    const leader = electLeader(group)
+    group.kill('d')
+    const step = (kind: 'addLearner' | 'promote' | 'remove', host: HostId) => group.act(leader, (machine, context) => machine.proposeMembership({ kind, host }, context))
+    expect(step('addLearner', 'd').ok).toEqual(true)
+    const second = step('addLearner', 'e')
+    expect(second.ok ? '' : second.failure.message).toEqual("membership step 'addLearner' of host 'e' is refused: another membership change is under way")
+    group.runFor(500)
+    const early = step('promote', 'd')
+    expect(early.ok ? '' : early.failure.message).toEqual("membership step 'promote' of host 'd' is refused: its data folder is not known yet")
+    const [first, other] = listOthers(leader)
+    group.kill(first)
+    group.runFor(950)
+    expect(step('remove', other).ok).toEqual(false)
+  })
+
+  it('loses nothing when a second voter is lost right after a repair', () => {
+    const group = createGroup({ seed: 8, hosts: HOSTS, spares: ['d'] })
+    const leader = electLeader(group)
+    const [lost, second] = listOthers(leader)
+    for (let n = 0; n < 50; n++) group.propose(leader, `before-${n}`)
+    group.runFor(500)
+    group.compact(leader, 0)
+    group.kill(lost)
+    group.runFor(1_500)
+    const step = (kind: 'addLearner' | 'promote' | 'remove', host: HostId) => {
+      const result = group.act(leader, (machine, context) => machine.proposeMembership({ kind, host }, context))
+      expect(result.ok).toEqual(true)
+      group.runFor(2_000)
+    }
+    step('addLearner', 'd')
+    step('remove', lost)
+    step('promote', 'd')
+    group.kill(second)
+    group.propose(leader, 'after')
+    group.runFor(2_000)
+    expect(group.getMember('d').applied.length).toEqual(51)
+    expect(group.getMember(leader).applied.at(-1)).toEqual('after')
+    expect(group.violations).toEqual([])
+  })
+
+  it('takes a wiped host back under its old name as a new member', () => {
+    const group = createGroup({ seed: 9, hosts: HOSTS })
+    const leader = electLeader(group)
+    const [wiped] = listOthers(leader)
+    group.kill(wiped)
+    group.wipe(wiped)
+    group.start(wiped)
+    group.runFor(2_000)
+    for (const kind of ['remove', 'addLearner', 'promote'] as const) {
+      expect(group.act(leader, (machine, context) => machine.proposeMembership({ kind, host: wiped }, context)).ok).toEqual(true)
+      group.runFor(2_000)
+    }
+    expect(group.getMachine(leader).getMembership().voters.find(({ host }) => host === wiped)).toEqual({ host: wiped, incarnation: `${wiped}#2` })
+  })
+})
+
+describe('reads', () => {
+  it('answers none from a leader that was deposed without knowing', () => {
+    const group = createGroup({ seed: 10, hosts: HOSTS })
+    const old = electLeader(group)
+    group.isolate(old, true)
+    const readId = group.act(old, machine => machine.beginRead())
+    group.runFor(5_000)
+    const { ready, failed } = group.getMachine(old).takeReads()
+    expect({ ready, failed }).toEqual({ ready: [], failed: [readId as number] })
+  })
+
+  it('answers one after a round of the majority', () => {
+    const group = createGroup({ seed: 11, hosts: HOSTS })
+    const leader = electLeader(group)
+    const readId = group.act(leader, machine => machine.beginRead())
+    group.runFor(50)
+    expect(group.getMachine(leader).takeReads().ready).toEqual([readId as number])
+  })
+})
+
+describe('snapshots', () => {
+  it('brings a follower up to date that lacks compacted entries', () => {
+    const group = createGroup({ seed: 12, hosts: HOSTS })
+    const leader = electLeader(group)
+    const [late] = listOthers(leader)
+    group.kill(late)
+    for (let n = 0; n < 20_000; n++) group.propose(leader, `change-${String(n).padStart(20, '0')}`)
+    group.runFor(500)
+    group.compact(leader, 10)
+    group.propose(leader, 'last')
+    group.runFor(500)
+    expect(group.getMachine(leader).getState().snapshot === undefined).toEqual(false)
+    group.start(late)
+    group.runFor(5_000)
+    expect(group.getMember(late).applied.length).toEqual(20_001)
+    group.kill(late)
+    group.start(late)
+    group.runFor(1_000)
+    expect(group.getMember(late).applied.at(-1)).toEqual('last')
+  })
+})
