Settle takes whose answers were lost, delayed or overtaken

Cause: a take sent twice could be told 'held' by its first copy and be given the key by its second one later, when the holder had given it up: the claim stayed open with nobody to finish it. A property test with lost answers, leader changes and restarts found it. Change: each take has an id of its own in the ledger; the state bars an attempt that it told 'held' from ever holding the key; the client records a take as not run wherever another send of it may yet be committed, and never tells 'taken' of an attempt already finished.

--- a/ledger/claims/src/claimRow.ts
+++ b/ledger/claims/src/claimRow.ts
@@ -13,7 +13,7 @@
   /** The retention counts from here: when it was taken, or resolved after a long wait. */
   readonly keptFrom: WallMs
   readonly outcome?: ClaimOutcome
-  /** Earlier attempts that were recorded as not run, newest last; none of them may hold the key again. */
+  /** Other attempts that were told that the key is held, or were recorded as not run, newest last; none of them may hold it any more. */
   readonly pastAttempts?: readonly AttemptId[]
   /** Set where an operator resolved it. */
   readonly resolvedBy?: string
--- a/ledger/claims/src/claimStore.ts
+++ b/ledger/claims/src/claimStore.ts
@@ -8,6 +8,8 @@
   readonly find: (claimKey: ClaimKey) => ClaimRow | undefined
   /** Adds a claim as the newest, in place of an older one of the same key. */
   readonly add: (row: ClaimRow) => void
+  /** Puts a changed row in place of itself. */
+  readonly replace: (row: ClaimRow) => void
   /** Records an outcome. */
   readonly settle: (row: ClaimRow, outcome: ClaimOutcome, now: WallMs, limits: ClaimLimits) => void
   /** Drops settled claims past the retention horizon and answers past their bound. */
@@ -106,6 +108,7 @@
       drop(row.claimKey)
       rows.set(row.claimKey, row)
     },
+    replace,
     settle,
     expire,
     listRows,
--- a/ledger/claims/src/claimsTable.ts
+++ b/ledger/claims/src/claimsTable.ts
@@ -5,7 +5,7 @@
 import { createClaimStore } from './claimStore.ts'
 
 /** Earlier attempts of a key that are remembered. */
-const MAX_PAST_ATTEMPTS = 16
+const MAX_PAST_ATTEMPTS = 64
 
 /** A key made later than this after the leader's clock is refused. */
 export const MAX_KEY_SKEW_MS = 300_000
@@ -66,13 +66,21 @@
 export function createClaimsTable (): ClaimsTable {
   const store = createClaimStore()
 
+  /** Keeps an attempt from ever holding the key. */
+  function barAttempt (row: ClaimRow, attemptId: AttemptId): void {
+    if (listAttempts(row).includes(attemptId)) return
+    store.replace({ ...row, pastAttempts: [...row.pastAttempts ?? [], attemptId].slice(-MAX_PAST_ATTEMPTS) })
+  }
+
   function take (opts: TakeCommand): CommandOutcome {
     const { claimKey, attemptId, host, keyCreatedAt, fingerprint, now, limits } = opts
     const row = store.find(claimKey)
     const isFree = row === undefined || (row.outcome?.kind === 'notRun' && !listAttempts(row).includes(attemptId))
     if (!isFree) {
-      const isOurs = row.attemptId === attemptId && row.outcome === undefined
-      return isOurs ? { kind: 'claim.taken' } : describeHeld(row, fingerprint)
+      if (row.attemptId === attemptId && row.outcome === undefined) return { kind: 'claim.taken' }
+      // A late copy of this take must be answered as this one was.
+      barAttempt(row, attemptId)
+      return describeHeld(row, fingerprint)
     }
     if (keyCreatedAt + limits.retentionMs < now) return { kind: 'claim.expired', reason: 'tooOld' }
     if (keyCreatedAt > now + MAX_KEY_SKEW_MS) return { kind: 'claim.expired', reason: 'inFuture' }
@@ -90,7 +98,10 @@
       if (outcome.kind === 'notRun') store.add({ claimKey, attemptId, host: '', fingerprint: '', keyCreatedAt: now, takenAt: now, keptFrom: now, outcome })
       return { kind: 'claim.finished' }
     }
-    if (row.attemptId !== attemptId) return describeHeld(row, row.fingerprint)
+    if (row.attemptId !== attemptId) {
+      if (outcome.kind === 'notRun') barAttempt(row, attemptId)
+      return describeHeld(row, row.fingerprint)
+    }
     if (row.outcome === undefined) store.settle(row, outcome, now, limits)
     return { kind: 'claim.finished' }
   }
--- a/ledger/claims/src/ledgerClient.ts
+++ b/ledger/claims/src/ledgerClient.ts
@@ -16,7 +16,7 @@
   readonly deadlineAt: MonotonicMs
   /**
    * Called once. Only `claim.taken` allows the attempt to be dispatched; after any other result it must never be.
-   * After `unknown` the client itself records the attempt as not run.
+   * Where a lost take may yet be committed, the client itself records it as not run.
    */
   readonly onOutcome: (result: LedgerResult, context: RunContext) => void
 }
--- a/ledger/claims/test/claimsTable.test.ts
+++ b/ledger/claims/test/claimsTable.test.ts
@@ -24,6 +24,9 @@
     expect(take(table, 'k', 'a', 1).kind).toEqual('claim.taken')
     expect(take(table, 'k', 'a', 2).kind).toEqual('claim.taken')
     expect(take(table, 'k', 'b', 3)).toEqual({ kind: 'claim.held', attemptId: 'a', host: 'h', sameFingerprint: true })
+    finish(table, 'k', 'a', NOT_RUN, 4)
+    expect(take(table, 'k', 'b', 5).kind).toEqual('claim.held')
+    expect(take(table, 'k', 'c', 6).kind).toEqual('claim.taken')
   })
 
   it('keeps the first outcome against a late finish, until an operator resolves an unknown one', () => {
@@ -71,6 +74,15 @@
     expect(take(table, 'k', 'c', 4).kind).toEqual('claim.taken')
   })
 
+  it('does not give a key to an attempt that was recorded as not run while another held it', () => {
+    const table = createClaimsTable()
+    take(table, 'k', 'a', 1)
+    expect(finish(table, 'k', 'b', NOT_RUN, 2).kind).toEqual('claim.held')
+    finish(table, 'k', 'a', NOT_RUN, 3)
+    expect(take(table, 'k', 'b', 4).kind).toEqual('claim.held')
+    expect(take(table, 'k', 'c', 5).kind).toEqual('claim.taken')
+  })
+
   it('refuses keys older than the horizon and keys made in the future', () => {
     const table = createClaimsTable()
     expect(take(table, 'k', 'a', 5_000, 3_999)).toEqual({ kind: 'claim.expired', reason: 'tooOld' })
--- /dev/null
+++ b/scripts/printSettingsDocs.ts
@@ -0,0 +1,5 @@
+/** Writes docs/SETTINGS.md from the settings schema. */
+import { renderSettingsPage } from '@catkinferry/settings.schema'
+import { writeFileSync } from 'node:fs'
+
+writeFileSync(new URL('../docs/SETTINGS.md', import.meta.url), renderSettingsPage())
--- a/settings/command-client/src/commandClient.ts
+++ b/settings/command-client/src/commandClient.ts
@@ -16,8 +16,8 @@
   readonly command: Command
   /** Infinity: resent until it is answered. */
   readonly deadlineAt: MonotonicMs
-  /** Called once. */
-  readonly onOutcome: (result: CommandResult, context: RunContext) => void
+  /** Called once. `settled` is false while another send of the command may yet be committed. */
+  readonly onOutcome: (result: CommandResult, context: RunContext, settled: boolean) => void
 }
 
 export interface AskOptions {
@@ -52,14 +52,14 @@
     const { command, deadlineAt, onOutcome } = submission
     // A command without a deadline is an outcome that must be recorded: its number is bounded where it arises.
     if (commands.getSize() >= MAX_UNDER_WAY && deadlineAt !== Infinity) {
-      onOutcome({ kind: 'refused', reason: 'too many commands are under way at this host' }, context)
+      onOutcome({ kind: 'refused', reason: 'too many commands are under way at this host' }, context, true)
       return
     }
     commands.begin({
       deadlineAt,
       send: (commandId, to, ctx) => { ctx.send(to, { kind: 'command.submit', commandId, origin: host, command, hops: 0 }) },
-      onDeadline: (certain, reason, ctx) => { onOutcome(certain ? { kind: 'refused', reason } : { kind: 'unknown' }, ctx) },
-      onAnswer: (outcome, ctx) => { onOutcome({ kind: 'outcome', outcome }, ctx) }
+      onDeadline: (certain, reason, ctx) => { onOutcome(certain ? { kind: 'refused', reason } : { kind: 'unknown' }, ctx, certain) },
+      onAnswer: (outcome, settled, ctx) => { onOutcome({ kind: 'outcome', outcome }, ctx, settled) }
     }, context)
   }
 
@@ -73,7 +73,7 @@
       deadlineAt,
       send: (queryId, to, ctx) => { ctx.send(to, { kind: 'query.ask', queryId, origin: host, query, fresh, hops: 0 }) },
       onDeadline: (_certain, reason, ctx) => { onAnswer({ ok: false, failure: { ...NO_QUORUM, message: `${NO_QUORUM.message}: ${reason}` } }, ctx) },
-      onAnswer: (value, ctx) => { onAnswer({ ok: true, value }, ctx) }
+      onAnswer: (value, _settled, ctx) => { onAnswer({ ok: true, value }, ctx) }
     }, context)
   }
 
--- a/settings/command-client/src/ledgerClient.ts
+++ b/settings/command-client/src/ledgerClient.ts
@@ -1,9 +1,9 @@
 /** The ledger of claims as the request path uses it, on top of the command client. */
 import type { Result } from '@catkinferry/core.errors'
-import type { ClaimKey, HostId, MonotonicMs } from '@catkinferry/core.types'
+import type { AttemptId, ClaimKey, HostId, MonotonicMs } from '@catkinferry/core.types'
 import type { RunContext } from '@catkinferry/host.events'
 import type { ClaimDescription, FinishOptions, LedgerClient, LedgerResult, TakeOptions } from '@catkinferry/ledger.claims'
-import type { ClaimOutcome } from '@catkinferry/wire.messages'
+import type { ClaimOutcome, CommandResult } from '@catkinferry/wire.messages'
 import type { CommandClient } from './commandClient.ts'
 
 /** Outcomes that may wait to be recorded; beyond, no new claims are taken. */
@@ -34,6 +34,9 @@
 
 const NEVER_DISPATCHED: ClaimOutcome = { kind: 'notRun', reason: 'the claim was not confirmed in time and its attempt was never sent' }
 
+/** Told in place of a claim that was taken for an attempt already finished. */
+const FINISHED_BEFORE: CommandResult = { kind: 'refused', reason: 'the attempt was finished before its claim was confirmed' }
+
 function countAnswerBytes (outcome: ClaimOutcome): number {
   return outcome.kind === 'done' ? Buffer.byteLength(outcome.answer?.body ?? '') : 0
 }
@@ -44,32 +47,40 @@
   return { kind: 'done', answer: rest }
 }
 
-/** Creates the ledger client of a host. */
+function formatId (claimKey: ClaimKey, attemptId: AttemptId): string {
+  return `${claimKey} ${attemptId}`
+}
+
+function isTaken (result: CommandResult): boolean {
+  return result.kind === 'outcome' && result.outcome.kind === 'claim.taken'
+}
+
+/**
+ * Creates the ledger client of a host. Each take has an attempt id of its own in the ledger, `<attempt>#<n>`: a delayed
+ * copy of an earlier take, or of the word that it is not run, can then never be taken for a later one.
+ */
 export function createLedgerClient (opts: { host: HostId, client: CommandClient }): HostLedgerClient {
   const { host, client } = opts
   const pending = new Map<string, PendingOutcome>()
+  /** Attempt ids in the ledger of takes under way and taken. */
+  const ledgerIds = new Map<string, AttemptId>()
   let pendingBytes = 0
+  let takes = 0
 
-  function finish (finished: FinishOptions, context: RunContext): void {
-    const { claimKey, attemptId, onOutcome } = finished
-    const id = `${claimKey} ${attemptId}`
+  function record (claimKey: ClaimKey, ledgerId: AttemptId, outcome: ClaimOutcome, onOutcome: FinishOptions['onOutcome'], context: RunContext): void {
+    const id = formatId(claimKey, ledgerId)
     const known = pending.get(id)
     if (known !== undefined) {
       if (onOutcome !== undefined) known.listeners.push(onOutcome)
       return
     }
-    const fits = pendingBytes + countAnswerBytes(finished.outcome) <= MAX_PENDING_ANSWER_BYTES
-    const outcome = fits ? finished.outcome : dropAnswerBody(finished.outcome)
-    const row: PendingOutcome = { bytes: countAnswerBytes(outcome), listeners: onOutcome === undefined ? [] : [onOutcome] }
+    const fits = pendingBytes + countAnswerBytes(outcome) <= MAX_PENDING_ANSWER_BYTES
+    const kept = fits ? outcome : dropAnswerBody(outcome)
+    const row: PendingOutcome = { bytes: countAnswerBytes(kept), listeners: onOutcome === undefined ? [] : [onOutcome] }
     pending.set(id, row)
     pendingBytes += row.bytes
-    submitOutcome(id, row, { claimKey, attemptId, outcome }, context)
-  }
-
-  function submitOutcome (id: string, row: PendingOutcome, finished: FinishOptions, context: RunContext): void {
-    const { claimKey, attemptId, outcome } = finished
     client.submit({
-      command: { kind: 'claim.finish', claimKey, attemptId, outcome },
+      command: { kind: 'claim.finish', claimKey, attemptId: ledgerId, outcome: kept },
       deadlineAt: Infinity,
       onOutcome: (result, ctx) => {
         pending.delete(id)
@@ -85,20 +96,32 @@
       onOutcome({ kind: 'refused', reason: 'too many outcomes wait to be recorded at this host' }, context)
       return
     }
+    const ledgerId = `${attemptId}#${++takes}`
+    const id = formatId(claimKey, attemptId)
+    ledgerIds.set(id, ledgerId)
     client.submit({
-      command: { kind: 'claim.take', claimKey, attemptId, host, keyCreatedAt, fingerprint },
+      command: { kind: 'claim.take', claimKey, attemptId: ledgerId, host, keyCreatedAt, fingerprint },
       deadlineAt,
-      onOutcome: (result, ctx) => {
-        // From here on the attempt can never be dispatched, so its claim may truly be recorded as not run.
-        if (result.kind === 'unknown') finish({ claimKey, attemptId, outcome: NEVER_DISPATCHED }, ctx)
-        onOutcome(result, ctx)
+      onOutcome: (result, ctx, settled) => {
+        const isCurrent = ledgerIds.get(id) === ledgerId
+        if (!isTaken(result)) {
+          if (isCurrent) ledgerIds.delete(id)
+          // From here on this take can never lead to a dispatch, so its claim may truly be recorded as not run.
+          if (!settled) record(claimKey, ledgerId, NEVER_DISPATCHED, undefined, ctx)
+        }
+        onOutcome(isCurrent || !isTaken(result) ? result : FINISHED_BEFORE, ctx)
       }
     }, context)
   }
 
   return {
     take,
-    finish,
+    finish: ({ claimKey, attemptId, outcome, onOutcome }, context) => {
+      const id = formatId(claimKey, attemptId)
+      const ledgerId = ledgerIds.get(id) ?? attemptId
+      ledgerIds.delete(id)
+      record(claimKey, ledgerId, outcome, onOutcome, context)
+    },
     read: ({ claimKey, deadlineAt, onAnswer }, context) => {
       client.ask({
         query: { kind: 'claim', claimKey },
--- a/settings/command-client/src/resender.ts
+++ b/settings/command-client/src/resender.ts
@@ -23,7 +23,8 @@
   readonly send: (sendId: string, to: HostId, context: RunContext) => void
   /** Called at the deadline. `certain`: every send was answered with a refusal. */
   readonly onDeadline: (certain: boolean, reason: string, context: RunContext) => void
-  readonly onAnswer: (answer: Answer, context: RunContext) => void
+  /** `settled`: every other send was refused, so that nothing more can come of this question. */
+  readonly onAnswer: (answer: Answer, settled: boolean, context: RunContext) => void
 }
 
 /** A question under way. */
@@ -143,8 +144,9 @@
       choice.noteAnswer(from)
       const row = sends.find(sendId)
       if (row === undefined) return
+      row.openSends.delete(sendId)
       close(row)
-      row.onAnswer(answer, context)
+      row.onAnswer(answer, isCertain(row), context)
     },
     receiveRefusal,
     run: context => {
--- a/settings/dissemination/test/harness.ts
+++ b/settings/dissemination/test/harness.ts
@@ -39,6 +39,8 @@
   /** Commits one change on every voter that is up; gives the revision. */
   readonly commit: (values: Readonly<Record<string, unknown>>) => number
   readonly commitNodes: (count: number, prefix: string) => number
+  /** Brings voters that missed changes up to the log. */
+  readonly catchUpVoters: () => void
   readonly advance: (ms: number) => void
   readonly advanceUntil: (holds: () => boolean, limitMs: number) => boolean
   readonly kill: (host: HostId) => void
@@ -127,7 +129,18 @@
     }
   }
 
+  /** Brings voters that missed changes up to the log, as the log itself would. */
+  function catchUpVoters (): void {
+    const live = [...nodes.values()].filter(node => node.state !== undefined && node.up && inContact(node.peer.host))
+    for (const { state } of live) {
+      if (state === undefined || state.getRevision() >= revision) continue
+      const newest = [...nodes.values()].find(node => node.state?.getRevision() === revision)
+      state.restoreSnapshot(newest!.state!.takeSnapshot())
+    }
+  }
+
   function apply (command: Command): void {
+    catchUpVoters()
     revision++
     for (const node of nodes.values()) {
       if (node.state === undefined || !node.up || !inContact(node.peer.host)) continue
@@ -154,6 +167,7 @@
       return revision
     },
     advance,
+    catchUpVoters,
     advanceUntil: (holds, limitMs) => {
       const end = now + limitMs
       while (now < end && !holds()) advance(10)
--- a/settings/schema/src/index.ts
+++ b/settings/schema/src/index.ts
@@ -2,4 +2,5 @@
 export * from './keyRow.ts'
 export { findKey, listKeys } from './keys.ts'
 export * from './paths.ts'
+export { renderSettingsPage } from './renderPage.ts'
 export * from './validateValues.ts'
--- a/settings/schema/test/schema.test.ts
+++ b/settings/schema/test/schema.test.ts
@@ -1,5 +1,6 @@
-import { listKeys, parsePath, validateValues } from '@catkinferry/settings.schema'
+import { listKeys, parsePath, renderSettingsPage, validateValues } from '@catkinferry/settings.schema'
 import { expect } from 'earl'
+import { readFileSync } from 'node:fs'
 import { describe, it } from 'node:test'
 
 describe('listKeys', () => {
@@ -44,3 +45,9 @@
     expect(validateValues({ path: 'models/m', values: { inForce: 'v1' } }).length).toEqual(1)
   })
 })
+
+describe('docs/SETTINGS.md', () => {
+  it('is what the schema gives', () => {
+    expect(readFileSync(new URL('../../../docs/SETTINGS.md', import.meta.url), 'utf8')).toEqual(renderSettingsPage())
+  })
+})
