--- a/daemon/config/src/index.ts
+++ b/daemon/config/src/index.ts
@@ -1,2 +1,4 @@
 /** The settings file of a host. */
-export {}
+export * from './checkConfig.ts'
+export * from './configSchema.ts'
+export * from './loadConfig.ts'
