Decide once on arrival and look only at endpoints that count

Cause: each request was routed twice, and every endpoint of the pool cost several table look-ups. Change: the choice on arrival is used when nobody waits; limits and breakers are read of warm endpoints and of the one that gathers the adapter only; one record of recent asks in place of a search at each endpoint; the payload is measured where it may cross regions only; the core experiment.

--- a/routing/requests/src/placing.ts
+++ b/routing/requests/src/placing.ts
@@ -68,7 +68,11 @@
 
 /** Chooses and asks for one request. False: it has to wait. */
 function tryPlace (core: Core, row: RequestRow, context: RunContext): boolean {
-  const choice = chooseFor(core, row, context.now)
+  return placeChoice(core, row, chooseFor(core, row, context.now), context)
+}
+
+/** Acts on a choice. False: the request has to wait. */
+export function placeChoice (core: Core, row: RequestRow, choice: RouteChoice, context: RunContext): boolean {
   if (choice.kind === 'endpoint') {
     placeAt(core, row, choice.endpoint, choice.cost, context)
     return true
@@ -80,17 +84,26 @@
   return checkOutage(core, row, choice.reason, context)
 }
 
+function getPayloadBytes (row: RequestRow): number {
+  const { work } = row.request
+  row.payloadBytes ??= work.kind === 'service' ? work.body.length : JSON.stringify(work.body).length
+  return row.payloadBytes
+}
+
 /** Chooses an endpoint for a request, or another zone. */
 export function chooseFor (core: Core, row: RequestRow, now: MonotonicMs): RouteChoice {
   const { target, request } = row
   const isServing = target.kind === 'service' || core.opts.zone.isServing(now)
-  const isAvoided = (endpoint: string): boolean => !isServing || (row.avoided.get(endpoint) ?? 0) > now ||
-    row.attempts.some(attempt => attempt.endpoint === endpoint && attempt.state !== 'lingering')
+  const isFirst = isServing && row.avoided.size === 0 && row.attempts.length === 0
+  const isAvoided = isFirst
+    ? () => false
+    : (endpoint: string): boolean => !isServing || (row.avoided.get(endpoint) ?? 0) > now ||
+      row.attempts.some(attempt => attempt.endpoint === endpoint && attempt.state !== 'lingering')
   return core.router.choose({
     pool: target.pool,
     adapterKey: target.adapterKey,
     prefixHash: request.work.kind === 'adapter' ? request.work.prefixHash : undefined,
-    payloadBytes: row.payloadBytes,
+    getPayloadBytes: () => getPayloadBytes(row),
     now,
     isAvoided,
     mayLeaveZone: target.kind === 'adapter'
--- a/routing/requests/src/submit.ts
+++ b/routing/requests/src/submit.ts
@@ -1,14 +1,16 @@
 /** Takes requests from callers: checks, admission, and the first decision. */
 import { ErrorCode } from '@catkinferry/core.errors'
-import type { CallerRequest, ResolvedAdapter } from '@catkinferry/core.types'
+import type { CallerRequest, DurationMs, ResolvedAdapter } from '@catkinferry/core.types'
 import type { RunContext } from '@catkinferry/host.events'
+import type { RouteChoice } from '@catkinferry/routing.router'
 import { closeRow, refuseArrival } from './answers.ts'
 import type { FailureOptions } from './answers.ts'
 import { cancelOthers } from './attemptRows.ts'
 import { createClaim, takeClaim } from './claims.ts'
 import type { Core } from './core.ts'
+import { getQueue } from './core.ts'
 import { failRequest, recordOutcome } from './failing.ts'
-import { chooseFor, queueRequest } from './placing.ts'
+import { chooseFor, placeChoice, queueRequest } from './placing.ts'
 import type { RequestClaim, RequestRow, RequestTarget } from './types.ts'
 
 const NOT_SERVING_RETRY_MS = 1_000
@@ -51,11 +53,10 @@
 }
 
 function createRow (request: CallerRequest, target: RequestTarget, claim: RequestClaim | undefined, context: RunContext): RequestRow {
-  const { work } = request
   return {
     request,
     target,
-    payloadBytes: work.kind === 'service' ? work.body.length : JSON.stringify(work.body).length,
+    payloadBytes: undefined,
     arrivedAt: context.now,
     deadlineAt: context.now + request.deadlineMs,
     claim,
@@ -78,13 +79,12 @@
   }
 }
 
-/** Refuses at once what cannot be answered before its deadline. */
-function isHopeless (core: Core, row: RequestRow, context: RunContext): { hopeless: boolean, waitMs: number } {
-  const choice = chooseFor(core, row, context.now)
-  if (choice.kind !== 'endpoint') return { hopeless: false, waitMs: 0 }
+/** How long a request must wait that cannot be answered before its deadline; undefined when it can. */
+function findHopelessWait (row: RequestRow, choice: RouteChoice): DurationMs | undefined {
+  if (choice.kind !== 'endpoint') return undefined
   const waitMs = choice.cost.queueMs + choice.cost.stallMs
   const neededMs = waitMs + choice.endpoint.expectedRunMs * MINIMUM_RUN_SHARE
-  return { hopeless: neededMs > row.request.deadlineMs, waitMs }
+  return neededMs > row.request.deadlineMs ? Math.ceil(waitMs) : undefined
 }
 
 /** Takes one request. It is refused, queued, or waits for its claim. */
@@ -121,12 +121,14 @@
     takeClaim(core, row, context)
     return
   }
-  const { hopeless, waitMs } = isHopeless(core, row, context)
-  if (hopeless) {
-    failRequest(core, row, { code: ErrorCode.DEADLINE, message: 'the deadline cannot be met', step: 'admission', ran: 'no', retryAfterMs: Math.ceil(waitMs) }, context)
+  const choice = chooseFor(core, row, context.now)
+  const retryAfterMs = findHopelessWait(row, choice)
+  if (retryAfterMs !== undefined) {
+    failRequest(core, row, { code: ErrorCode.DEADLINE, message: 'the deadline cannot be met', step: 'admission', ran: 'no', retryAfterMs }, context)
     return
   }
-  queueRequest(core, row, context)
+  const isFirst = getQueue(core, target.pool).getSize() === 0
+  if (!isFirst || choice.kind === 'none' || !placeChoice(core, row, choice, context)) queueRequest(core, row, context)
 }
 
 /** The caller is gone: repeatable work is cancelled; work under a claim that was sent runs on for its outcome. */
--- a/routing/requests/src/types.ts
+++ b/routing/requests/src/types.ts
@@ -66,7 +66,8 @@
 export interface RequestRow {
   readonly request: CallerRequest
   readonly target: RequestTarget
-  readonly payloadBytes: number
+  /** Computed where it is needed. */
+  payloadBytes: number | undefined
   readonly arrivedAt: MonotonicMs
   readonly deadlineAt: MonotonicMs
   readonly claim?: RequestClaim
--- a/routing/router/src/cost.ts
+++ b/routing/router/src/cost.ts
@@ -6,27 +6,21 @@
 const FULL_BATCH_VALUE_MS = 60
 
 /** Owners publish changes faster than this; asks older than that are in the figures. */
-const LONGEST_FIGURES_AGE_MS = 400
-
-function getFiguresAge (endpoint: EndpointView): DurationMs {
-  return Math.min(endpoint.reportAgeMs, LONGEST_FIGURES_AGE_MS)
-}
+export const LONGEST_FIGURES_AGE_MS = 400
 
 /** Own asks that the endpoint's figures cannot contain yet. */
 function countOwnAsks (ask: RouteAsk, { endpoint, memory }: Candidate): number {
-  return memory.asks.countSince(ask.now, getFiguresAge(endpoint))
+  return memory.asks.countSince(ask.now, Math.min(endpoint.reportAgeMs, LONGEST_FIGURES_AGE_MS))
 }
 
 /** True where the adapter is loaded or being loaded, and for plain services. */
-export function isWarm (ask: RouteAsk, { endpoint, memory }: Candidate): boolean {
-  return endpoint.kind === 'service' || endpoint.isResident(ask.adapterKey) || endpoint.isLoading(ask.adapterKey) ||
-    memory.asks.hasAdapter(ask.adapterKey, ask.now, getFiguresAge(endpoint))
+export function isWarm (ask: RouteAsk, endpoint: EndpointView): boolean {
+  return endpoint.kind === 'service' || endpoint.isResident(ask.adapterKey) || endpoint.isLoading(ask.adapterKey)
 }
 
-function estimateStall (ask: RouteAsk, candidate: Candidate): DurationMs {
-  const { endpoint } = candidate
+function estimateStall (ask: RouteAsk, { endpoint, isAsked }: Candidate): DurationMs {
   if (endpoint.kind === 'service' || endpoint.isResident(ask.adapterKey)) return 0
-  if (isWarm(ask, candidate)) return endpoint.expectedLoadMs / 2
+  if (isAsked || endpoint.isLoading(ask.adapterKey)) return endpoint.expectedLoadMs / 2
   const slotWaitMs = endpoint.freeSlots > 0 ? 0 : endpoint.expectedRunMs
   return endpoint.expectedLoadMs + slotWaitMs
 }
--- /dev/null
+++ b/routing/router/src/recentPlaces.ts
@@ -0,0 +1,30 @@
+/** Where this host has just asked for an adapter, so that requests that follow before the zone hears of it go there too. */
+import type { AdapterKey, DurationMs, EndpointId, MonotonicMs } from '@catkinferry/core.types'
+
+const MAX_PLACES = 4_096
+
+export interface RecentPlaces {
+  readonly note: (adapterKey: AdapterKey, endpoint: EndpointId, now: MonotonicMs) => void
+  readonly drop: (adapterKey: AdapterKey) => void
+  /** The endpoint asked within the last `withinMs`. */
+  readonly find: (adapterKey: AdapterKey, now: MonotonicMs, withinMs: DurationMs) => EndpointId | undefined
+}
+
+/** Creates an empty, bounded record. */
+export function createRecentPlaces (): RecentPlaces {
+  const places = new Map<AdapterKey, { readonly endpoint: EndpointId, readonly at: MonotonicMs }>()
+  return {
+    note: (adapterKey, endpoint, now) => {
+      places.delete(adapterKey)
+      places.set(adapterKey, { endpoint, at: now })
+      if (places.size <= MAX_PLACES) return
+      const [oldest] = places.keys()
+      if (oldest !== undefined) places.delete(oldest)
+    },
+    drop: adapterKey => { places.delete(adapterKey) },
+    find: (adapterKey, now, withinMs) => {
+      const place = places.get(adapterKey)
+      return place !== undefined && now - place.at <= withinMs ? place.endpoint : undefined
+    }
+  }
+}
--- a/routing/router/src/router.ts
+++ b/routing/router/src/router.ts
@@ -4,15 +4,13 @@
  */
 import { computeWeight, hashText } from '@catkinferry/core.hash'
 import type { EndpointId, EndpointView, HostPlace, MonotonicMs, ZoneView } from '@catkinferry/core.types'
-import { computeCost, isWarm } from './cost.ts'
+import { computeCost, isWarm, LONGEST_FIGURES_AGE_MS } from './cost.ts'
 import { createOwnAsks } from './ownAsks.ts'
 import { createPrefixIndex } from './prefixIndex.ts'
+import { createRecentPlaces } from './recentPlaces.ts'
 import { chooseZone, findHomeZone, ZONE_STEP_MS } from './spill.ts'
 import type { Candidate, CostParts, EndpointMemory, RouteAsk, RouteChoice, Router, RouterWeights } from './types.ts'
 
-/** Endpoints that a cold adapter may be loaded on. */
-const COLD_CANDIDATES = 1
-
 export interface RouterOptions {
   readonly self: HostPlace
   readonly zone: ZoneView
@@ -20,15 +18,33 @@
   readonly isAllowed: (endpoint: EndpointView, now: MonotonicMs) => boolean
 }
 
-function createMemories (): (endpoint: EndpointId) => EndpointMemory {
+interface Memories {
+  readonly get: (endpoint: EndpointId) => EndpointMemory
+  /** Memories of a list of endpoints, kept while the zone hands out the same list. */
+  readonly list: (endpoints: readonly EndpointView[]) => readonly EndpointMemory[]
+}
+
+function createMemories (): Memories {
   const memories = new Map<EndpointId, EndpointMemory>()
-  return endpoint => {
+  const lists = new WeakMap<readonly EndpointView[], readonly EndpointMemory[]>()
+
+  function get (endpoint: EndpointId): EndpointMemory {
     const known = memories.get(endpoint)
     if (known !== undefined) return known
     const memory = { hash: hashText(endpoint), asks: createOwnAsks(), prefixes: createPrefixIndex() }
     memories.set(endpoint, memory)
     return memory
   }
+
+  function list (endpoints: readonly EndpointView[]): readonly EndpointMemory[] {
+    const known = lists.get(endpoints)
+    if (known?.length === endpoints.length) return known
+    const listed = endpoints.map(({ endpoint }) => get(endpoint))
+    lists.set(endpoints, listed)
+    return listed
+  }
+
+  return { get, list }
 }
 
 /** True of an engine that is unreachable or has not reported to this host yet. */
@@ -36,19 +52,6 @@
   return endpoint.kind === 'engine' && endpoint.batchLimit === 0
 }
 
-/** Adds the rendezvous candidates among the cold endpoints. */
-function addHeaviest (candidates: Candidate[], cold: Candidate[]): void {
-  for (let added = 0; added < COLD_CANDIDATES; added += 1) {
-    let heaviest = -1
-    for (let index = 0; index < cold.length; index += 1) {
-      if (heaviest < 0 || (cold[index]?.weight ?? 0) > (cold[heaviest]?.weight ?? 0)) heaviest = index
-    }
-    const [candidate] = heaviest < 0 ? [] : cold.splice(heaviest, 1)
-    if (candidate === undefined) return
-    candidates.push(candidate)
-  }
-}
-
 /** Picks the cheapest; the rendezvous weight decides between equals. */
 function pickCheapest (candidates: readonly Candidate[], getCost: (candidate: Candidate) => CostParts): { best: Candidate, cost: CostParts } | undefined {
   let found: { best: Candidate, cost: CostParts } | undefined
@@ -63,24 +66,33 @@
 
 /** Creates the router of one host. */
 export function createRouter (opts: RouterOptions): Router {
-  const getMemory = createMemories()
+  const memories = createMemories()
+  const places = createRecentPlaces()
 
-  /** Endpoints that have the adapter, and the rendezvous candidates among the others. */
+  /** Endpoints that have the adapter, and the one that gathers it among the others. */
   function listCandidates (ask: RouteAsk): { candidates: Candidate[], known: number } {
-    const candidates: Candidate[] = []
-    const cold: Candidate[] = []
+    const endpoints = opts.zone.listEndpoints(ask.pool)
+    const listed = memories.list(endpoints)
     const adapterHash = hashText(ask.adapterKey)
+    const askedAt = places.find(ask.adapterKey, ask.now, LONGEST_FIGURES_AGE_MS)
+    const candidates: Candidate[] = []
+    let gathering: Candidate | undefined
     let known = 0
-    for (const endpoint of opts.zone.listEndpoints(ask.pool)) {
+    for (let index = 0; index < endpoints.length; index += 1) {
+      const endpoint = endpoints[index] as EndpointView
+      const memory = listed[index] as EndpointMemory
       if (endpoint.leaving || ask.isAvoided(endpoint.endpoint)) continue
       known += 1
+      const weight = computeWeight(adapterHash, memory.hash)
+      const isAsked = askedAt === endpoint.endpoint
+      const isWeighed = isAsked || isWarm(ask, endpoint)
+      if (!isWeighed && weight <= (gathering?.weight ?? -1)) continue
       if (isUnknown(endpoint) || !opts.isAllowed(endpoint, ask.now)) continue
-      const memory = getMemory(endpoint.endpoint)
-      const candidate = { endpoint, memory, weight: computeWeight(adapterHash, memory.hash) }
-      if (isWarm(ask, candidate)) candidates.push(candidate)
-      else cold.push(candidate)
+      const candidate = { endpoint, memory, weight, isAsked }
+      if (isWeighed) candidates.push(candidate)
+      else gathering = candidate
     }
-    addHeaviest(candidates, cold)
+    if (gathering !== undefined) candidates.push(gathering)
     return { candidates, known }
   }
 
@@ -112,13 +124,19 @@
       if (spill === undefined) return inZone
       return inZone.kind === 'endpoint' && inZone.cost.queueMs <= spill.costMs ? inZone : spill
     },
-    noteAsked: (endpoint, adapterKey, now) => { getMemory(endpoint).asks.note(adapterKey, now) },
-    noteAskDropped: (endpoint, adapterKey) => { getMemory(endpoint).asks.drop(adapterKey) },
+    noteAsked: (endpoint, adapterKey, now) => {
+      memories.get(endpoint).asks.note(now)
+      places.note(adapterKey, endpoint, now)
+    },
+    noteAskDropped: (endpoint, adapterKey) => {
+      memories.get(endpoint).asks.drop()
+      places.drop(adapterKey)
+    },
     noteDispatched: (endpoint, prefixHash, now) => {
-      if (prefixHash !== undefined) getMemory(endpoint).prefixes.noteDispatched(prefixHash, now)
+      if (prefixHash !== undefined) memories.get(endpoint).prefixes.noteDispatched(prefixHash, now)
     },
     receiveCache: (endpoint, change, prefixHashes, now) => {
-      const { prefixes } = getMemory(endpoint)
+      const { prefixes } = memories.get(endpoint)
       for (const prefixHash of prefixHashes) {
         if (change === 'stored') prefixes.noteStored(prefixHash, now)
         else prefixes.noteDropped(prefixHash, now)
--- a/routing/router/src/spill.ts
+++ b/routing/router/src/spill.ts
@@ -18,7 +18,7 @@
 
 function computeSpillCost (summary: ZoneSummary, ask: RouteAsk, weights: RouterWeights, self: HostPlace): number {
   if (summary.region === self.region) return summary.queueMs + ZONE_STEP_MS
-  const kilobytes = ask.payloadBytes / BYTES_PER_KILOBYTE
+  const kilobytes = ask.getPayloadBytes() / BYTES_PER_KILOBYTE
   return summary.queueMs + REGION_STEP_MS + kilobytes * weights.spillCostPerKilobyteMs
 }
 
@@ -33,7 +33,7 @@
   let best: ZoneChoice | undefined
   for (const summary of zones) {
     if (summary.ageMs > MAX_DIGEST_AGE_MS || summary.freeCapacity <= 0) continue
-    if (summary.region !== self.region && ask.payloadBytes > MAX_CROSS_REGION_BYTES) continue
+    if (summary.region !== self.region && ask.getPayloadBytes() > MAX_CROSS_REGION_BYTES) continue
     const costMs = computeSpillCost(summary, ask, weights, self)
     if (best === undefined || costMs < best.costMs) best = { kind: 'zone', summary, costMs, queueMs: summary.queueMs }
   }
--- a/routing/router/src/types.ts
+++ b/routing/router/src/types.ts
@@ -15,7 +15,8 @@
   readonly pool: string
   readonly adapterKey: AdapterKey
   readonly prefixHash?: string
-  readonly payloadBytes: number
+  /** Size of the request's body, only read where it may leave the region. */
+  readonly getPayloadBytes: () => number
   readonly now: MonotonicMs
   /** Endpoints that this request must not be sent to now. */
   readonly isAvoided: (endpoint: EndpointId) => boolean
@@ -60,9 +61,10 @@
   readonly prefixes: PrefixIndex
 }
 
-/** An endpoint that is weighed. `weight` is its rendezvous weight for the adapter. */
+/** An endpoint that is weighed. `weight` is its rendezvous weight for the adapter, `isAsked`: this host has just asked for the adapter there. */
 export interface Candidate {
   readonly endpoint: EndpointView
   readonly memory: EndpointMemory
   readonly weight: number
+  readonly isAsked: boolean
 }
--- a/routing/router/test/router.test.ts
+++ b/routing/router/test/router.test.ts
@@ -36,7 +36,7 @@
 }
 
 function createAsk (opts: Partial<RouteAsk> = {}): RouteAsk {
-  return { pool: 'p', adapterKey: 'a1@v1', payloadBytes: 100, now: 1_000, isAvoided: () => false, mayLeaveZone: true, ...opts }
+  return { pool: 'p', adapterKey: 'a1@v1', getPayloadBytes: () => 100, now: 1_000, isAvoided: () => false, mayLeaveZone: true, ...opts }
 }
 
 function choose (router: Router, ask: Partial<RouteAsk> = {}, weights: Partial<RouterWeights> = {}): string {
@@ -92,7 +92,7 @@
     expect(choose(createTestRouter([idle], [near]))).toEqual('e1')
     expect(choose(createTestRouter([swamped], [far, near]))).toEqual('near')
     expect(choose(createTestRouter([swamped], [{ ...near, ageMs: 13_000 }]))).toEqual('e1')
-    expect(choose(createTestRouter([swamped], [far]), { payloadBytes: 100_000 })).toEqual('e1')
+    expect(choose(createTestRouter([swamped], [far]), { getPayloadBytes: () => 100_000 })).toEqual('e1')
   })
 
   it('gathers a cold adapter in one zone of the region, unless it is resident here or that zone is full', () => {
--- a/testing/measure/src/experiments/index.ts
+++ b/testing/measure/src/experiments/index.ts
@@ -1,9 +1,11 @@
 /** Lookup table of experiments by name. */
 import type { Experiment } from '../experiment.ts'
+import { core } from './core.ts'
 import { memory } from './memory.ts'
 import { policyExperiment } from './policy.ts'
 
 export const experiments: Readonly<Record<string, Experiment>> = {
+  core,
   memory,
   policy: policyExperiment
 }
