Add the loop around the host core

Cause: outputs of the core must be carried out in one turn of the event loop. Change: one run a turn plus a timer, a lookup table of outputs, listeners, pausing of streams by request; a core that throws stops the host.

--- /dev/null
+++ b/daemon/main/src/daemon.ts
@@ -0,0 +1,159 @@
+/** One host with its shells: listeners, drivers, links, disk, logs and metrics around the core. */
+import type { Clock } from '@catkinferry/core.clock'
+import type { Logger } from '@catkinferry/core.logger'
+import type { Metrics } from '@catkinferry/core.metrics'
+import { createDisposableStore } from '@catkinferry/core.tables'
+import type { DisposableStore } from '@catkinferry/core.tables'
+import type { DurationMs, ResolvedAdapter, ServiceClass } from '@catkinferry/core.types'
+import type { Config } from '@catkinferry/daemon.config'
+import { createEngineDriver } from '@catkinferry/endpoints.engine-driver'
+import { createPlatformDriver } from '@catkinferry/endpoints.platform-driver'
+import type { PlatformSource } from '@catkinferry/endpoints.platform-driver'
+import { createServiceDriver } from '@catkinferry/endpoints.service-driver'
+import { createCallerApi, createCallerLookup } from '@catkinferry/gateway.caller-api'
+import type { CallerApi } from '@catkinferry/gateway.caller-api'
+import { createOperatorApi, createOperatorTokens } from '@catkinferry/gateway.operator-api'
+import type { OperatorApi } from '@catkinferry/gateway.operator-api'
+import type { HostEvent } from '@catkinferry/host.events'
+import { createAttemptRegister } from './attemptRegister.ts'
+import type { AttemptRegister } from './attemptRegister.ts'
+import type { Disk } from './disk.ts'
+import type { Links } from './links.ts'
+import { openListener } from './listeners.ts'
+import type { Listener } from './listeners.ts'
+import { createOutputHandlers } from './outputHandlers.ts'
+import { createShell } from './shell.ts'
+import type { RunnableHost } from './shell.ts'
+
+/** What the daemon reads of the core's settings for callers. */
+export interface HostViews {
+  readonly listAdapters: (opts: { after?: string, limit: number }) => readonly ResolvedAdapter[]
+  readonly getDefaultDeadlineMs: (serviceClass: ServiceClass) => DurationMs
+}
+
+export interface DaemonOptions {
+  readonly config: Config
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly metrics: Metrics
+  readonly host: RunnableHost & HostViews
+  /** Opens the links to the peers; events come through `emit`. */
+  readonly openLinks: (emit: (event: HostEvent) => void) => Promise<Links>
+  /** Absent on hosts that do not vote. */
+  readonly disk?: Disk
+}
+
+export interface Daemon {
+  readonly callerUrl: string
+  readonly operatorUrl: string
+  /** Begins a graceful shutdown. */
+  readonly stop: () => void
+  /** Cuts everything short. */
+  readonly cut: () => void
+  /** Resolves when the host has stopped; rejects when the core failed. */
+  readonly stopped: Promise<void>
+}
+
+interface Gates {
+  readonly emit: (event: HostEvent) => void
+  readonly stop: () => void
+  readonly fail: (error: unknown) => void
+}
+
+function buildSource (config: Config): PlatformSource {
+  if (config.platform !== undefined) return { kind: 'http', url: config.platform.url }
+  const endpoints = (config.endpoints ?? []).map(row => ({ ...row, leaving: false }))
+  return { kind: 'fixed', list: { endpoints, hosts: [] } }
+}
+
+function createApis (opts: DaemonOptions, gates: Gates, attempts: AttemptRegister): { callerApi: CallerApi, operatorApi: OperatorApi } {
+  const { config, clock, metrics, logger, host } = opts
+  const { emit } = gates
+  const callerApi = createCallerApi({
+    host: config.host,
+    clock,
+    emit,
+    metrics,
+    routes: config.services,
+    findCaller: createCallerLookup(config.callers),
+    listAdapters: host.listAdapters,
+    getDefaultDeadlineMs: host.getDefaultDeadlineMs,
+    setPaused: attempts.setRequestPaused
+  })
+  const tokens = config.operatorTokens === undefined ? undefined : createOperatorTokens(config.operatorTokens)
+  return { callerApi, operatorApi: createOperatorApi({ emit, logger, tokens }) }
+}
+
+function createDrivers (opts: DaemonOptions, emit: (event: HostEvent) => void, store: DisposableStore) {
+  const { clock } = opts
+  const engines = createEngineDriver({ clock, emit })
+  const services = createServiceDriver({ clock, emit })
+  const platform = createPlatformDriver({ clock, emit, source: buildSource(opts.config) })
+  store.add(engines.close)
+  store.add(services.close)
+  store.add(platform.close)
+  return { engines, services, platform }
+}
+
+/** Counts attempts and forgets those that have ended, then hands the event to the core. */
+function createAttemptWatch (attempts: () => AttemptRegister, metrics: Metrics, emit: (event: HostEvent) => void): (event: HostEvent) => void {
+  return event => {
+    if (event.kind === 'attempt.ended' || event.kind === 'attempt.failed') attempts().remove(event.attemptId)
+    if (event.kind === 'attempt.failed') metrics.count('attempt.failed', 1, { sent: String(event.sent) })
+    if (event.kind === 'attempt.started') metrics.count('attempt.started', 1)
+    if (event.kind === 'order.result') metrics.count('order.result', 1, { outcome: event.outcome.kind })
+    emit(event)
+  }
+}
+
+async function closeAll (listeners: readonly Listener[], store: DisposableStore): Promise<void> {
+  await Promise.all(listeners.map(async listener => { await listener.close() }))
+  await store.dispose()
+}
+
+/** Starts a host. Rejects when a listener cannot be opened. */
+export async function startDaemon (opts: DaemonOptions): Promise<Daemon> {
+  const { config, clock, logger, metrics, host } = opts
+  const store = createDisposableStore()
+  store.add(metrics.close)
+  if (opts.disk !== undefined) store.add(opts.disk.close)
+  let settle: { resolve: () => void, reject: (error: unknown) => void } = { resolve: () => undefined, reject: () => undefined }
+  const stopped = new Promise<void>((resolve, reject) => { settle = { resolve, reject } })
+  const listeners: Listener[] = []
+  const gates: Gates = {
+    emit: event => { shell.emit(event) },
+    stop: () => {
+      shell.stop()
+      closeAll(listeners, store).then(settle.resolve, settle.reject)
+    },
+    fail: error => {
+      logger.error('the host core failed', { step: 'run', cause: error })
+      for (const listener of listeners) listener.cut()
+      void closeAll(listeners, store).finally(() => settle.reject(error))
+    }
+  }
+  const attemptWatch = createAttemptWatch(() => attempts, metrics, gates.emit)
+  const drivers = createDrivers(opts, attemptWatch, store)
+  const attempts = createAttemptRegister({ adapter: drivers.engines, service: drivers.services })
+  const { callerApi, operatorApi } = createApis(opts, gates, attempts)
+  const links = await opts.openLinks(gates.emit)
+  store.add(links.close)
+  const handlers = createOutputHandlers({ logger, metrics, links, disk: opts.disk, drivers, attempts, callerApi, operatorApi, emit: gates.emit, onStopped: gates.stop })
+  const shell = createShell({ host, clock, logger, metrics, handlers, onTurnEnd: callerApi.flush, onCrash: gates.fail })
+  const caller = await openListener(config.listen.caller, callerApi.handle)
+  listeners.push(caller)
+  const operator = await openListener(config.listen.operator, operatorApi.handle)
+  listeners.push(operator)
+  shell.start()
+  logger.info('serving', { step: 'start', callerUrl: caller.url, operatorUrl: operator.url })
+  return {
+    callerUrl: caller.url,
+    operatorUrl: operator.url,
+    stop: () => { shell.emit({ kind: 'host.stop' }) },
+    cut: () => {
+      for (const listener of listeners) listener.cut()
+      gates.stop()
+    },
+    stopped
+  }
+}
--- /dev/null
+++ b/daemon/main/src/links.ts
@@ -0,0 +1,11 @@
+/** What the shell needs of the links to other hosts. */
+import type { HostId } from '@catkinferry/core.types'
+import type { PeerMessage } from '@catkinferry/wire.messages'
+
+export interface Links {
+  readonly send: (to: HostId, message: PeerMessage) => void
+  readonly close: () => Promise<void>
+}
+
+/** Links of a host without peers. */
+export const NO_LINKS: Links = { send: () => undefined, close: async () => undefined }
--- /dev/null
+++ b/daemon/main/src/shell.ts
@@ -0,0 +1,108 @@
+/** The loop around a host core: events in, one run a turn, outputs out. */
+import type { Clock } from '@catkinferry/core.clock'
+import type { Logger } from '@catkinferry/core.logger'
+import type { Metrics } from '@catkinferry/core.metrics'
+import type { MonotonicMs } from '@catkinferry/core.types'
+import type { HostEvent, HostOutput } from '@catkinferry/host.events'
+
+/** The part of a host core that the loop drives. */
+export interface RunnableHost {
+  readonly receive: (event: HostEvent) => void
+  readonly run: (now: MonotonicMs) => HostOutput[]
+  readonly getNextAt: () => MonotonicMs | undefined
+}
+
+/** Lookup table from outputs to what carries them out. */
+export type OutputHandlers = { readonly [Kind in HostOutput['kind']]: (output: Extract<HostOutput, { kind: Kind }>) => void }
+
+export interface ShellOptions {
+  readonly host: RunnableHost
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly metrics: Metrics
+  readonly handlers: OutputHandlers
+  /** Called after the outputs of a run were handed out. */
+  readonly onTurnEnd: () => void
+  /** The core threw: its state can no longer be trusted. */
+  readonly onCrash: (error: unknown) => void
+}
+
+export interface Shell {
+  /** Queues an event; the host runs before the loop waits again. */
+  readonly emit: (event: HostEvent) => void
+  readonly start: () => void
+  readonly stop: () => void
+}
+
+const MAX_TIMER_MS = 1_000
+/** Runs longer than this are measured one by one. */
+const SLOW_RUN_MS = 5
+
+/** Creates a stopped loop. */
+export function createShell (opts: ShellOptions): Shell {
+  const { host, clock, metrics, logger } = opts
+  let turn: NodeJS.Immediate | undefined
+  let timer: NodeJS.Timeout | undefined
+  let timerAt = Infinity
+  let running = false
+
+  function dispatch (output: HostOutput): void {
+    const handle = opts.handlers[output.kind] as (output: HostOutput) => void
+    try {
+      handle(output)
+    } catch (error) {
+      logger.error('an output could not be carried out', { step: output.kind, cause: error })
+    }
+  }
+
+  function armTimer (now: MonotonicMs): void {
+    const at = Math.min(host.getNextAt() ?? Infinity, now + MAX_TIMER_MS)
+    if (timer !== undefined && timerAt <= at) return
+    clearTimeout(timer)
+    timerAt = at
+    timer = setTimeout(() => {
+      timer = undefined
+      timerAt = Infinity
+      runTurn()
+    }, Math.max(0, Math.ceil(at - now)))
+  }
+
+  function runTurn (): void {
+    turn = undefined
+    if (!running) return
+    const startedAt = clock.getMonotonicMs()
+    let outputs: HostOutput[]
+    try {
+      outputs = host.run(startedAt)
+    } catch (error) {
+      running = false
+      opts.onCrash(error)
+      return
+    }
+    for (const output of outputs) dispatch(output)
+    opts.onTurnEnd()
+    const endedAt = clock.getMonotonicMs()
+    if (endedAt - startedAt > SLOW_RUN_MS) metrics.timing('loop.run_ms', endedAt - startedAt)
+    if (running) armTimer(endedAt)
+  }
+
+  function scheduleTurn (): void {
+    if (running) turn ??= setImmediate(runTurn)
+  }
+
+  return {
+    emit: event => {
+      host.receive(event)
+      scheduleTurn()
+    },
+    start: () => {
+      running = true
+      scheduleTurn()
+    },
+    stop: () => {
+      running = false
+      clearTimeout(timer)
+      clearImmediate(turn)
+    }
+  }
+}
