Add the voter

Cause: commands need batching, answers and bounded intake on top of the log. Change: createVoter joins log machine and state machine, forwards to the leader, answers fresh reads after a round, compacts, and replaces a voter in steps that keep a majority. A submission is refused for certain only when another entry was committed in its place. Conclusion: covered on virtual time, with leader changes, restarts and lost disks.

--- a/consensus/voter/src/index.ts
+++ b/consensus/voter/src/index.ts
@@ -1,2 +1,6 @@
 /** A voter: log machine, state machine and command intake. */
-export {}
+export { createVoter } from './voter.ts'
+export type { Voter, VoterMessage, VoterOptions } from './voter.ts'
+export type { PeerStatus, VoterStatus } from './status.ts'
+export type { ReplacementProgress, ReplacementRequest } from './replacement.ts'
+export * from './constants.ts'
--- /dev/null
+++ b/consensus/voter/src/intake.ts
@@ -0,0 +1,99 @@
+/** Commands taken in by the leader and not yet answered. */
+import { estimateBytes } from '@catkinferry/consensus.log-machine'
+import type { HostId } from '@catkinferry/core.types'
+import type { Command, CommandMessage } from '@catkinferry/wire.messages'
+import { MAX_BATCH_BYTES, MAX_BATCH_COMMANDS, MAX_PENDING_BYTES, MAX_PENDING_COMMANDS } from './constants.ts'
+
+type Submit = Extract<CommandMessage, { kind: 'command.submit' }>
+
+/** Whom to answer about one command. */
+export interface Submission {
+  readonly origin: HostId
+  readonly commandId: string
+  readonly command: Command
+  readonly bytes: number
+}
+
+export interface Batch {
+  readonly term: number
+  readonly submissions: readonly Submission[]
+}
+
+export interface Intake {
+  /** False when the bounds are reached. */
+  readonly add: (message: Submit) => boolean
+  /** Takes the commands of the next entry out of the queue. */
+  readonly takeBatch: () => Submission[]
+  readonly noteProposed: (index: number, batch: Batch) => void
+  /** Takes out the batch that was proposed at an index. */
+  readonly takeProposed: (index: number) => Batch | undefined
+  /** Takes out all commands that were not proposed. */
+  readonly takeQueued: () => Submission[]
+  /** Forgets the batches up to an index, whose fate is not known here. */
+  readonly dropProposedTo: (index: number) => void
+  readonly getPendingCount: () => number
+  readonly hasQueued: () => boolean
+}
+
+/** Creates an empty intake. */
+export function createIntake (): Intake {
+  let queued: Submission[] = []
+  const proposed = new Map<number, Batch>()
+  let count = 0
+  let bytes = 0
+
+  function release (submissions: readonly Submission[]): void {
+    count -= submissions.length
+    for (const submission of submissions) bytes -= submission.bytes
+  }
+
+  return {
+    add: ({ origin, commandId, command }) => {
+      const size = estimateBytes(command)
+      if (count >= MAX_PENDING_COMMANDS || bytes + size > MAX_PENDING_BYTES) return false
+      count += 1
+      bytes += size
+      queued.push({ origin, commandId, command, bytes: size })
+      return true
+    },
+    takeBatch: () => {
+      let size = 0
+      let length = 0
+      for (const submission of queued) {
+        size += submission.bytes
+        if (length >= MAX_BATCH_COMMANDS || (size > MAX_BATCH_BYTES && length > 0)) break
+        length++
+      }
+      const batch = queued.slice(0, length)
+      queued = queued.slice(length)
+      return batch
+    },
+    noteProposed: (index, batch) => {
+      const superseded = proposed.get(index)
+      if (superseded !== undefined) release(superseded.submissions)
+      proposed.set(index, batch)
+    },
+    takeProposed: index => {
+      const batch = proposed.get(index)
+      if (batch === undefined) return undefined
+      proposed.delete(index)
+      release(batch.submissions)
+      return batch
+    },
+    takeQueued: () => {
+      const taken = queued
+      queued = []
+      release(taken)
+      return taken
+    },
+    dropProposedTo: index => {
+      for (const [at, batch] of proposed) {
+        if (at > index) continue
+        proposed.delete(at)
+        release(batch.submissions)
+      }
+    },
+    getPendingCount: () => count,
+    hasQueued: () => queued.length > 0
+  }
+}
--- /dev/null
+++ b/consensus/voter/src/replacement.ts
@@ -0,0 +1,112 @@
+/** Replaces a lost voter by a new one, one safe step after the other. */
+import type { LogMachine, MachineContext, MembershipStep } from '@catkinferry/consensus.log-machine'
+import { findLearner, findMember, findVoter, Role } from '@catkinferry/consensus.log-machine'
+import { createFailed, createOk, ErrorCode } from '@catkinferry/core.errors'
+import type { Result } from '@catkinferry/core.errors'
+import type { HostId, MonotonicMs } from '@catkinferry/core.types'
+import { REPLACEMENT_STEP_MS } from './constants.ts'
+
+export interface ReplacementRequest {
+  readonly remove?: HostId
+  readonly add?: HostId
+}
+
+/** How far a replacement has come, for operators. */
+export interface ReplacementProgress extends ReplacementRequest {
+  readonly state: 'running' | 'done' | 'stopped'
+  readonly steps: readonly string[]
+  /** What it waits for now. */
+  readonly waitingFor?: string
+}
+
+export interface Replacement {
+  readonly begin: (request: ReplacementRequest, context: MachineContext) => Result<ReplacementProgress>
+  readonly run: (context: MachineContext) => void
+  readonly getNextAt: () => MonotonicMs | undefined
+  readonly getProgress: () => ReplacementProgress | undefined
+}
+
+interface Job {
+  readonly request: ReplacementRequest
+  /** Tells the member to remove from a new one of the same name. */
+  readonly removeIncarnation: string | undefined
+  readonly removeFirst: boolean
+  state: ReplacementProgress['state']
+  readonly steps: string[]
+  waitingFor: string | undefined
+  nextAt: MonotonicMs
+}
+
+/** Creates the driver; it runs on the leader and stops when leadership moves. */
+export function createReplacement (machine: LogMachine): Replacement {
+  let job: Job | undefined
+
+  function begin (request: ReplacementRequest, context: MachineContext): Result<ReplacementProgress> {
+    const { remove, add } = request
+    if (job?.state === 'running') {
+      if (job.request.remove === remove && job.request.add === add) return createOk(describeJob(job))
+      return refuse('another replacement is under way')
+    }
+    if (machine.getState().role !== Role.LEADER) return refuse('this voter does not lead')
+    if (remove === undefined && add === undefined) return refuse('neither a host to remove nor one to add is named')
+    const membership = machine.getMembership()
+    const removed = remove === undefined ? undefined : findMember(membership, remove)
+    if (remove === machine.getState().host) {
+      machine.transferLeadership(context)
+      return refuse('the host to remove led; leadership is being handed over, send the command again')
+    }
+    const isLost = remove !== undefined && !machine.isCaughtUp(remove, context)
+    job = { request, removeIncarnation: removed?.incarnation, removeFirst: isLost, state: 'running', steps: [], waitingFor: undefined, nextAt: context.now }
+    run(context)
+    return createOk(describeJob(job))
+  }
+
+  function run (context: MachineContext): void {
+    if (job?.state !== 'running' || context.now < job.nextAt) return
+    job.nextAt = context.now + REPLACEMENT_STEP_MS
+    if (machine.getState().role !== Role.LEADER) {
+      job.state = 'stopped'
+      job.waitingFor = 'leadership has moved; send the command again'
+      return
+    }
+    const step = findNextStep(machine, job, context)
+    if (step === undefined) {
+      job.waitingFor = undefined
+      job.state = 'done'
+      return
+    }
+    const proposed = machine.proposeMembership(step, context)
+    job.waitingFor = proposed.ok ? undefined : proposed.failure.message
+    if (proposed.ok) job.steps.push(`${step.kind} ${step.host}`)
+  }
+
+  return {
+    begin,
+    run,
+    getNextAt: () => job?.state === 'running' ? job.nextAt : undefined,
+    getProgress: () => job === undefined ? undefined : describeJob(job)
+  }
+}
+
+function refuse (reason: string): Result<ReplacementProgress> {
+  return createFailed({ code: ErrorCode.CONFLICT, message: `voter replacement is refused: ${reason}`, step: 'membership' })
+}
+
+function describeJob ({ request, state, steps, waitingFor }: Job): ReplacementProgress {
+  return { ...request, state, steps: [...steps], ...(waitingFor === undefined ? {} : { waitingFor }) }
+}
+
+/** A lost voter goes before the new one counts, a live one after, so that as many losses as possible are survived meanwhile. */
+function findNextStep (machine: LogMachine, { request, removeIncarnation, removeFirst }: Job, context: MachineContext): MembershipStep | undefined {
+  const { add, remove } = request
+  const membership = machine.getMembership()
+  const old = remove === undefined ? undefined : findMember(membership, remove)
+  const mustRemove = old !== undefined && old.incarnation === removeIncarnation
+  const removeStep: MembershipStep | undefined = mustRemove && remove !== undefined ? { kind: 'remove', host: remove } : undefined
+  if (add === undefined || (add === remove && removeStep !== undefined)) return removeStep
+  if (findMember(membership, add) === undefined) return { kind: 'addLearner', host: add }
+  if (findVoter(membership, add) !== undefined) return removeStep
+  const isReady = findLearner(membership, add)?.incarnation !== '' && machine.isCaughtUp(add, context)
+  if (removeFirst && removeStep !== undefined && isReady) return removeStep
+  return { kind: 'promote', host: add }
+}
--- /dev/null
+++ b/consensus/voter/src/voter.ts
@@ -0,0 +1,287 @@
+/** A voter: takes commands in, has them agreed on, applies them and answers. */
+import { createLogMachine, estimateBytes, Role } from '@catkinferry/consensus.log-machine'
+import type { LogMachine, MachineContext, MembershipStep } from '@catkinferry/consensus.log-machine'
+import { ErrorCode } from '@catkinferry/core.errors'
+import type { Failure, Result } from '@catkinferry/core.errors'
+import type { Random } from '@catkinferry/core.random'
+import type { HostId, MonotonicMs } from '@catkinferry/core.types'
+import type { RunContext, System } from '@catkinferry/host.events'
+import type { CommandMessage, ConsensusMessage, DiskAnswer, LogEntry, Query, StateMachine, StoredState } from '@catkinferry/wire.messages'
+import { MAX_APPLY_ENTRIES, MAX_HOPS, MAX_PENDING_QUERIES, MIN_COMPACT_BYTES, TAIL_ENTRIES } from './constants.ts'
+import { createIntake } from './intake.ts'
+import type { Batch, Intake, Submission } from './intake.ts'
+import { createReplacement } from './replacement.ts'
+import type { Replacement, ReplacementProgress, ReplacementRequest } from './replacement.ts'
+import { decodeVoterSnapshot, encodeVoterSnapshot } from './snapshotFormat.ts'
+import { describeVoter } from './status.ts'
+import type { VoterStatus } from './status.ts'
+
+type Submit = Extract<CommandMessage, { kind: 'command.submit' }>
+type Ask = Extract<CommandMessage, { kind: 'query.ask' }>
+export type VoterMessage = ConsensusMessage | Submit | Ask
+
+export interface VoterOptions {
+  readonly host: HostId
+  readonly group: string
+  readonly stored: StoredState
+  readonly stateMachine: StateMachine
+  /** Voters named in the settings file; used only until the log names its members. */
+  readonly peersToBootstrap: readonly HostId[]
+  readonly random: Random
+  /** Time of the start; the first election waits from here. */
+  readonly startedAt: MonotonicMs
+}
+
+export interface Voter extends System<VoterMessage> {
+  readonly receiveDisk: (answer: DiskAnswer, context: RunContext) => void
+  readonly isLeader: () => boolean
+  readonly getLeader: () => HostId | undefined
+  /** Whether a leader is known that was heard from within the election timeout. */
+  readonly isInContact: () => boolean
+  readonly getStatus: (now?: MonotonicMs) => VoterStatus
+  /** One step of a membership change; refused when it could lose the majority. The value is the index of its entry. */
+  readonly proposeMembership: (step: MembershipStep, context: RunContext) => Result<number>
+  /** Replaces a voter; asking again for the same gives its progress. Leader only. */
+  readonly beginReplacement: (request: ReplacementRequest, context: RunContext) => Result<ReplacementProgress>
+  /** Hands leadership over before a planned stop; false when nobody can take over. */
+  readonly transferLeadership: (context: RunContext) => boolean
+}
+
+interface VoterState {
+  readonly opts: VoterOptions
+  readonly machine: LogMachine
+  readonly intake: Intake
+  readonly replacement: Replacement
+  readonly reads: Map<number, Ask>
+  readyReads: number[]
+  lastProposedAt: number
+  bytesSinceSnapshot: number
+  snapshotBytes: number
+  reportedRole: Role
+}
+
+/** Creates a voter from what was found on its disk. */
+export function createVoter (opts: VoterOptions): Voter {
+  const { host, group, stored, stateMachine, peersToBootstrap: initialVoters, random, startedAt } = opts
+  if (stored.group !== group) throw new Error(`the data folder belongs to group '${stored.group}', not to '${group}'`)
+  const machine = createLogMachine({ host, stored, initialVoters, random, now: startedAt })
+  const state: VoterState = {
+    opts,
+    machine,
+    intake: createIntake(),
+    replacement: createReplacement(machine),
+    reads: new Map(),
+    readyReads: [],
+    lastProposedAt: 0,
+    bytesSinceSnapshot: 0,
+    snapshotBytes: 0,
+    reportedRole: Role.FOLLOWER
+  }
+  if (stored.snapshot !== undefined) restoreState(state, stored.snapshot.data)
+  const isLeader = (): boolean => machine.getState().role === Role.LEADER
+  return {
+    receive: (from, message, context) => receive(state, from, message, context),
+    receiveDisk: (answer, context) => machine.receiveDisk(answer, createMachineContext(context)),
+    run: context => run(state, stateMachine, context),
+    getNextAt: () => getNextAt(state),
+    isLeader,
+    getLeader: () => machine.getState().leader,
+    isInContact: () => machine.getState().leader !== undefined,
+    getStatus: at => describeVoter({ machine, now: at, pendingCommands: state.intake.getPendingCount(), replacement: state.replacement.getProgress() }),
+    proposeMembership: (step, context) => machine.proposeMembership(step, createMachineContext(context)),
+    beginReplacement: (request, context) => state.replacement.begin(request, createMachineContext(context)),
+    transferLeadership: context => machine.transferLeadership(createMachineContext(context))
+  }
+}
+
+function createMachineContext (context: RunContext): MachineContext {
+  return {
+    now: context.now,
+    send: context.send,
+    requestDisk: request => context.emit({ kind: 'disk.request', request })
+  }
+}
+
+function receive (state: VoterState, from: HostId, message: VoterMessage, context: RunContext): void {
+  if (message.kind === 'command.submit') receiveSubmit(state, message, context)
+  else if (message.kind === 'query.ask') receiveAsk(state, message, context)
+  else state.machine.receive(from, message, createMachineContext(context))
+}
+
+function findNextHop ({ machine, opts }: VoterState, hops: number): HostId | undefined {
+  const { leader } = machine.getState()
+  return leader === undefined || leader === opts.host || hops >= MAX_HOPS ? undefined : leader
+}
+
+function receiveSubmit (state: VoterState, message: Submit, context: RunContext): void {
+  const { role, transferTo } = state.machine.getState()
+  if (role !== Role.LEADER) {
+    const next = findNextHop(state, message.hops)
+    if (next === undefined) refuseSubmit(state, message, 'notLeader', context)
+    else context.send(next, { ...message, hops: message.hops + 1 })
+    return
+  }
+  if (transferTo !== undefined || !state.intake.add(message)) refuseSubmit(state, message, 'busy', context)
+}
+
+function refuseSubmit (state: VoterState, { origin, commandId }: Pick<Submission, 'origin' | 'commandId'>, reason: 'notLeader' | 'busy', context: RunContext): void {
+  const { leader } = state.machine.getState()
+  context.send(origin, { kind: 'command.refused', commandId, reason, ...(leader === undefined ? {} : { leader }) })
+}
+
+function receiveAsk (state: VoterState, message: Ask, context: RunContext): void {
+  if (!message.fresh) {
+    answerAsk(state, message, context)
+    return
+  }
+  if (state.reads.size >= MAX_PENDING_QUERIES) {
+    failAsk(state, message, 'too many reads are under way', context)
+    return
+  }
+  const readId = state.machine.beginRead()
+  if (readId !== undefined) {
+    state.reads.set(readId, message)
+    return
+  }
+  const next = findNextHop(state, message.hops)
+  if (next === undefined) failAsk(state, message, 'no leader is known', context)
+  else context.send(next, { ...message, hops: message.hops + 1 })
+}
+
+function answerAsk (state: VoterState, { origin, queryId, query }: Ask, context: RunContext): void {
+  const { leader } = state.machine.getState()
+  const answer = answerQuery(state, query, context.now)
+  context.send(origin, { kind: 'query.answer', queryId, answer, ...(leader === undefined ? {} : { leader }) })
+}
+
+function answerQuery (state: VoterState, query: Query, now: MonotonicMs): unknown {
+  if (query.kind !== 'voters') return state.opts.stateMachine.answerQuery(query)
+  return describeVoter({ machine: state.machine, now, pendingCommands: state.intake.getPendingCount(), replacement: state.replacement.getProgress() })
+}
+
+function failAsk (state: VoterState, { origin, queryId }: Ask, message: string, context: RunContext): void {
+  const { leader } = state.machine.getState()
+  const failure: Failure = { code: ErrorCode.NO_QUORUM, message, step: 'read', peer: state.opts.host }
+  context.send(origin, { kind: 'query.answer', queryId, answer: undefined, failure, ...(leader === undefined ? {} : { leader }) })
+}
+
+function run (state: VoterState, stateMachine: StateMachine, context: RunContext): void {
+  const machineContext = createMachineContext(context)
+  state.machine.run(machineContext)
+  reportRole(state, context)
+  applyReady(state, stateMachine, context)
+  proposeQueued(state, context)
+  state.replacement.run(machineContext)
+  finishReads(state, context)
+  compact(state, stateMachine, machineContext)
+  state.machine.run(machineContext)
+}
+
+function getNextAt (state: VoterState): MonotonicMs | undefined {
+  const { commitIndex, takenIndex } = state.machine.getState()
+  if (commitIndex > takenIndex || state.intake.hasQueued()) return Number.NEGATIVE_INFINITY
+  const times = [state.machine.getNextAt(), state.replacement.getNextAt()].filter(at => at !== undefined)
+  return times.length === 0 ? undefined : Math.min(...times)
+}
+
+/** Proposal times never go back, also over a change of leader. */
+function proposeQueued (state: VoterState, context: RunContext): void {
+  const { role, transferTo } = state.machine.getState()
+  if (!state.intake.hasQueued()) return
+  if (role !== Role.LEADER || transferTo !== undefined) {
+    for (const submission of state.intake.takeQueued()) refuseSubmit(state, submission, 'notLeader', context)
+    return
+  }
+  while (state.intake.hasQueued()) {
+    const submissions = state.intake.takeBatch()
+    state.lastProposedAt = Math.max(context.wallNow, state.lastProposedAt, findLastProposedAt(state))
+    const payload = { kind: 'commands', proposedAt: state.lastProposedAt, commands: submissions.map(({ command }) => command) } as const
+    const proposed = state.machine.propose(payload, createMachineContext(context))
+    if (proposed !== undefined) state.intake.noteProposed(proposed.index, { term: proposed.term, submissions })
+  }
+}
+
+/** Proposal time of the last entry with commands that is in the log and may not be applied yet. */
+function findLastProposedAt ({ machine }: VoterState): number {
+  const { log, takenIndex } = machine.getState()
+  for (let index = log.getLastIndex(); index > takenIndex; index--) {
+    const payload = log.get(index)?.payload
+    if (payload?.kind === 'commands') return payload.proposedAt
+  }
+  return 0
+}
+
+function applyReady (state: VoterState, stateMachine: StateMachine, context: RunContext): void {
+  const { restore, entries } = state.machine.takeReady(MAX_APPLY_ENTRIES)
+  if (restore !== undefined) {
+    restoreState(state, restore.data)
+    state.intake.dropProposedTo(restore.lastIndex)
+  }
+  for (const entry of entries) applyEntry(state, stateMachine, entry, context)
+}
+
+function restoreState (state: VoterState, encoded: Uint8Array): void {
+  const { lastProposedAt, data } = decodeVoterSnapshot(encoded)
+  state.opts.stateMachine.restoreSnapshot(data)
+  state.lastProposedAt = Math.max(state.lastProposedAt, lastProposedAt)
+  state.snapshotBytes = encoded.byteLength
+  state.bytesSinceSnapshot = 0
+}
+
+function applyEntry (state: VoterState, stateMachine: StateMachine, { index, term, payload }: LogEntry, context: RunContext): void {
+  const batch = state.intake.takeProposed(index)
+  const isOwn = batch?.term === term
+  if (batch !== undefined && !isOwn) refuseBatch(state, batch, context)
+  if (payload.kind !== 'commands') return
+  const { proposedAt } = payload
+  state.lastProposedAt = Math.max(state.lastProposedAt, proposedAt)
+  state.bytesSinceSnapshot += estimateBytes(payload)
+  payload.commands.forEach((command, at) => {
+    const outcome = stateMachine.apply({ index, proposedAt, command })
+    const submission = isOwn ? batch.submissions[at] : undefined
+    if (submission !== undefined) context.send(submission.origin, { kind: 'command.outcome', commandId: submission.commandId, outcome })
+  })
+}
+
+/** Another entry was committed in the place of this batch, so it never will be. */
+function refuseBatch (state: VoterState, batch: Batch, context: RunContext): void {
+  for (const submission of batch.submissions) refuseSubmit(state, submission, 'notLeader', context)
+}
+
+function finishReads (state: VoterState, context: RunContext): void {
+  const { ready, failed } = state.machine.takeReads()
+  state.readyReads.push(...ready)
+  for (const readId of failed) takeRead(state, readId, ask => failAsk(state, ask, 'leadership was lost during the read', context))
+  const { commitIndex, takenIndex } = state.machine.getState()
+  if (takenIndex < commitIndex) return
+  for (const readId of state.readyReads) takeRead(state, readId, ask => answerAsk(state, ask, context))
+  state.readyReads = []
+}
+
+function takeRead (state: VoterState, readId: number, act: (ask: Ask) => void): void {
+  const ask = state.reads.get(readId)
+  if (ask === undefined) return
+  state.reads.delete(readId)
+  act(ask)
+}
+
+/** Takes a snapshot once the log has outgrown the last one. */
+function compact (state: VoterState, stateMachine: StateMachine, context: MachineContext): void {
+  if (state.bytesSinceSnapshot < Math.max(MIN_COMPACT_BYTES, state.snapshotBytes)) return
+  const data = encodeVoterSnapshot({ lastProposedAt: state.lastProposedAt, data: stateMachine.takeSnapshot() })
+  state.bytesSinceSnapshot = 0
+  state.snapshotBytes = data.byteLength
+  state.machine.compact({ lastIndex: state.machine.getState().takenIndex, data, tailEntries: TAIL_ENTRIES }, context)
+}
+
+function reportRole (state: VoterState, context: RunContext): void {
+  const { role, term, failure } = state.machine.getState()
+  if (role === state.reportedRole) return
+  state.reportedRole = role
+  context.emit({ kind: 'metric', type: 'gauge', name: 'voter.leader', value: role === Role.LEADER ? 1 : 0 })
+  if (role === Role.FAILED) {
+    context.emit({ kind: 'log', level: 'error', message: 'The disk failed: this voter acknowledges nothing until its process is restarted', fields: { step: 'disk', reason: failure } })
+  } else if (role === Role.LEADER) {
+    context.emit({ kind: 'log', level: 'info', message: 'Leads the voters', fields: { step: 'election', term } })
+  }
+}
--- /dev/null
+++ b/consensus/voter/test/voter.test.ts
@@ -0,0 +1,137 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import { MAX_PENDING_COMMANDS } from '../src/index.ts'
+import { createVoterGroup } from './voterGroup.ts'
+
+const HOSTS = ['a', 'b', 'c']
+
+function createStarted (seed: number, spares: string[] = []) {
+  const group = createVoterGroup({ hosts: HOSTS, seed, spares })
+  group.runFor(5_000)
+  const leader = group.findLeader()
+  const [first, second] = HOSTS.filter(host => host !== leader) as [string, string]
+  return { group, leader, first, second }
+}
+
+describe('commands', () => {
+  it('are handed on to the leader and answered to their origin after they are applied', () => {
+    const { group, leader, first } = createStarted(1)
+    group.submit(first, 'x')
+    group.runFor(100)
+    expect(group.answers.map(answer => answer.kind)).toEqual(['command.outcome'])
+    expect(group.getNode(leader).applied.map(({ changeId }) => changeId)).toEqual(['x'])
+  })
+
+  it('are refused as busy beyond the bound', () => {
+    const { group, leader } = createStarted(2)
+    for (let n = 0; n <= MAX_PENDING_COMMANDS; n++) group.submit(leader, `x${n}`)
+    group.runFor(1_000)
+    expect(group.answers.filter(({ kind }) => kind === 'command.refused').length).toEqual(1)
+    expect(group.getNode(leader).applied.length).toEqual(MAX_PENDING_COMMANDS)
+  })
+
+  it('are refused for certain only when another entry took their place', () => {
+    const { group, leader, first } = createStarted(3)
+    group.cut.add(leader)
+    group.submit(leader, 'lost')
+    group.runFor(5_000)
+    const next = group.findLeader()
+    group.submit(next, 'kept')
+    group.runFor(1_000)
+    group.cut.delete(leader)
+    group.runFor(3_000)
+    expect(group.answers.map(answer => answer.kind === 'command.refused' ? answer.commandId : answer.kind)).toEqual(['command.outcome', 'lost'])
+    expect(group.getNode(first).applied.map(({ changeId }) => changeId)).toEqual(['kept'])
+  })
+
+  it('get a proposal time that never goes back when leadership moves to a slow clock', () => {
+    const { group, leader, first, second } = createStarted(4)
+    group.getNode(leader).wallSkewMs = 60_000
+    group.submit(leader, 'x')
+    group.runFor(100)
+    group.kill(leader)
+    group.runFor(5_000)
+    group.submit(group.findLeader(), 'y')
+    group.runFor(500)
+    for (const host of [first, second]) {
+      const [x, y] = group.getNode(host).applied
+      expect(x !== undefined && y !== undefined && y.proposedAt >= x.proposedAt).toEqual(true)
+    }
+  })
+})
+
+describe('reads', () => {
+  it('when fresh see what was accepted before, and fail on a leader that is cut off', () => {
+    const { group, leader, first } = createStarted(5)
+    group.submit(leader, 'x')
+    group.runFor(100)
+    group.ask(first, true)
+    group.runFor(100)
+    expect(group.answers.at(-1)).toEqual({ kind: 'query.answer', queryId: 'q', answer: ['x'], leader })
+    const before = group.answers.length
+    group.ask(leader, true)
+    group.cut.add(leader)
+    group.runFor(10_000)
+    expect(group.answers.length).toEqual(before)
+    group.cut.delete(leader)
+  })
+})
+
+describe('compaction', () => {
+  it('keeps state and proposal times over a restart from the snapshot', () => {
+    const { group, leader } = createStarted(6)
+    const padding = 'x'.repeat(60_000)
+    for (let n = 0; n < 200; n++) {
+      group.submit(leader, `x${n}`, padding)
+      group.runFor(10)
+    }
+    group.runFor(1_000)
+    expect(group.getVoter(leader).getStatus().snapshotIndex > 0).toEqual(true)
+    group.kill(leader)
+    group.start(leader)
+    group.runFor(5_000)
+    expect(group.getNode(leader).applied.length).toEqual(200)
+    expect(group.getNode(leader).applied.every(({ proposedAt }, at, all) => proposedAt >= (all[at - 1]?.proposedAt ?? 0))).toEqual(true)
+  })
+})
+
+describe('replacement of a voter', () => {
+  it('brings a new voter in and the lost one out, and survives the next loss', () => {
+    const { group, leader, first, second } = createStarted(7, ['d'])
+    group.submit(leader, 'x')
+    group.kill(first)
+    group.runFor(2_000)
+    const begun = group.act(leader, (voter, context) => voter.beginReplacement({ remove: first, add: 'd' }, context))
+    expect(begun.ok).toEqual(true)
+    group.runFor(5_000)
+    expect(group.getVoter(leader).getStatus().replacement).toEqual({ remove: first, add: 'd', state: 'done', steps: ['addLearner d', `remove ${first}`, 'promote d'] })
+    group.kill(second)
+    group.submit(leader, 'y')
+    group.runFor(2_000)
+    expect(group.getNode('d').applied.map(({ changeId }) => changeId)).toEqual(['x', 'y'])
+  })
+
+  it('waits and says for what while the new host does not answer', () => {
+    const { group, leader, first } = createStarted(8, ['d'])
+    group.kill('d')
+    group.act(leader, (voter, context) => voter.beginReplacement({ remove: first, add: 'd' }, context))
+    group.runFor(3_000)
+    const { replacement, membership } = group.getVoter(leader).getStatus()
+    expect(replacement?.state).toEqual('running')
+    expect(replacement?.waitingFor).toEqual("membership step 'promote' of host 'd' is refused: its data folder is not known yet")
+    expect(membership.voters.length).toEqual(3)
+  })
+
+  it('takes a host back that lost its disk', () => {
+    const { group, leader, first } = createStarted(9)
+    group.kill(first)
+    group.getNode(first).disk = { group: 'g', incarnation: `${first}#2`, hardState: { term: 0 }, entries: [] }
+    group.start(first)
+    group.runFor(2_000)
+    group.act(leader, (voter, context) => voter.beginReplacement({ remove: first, add: first }, context))
+    group.runFor(5_000)
+    const { replacement, membership } = group.getVoter(leader).getStatus()
+    expect(replacement?.state).toEqual('done')
+    expect(membership.voters.find(({ host }) => host === first)?.incarnation).toEqual(`${first}#2`)
+  })
+})
