Add the operator commands

Cause: operators need to change settings, follow the audit trail, resolve claims and replace voters. Change: commands in lookup tables over the operator API; a lost answer exits with its own code and prints change id and expected revision for the resend.

--- /dev/null
+++ b/cli/main/src/commands/fleetCommands.ts
@@ -0,0 +1,108 @@
+/** Commands that show and repair the running system. */
+import type { OperatorReply } from '@catkinferry/core.types'
+import { getArgument, getDeadlineMs, getLimit, UsageError } from '../commandContext.ts'
+import type { Command, CommandContext } from '../commandContext.ts'
+
+const FOLLOW_INTERVAL_MS = 1_000
+
+interface AuditBody {
+  readonly entries: readonly Record<string, unknown>[]
+  readonly nextAfter: number
+  readonly lastSequence: number
+}
+
+async function readAudit (context: CommandContext, afterSequence: number): Promise<OperatorReply> {
+  const { path, who } = context.flags
+  return await context.client.ask({ kind: 'audit.list', afterSequence, limit: getLimit(context), path, who })
+}
+
+/** Prints entries as JSON lines until the end, or for ever with --follow. */
+async function printAudit (context: CommandContext): Promise<OperatorReply | undefined> {
+  let after = Number(context.flags.after ?? 0)
+  for (;;) {
+    const reply = await readAudit(context, after)
+    if (!reply.ok) return reply
+    const body = reply.body as AuditBody
+    for (const entry of body.entries) context.print(JSON.stringify(entry))
+    const atEnd = body.nextAfter <= after || body.nextAfter >= body.lastSequence
+    after = Math.max(after, body.nextAfter)
+    if (!atEnd) continue
+    if (context.flags.follow !== true) return undefined
+    await context.wait(FOLLOW_INTERVAL_MS)
+  }
+}
+
+async function submitWithId (context: CommandContext, send: (changeId: string) => Promise<OperatorReply>): Promise<OperatorReply> {
+  const changeId = context.flags.changeId ?? context.createId()
+  const reply = await send(changeId)
+  return !reply.ok && reply.outcome === 'unknown' ? { ...reply, body: { changeId } } : reply
+}
+
+async function resolveClaim (context: CommandContext): Promise<OperatorReply> {
+  const { as: resolution, note } = context.flags
+  if (resolution !== 'done' && resolution !== 'notRun') throw new UsageError('--as must be done or notRun')
+  if (note === undefined || note === '') throw new UsageError('--note is missing: say how you know')
+  const claimKey = getArgument(context, 0, 'KEY')
+  return await submitWithId(context, async changeId => await context.client.ask({ kind: 'claims.resolve', changeId, claimKey, resolution, note, deadlineMs: getDeadlineMs(context) }))
+}
+
+export const fleetCommands: Readonly<Record<string, Command>> = {
+  status: {
+    usage: 'status',
+    description: 'the host that is asked: health, revision, links, running requests',
+    run: async context => await context.client.ask({ kind: 'status' })
+  },
+  'endpoints list': {
+    usage: 'endpoints list',
+    description: 'the endpoints of the zone with owner, load and residency',
+    run: async context => await context.client.ask({ kind: 'endpoints.list' })
+  },
+  'zones list': {
+    usage: 'zones list',
+    description: 'the zones as this host knows them',
+    run: async context => await context.client.ask({ kind: 'zones.list' })
+  },
+  audit: {
+    usage: 'audit [--follow] [--export] [--path PATH] [--who NAME] [--after SEQUENCE] [--limit N]',
+    description: 'who changed what; --export gives all as JSON lines, --follow goes on',
+    run: async context => {
+      const { follow, export: exported } = context.flags
+      if (follow === true || exported === true) return await printAudit(context)
+      return await readAudit(context, Number(context.flags.after ?? 0))
+    }
+  },
+  'claims list': {
+    usage: 'claims list [--state STATE] [--limit N]',
+    description: 'claims of non-idempotent work; --state unknown shows those to resolve',
+    run: async context => await context.client.ask({ kind: 'claims.list', state: context.flags.state, limit: getLimit(context) })
+  },
+  'claims get': {
+    usage: 'claims get KEY',
+    description: 'one claim',
+    run: async context => await context.client.ask({ kind: 'claims.get', claimKey: getArgument(context, 0, 'KEY') })
+  },
+  'claims resolve': {
+    usage: 'claims resolve KEY --as done|notRun --note TEXT [--change-id ID]',
+    description: 'records how a call with an unknown outcome ended',
+    run: resolveClaim
+  },
+  'voters status': {
+    usage: 'voters status',
+    description: 'the voters, their leader and how far each has got',
+    run: async context => await context.client.ask({ kind: 'voters.status' })
+  },
+  'voters replace': {
+    usage: 'voters replace [--remove HOST] [--add HOST] [--change-id ID]',
+    description: 'replaces a lost voter; the new one counts when it has caught up',
+    run: async context => {
+      const { remove, add } = context.flags
+      if (remove === undefined && add === undefined) throw new UsageError('--remove or --add is needed')
+      return await submitWithId(context, async changeId => await context.client.ask({ kind: 'voters.replace', changeId, remove, add, deadlineMs: getDeadlineMs(context) }))
+    }
+  },
+  explain: {
+    usage: 'explain REQUEST-ID',
+    description: 'what was decided for a request, and why; ask the host named in the id',
+    run: async context => await context.client.ask({ kind: 'explain', requestId: getArgument(context, 0, 'REQUEST-ID') })
+  }
+}
--- /dev/null
+++ b/cli/main/src/commands/index.ts
@@ -0,0 +1,18 @@
+/** Lookup table of the commands that ask and print. */
+import type { Command } from '../commandContext.ts'
+import { fleetCommands } from './fleetCommands.ts'
+import { modelCommands } from './modelCommands.ts'
+import { settingsCommands } from './settingsCommands.ts'
+import { tokenCommands } from './tokenCommands.ts'
+
+export const commands: Readonly<Record<string, Command>> = { ...modelCommands, ...settingsCommands, ...fleetCommands, ...tokenCommands }
+
+/** Finds the command that the first one or two words name. */
+export function findCommand (words: readonly string[]): { readonly command: Command, readonly args: readonly string[] } | undefined {
+  for (const length of [2, 1]) {
+    const name = words.slice(0, length).join(' ')
+    const command = Object.hasOwn(commands, name) ? commands[name] : undefined
+    if (command !== undefined) return { command, args: words.slice(length) }
+  }
+  return undefined
+}
--- a/cli/main/src/index.ts
+++ b/cli/main/src/index.ts
@@ -1,2 +1,4 @@
 /** catkinferry: the operator command line. */
-export {}
+export * from './commands/index.ts'
+export * from './exitCode.ts'
+export * from './runCli.ts'
