Test each lease and take-over rule against its removal

Change: tests of the sub-lease and assigner times, take-over with requests under way, hand-back, cut orders, pauses.

--- a/zone/coordination/test/zoneFaults.test.ts
+++ b/zone/coordination/test/zoneFaults.test.ts
@@ -98,7 +98,94 @@
   })
 })
 
+describe('runs that no pin explains', () => {
+  it('does not evict an adapter that the engine reports running', () => {
+    const pump = startZone({ slots: 1, resident: ['a@1'] })
+    const engine = pump.engines.get('e1')
+    engine?.running.set('foreign', { adapterKey: 'a@1', endsAt: Infinity })
+    pump.runFor(40_000)
+    pump.ask({ host: 'z1h1', endpoint: 'e1', adapterKey: 'b@1', attemptId: 'b1' })
+    pump.runFor(5_000)
+    expect(listEvicted(pump)).toEqual([])
+    engine?.running.clear()
+    pump.runFor(3_000)
+    expect(listEvicted(pump)).toEqual(['a@1'])
+  })
+})
+
 describe('take-over', () => {
+  it('hands an endpoint back only after its unstarted grants and its orders', () => {
+    const pump = startZone({ resident: ['a@1'], hosts: 3 })
+    const owner = pump.findOwner('e1') ?? ''
+    pump.ask({ host: owner, endpoint: 'e1', adapterKey: 'a@1', attemptId: `${owner}.1`, startAfterMs: 450 })
+    pump.ask({ host: owner, endpoint: 'e1', adapterKey: 'b@1', attemptId: `${owner}.2` })
+    pump.runFor(100)
+    pump.beginShutdown(owner)
+    pump.runFor(380)
+    expect([owner, undefined].includes(pump.findOwner('e1'))).toEqual(true)
+    pump.runFor(1_500)
+    expect(pump.findOwner('e1')).not.toEqual(owner)
+    expect(pump.findOwner('e1')).not.toEqual(undefined)
+    expect(pump.violations).toEqual([])
+  })
+
+  it('hands an endpoint back only after the result of a load under way', () => {
+    const pump = startZone({ hosts: 3 })
+    const owner = pump.findOwner('e1') ?? ''
+    pump.ask({ host: owner, endpoint: 'e1', adapterKey: 'b@1', attemptId: `${owner}.1` })
+    pump.runFor(50)
+    pump.beginShutdown(owner)
+    pump.runFor(150)
+    expect(pump.findOwner('e1')).toEqual(owner)
+    pump.runFor(1_000)
+    expect([owner, undefined].includes(pump.findOwner('e1'))).toEqual(false)
+  })
+
+  it('evicts nothing while a request granted before may still be on its way from a host that does not answer', () => {
+    const pump = startZone({ slots: 1, hosts: 5, resident: ['a@1'], seed: 2 })
+    const owner = pump.findOwner('e1') ?? ''
+    const asker = findOther(pump, owner, pump.findHolder())
+    pump.faults.fixedSendMs = 4_500
+    pump.ask({ host: asker, endpoint: 'e1', adapterKey: 'a@1', attemptId: `${asker}.1`, runMs: 10_000 })
+    pump.runFor(20)
+    pump.crash(owner)
+    for (const host of pump.hosts.keys()) if (host !== asker) pump.cut(asker, host)
+    while (pump.findOwner('e1') === undefined) pump.runFor(10)
+    const next = pump.findOwner('e1') ?? ''
+    pump.ask({ host: next, endpoint: 'e1', adapterKey: 'b@1', attemptId: `${next}.1`, to: next })
+    pump.runFor(6_000)
+    expect(pump.violations).toEqual([])
+    expect(listEvicted(pump)).toEqual([])
+  })
+
+  it('gives no grant while an eviction of the owner before may arrive at an engine that does not check fencing', () => {
+    const pump = startZone({ resident: ['a@1'], checksFencing: false })
+    const owner = pump.findOwner('e1') ?? ''
+    pump.crash(owner)
+    const subLeaseEnd = pump.findSubLeaseEnd(owner)
+    const asker = findOther(pump, owner)
+    for (let index = 0; index < 80; index++) {
+      const next = pump.findOwner('e1')
+      if (next !== undefined) pump.ask({ host: asker, endpoint: 'e1', adapterKey: 'a@1', attemptId: `${asker}.${index}`, to: next })
+      pump.runFor(100)
+    }
+    const given = pump.grants.filter(({ message }) => message.kind === 'grant.given')
+    expect(given.length).toBeGreaterThan(0)
+    expect(Math.min(...given.map(({ at }) => at))).toBeGreaterThan(subLeaseEnd + 1_000)
+  })
+
+  it('cuts the orders that are under way when the sub-lease ends', () => {
+    const pump = startZone({})
+    const owner = pump.findOwner('e1') ?? ''
+    Object.assign(pump.faults, { slowShare: 1, maxOrderMs: 60_000 })
+    pump.ask({ host: owner, endpoint: 'e1', adapterKey: 'a@1', attemptId: 'a1' })
+    pump.runFor(20)
+    for (const host of pump.hosts.keys()) if (host !== owner) pump.cut(owner, host)
+    pump.runFor(2_100)
+    expect(pump.hosts.get(owner)?.cutOrders.size).toEqual(1)
+    expect(pump.orders.filter(({ order, host }) => order.kind === 'load' && host === owner)).toEqual([])
+  })
+
   it('evicts nothing that the host before granted until the silent host can run nothing', () => {
     const pump = startZone({ slots: 1, seed: 3 })
     const owner = pump.findOwner('e1') ?? ''
@@ -154,9 +241,11 @@
     const pump = startZone({ resident: ['a@1'], hosts: 3 })
     const owner = pump.findOwner('e1') ?? ''
     const other = findOther(pump, owner)
-    pump.pause(owner, 1_600)
-    pump.runFor(1_590)
+    pump.pause(owner, 500)
+    pump.runFor(490)
     for (const host of pump.hosts.keys()) if (host !== owner) pump.cut(owner, host)
+    pump.runFor(11)
+    expect(pump.findSubLeaseEnd(owner)).toEqual(pump.getNow())
     pump.ask({ host: owner, endpoint: 'e1', adapterKey: 'a@1', attemptId: 'own', to: owner })
     pump.runFor(3_000)
     expect(listKinds(pump, 'own').includes('grant.given')).toEqual(false)
--- a/zone/coordination/test/zonePump.ts
+++ b/zone/coordination/test/zonePump.ts
@@ -38,7 +38,7 @@
   const orders: AppliedOrder[] = []
   const grants: ReceivedGrant[] = []
   const violations: string[] = []
-  const faults: Faults = { lossShare: 0, copyShare: 0, maxDelayMs: 2, lostAnswerShare: 0, slowShare: 0, maxSendMs: 0, maxOrderMs: 0, maxReportAgeMs: 0 }
+  const faults: Faults = { lossShare: 0, copyShare: 0, maxDelayMs: 2, lostAnswerShare: 0, slowShare: 0, maxSendMs: 0, maxOrderMs: 0, maxReportAgeMs: 0, fixedSendMs: 0 }
   let now = 1000
   let nextOrder = 0
   const maxRunMs = settings.getValue<number>('', 'request.maxRunMs')
@@ -100,7 +100,7 @@
     const endsAt = now + attempt.runMs
     active.get(host)?.set(message.attemptId, { endpoint: message.endpoint, adapterKey: attempt.adapterKey, endsAt })
     const slow = random.nextFraction() < faults.slowShare
-    plan(random.nextInt(0, slow ? faults.maxSendMs : faults.maxDelayMs), () => {
+    plan(faults.fixedSendMs + random.nextInt(0, slow ? faults.maxSendMs : faults.maxDelayMs), () => {
       if (!engine.reachable || now >= endsAt || active.get(host)?.has(message.attemptId) !== true) return
       if (!engine.resident.has(attempt.adapterKey)) {
         if (now - engine.restartedAt > RESTART_SEEN_MS) violations.push(`${now}: ${message.attemptId} granted by ${owner} on ${message.endpoint} finds ${attempt.adapterKey} not resident`)
--- a/zone/coordination/test/zonePumpTypes.ts
+++ b/zone/coordination/test/zonePumpTypes.ts
@@ -54,6 +54,8 @@
   maxSendMs: number
   maxOrderMs: number
   maxReportAgeMs: number
+  /** Every request takes this long to its engine. */
+  fixedSendMs: number
 }
 
 /** What an attempt that a host asked for does once granted. */
