Bound the traffic of the dissemination by a tree of hosts in each zone

Change: six hosts are subscribed to one; a zone's applied revisions go to the voters as one summary with exceptions; heartbeats are passed on at once.

--- a/settings/dissemination/src/constants.ts
+++ b/settings/dissemination/src/constants.ts
@@ -17,14 +17,24 @@
 export const TRIAL_MS = 5_000
 
 /** Age of the last sign of a majority from which on this host counts as cut off. */
-export const CUT_OFF_MS = 4_000
+export const CUT_OFF_MS = 5_000
+
+/** Hosts of a zone that are subscribed to the same one, while none has failed. */
+export const FAN_OUT = 6
+
+/** Share of the heartbeat interval after which a heartbeat is passed on at once. */
+export const PASS_ON_SHARE = 0.5
 
 /** A starting host waits this long for answers of all whom it probes. */
 export const PROBE_WINDOW_MS = 1_000
 export const PROBE_AGAIN_MS = 250
 
-/** Applied revisions are gathered this long before they are passed on, and all of them are passed on again after the refresh. */
-export const REPORT_DELAY_MS = 200
+/** Applied revisions are gathered this long before they are passed on: by a host that nobody is subscribed to, by others, and by the relay of a zone. */
+export const LEAF_REPORT_MS = 50
+export const INNER_REPORT_MS = 300
+export const RELAY_REPORT_MS = 1_000
+
+/** All applied revisions are passed on again after this. */
 export const REPORT_REFRESH_MS = 60_000
 
 /** Least time between two repairs of a gap. */
--- a/settings/dissemination/src/dissemination.ts
+++ b/settings/dissemination/src/dissemination.ts
@@ -4,7 +4,7 @@
 import type { SettingsTree } from '@catkinferry/settings.tree'
 import type { RevisionDelta, SettingsMessage } from '@catkinferry/wire.messages'
 import { createAppliedReports } from './appliedReports.ts'
-import { REPORT_REFRESH_MS } from './constants.ts'
+import { HEARTBEAT_MS, REPORT_REFRESH_MS } from './constants.ts'
 import { createCore, isCutOff } from './core.ts'
 import type { Core, DisseminationOptions, Task } from './core.ts'
 import { createReceiver } from './receiver.ts'
@@ -55,7 +55,7 @@
   let pushedRevision = 0
 
   const tasks: { readonly [Name in Task]: (context: RunContext) => void } = {
-    heartbeat: context => { sendHeartbeats(core, context) },
+    heartbeat: context => { sendHeartbeats(core, HEARTBEAT_MS, context) },
     silence: upstream.checkSilence,
     renew: upstream.renew,
     trial: upstream.tryBetter,
--- a/settings/dissemination/src/receiver.ts
+++ b/settings/dissemination/src/receiver.ts
@@ -3,11 +3,11 @@
 import type { RunContext } from '@catkinferry/host.events'
 import type { SettingsMessage } from '@catkinferry/wire.messages'
 import type { AppliedReports } from './appliedReports.ts'
-import { FIRST_ANSWER_MS, REPAIR_MS } from './constants.ts'
+import { FIRST_ANSWER_MS, HEARTBEAT_MS, PASS_ON_SHARE, REPAIR_MS } from './constants.ts'
 import type { Core } from './core.ts'
 import { sendSettings } from './core.ts'
 import type { Startup } from './startup.ts'
-import { receiveAsk } from './subscribers.ts'
+import { receiveAsk, sendHeartbeats } from './subscribers.ts'
 import type { TransferStep } from './transfer.ts'
 import type { Upstream } from './upstream.ts'
 
@@ -81,6 +81,8 @@
     carryOut(from, transfer.receiveDeltas(from, message.deltas), context)
     core.inForce.applyDeltas(message.deltas)
     noteMissing(from, message.highest, context)
+    // What is known of the majority is passed on without waiting for the own heartbeat.
+    if (from === upstream.getHost() && message.deltas.length === 0) sendHeartbeats(core, HEARTBEAT_MS * PASS_ON_SHARE, context)
   }
 
   /** A subscriber that is ahead of this host gives it what it lacks. */
@@ -105,7 +107,8 @@
       if (step.kind !== 'ignored') stalls = 0
       carryOut(from, step, context)
     },
-    'settings.applied': (_from, message, context) => { reports.receive(message, context) },
+    'settings.applied': (_from, { applied }, context) => { reports.receiveRows(applied, context) },
+    'settings.zoneApplied': (_from, message, context) => { reports.receiveZone(message, context) },
     'settings.probe': (from, { probeId }, context) => {
       sendSettings(core, from, { kind: 'settings.probeAnswer', probeId, revision: core.inForce.getRevision(), ready: core.ready }, context)
     },
--- a/settings/dissemination/src/subscribers.ts
+++ b/settings/dissemination/src/subscribers.ts
@@ -9,17 +9,18 @@
 /** Takes or renews a subscription and sends what the subscriber lacks. */
 export function receiveAsk (core: Core, from: HostId, ask: { after: number, part?: number }, context: RunContext): void {
   const leaseUntil = context.now + SUBSCRIPTION_LEASE_MS
-  const subscriber = core.subscribers.get(from) ?? { sent: 0, leaseUntil, lastSentAt: -Infinity }
+  const subscriber = core.subscribers.get(from) ?? { sent: 0, leaseUntil, lastSentAt: context.now }
   core.subscribers.set(from, subscriber)
   subscriber.leaseUntil = leaseUntil
-  if (core.subscribers.size === 1) core.due.set('heartbeat', context.now + HEARTBEAT_MS)
   if (ask.part !== undefined) {
     sendPart(core, from, ask.part, context)
+    setHeartbeat(core, context)
     return
   }
   subscriber.sent = ask.after
   sendMissing(core, from, subscriber, context)
   sendRest(core, from, subscriber, context)
+  setHeartbeat(core, context)
 }
 
 /** Sends new deltas to all subscribers that lack them. */
@@ -31,13 +32,20 @@
   while (subscriber.sent < core.inForce.getRevision()) sendMissing(core, host, subscriber, context)
 }
 
-/** Sends heartbeats to those who were sent nothing lately, and drops those whose subscription ended. */
-export function sendHeartbeats (core: Core, context: RunContext): void {
+/** Sends heartbeats to those who were sent nothing for `quietMs`, and drops those whose subscription ended. */
+export function sendHeartbeats (core: Core, quietMs: number, context: RunContext): void {
   for (const [host, subscriber] of core.subscribers) {
     if (subscriber.leaseUntil <= context.now) core.subscribers.delete(host)
-    else if (subscriber.lastSentAt + HEARTBEAT_MS <= context.now) sendDeltas(core, host, subscriber, [], context)
+    else if (subscriber.lastSentAt + quietMs <= context.now) sendDeltas(core, host, subscriber, [], context)
   }
-  if (core.subscribers.size > 0) core.due.set('heartbeat', context.now + HEARTBEAT_MS)
+  setHeartbeat(core, context)
+}
+
+/** Sets the heartbeat to when the first subscriber has been sent nothing for the interval. */
+function setHeartbeat (core: Core, context: RunContext): void {
+  if (core.subscribers.size === 0) return
+  const quietSince = Math.min(...[...core.subscribers.values()].map(subscriber => subscriber.lastSentAt))
+  core.due.set('heartbeat', Math.max(context.now, quietSince + HEARTBEAT_MS))
 }
 
 function sendMissing (core: Core, host: HostId, subscriber: Subscriber, context: RunContext): void {
--- a/settings/dissemination/src/upstream.ts
+++ b/settings/dissemination/src/upstream.ts
@@ -1,7 +1,7 @@
-/** Which host this one is subscribed to: the first live host before it in its zone, else a voter. */
+/** Which host this one is subscribed to: one before it in its zone, else a voter. */
 import type { HostId, MonotonicMs, PeerRow } from '@catkinferry/core.types'
 import type { RunContext } from '@catkinferry/host.events'
-import { CUT_OFF_MS, FIRST_ANSWER_MS, RENEW_MS, SILENCE_MS, TRIAL_MS } from './constants.ts'
+import { CUT_OFF_MS, FAN_OUT, FIRST_ANSWER_MS, RENEW_MS, SILENCE_MS, TRIAL_MS } from './constants.ts'
 import type { Core } from './core.ts'
 import { isCutOff, sendSettings } from './core.ts'
 
@@ -27,13 +27,22 @@
   return a.host < b.host ? -1 : 1
 }
 
+/** Hosts of lower rank: first those above in a tree of bounded fan-out, then the others. */
+function listBefore (zone: readonly PeerRow[], own: number): PeerRow[] {
+  const above: PeerRow[] = []
+  for (let rank = own; rank > 0;) {
+    rank = Math.floor((rank - 1) / FAN_OUT)
+    above.push(zone[rank]!)
+  }
+  return [...above, ...zone.slice(0, Math.max(0, own)).filter(peer => !above.includes(peer))]
+}
+
 /** Candidates for the upstream of a host, best first. `spread` turns the order of equally near voters. */
 export function listCandidates (core: Core, spread: number): HostId[] {
   const { self } = core
   const peers = [...core.peers.values()]
   const zone = peers.filter(peer => peer.zone === self.zone).sort(compareRank)
-  const own = zone.findIndex(peer => peer.host === self.host)
-  const before = zone.slice(0, Math.max(0, own))
+  const before = listBefore(zone, zone.findIndex(peer => peer.host === self.host))
   const voters = peers.filter(peer => peer.voter && peer.host !== self.host && !before.includes(peer)).sort(compareRank)
   const turned = voters.map((_, index) => voters[(index + spread) % voters.length]!)
   const near = turned.filter(peer => peer.region === self.region)
--- a/settings/dissemination/test/dissemination.test.ts
+++ b/settings/dissemination/test/dissemination.test.ts
@@ -69,6 +69,21 @@
     })
   }
 
+  it('heals the loss of a host that others of a large zone are subscribed to within 2 s', () => {
+    const peers = createPeers([{ zone: 'a', region: 'north', hosts: 1 }, { zone: 'b', region: 'north', hosts: 1 }, { zone: 'c', region: 'north', hosts: 1 }, { zone: 'd', region: 'south', hosts: 20 }])
+    const hosts = peers.map(peer => peer.host)
+    const bench = createBench({ peers })
+    expect(bench.advanceUntil(() => areAllReady(bench, hosts), 10_000)).toEqual(true)
+    bench.advance(12_000)
+    const upstreams = new Map(hosts.map(host => [host, bench.nodes.get(host)!.dissemination.getUpstream()]))
+    const inner = 'd-1'
+    expect([...upstreams.values()].filter(upstream => upstream === inner).length >= 2).toEqual(true)
+    bench.kill(inner)
+    const revision = bench.commit({ 'queue.limit': 9 })
+    const others = hosts.filter(host => host !== inner)
+    expect(bench.advanceUntil(() => areAllAt(bench, revision, others), 2_000)).toEqual(true)
+  })
+
   it('closes gaps and keeps revisions rising while messages are lost, repeated and reordered', () => {
     const bench = createSettled({ seed: 7 })
     const seen = new Map<HostId, number>()
