Add the durable log

Cause: votes and accepted entries must outlive kills, torn writes and power loss. Only a last block that reads like an unfinished write is cut; anything else stops the start with file and offset. A failed sync fails all that follows.

--- /dev/null
+++ b/consensus/durable-log/src/durableLog.ts
@@ -0,0 +1,176 @@
+/** The durable log of one voter in one data folder. */
+import { randomUUID } from 'node:crypto'
+import type { DiskAnswer, DiskRequest, HardState, Snapshot, StoredState } from '@catkinferry/wire.messages'
+import { createDamagedError, decodeValue, encodeBlock, encodeValue, readBlocks } from './blocks.ts'
+import { createFileOperations } from './fileOperations.ts'
+import type { FileOperations } from './fileOperations.ts'
+import { FORMAT_VERSION, IDENTITY_FILE, listSegmentNames, listSnapshotNames, LOCK_FILE, TEMPORARY_SUFFIX } from './formats.ts'
+import type { Identity } from './formats.ts'
+import { checkOwner } from './identity.ts'
+import { listEntriesAfter, readSegments, readSnapshot } from './readFolder.ts'
+import { createSegmentWriter, writeSegmentHeader } from './segmentWriter.ts'
+import type { SegmentWriter } from './segmentWriter.ts'
+import { createTermList } from './termList.ts'
+import { writeFileWhole } from './writeFileWhole.ts'
+
+/** Requests that share one sync at most. */
+const MAX_GROUP_REQUESTS = 1_024
+
+export interface DurableLogOptions {
+  readonly folder: string
+  readonly host: string
+  readonly group: string
+  readonly fs?: FileOperations
+}
+
+export interface DurableLog {
+  /** What the folder held when it was opened. */
+  readonly stored: StoredState
+  /** Carries requests out in order; requests that wait together share one sync. After one failure all later ones fail. */
+  readonly carryOut: (request: DiskRequest) => Promise<DiskAnswer>
+  /** Waits for the requests under way and releases the folder. */
+  readonly close: () => Promise<void>
+}
+
+/** Opens or creates a data folder. Throws a `CatkinferryError` when it is locked, foreign or damaged. */
+export async function openDurableLog (opts: DurableLogOptions): Promise<DurableLog> {
+  const fs = opts.fs ?? createFileOperations()
+  await fs.makeFolder(opts.folder)
+  const release = await fs.takeLock(`${opts.folder}/${LOCK_FILE}`)
+  try {
+    return await openLocked(opts, fs, release)
+  } catch (error) {
+    await release().catch(() => undefined)
+    throw error
+  }
+}
+
+async function openLocked (opts: DurableLogOptions, fs: FileOperations, release: () => Promise<void>): Promise<DurableLog> {
+  const { folder } = opts
+  const identity = await readIdentity(fs, opts) ?? await createFolder(fs, opts)
+  const names = await fs.listFolder(folder)
+  for (const name of names.filter(found => found.endsWith(TEMPORARY_SUFFIX))) await fs.removeFile(`${folder}/${name}`)
+  if (listSegmentNames(names).length === 0) throw createDamagedError(`${folder}/${IDENTITY_FILE}`, 0, 'the folder has been in use, but its segments are gone')
+  const snapshot = await readSnapshot(fs, folder, names, identity)
+  const replayed = await readSegments(fs, folder, names, identity, snapshot)
+  const entries = listEntriesAfter(snapshot, replayed.entries)
+  const base = snapshot?.lastIndex ?? 0
+  const first = entries[0]?.index ?? base + 1
+  if (first !== base + 1) throw createDamagedError(`${folder}/${replayed.segments[0]?.name ?? ''}`, 0, `entries ${base + 1} to ${first - 1} are missing`)
+  const { hardState } = replayed
+  const terms = createTermList(base, snapshot?.lastTerm ?? 0)
+  terms.add(entries)
+  const writer = await createSegmentWriter({ fs, folder, identity, hardState, nextIndex: terms.getLastIndex() + 1, segments: replayed.segments, snapshotIndex: base })
+  for (const name of listSnapshotNames(names).slice(0, -1)) await fs.removeFile(`${folder}/${name}`)
+  const { group, incarnation } = identity
+  const stored: StoredState = { group, incarnation, hardState, entries, ...(snapshot === undefined ? {} : { snapshot }) }
+  return { stored, ...createQueue({ writer, terms, release }) }
+}
+
+async function readIdentity (fs: FileOperations, { folder, host, group }: DurableLogOptions): Promise<Identity | undefined> {
+  const file = `${folder}/${IDENTITY_FILE}`
+  const contents = await fs.readFile(file)
+  if (contents === undefined) return undefined
+  const { blocks: [block], tornAt } = readBlocks(file, contents)
+  if (block === undefined || tornAt !== undefined) throw createDamagedError(file, tornAt ?? 0, 'it ends too early')
+  return checkOwner(file, decodeValue(file, block), { host, group })
+}
+
+/** The identity is written last: a folder with one has been in use, and must still hold its segments. */
+async function createFolder (fs: FileOperations, { folder, host, group }: DurableLogOptions): Promise<Identity> {
+  const names = await fs.listFolder(folder)
+  await dropUnfinished(fs, folder, names)
+  const identity: Identity = { format: FORMAT_VERSION, group, host, incarnation: randomUUID() }
+  const hardState: HardState = { term: 0 }
+  await writeSegmentHeader({ fs, folder, identity, sequence: 1, nextIndex: 1, hardState })
+  await writeFileWhole({ fs, folder, name: IDENTITY_FILE, blocks: [encodeBlock(encodeValue(identity))] })
+  return identity
+}
+
+/** Only the first, empty segment may be left of a creation that was cut short. */
+async function dropUnfinished (fs: FileOperations, folder: string, names: readonly string[]): Promise<void> {
+  const segments = listSegmentNames(names)
+  for (const name of segments) {
+    const file = `${folder}/${name}`
+    const { blocks } = readBlocks(file, await fs.readFile(file) ?? new Uint8Array())
+    if (segments.length > 1 || blocks.length > 1) throw createDamagedError(`${folder}/${IDENTITY_FILE}`, 0, 'it is missing, but the folder holds a log')
+    await fs.removeFile(file)
+  }
+  if (listSnapshotNames(names).length > 0) throw createDamagedError(`${folder}/${IDENTITY_FILE}`, 0, 'it is missing, but the folder holds a snapshot')
+}
+
+interface QueueOptions {
+  readonly writer: SegmentWriter
+  readonly terms: ReturnType<typeof createTermList>
+  readonly release: () => Promise<void>
+}
+
+interface Waiting {
+  readonly request: DiskRequest
+  readonly answer: (answer: DiskAnswer) => void
+}
+
+function createQueue ({ writer, terms, release }: QueueOptions): Pick<DurableLog, 'carryOut' | 'close'> {
+  let waiting: Waiting[] = []
+  let working: Promise<void> | undefined
+  let failure: string | undefined
+
+  async function work (): Promise<void> {
+    while (waiting.length > 0) {
+      const taken = takeGroup(waiting)
+      waiting = waiting.slice(taken.length)
+      if (failure === undefined) await writeGroup(taken.map(({ request }) => request)).catch((error: unknown) => { failure = formatDiskFailure(error) })
+      for (const { request: { writeId }, answer } of taken) answer(failure === undefined ? { writeId, ok: true } : { writeId, ok: false, reason: failure })
+    }
+    working = undefined
+  }
+
+  async function writeGroup (requests: readonly DiskRequest[]): Promise<void> {
+    const [first] = requests
+    if (first?.kind === 'snapshot' && first.snapshot.lastIndex <= terms.getBaseIndex()) return
+    if (first?.kind === 'snapshot') await writer.saveSnapshot(first.snapshot, noteSnapshot(first.snapshot))
+    else await writer.write(requests.flatMap(request => buildRecords(request)), terms.getLastIndex())
+  }
+
+  function noteSnapshot (snapshot: Snapshot): { nextIndex: number } {
+    terms.dropTo(snapshot.lastIndex, snapshot.lastTerm)
+    return { nextIndex: terms.getLastIndex() + 1 }
+  }
+
+  function buildRecords (request: DiskRequest): Parameters<SegmentWriter['write']>[0][number][] {
+    if (request.kind === 'hardState') return [{ kind: 'hardState', state: request.state }]
+    if (request.kind === 'snapshot') throw new Error('a snapshot is not a record')
+    const { entries } = request
+    const index = request.kind === 'replaceFrom' ? request.index : entries[0]?.index ?? terms.getLastIndex() + 1
+    const isCut = index <= terms.getLastIndex()
+    terms.dropFrom(index)
+    if (index !== terms.getLastIndex() + 1) throw new Error(`entry ${index} does not follow entry ${terms.getLastIndex()}`)
+    terms.add(entries)
+    return isCut ? [{ kind: 'truncate', index }, { kind: 'entries', entries }] : [{ kind: 'entries', entries }]
+  }
+
+  return {
+    carryOut: request => new Promise(resolve => {
+      waiting.push({ request, answer: resolve })
+      working ??= Promise.resolve().then(work)
+    }),
+    close: async () => {
+      await working
+      await writer.close().catch(() => undefined)
+      await release()
+    }
+  }
+}
+
+/** A snapshot alone, or all requests up to the next snapshot. */
+function takeGroup (waiting: readonly Waiting[]): readonly Waiting[] {
+  if (waiting[0]?.request.kind === 'snapshot') return waiting.slice(0, 1)
+  const at = waiting.findIndex(({ request }) => request.kind === 'snapshot')
+  return waiting.slice(0, Math.min(MAX_GROUP_REQUESTS, at === -1 ? waiting.length : at))
+}
+
+function formatDiskFailure (error: unknown): string {
+  const { code, message } = error as NodeJS.ErrnoException
+  if (code === 'ENOSPC' || code === 'EDQUOT') return `the disk is full (${code}): ${message}`
+  return `a write or sync failed: ${message}`
+}
--- /dev/null
+++ b/consensus/durable-log/src/fileLock.ts
@@ -0,0 +1,82 @@
+/** A lock that names its process by id, start time and boot, so that it outlives no crash. */
+import { link, readFile, rename, rm, writeFile } from 'node:fs/promises'
+import { CatkinferryError, ErrorCode } from '@catkinferry/core.errors'
+
+const MAX_TRIES = 5
+
+interface Holder {
+  readonly pid: number
+  /** Start of the process in clock ticks since boot. */
+  readonly startedAt: string
+  readonly boot: string
+}
+
+/** Field of /proc/PID/stat after the command name that holds the start time. */
+const START_TIME_FIELD = 19
+
+async function readStartTime (pid: number): Promise<string | undefined> {
+  try {
+    const text = await readFile(`/proc/${pid}/stat`, 'utf8')
+    return text.slice(text.lastIndexOf(')') + 2).split(' ')[START_TIME_FIELD]
+  } catch {
+    return undefined
+  }
+}
+
+async function readBoot (): Promise<string> {
+  try {
+    return (await readFile('/proc/sys/kernel/random/boot_id', 'utf8')).trim()
+  } catch {
+    return ''
+  }
+}
+
+async function isAlive (holder: Holder, boot: string): Promise<boolean> {
+  if (holder.boot !== boot) return false
+  return await readStartTime(holder.pid) === holder.startedAt
+}
+
+function parseHolder (text: string): Holder | undefined {
+  try {
+    return JSON.parse(text) as Holder
+  } catch {
+    return undefined
+  }
+}
+
+/** Removes a lock whose process is gone; puts it back when another process took it in between. */
+async function removeStale (path: string, seen: string, own: string): Promise<void> {
+  const aside = `${own}.stale`
+  await rename(path, aside).catch(() => undefined)
+  const moved = await readFile(aside, 'utf8').catch(() => undefined)
+  if (moved !== undefined && moved !== seen) await link(aside, path).catch(() => undefined)
+  await rm(aside, { force: true })
+}
+
+/** Takes the lock at `path`. Fails with `DATA_FOLDER_LOCKED` when a live process holds it. */
+export async function takeFileLock (path: string): Promise<() => Promise<void>> {
+  const boot = await readBoot()
+  const text = JSON.stringify({ pid: process.pid, startedAt: await readStartTime(process.pid) ?? '', boot })
+  const own = `${path}.${process.pid}`
+  for (let tries = 0; tries < MAX_TRIES; tries++) {
+    await writeFile(own, text)
+    const taken = await link(own, path).then(() => true, () => false)
+    await rm(own, { force: true })
+    if (taken) return () => rm(path, { force: true })
+    const seen = await readFile(path, 'utf8').catch(() => undefined)
+    if (seen === undefined) continue
+    const holder = parseHolder(seen)
+    if (holder !== undefined && await isAlive(holder, boot)) throw createLockedError(path, holder.pid)
+    await removeStale(path, seen, own)
+  }
+  throw createLockedError(path, undefined)
+}
+
+function createLockedError (path: string, pid: number | undefined): CatkinferryError {
+  return new CatkinferryError({
+    code: ErrorCode.DATA_FOLDER_LOCKED,
+    message: `the data folder is in use: '${path}' is held by ${pid === undefined ? 'another process' : `process ${pid}`}`,
+    step: 'openDataFolder',
+    hint: 'Stop the other process, or give this one a data folder of its own.'
+  })
+}
--- a/consensus/durable-log/src/index.ts
+++ b/consensus/durable-log/src/index.ts
@@ -1,2 +1,5 @@
 /** Append-only segments, hard state and snapshots on disk. */
-export {}
+export { openDurableLog } from './durableLog.ts'
+export type { DurableLog, DurableLogOptions } from './durableLog.ts'
+export { createFileOperations } from './fileOperations.ts'
+export type { AppendFile, FileOperations } from './fileOperations.ts'
--- /dev/null
+++ b/consensus/durable-log/src/segmentWriter.ts
@@ -0,0 +1,106 @@
+/** Writes records to the last segment, begins new ones, and removes those that a snapshot covers. */
+import type { HardState, Snapshot } from '@catkinferry/wire.messages'
+import { encodeBlock, encodeValue } from './blocks.ts'
+import type { AppendFile, FileOperations } from './fileOperations.ts'
+import { formatSegmentName, formatSnapshotName, MAX_SEGMENT_BYTES, SNAPSHOT_BLOCK_BYTES, TEMPORARY_SUFFIX } from './formats.ts'
+import type { Identity, SegmentHeader, SegmentRecord, SnapshotHeader } from './formats.ts'
+import { writeFileWhole } from './writeFileWhole.ts'
+
+export interface SegmentWriter {
+  /** Writes records as one block and syncs. `lastIndex`: of the log after them. */
+  readonly write: (records: readonly SegmentRecord[], lastIndex: number) => Promise<void>
+  /** Writes a snapshot, then removes what it covers. */
+  readonly saveSnapshot: (snapshot: Snapshot, log: { readonly nextIndex: number }) => Promise<void>
+  readonly close: () => Promise<void>
+}
+
+interface SegmentOptions {
+  readonly fs: FileOperations
+  readonly folder: string
+  readonly identity: Identity
+  readonly hardState: HardState
+  readonly nextIndex: number
+}
+
+export interface SegmentWriterOptions extends SegmentOptions {
+  readonly segments: readonly { readonly name: string, readonly sequence: number, readonly lastIndex: number }[]
+  readonly snapshotIndex: number
+}
+
+/** Creates a segment that holds only its header, and leaves it open when asked. */
+export async function writeSegmentHeader (opts: SegmentOptions & { readonly sequence: number }): Promise<void> {
+  const file = await openSegment(opts)
+  await file.close()
+}
+
+async function openSegment (opts: SegmentOptions & { readonly sequence: number }): Promise<AppendFile> {
+  const { fs, folder, identity, sequence, nextIndex, hardState } = opts
+  const header: SegmentHeader = { ...identity, kind: 'segment', sequence, nextIndex, hardState }
+  const name = formatSegmentName(sequence)
+  const temporary = `${folder}/${name}${TEMPORARY_SUFFIX}`
+  const file = await fs.createFile(temporary)
+  await file.write(encodeBlock(encodeValue(header)))
+  await file.sync()
+  await fs.rename(temporary, `${folder}/${name}`)
+  await fs.syncFolder(folder)
+  return file
+}
+
+/** Begins a new segment after those that were read, and removes those that the snapshot covers. */
+export async function createSegmentWriter (opts: SegmentWriterOptions): Promise<SegmentWriter> {
+  const { fs, folder, identity } = opts
+  const closed = [...opts.segments]
+  let { hardState } = opts
+  let current = { sequence: (closed.at(-1)?.sequence ?? 0) + 1, lastIndex: 0, bytes: 0 }
+  let file = await openSegment({ ...opts, sequence: current.sequence })
+
+  async function beginSegment (nextIndex: number): Promise<void> {
+    await file.close()
+    closed.push({ name: formatSegmentName(current.sequence), sequence: current.sequence, lastIndex: current.lastIndex })
+    current = { sequence: current.sequence + 1, lastIndex: 0, bytes: 0 }
+    file = await openSegment({ fs, folder, identity, hardState, nextIndex, sequence: current.sequence })
+  }
+
+  /** Oldest first, so that what is left is always without a gap. */
+  async function removeCovered (snapshotIndex: number): Promise<void> {
+    while ((closed[0]?.lastIndex ?? Number.POSITIVE_INFINITY) <= snapshotIndex) {
+      const segment = closed.shift()
+      if (segment !== undefined) await fs.removeFile(`${folder}/${segment.name}`)
+    }
+  }
+
+  await removeCovered(opts.snapshotIndex)
+  let snapshotName = opts.snapshotIndex === 0 ? undefined : formatSnapshotName(opts.snapshotIndex)
+
+  return {
+    write: async (records, lastIndex) => {
+      for (const record of records) {
+        if (record.kind === 'hardState') hardState = record.state
+        if (record.kind === 'entries') current.lastIndex = Math.max(current.lastIndex, record.entries.at(-1)?.index ?? 0)
+      }
+      const block = encodeBlock(encodeValue(records))
+      await file.write(block)
+      await file.sync()
+      current.bytes += block.byteLength
+      if (current.bytes >= MAX_SEGMENT_BYTES) await beginSegment(lastIndex + 1)
+    },
+    saveSnapshot: async (snapshot, { nextIndex }) => {
+      const name = formatSnapshotName(snapshot.lastIndex)
+      await writeFileWhole({ fs, folder, name, blocks: listSnapshotBlocks(identity, snapshot) })
+      if (snapshotName !== undefined && snapshotName !== name) await fs.removeFile(`${folder}/${snapshotName}`)
+      snapshotName = name
+      await beginSegment(nextIndex)
+      await removeCovered(nextIndex === snapshot.lastIndex + 1 ? Number.MAX_SAFE_INTEGER : snapshot.lastIndex)
+    },
+    close: () => file.close()
+  }
+}
+
+function listSnapshotBlocks (identity: Identity, { lastIndex, lastTerm, membership, data }: Snapshot): Buffer[] {
+  const header: SnapshotHeader = { ...identity, kind: 'snapshot', lastIndex, lastTerm, membership, bytes: data.byteLength }
+  const blocks = [encodeBlock(encodeValue(header))]
+  for (let offset = 0; offset < data.byteLength; offset += SNAPSHOT_BLOCK_BYTES) {
+    blocks.push(encodeBlock(data.subarray(offset, offset + SNAPSHOT_BLOCK_BYTES)))
+  }
+  return blocks
+}
--- /dev/null
+++ b/consensus/durable-log/src/termList.ts
@@ -0,0 +1,30 @@
+/** Terms of the entries in the log, to compare a snapshot with. */
+import type { LogEntry } from '@catkinferry/wire.messages'
+
+export interface TermList {
+  /** Last index before the list. */
+  readonly getBaseIndex: () => number
+  readonly getLastIndex: () => number
+  readonly add: (entries: readonly LogEntry[]) => void
+  readonly dropFrom: (index: number) => void
+  /** Removes all up to a snapshot's last entry, and all that follow too when the log took another way there. */
+  readonly dropTo: (index: number, term: number) => void
+}
+
+/** Creates a list that begins after `baseIndex`. */
+export function createTermList (baseIndex: number, baseTerm: number): TermList {
+  let base = { index: baseIndex, term: baseTerm }
+  let terms: number[] = []
+  const getTerm = (index: number): number | undefined => index === base.index ? base.term : terms[index - base.index - 1]
+  return {
+    getBaseIndex: () => base.index,
+    getLastIndex: () => base.index + terms.length,
+    add: entries => { for (const { term } of entries) terms.push(term) },
+    dropFrom: index => { terms.length = Math.min(terms.length, Math.max(0, index - base.index - 1)) },
+    dropTo: (index, term) => {
+      if (index < base.index) return
+      terms = getTerm(index) === term ? terms.slice(index - base.index) : []
+      base = { index, term }
+    }
+  }
+}
--- /dev/null
+++ b/consensus/durable-log/test/durableLog.test.ts
@@ -0,0 +1,218 @@
+import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { describe, it } from 'node:test'
+import type { DiskRequest, LogEntry, StoredState } from '@catkinferry/wire.messages'
+import { CatkinferryError } from '@catkinferry/core.errors'
+import { createRandom } from '@catkinferry/core.random'
+import { expect } from 'earl'
+import fc from 'fast-check'
+import { openDurableLog } from '../src/index.ts'
+import { createMemoryFiles } from './memoryFiles.ts'
+import type { MemoryFiles } from './memoryFiles.ts'
+
+const OWNER = { folder: 'data', host: 'a', group: 'g' }
+const MEMBERSHIP = { voters: [{ host: 'a', incarnation: 'x' }], learners: [] }
+
+function createEntry (index: number, term: number, bytes = 10): LogEntry {
+  const operator = { name: 'x'.repeat(bytes), role: 'write', from: '' } as const
+  return { index, term, payload: { kind: 'commands', proposedAt: index, commands: [{ kind: 'settings.change', changeId: `${index}.${term}`, operator, changes: [] }] } }
+}
+
+const createEntries = (from: number, to: number, term: number, bytes?: number): LogEntry[] =>
+  Array.from({ length: to - from + 1 }, (_, n) => createEntry(from + n, term, bytes))
+
+const SNAPSHOT = { lastIndex: 6, lastTerm: 2, membership: MEMBERSHIP, data: Buffer.alloc(3_000, 7) }
+const FOREIGN_SNAPSHOT = { lastIndex: 20, lastTerm: 4, membership: MEMBERSHIP, data: Buffer.alloc(2_000, 8) }
+
+/** Requests that use every kind of write, in order. */
+const REQUESTS: readonly DiskRequest[] = [
+  { kind: 'hardState', writeId: 1, state: { term: 1, votedFor: 'a' } },
+  { kind: 'append', writeId: 2, entries: createEntries(1, 5, 1, 2_000) },
+  { kind: 'hardState', writeId: 3, state: { term: 2 } },
+  { kind: 'replaceFrom', writeId: 4, index: 4, entries: createEntries(4, 8, 2) },
+  { kind: 'snapshot', writeId: 5, snapshot: SNAPSHOT },
+  { kind: 'append', writeId: 6, entries: createEntries(9, 10, 2) },
+  { kind: 'hardState', writeId: 7, state: { term: 3, votedFor: 'b' } },
+  { kind: 'snapshot', writeId: 8, snapshot: FOREIGN_SNAPSHOT },
+  { kind: 'append', writeId: 9, entries: createEntries(21, 22, 4) }
+]
+
+/** The state after the first requests, worked out without files. */
+function applyRequests (requests: readonly DiskRequest[]): Omit<StoredState, 'group' | 'incarnation'> {
+  let state: Omit<StoredState, 'group' | 'incarnation'> = { hardState: { term: 0 }, entries: [] }
+  for (const request of requests) {
+    if (request.kind === 'hardState') state = { ...state, hardState: request.state }
+    else if (request.kind === 'append') state = { ...state, entries: [...state.entries, ...request.entries] }
+    else if (request.kind === 'replaceFrom') state = { ...state, entries: [...state.entries.filter(({ index }) => index < request.index), ...request.entries] }
+    else {
+      const { lastIndex, lastTerm } = request.snapshot
+      const keeps = state.entries.some(({ index, term }) => index === lastIndex && term === lastTerm)
+      state = { ...state, snapshot: request.snapshot, entries: keeps ? state.entries.filter(({ index }) => index > lastIndex) : [] }
+    }
+  }
+  return state
+}
+
+function describeStored ({ hardState, entries, snapshot }: Omit<StoredState, 'group' | 'incarnation'>): unknown {
+  return { hardState, entries: entries.map(({ index, term }) => `${index}.${term}`), snapshot: snapshot === undefined ? '' : `${snapshot.lastIndex}:${Buffer.from(snapshot.data).toString('hex')}` }
+}
+
+/** Carries requests out one by one; gives how many were answered well. */
+async function carryOutAll (files: MemoryFiles): Promise<number> {
+  const log = await openDurableLog({ ...OWNER, fs: files.fs })
+  let done = 0
+  for (const request of REQUESTS) {
+    const answer = await log.carryOut(request)
+    if (!answer.ok) break
+    done++
+  }
+  return done
+}
+
+async function getFailure (work: Promise<unknown>): Promise<CatkinferryError['failure']> {
+  try {
+    await work
+  } catch (error) {
+    if (error instanceof CatkinferryError) return error.failure
+    throw error
+  }
+  throw new Error('it did not fail')
+}
+
+const reopen = async (files: MemoryFiles): Promise<StoredState> => {
+  const log = await openDurableLog({ ...OWNER, fs: files.fs })
+  await log.close()
+  return log.stored
+}
+
+describe('a kill at any write, sync or change of the folder', () => {
+  it('loses nothing that was answered, and leaves at most the request under way', async () => {
+    const probe = createMemoryFiles(createRandom(1))
+    await carryOutAll(probe)
+    const operations = probe.getOperations()
+    expect(operations > 30).toEqual(true)
+    for (let at = 1; at <= operations; at++) {
+      for (let seed = 1; seed <= 8; seed++) {
+        const files = createMemoryFiles(createRandom(seed * 1_000 + at))
+        files.setFault({ at, kind: 'kill' })
+        const done = await carryOutAll(files).catch(() => 0)
+        files.crash()
+        const found = describeStored(await reopen(files))
+        const allowed = [REQUESTS.slice(0, done), REQUESTS.slice(0, done + 1)].map(requests => describeStored(applyRequests(requests)))
+        expect({ at, seed, found: allowed.some(state => JSON.stringify(state) === JSON.stringify(found)) ? 'allowed' : found }).toEqual({ at, seed, found: 'allowed' })
+      }
+    }
+  })
+
+  it('survives a second kill while it opens', async () => {
+    for (let at = 1; at <= 12; at++) {
+      const files = createMemoryFiles(createRandom(at))
+      await carryOutAll(files)
+      files.crash()
+      files.setFault({ at: files.getOperations() + at, kind: 'kill' })
+      await reopen(files).catch(() => undefined)
+      files.crash()
+      expect(describeStored(await reopen(files))).toEqual(describeStored(applyRequests(REQUESTS)))
+    }
+  })
+})
+
+describe('a disk that fails', () => {
+  it('fails every request after a failed sync, also when later ones would work', async () => {
+    const files = createMemoryFiles(createRandom(1))
+    const log = await openDurableLog({ ...OWNER, fs: files.fs })
+    files.setFault({ at: files.getOperations() + 1, kind: 'syncFails' })
+    const first = await log.carryOut({ kind: 'append', writeId: 1, entries: createEntries(1, 1, 1) })
+    const second = await log.carryOut({ kind: 'append', writeId: 2, entries: createEntries(2, 2, 1) })
+    const reason = 'a write or sync failed: EIO: i/o error, fdatasync'
+    expect([first, second]).toEqual([{ writeId: 1, ok: false, reason }, { writeId: 2, ok: false, reason }])
+  })
+
+  it('reports a full disk and keeps what was answered before', async () => {
+    const files = createMemoryFiles(createRandom(1))
+    const log = await openDurableLog({ ...OWNER, fs: files.fs })
+    await log.carryOut({ kind: 'append', writeId: 1, entries: createEntries(1, 3, 1) })
+    files.setFault({ at: files.getOperations() + 1, kind: 'diskFull' })
+    const answer = await log.carryOut({ kind: 'append', writeId: 2, entries: createEntries(4, 6, 1) })
+    expect(answer).toEqual({ writeId: 2, ok: false, reason: 'the disk is full (ENOSPC): ENOSPC: no space left on device, write' })
+    await log.close()
+    files.setFault(undefined)
+    expect((await reopen(files)).entries.map(({ index }) => index)).toEqual([1, 2, 3])
+  })
+
+  it('answers many waiting requests with one sync', async () => {
+    const files = createMemoryFiles(createRandom(1))
+    const log = await openDurableLog({ ...OWNER, fs: files.fs })
+    const before = files.getOperations()
+    const answers = await Promise.all(createEntries(1, 100, 1).map(entry => log.carryOut({ kind: 'append', writeId: entry.index, entries: [entry] })))
+    expect(answers.every(({ ok }) => ok)).toEqual(true)
+    expect(files.getOperations() - before).toEqual(2)
+  })
+})
+
+describe('a damaged folder', () => {
+  it('is refused for any flipped bit, naming file and offset', async () => {
+    const files = createMemoryFiles(createRandom(1))
+    await carryOutAll(files)
+    files.crash()
+    for (const path of files.getNames()) {
+      const { byteLength } = files.getData(path)
+      const flip = (byte: number): void => { files.getData(path)[byte] = (files.getData(path)[byte] ?? 0) ^ 0x10 }
+      for (let byte = 0; byte < byteLength; byte += path.includes('snapshot') ? 37 : 1) {
+        flip(byte)
+        const failure = await getFailure(reopen(files))
+        expect({ path, byte, code: failure.code }).toEqual({ path, byte, code: 'ERR_CATKINFERRY_DAMAGED_FILE' })
+        expect(failure.message.startsWith(`'${path}' is damaged at offset `)).toEqual(true)
+        flip(byte)
+      }
+    }
+  })
+
+  it('never throws anything but a failure for arbitrary contents of a segment', async () => {
+    await fc.assert(fc.asyncProperty(fc.uint8Array({ maxLength: 2_000 }), fc.nat(3_000), async (bytes, at) => {
+      const files = createMemoryFiles(createRandom(1))
+      await carryOutAll(files)
+      files.crash()
+      const path = files.getNames().find(name => name.includes('segment')) as string
+      const data = files.getData(path)
+      data.set(bytes.subarray(0, Math.max(0, data.byteLength - at)), Math.min(at, data.byteLength))
+      await reopen(files).catch((error: unknown) => { if (!(error instanceof CatkinferryError)) throw error })
+    }), { seed: 1, numRuns: 200 })
+  })
+
+  it('is refused when it belongs to another host or group, naming both', async () => {
+    const files = createMemoryFiles(createRandom(1))
+    await reopen(files)
+    const { code, message } = await getFailure(openDurableLog({ ...OWNER, host: 'b', fs: files.fs }))
+    expect(code).toEqual('ERR_CATKINFERRY_FOREIGN_DATA_FOLDER')
+    expect(message).toEqual("'data/identity' belongs to host 'a' of group 'g', not to host 'b' of group 'g'")
+  })
+
+  it('is refused when the log is gone but the identity is left', async () => {
+    const files = createMemoryFiles(createRandom(1))
+    await carryOutAll(files)
+    files.crash()
+    for (const path of files.getNames().filter(name => name.includes('segment'))) await files.fs.removeFile(path)
+    expect((await getFailure(reopen(files))).code).toEqual('ERR_CATKINFERRY_DAMAGED_FILE')
+  })
+})
+
+describe('real files', () => {
+  it('keep the state, refuse a second process, and outlive a stale lock', async () => {
+    const folder = await mkdtemp(join(tmpdir(), 'durable-log-'))
+    try {
+      const log = await openDurableLog({ ...OWNER, folder })
+      for (const request of REQUESTS) expect(await log.carryOut(request)).toEqual({ writeId: request.writeId, ok: true })
+      expect((await getFailure(openDurableLog({ ...OWNER, folder }))).code).toEqual('ERR_CATKINFERRY_DATA_FOLDER_LOCKED')
+      await log.close()
+      await writeFile(join(folder, 'lock'), JSON.stringify({ pid: process.pid, startedAt: 'another start', boot: 'another boot' }))
+      const again = await openDurableLog({ ...OWNER, folder })
+      expect(describeStored(again.stored)).toEqual(describeStored(applyRequests(REQUESTS)))
+      expect(again.stored.incarnation).toEqual(log.stored.incarnation)
+      await again.close()
+    } finally {
+      await rm(folder, { recursive: true, force: true })
+    }
+  })
+})
--- /dev/null
+++ b/consensus/durable-log/test/memoryFiles.ts
@@ -0,0 +1,136 @@
+/** Files in memory that lose on a crash what was not synced, and fail where they are told to. */
+import type { Random } from '@catkinferry/core.random'
+import type { FileOperations } from '../src/index.ts'
+
+interface Inode {
+  data: Buffer
+  synced: number
+}
+
+type FolderChange = (names: Map<string, Inode>) => void
+
+export interface Fault {
+  /** Operation, counted from 1, at which it happens. */
+  readonly at: number
+  readonly kind: 'kill' | 'syncFails' | 'diskFull'
+}
+
+const SECTOR_BYTES = 512
+
+export function createMemoryFiles (random: Random) {
+  let names = new Map<string, Inode>()
+  let durableNames = new Map<string, Inode>()
+  let pending: FolderChange[] = []
+  let operations = 0
+  let fault: Fault | undefined
+  let isDead = false
+  let locked = false
+
+  /** Counts an operation that changes something; `partly` is what a kill or a full disk still does of it. */
+  function step (kind: 'write' | 'sync' | 'folder', partly: () => void = () => undefined): void {
+    if (isDead) throw new Error('killed')
+    operations++
+    if (fault === undefined || operations < fault.at) return
+    if (fault.kind === 'kill') {
+      partly()
+      isDead = true
+      throw new Error('killed')
+    }
+    if (fault.kind === 'syncFails' && kind === 'sync') {
+      fault = undefined
+      throw Object.assign(new Error('EIO: i/o error, fdatasync'), { code: 'EIO' })
+    }
+    if (fault.kind === 'diskFull' && kind === 'write') {
+      partly()
+      throw Object.assign(new Error('ENOSPC: no space left on device, write'), { code: 'ENOSPC' })
+    }
+  }
+
+  function changeFolder (change: FolderChange): void {
+    step('folder')
+    change(names)
+    pending.push(change)
+  }
+
+  function getInode (path: string): Inode {
+    const inode = names.get(path)
+    if (inode === undefined) throw new Error(`no file ${path}`)
+    return inode
+  }
+
+  const fs: FileOperations = {
+    makeFolder: async () => undefined,
+    listFolder: async folder => [...names.keys()].filter(path => path.startsWith(`${folder}/`)).map(path => path.slice(folder.length + 1)),
+    readFile: async path => names.has(path) ? Buffer.from(getInode(path).data) : undefined,
+    createFile: async path => {
+      const inode: Inode = { data: Buffer.alloc(0), synced: 0 }
+      changeFolder(map => { map.set(path, inode) })
+      const append = (data: Uint8Array): void => { inode.data = Buffer.concat([inode.data, data]) }
+      return {
+        write: async data => {
+          step('write', () => append(data.subarray(0, random.nextInt(0, data.byteLength))))
+          append(data)
+        },
+        sync: async () => {
+          step('sync')
+          inode.synced = inode.data.byteLength
+        },
+        close: async () => undefined
+      }
+    },
+    rename: async (from, to) => {
+      const inode = getInode(from)
+      changeFolder(map => {
+        map.delete(from)
+        map.set(to, inode)
+      })
+    },
+    removeFile: async path => changeFolder(map => { map.delete(path) }),
+    truncateFile: async (path, bytes) => {
+      step('sync')
+      const inode = getInode(path)
+      inode.data = inode.data.subarray(0, bytes)
+      inode.synced = bytes
+    },
+    syncFolder: async () => {
+      step('sync')
+      durableNames = new Map(names)
+      pending = []
+    },
+    takeLock: async path => {
+      if (locked) throw new Error(`${path} is locked`)
+      locked = true
+      return async () => { locked = false }
+    }
+  }
+
+  /** Of what was not synced, a part survives: some first bytes, or a later sector without an earlier one. */
+  function loseUnsynced (inode: Inode): void {
+    const { data, synced } = inode
+    const kept = Buffer.from(data.subarray(0, random.nextInt(synced, data.byteLength)))
+    const hole = Math.ceil(synced / SECTOR_BYTES) * SECTOR_BYTES
+    if (random.nextInt(0, 3) === 0 && hole + SECTOR_BYTES < kept.byteLength) kept.fill(0, hole, hole + SECTOR_BYTES)
+    inode.data = kept
+    inode.synced = kept.byteLength
+  }
+
+  return {
+    fs,
+    getOperations: () => operations,
+    setFault: (next: Fault | undefined) => { fault = next },
+    getNames: () => [...names.keys()].sort(),
+    getData: (path: string) => getInode(path).data,
+    /** Ends the process and the machine with it. */
+    crash: () => {
+      for (const change of pending.slice(0, random.nextInt(0, pending.length))) change(durableNames)
+      names = new Map(durableNames)
+      pending = []
+      for (const inode of names.values()) loseUnsynced(inode)
+      fault = undefined
+      isDead = false
+      locked = false
+    }
+  }
+}
+
+export type MemoryFiles = ReturnType<typeof createMemoryFiles>
