Compose the deterministic host core

Cause: the systems (voter, command client, dissemination, zone coordination, requests) were built side by side and had to become one host. Change: createHost joins them by their views, routes messages and events by lookup tables, loops messages to the host itself back within the run, treats grants and leases as void after a pause, answers operators, and finishes a graceful shutdown when nothing depends on the host. Voter replacement is asked of the leader as an idempotent question. Conclusion: the whole path runs in one deterministic core.

--- a/consensus/voter/src/voter.ts
+++ b/consensus/voter/src/voter.ts
@@ -150,11 +150,13 @@
 
 function answerAsk (state: VoterState, { origin, queryId, query }: Ask, context: RunContext): void {
   const { leader } = state.machine.getState()
-  const answer = answerQuery(state, query, context.now)
+  const answer = answerQuery(state, query, context)
   context.send(origin, { kind: 'query.answer', queryId, answer, ...(leader === undefined ? {} : { leader }) })
 }
 
-function answerQuery (state: VoterState, query: Query, now: MonotonicMs): unknown {
+function answerQuery (state: VoterState, query: Query, context: RunContext): unknown {
+  const { now } = context
+  if (query.kind === 'replaceVoter') return state.replacement.begin(query, createMachineContext(context))
   if (query.kind !== 'voters') return state.opts.stateMachine.answerQuery(query)
   return describeVoter({ machine: state.machine, now, pendingCommands: state.intake.getPendingCount(), replacement: state.replacement.getProgress() })
 }
--- /dev/null
+++ b/host/core/src/createHost.ts
@@ -0,0 +1,89 @@
+/** The deterministic host: events go in, outputs come out, time is handed in. */
+import { PAUSE_THRESHOLD_MS } from '@catkinferry/core.constants'
+import type { MonotonicMs } from '@catkinferry/core.types'
+import type { HostEvent, HostOutput, RunContext } from '@catkinferry/host.events'
+import { handleEvent } from './eventHandlers.ts'
+import { emitHealth } from './health.ts'
+import type { HostOptions } from './hostOptions.ts'
+import type { HostState } from './hostState.ts'
+import { handleMessage } from './messageHandlers.ts'
+import { createOutbox } from './outbox.ts'
+import type { Outbox } from './outbox.ts'
+import { createSystems, getNextDueAt, runSystems } from './systems.ts'
+
+/** Longest time between two runs of a host that is not paused. */
+const MAX_RUN_INTERVAL_MS = 100
+
+export interface Host {
+  /** Queues an event for the next run. */
+  readonly receive: (event: HostEvent) => void
+  /** Handles the queued events and everything due. `now` never goes back. */
+  readonly run: (now: MonotonicMs) => HostOutput[]
+  /** When `run` is due without a new event. */
+  readonly getNextAt: () => MonotonicMs
+  /** Highest settings revision applied here. */
+  readonly getRevision: () => number
+  readonly isReady: () => boolean
+}
+
+function loopBack (host: HostState, outbox: Outbox): void {
+  for (let message = outbox.takeLoopback(); message !== undefined; message = outbox.takeLoopback()) {
+    handleMessage(host.systems, host.opts.self.host, message, outbox.context)
+  }
+}
+
+/** After a pause nothing that was granted before it may be relied on. */
+function checkPause (host: HostState, context: RunContext): void {
+  const gapMs = context.now - host.lastRunAt
+  host.lastRunAt = context.now
+  if (gapMs <= PAUSE_THRESHOLD_MS) return
+  context.emit({ kind: 'log', level: 'warn', message: 'the host was paused', fields: { step: 'run', gapMs } })
+  context.emit({ kind: 'metric', type: 'timing', name: 'host.pause_ms', value: gapMs })
+  host.systems.zone.notePause(context)
+  host.systems.requests.notePause(context)
+}
+
+function finishShutdown (host: HostState, context: RunContext): void {
+  if (!host.stopping || host.stopped) return
+  const idle = host.systems.requests.getActiveCount() === 0 && host.systems.ledger.getPendingCount() === 0 && host.systems.zone.isIdle()
+  if (!idle) return
+  host.stopped = true
+  context.emit({ kind: 'host.stopped' })
+}
+
+/** Creates a host core. */
+export function createHost (opts: HostOptions): Host {
+  const host: HostState = {
+    opts,
+    systems: createSystems(opts),
+    links: new Map(),
+    stopping: false,
+    stopped: false,
+    lastRunAt: opts.startedAt
+  }
+  let queued: HostEvent[] = []
+
+  function run (now: MonotonicMs): HostOutput[] {
+    const outbox = createOutbox({ self: opts.self.host, now, wallNow: opts.wallAtZeroMs + now })
+    checkPause(host, outbox.context)
+    const events = queued
+    queued = []
+    for (const event of events) {
+      handleEvent(host, event, outbox.context)
+      loopBack(host, outbox)
+    }
+    runSystems(host.systems, outbox.context)
+    loopBack(host, outbox)
+    emitHealth(host, outbox.context)
+    finishShutdown(host, outbox.context)
+    return outbox.outputs
+  }
+
+  return {
+    receive: event => { queued.push(event) },
+    run,
+    getNextAt: () => Math.min(getNextDueAt(host.systems) ?? Infinity, host.lastRunAt + MAX_RUN_INTERVAL_MS),
+    getRevision: () => host.systems.dissemination.view.getRevision(),
+    isReady: () => host.health?.ready ?? false
+  }
+}
--- a/host/core/src/index.ts
+++ b/host/core/src/index.ts
@@ -1,2 +1,4 @@
-/** The deterministic host: events in, outputs out. */
-export {}
+/** The deterministic host core. */
+export { createHost } from './createHost.ts'
+export type { Host } from './createHost.ts'
+export type { HostOptions } from './hostOptions.ts'
--- /dev/null
+++ b/host/core/src/operatorCommands.ts
@@ -0,0 +1,79 @@
+/** Operators' commands: submitted to the replicated state, answered when it has decided. */
+import { ErrorCode } from '@catkinferry/core.errors'
+import type { Failure } from '@catkinferry/core.errors'
+import type { OperatorQuestion, OperatorReply, OperatorRequest } from '@catkinferry/core.types'
+import type { RunContext } from '@catkinferry/host.events'
+import { planChange } from '@catkinferry/settings.tree'
+import type { PlannedChange } from '@catkinferry/settings.tree'
+import type { Command, CommandOutcome } from '@catkinferry/wire.messages'
+import type { HostState } from './hostState.ts'
+
+type Reply = (reply: OperatorReply, context: RunContext) => void
+
+interface CommandRequest<Kind extends OperatorQuestion['kind']> {
+  readonly host: HostState
+  readonly request: Extract<OperatorRequest, { kind: Kind }>
+  readonly reply: Reply
+  readonly context: RunContext
+}
+
+function createUnknownFailure (changeId: string): Failure {
+  return {
+    code: ErrorCode.OUTCOME_UNKNOWN,
+    step: 'change',
+    message: `the answer was lost; the change ${changeId} may or may not have been accepted`,
+    hint: `resend it with change id ${changeId}: it is applied at most once and gets its first answer`
+  }
+}
+
+function createRefusedFailure (reason: string): Failure {
+  return {
+    code: ErrorCode.NO_QUORUM,
+    step: 'change',
+    message: `the change was not accepted: ${reason}`,
+    hint: 'resend it when a majority of the voters can be reached'
+  }
+}
+
+function formatOutcome (outcome: CommandOutcome): OperatorReply {
+  if (outcome.kind === 'settings.refused') {
+    return { ok: false, failure: outcome.failure, outcome: 'refused', body: { current: outcome.current, repeated: outcome.repeated } }
+  }
+  return { ok: true, body: outcome }
+}
+
+function formatPlan (planned: PlannedChange): OperatorReply {
+  if (planned.ok) return { ok: true, body: { dryRun: true, nodes: planned.plan.nodes } }
+  const { failure, problems, current } = planned.refusal
+  return { ok: false, failure, outcome: 'refused', body: { problems, current } }
+}
+
+function submitCommand (opts: { host: HostState, command: Command, changeId: string, deadlineMs: number, reply: Reply, context: RunContext }): void {
+  const { host, command, changeId, deadlineMs, reply, context } = opts
+  host.systems.commands.submit({
+    command,
+    deadlineAt: context.now + deadlineMs,
+    onOutcome: (result, answeredIn) => {
+      if (result.kind === 'outcome') reply(formatOutcome(result.outcome), answeredIn)
+      else if (result.kind === 'refused') reply({ ok: false, failure: createRefusedFailure(result.reason), outcome: 'refused' }, answeredIn)
+      else reply({ ok: false, failure: createUnknownFailure(changeId), outcome: 'unknown' }, answeredIn)
+    }
+  }, context)
+}
+
+/** Submits a settings change; a dry run is only checked against the settings that this host holds. */
+export function submitChange ({ host, request, reply, context }: CommandRequest<'settings.change'>): void {
+  const { changeId, operator, changes, dryRun, deadlineMs } = request
+  if (dryRun) {
+    const planned = planChange({ tree: host.systems.dissemination.getTree(), changes })
+    reply(formatPlan(planned), context)
+    return
+  }
+  submitCommand({ host, command: { kind: 'settings.change', changeId, operator, changes }, changeId, deadlineMs, reply, context })
+}
+
+/** Submits an operator's word on a claim whose outcome is unknown. */
+export function submitResolution ({ host, request, reply, context }: CommandRequest<'claims.resolve'>): void {
+  const { changeId, operator, claimKey, resolution, note, deadlineMs } = request
+  submitCommand({ host, command: { kind: 'claim.resolve', changeId, operator, claimKey, resolution, note }, changeId, deadlineMs, reply, context })
+}
--- /dev/null
+++ b/host/core/src/operatorQuestions.ts
@@ -0,0 +1,108 @@
+/** Lookup table from operators' questions to their answers. */
+import { ErrorCode } from '@catkinferry/core.errors'
+import type { Failure } from '@catkinferry/core.errors'
+import type { OperatorQuestion, OperatorReply, OperatorRequest } from '@catkinferry/core.types'
+import type { RunContext } from '@catkinferry/host.events'
+import { describeNode, listSubtree } from '@catkinferry/settings.tree'
+import type { Query } from '@catkinferry/wire.messages'
+import { submitChange, submitResolution } from './operatorCommands.ts'
+import type { HostState } from './hostState.ts'
+import { submitReplacement } from './voterQuestions.ts'
+
+/** Time that a query to the voters may take. */
+const QUERY_TIMEOUT_MS = 5_000
+
+export type Reply = (reply: OperatorReply, context: RunContext) => void
+
+type QuestionHandler<Kind extends OperatorQuestion['kind']> = (opts: {
+  readonly host: HostState
+  readonly request: Extract<OperatorRequest, { kind: Kind }>
+  readonly reply: Reply
+  readonly context: RunContext
+}) => void
+
+function askVoters (opts: { host: HostState, query: Query, fresh: boolean, reply: Reply, context: RunContext }): void {
+  const { host, query, fresh, reply, context } = opts
+  host.systems.commands.ask({
+    query,
+    fresh,
+    deadlineAt: context.now + QUERY_TIMEOUT_MS,
+    onAnswer: (result, answeredIn) => {
+      if (result.ok) reply({ ok: true, body: result.value }, answeredIn)
+      else reply({ ok: false, failure: result.failure, outcome: 'refused' }, answeredIn)
+    }
+  }, context)
+}
+
+const handlers: { readonly [Kind in OperatorQuestion['kind']]: QuestionHandler<Kind> } = {
+  'settings.change': submitChange,
+  'settings.get': ({ host, request, reply, context }) => {
+    const { path, effective, explain, fresh } = request
+    if (fresh) askVoters({ host, query: { kind: 'settings', path, effective, explain }, fresh, reply, context })
+    else reply({ ok: true, body: describeNode({ tree: host.systems.dissemination.getTree(), path, effective, explain }) }, context)
+  },
+  'settings.list': ({ host, request, reply, context }) => {
+    reply({ ok: true, body: listSubtree({ tree: host.systems.dissemination.getTree(), path: request.path, limit: request.limit, after: request.after }) }, context)
+  },
+  'settings.status': ({ host, reply, context }) => {
+    askVoters({ host, query: { kind: 'settingsStatus' }, fresh: true, reply, context })
+  },
+  'audit.list': ({ host, request, reply, context }) => {
+    const { afterSequence, limit, path, who } = request
+    askVoters({ host, query: { kind: 'audit', afterSequence, limit, path, who }, fresh: true, reply, context })
+  },
+  'claims.get': ({ host, request, reply, context }) => {
+    askVoters({ host, query: { kind: 'claim', claimKey: request.claimKey }, fresh: true, reply, context })
+  },
+  'claims.list': ({ host, request, reply, context }) => {
+    askVoters({ host, query: { kind: 'claims', state: request.state, limit: request.limit }, fresh: true, reply, context })
+  },
+  'claims.resolve': submitResolution,
+  'voters.status': ({ host, reply, context }) => {
+    askVoters({ host, query: { kind: 'voters' }, fresh: false, reply, context })
+  },
+  'voters.replace': submitReplacement,
+  status: ({ host, reply, context }) => { reply({ ok: true, body: describeHost(host, context) }, context) },
+  'endpoints.list': ({ host, reply, context }) => { reply({ ok: true, body: host.systems.zone.describeEndpoints() }, context) },
+  'zones.list': ({ host, reply, context }) => { reply({ ok: true, body: host.systems.zone.describeZones() }, context) },
+  explain: ({ host, request, reply, context }) => {
+    const record = host.systems.requests.explain(request.requestId)
+    if (record !== undefined) {
+      reply({ ok: true, body: record }, context)
+      return
+    }
+    const failure: Failure = {
+      code: ErrorCode.NOT_FOUND,
+      step: 'explain',
+      message: `this host holds no record of request ${request.requestId}`,
+      hint: 'the host that took the request holds the record; its name is the part of the request id before the last dash'
+    }
+    reply({ ok: false, failure, outcome: 'refused' }, context)
+  }
+}
+
+function describeHost (host: HostState, context: RunContext): Readonly<Record<string, unknown>> {
+  const { dissemination, requests, zone, voting } = host.systems
+  const cutOffSince = dissemination.view.getCutOffSince()
+  return {
+    host: host.opts.self.host,
+    zone: host.opts.self.zone,
+    region: host.opts.self.region,
+    health: host.health,
+    stopping: host.stopping,
+    settingsRevision: dissemination.view.getRevision(),
+    cutOffForMs: cutOffSince === undefined ? undefined : context.now - cutOffSince,
+    activeRequests: requests.getActiveCount(),
+    leaseHolder: zone.view.getLeaseHolder(),
+    hosts: zone.view.listHosts(),
+    links: Object.fromEntries(host.links),
+    voter: voting === undefined ? undefined : voting.voter.getStatus(context.now)
+  }
+}
+
+/** Answers an operator's question, at once or when the voters have. */
+export function handleQuestion (host: HostState, opId: string, request: OperatorRequest, context: RunContext): void {
+  const handler = handlers[request.kind] as QuestionHandler<OperatorQuestion['kind']>
+  const reply: Reply = (given, replyContext) => { replyContext.emit({ kind: 'operator.reply', opId, reply: given }) }
+  handler({ host, request, reply, context })
+}
--- /dev/null
+++ b/host/core/src/voterQuestions.ts
@@ -0,0 +1,29 @@
+/** Replacement of a voter: one command, carried out step by step by the leader. */
+import type { Result } from '@catkinferry/core.errors'
+import type { OperatorReply, OperatorRequest } from '@catkinferry/core.types'
+import type { RunContext } from '@catkinferry/host.events'
+import type { HostState } from './hostState.ts'
+
+/** Asks the leader to begin the replacement, or for its progress when it has begun. */
+export function submitReplacement (opts: {
+  readonly host: HostState
+  readonly request: Extract<OperatorRequest, { kind: 'voters.replace' }>
+  readonly reply: (reply: OperatorReply, context: RunContext) => void
+  readonly context: RunContext
+}): void {
+  const { host, request, reply, context } = opts
+  const { remove, add, deadlineMs } = request
+  host.systems.commands.ask({
+    query: { kind: 'replaceVoter', ...(remove === undefined ? {} : { remove }), ...(add === undefined ? {} : { add }) },
+    fresh: true,
+    deadlineAt: context.now + deadlineMs,
+    onAnswer: (answer, answeredIn) => {
+      if (!answer.ok) {
+        reply({ ok: false, failure: answer.failure, outcome: 'unknown' }, answeredIn)
+        return
+      }
+      const result = answer.value as Result<unknown>
+      reply(result.ok ? { ok: true, body: result.value } : { ok: false, failure: result.failure, outcome: 'refused' }, answeredIn)
+    }
+  }, context)
+}
--- a/wire/messages/src/commands.ts
+++ b/wire/messages/src/commands.ts
@@ -64,4 +64,6 @@
   | { readonly kind: 'audit', readonly afterSequence: number, readonly limit: number, readonly path?: string, readonly who?: string }
   | { readonly kind: 'settings', readonly path: string, readonly effective: boolean, readonly explain: boolean }
   | { readonly kind: 'voters' }
+  /** Begins a replacement, or asks how far the same one has come. Leader only. */
+  | { readonly kind: 'replaceVoter', readonly remove?: HostId, readonly add?: HostId }
   | { readonly kind: 'settingsStatus' }
