--- /dev/null
+++ b/testing/oracle/test/oracle.test.ts
@@ -0,0 +1,59 @@
+import { ANSWER_PARTS, buildExpectedAnswer, createOracle } from '@catkinferry/testing.oracle'
+import type { Observation } from '@catkinferry/testing.oracle'
+import { expect } from 'earl'
+import { describe, it } from 'node:test'
+
+const submitted: Observation = { kind: 'submitted', at: 0, token: 't1', content: 'c1', caller: 'clerk', adapter: 'notice', version: 'v1', idempotent: false }
+const run: Observation = { kind: 'runStarted', at: 10, run: 'r1', endpoint: 'e1', token: 't1', content: 'c1', adapter: 'notice', version: 'v1' }
+const runEnded: Observation = { kind: 'runEnded', at: 20, run: 'r1', how: 'complete' }
+
+function judge (observations: readonly Observation[]): string[] {
+  const oracle = createOracle()
+  for (const seen of observations) oracle.observe(seen)
+  return oracle.listViolations().map(({ text }) => text)
+}
+
+function buildAnswer (content: string, version: string): Observation[] {
+  return buildExpectedAnswer(content, 'notice', version, ANSWER_PARTS).map(data => ({ kind: 'chunk', at: 15, token: 't1', caller: 'clerk', data }))
+}
+
+describe('createOracle', () => {
+  it('finds nothing wrong with a whole answer', () => {
+    const answer = buildAnswer('c1', 'v1')
+    expect(judge([submitted, run, ...answer, runEnded, { kind: 'ended', at: 21, token: 't1', caller: 'clerk', replayed: false }])).toEqual([])
+  })
+
+  const cases: ReadonlyArray<{ readonly name: string, readonly observations: readonly Observation[] }> = [
+    { name: 'another adapter', observations: [submitted, { ...run, adapter: 'summary' }] },
+    { name: 'another version', observations: [submitted, { ...run, version: 'v2' }] },
+    { name: 'a second run of non-idempotent work', observations: [submitted, run, runEnded, { ...run, run: 'r2' }] },
+    { name: 'a second run under a resend', observations: [submitted, run, { ...submitted, token: 't2' }, { ...run, run: 'r2', token: 't2' }] },
+    { name: 'an eviction under a running request', observations: [submitted, run, { kind: 'evicted', at: 12, endpoint: 'e1', adapterKey: 'notice@v1' }] },
+    { name: 'a false not run', observations: [submitted, run, { kind: 'failed', at: 12, token: 't1', caller: 'clerk', ran: 'no', code: 'x' }] },
+    { name: 'a run after not run', observations: [submitted, { kind: 'failed', at: 2, token: 't1', caller: 'clerk', ran: 'no', code: 'x' }, run] },
+    { name: 'a part for another caller', observations: [submitted, run, { kind: 'chunk', at: 12, token: 't1', caller: 'broker', data: 'x' }] },
+    { name: 'a cut answer passed off as whole', observations: [submitted, run, ...buildAnswer('c1', 'v1').slice(1), { kind: 'ended', at: 21, token: 't1', caller: 'clerk', replayed: false }] },
+    { name: 'the body of another submission', observations: [submitted, { ...run, content: 'c2' }] },
+    { name: 'new work at a leaving endpoint', observations: [submitted, { kind: 'endpointLeaving', at: 0, endpoint: 'e1' }, { ...run, at: 5_001 }] },
+    { name: 'a request cut by a graceful shutdown', observations: [{ kind: 'hostStopped', at: 1, host: 'h1', cutTokens: ['t1'] }] },
+    {
+      name: 'a revision that reverts',
+      observations: [
+        { kind: 'hostRevision', at: 1, host: 'h1', ready: true, revision: 4, reachableSince: undefined },
+        { kind: 'hostRevision', at: 2, host: 'h1', ready: true, revision: 3, reachableSince: undefined }
+      ]
+    },
+    {
+      name: 'a change not in force after its time',
+      observations: [
+        { kind: 'changeAccepted', at: 0, revision: 5, path: 'fleet', key: 'k', value: 1 },
+        { kind: 'hostRevision', at: 8_001, host: 'h1', ready: true, revision: 4, reachableSince: 0 }
+      ]
+    }
+  ]
+  for (const { name, observations } of cases) {
+    it(`reports ${name}`, () => {
+      expect(judge(observations).length).toEqual(1)
+    })
+  }
+})
