--- a/testing/fuzz/src/index.ts
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Stateful fuzzing and the fault matrix. */
-export {}
--- /dev/null
+++ b/testing/measure/src/capacity/measureControl.ts
@@ -0,0 +1,169 @@
+/** Runs a simulated deployment under a steady load and counts what its hosts send and compute. */
+import { createRandom } from '@catkinferry/core.random'
+import type { HostOutput } from '@catkinferry/host.events'
+import { createCluster, ENGINE_POOL, MODEL } from '@catkinferry/testing.network'
+import type { Cluster, DeploymentShape } from '@catkinferry/testing.network'
+import { encode } from 'cbor-x'
+
+const SETTLE_MS = 8_000
+const MEASURED_MS = 10_000
+const STEP_MS = 100
+const DEADLINE_MS = 10_000
+const MS_PER_SECOND = 1_000
+/** Length prefix of a frame. */
+const FRAME_HEADER_BYTES = 4
+
+export interface ControlLoad {
+  readonly zones: number
+  readonly hostsPerZone: number
+  readonly enginesPerHost: number
+  readonly requestsPerHostPerSecond: number
+  readonly changesPerSecond: number
+  readonly adapters: number
+}
+
+/** Sent bytes and messages a second, and milliseconds of processor time a second of virtual time. */
+export interface ControlFigures {
+  readonly meanBytesPerHost: number
+  readonly meanMessagesPerHost: number
+  readonly meanCpuMsPerHost: number
+  readonly holderBytes: number
+  readonly holderCpuMs: number
+  readonly leaderBytes: number
+  readonly leaderCpuMs: number
+  readonly completedPerSecond: number
+}
+
+interface Counter {
+  bytes: number
+  messages: number
+  cpuMs: number
+}
+
+function buildShape (load: ControlLoad): DeploymentShape {
+  const zones = Array.from({ length: load.zones }, (_, index) => ({
+    zone: `zone-${index}`,
+    region: `region-${index}`,
+    hosts: load.hostsPerZone,
+    engines: load.hostsPerZone * load.enginesPerHost,
+    services: 1
+  }))
+  const voters = load.zones >= 3 ? [0, load.hostsPerZone, load.hostsPerZone * 2] : [0, 1, 2]
+  return { zones, voters, slots: 8, batchLimit: 16, loadMs: 250, checksFencing: false, adapters: load.adapters }
+}
+
+function createAdapters (cluster: Cluster, count: number): void {
+  const changes = [{ path: `models/${MODEL}`, expectedRevision: 0, values: { pool: ENGINE_POOL } as Record<string, unknown> }]
+  for (let index = 0; index < count; index++) {
+    changes.push({ path: `models/${MODEL}/adapter-${index}`, expectedRevision: 0, values: { inForce: 'v1' } })
+    changes.push({ path: `models/${MODEL}/adapter-${index}/v1`, expectedRevision: 0, values: {} })
+  }
+  cluster.ask({
+    host: cluster.listHostNames()[0] ?? '',
+    question: { kind: 'settings.change', changeId: 'adapters', changes, dryRun: false, deadlineMs: DEADLINE_MS },
+    onReply: reply => { if (!reply.ok) throw new Error(`the adapters were refused: ${reply.failure.message}`) }
+  })
+  cluster.runFor(SETTLE_MS)
+}
+
+function drive (cluster: Cluster, load: ControlLoad, seed: number): void {
+  const random = createRandom(seed)
+  let requestsDue = 0
+  let changesDue = 0
+  let changeCount = 0
+  for (let at = 0; at < MEASURED_MS; at += STEP_MS) {
+    requestsDue += load.requestsPerHostPerSecond * STEP_MS / MS_PER_SECOND
+    changesDue += load.changesPerSecond * STEP_MS / MS_PER_SECOND
+    while (requestsDue >= 1) {
+      requestsDue--
+      for (const host of cluster.listHostNames()) {
+        const adapter = `adapter-${random.nextInt(0, load.adapters - 1)}`
+        const request = cluster.callers.submit({ host, caller: 'load', adapter, version: 'v1', idempotent: true, serviceClass: 'standard', deadlineMs: DEADLINE_MS })
+        cluster.hosts.get(host)?.receive({ kind: 'caller.submit', request })
+      }
+    }
+    while (changesDue >= 1) {
+      changesDue--
+      const path = `models/${MODEL}/adapter-0/w${seed}-${changeCount++}`
+      cluster.ask({
+        host: cluster.listHostNames()[1] ?? '',
+        question: { kind: 'settings.change', changeId: path, changes: [{ path, expectedRevision: 0, values: {} }], dryRun: false, deadlineMs: DEADLINE_MS },
+        onReply: () => {}
+      })
+    }
+    cluster.runFor(STEP_MS)
+  }
+}
+
+function createCounters (): { readonly get: (host: string) => Counter, readonly clear: () => void } {
+  const rows = new Map<string, Counter>()
+  return {
+    get: host => {
+      const known = rows.get(host)
+      if (known !== undefined) return known
+      const row = { bytes: 0, messages: 0, cpuMs: 0 }
+      rows.set(host, row)
+      return row
+    },
+    clear: () => { rows.clear() }
+  }
+}
+
+/** Runs one deployment and gives its figures a second. */
+export function measureControl (opts: { seed: number, load: ControlLoad }): ControlFigures {
+  const { seed, load } = opts
+  const counters = createCounters()
+  const timeRun = (host: string, run: () => HostOutput[]): HostOutput[] => {
+    const begun = performance.now()
+    const outputs = run()
+    counters.get(host).cpuMs += performance.now() - begun
+    return outputs
+  }
+  const cluster = createCluster({ seed, shape: buildShape(load), timeRun })
+  cluster.setOnOutput((host, output) => {
+    if (output.kind !== 'peer.send') return
+    const row = counters.get(host)
+    row.messages++
+    row.bytes += encode(output.message).length + FRAME_HEADER_BYTES
+  })
+  cluster.runFor(SETTLE_MS)
+  createAdapters(cluster, load.adapters)
+  drive(cluster, load, seed)
+  counters.clear()
+  const completedBefore = cluster.oracle.countCompleted()
+  drive(cluster, load, seed + 1)
+  const seconds = MEASURED_MS / MS_PER_SECOND
+  const names = cluster.listHostNames()
+  const mean = (key: keyof Counter): number => names.reduce((sum, host) => sum + counters.get(host)[key], 0) / names.length / seconds
+  const [holder = '', leader = ''] = findRoles(cluster)
+  return {
+    meanBytesPerHost: mean('bytes'),
+    meanMessagesPerHost: mean('messages'),
+    meanCpuMsPerHost: mean('cpuMs'),
+    holderBytes: counters.get(holder).bytes / seconds,
+    holderCpuMs: counters.get(holder).cpuMs / seconds,
+    leaderBytes: counters.get(leader).bytes / seconds,
+    leaderCpuMs: counters.get(leader).cpuMs / seconds,
+    completedPerSecond: (cluster.oracle.countCompleted() - completedBefore) / seconds
+  }
+}
+
+/** Finds the lease holder of the first zone and the leader. */
+function findRoles (cluster: Cluster): [string | undefined, string | undefined] {
+  let holder: string | undefined
+  let leader: string | undefined
+  for (const host of cluster.listHostNames()) {
+    cluster.ask({
+      host,
+      question: { kind: 'status' },
+      onReply: reply => {
+        if (!reply.ok) return
+        const body = reply.body as { leaseHolder?: string, voter?: { role?: string } }
+        holder ??= body.leaseHolder
+        if (body.voter?.role === 'leader') leader = host
+      }
+    })
+  }
+  cluster.runFor(STEP_MS)
+  return [holder, leader]
+}
--- a/testing/network/src/index.ts
+++ b/testing/network/src/index.ts
@@ -1,2 +1,6 @@
 /** In-memory network of host cores on virtual time. */
-export {}
+export { createCluster, PLATFORM } from './cluster.ts'
+export type { Cluster, ClusterOptions } from './cluster.ts'
+export { WALL_EPOCH_MS } from './simHost.ts'
+export { ENGINE_POOL, MODEL, SERVICE_ROUTE, SMALL_DEPLOYMENT } from './topology.ts'
+export type { DeploymentShape } from './topology.ts'
