Weigh where cold adapters gather by batch fill and keep asking live owners

Cause: a wait for the load budget was taken for a silent owner, so that requests wandered between engines; answers without a stream were cut as silent; the endpoint that gathers was chosen by noise in its load time; a zone that was cut off had no saved budget for clusters of loads.

--- a/adapters/load-budget/src/zoneBudget.ts
+++ b/adapters/load-budget/src/zoneBudget.ts
@@ -22,7 +22,7 @@
 type Lend = Extract<LoadBudgetMessage, { kind: 'budget.lend' }>
 
 const MS_PER_SECOND = 1_000
-const BURST_MS = 3_000
+const BURST_MS = 10_000
 /** An owner must start a load within this time of being given it. */
 const GIVEN_FOR_MS = 2_000
 const TAKE_KEPT_MS = 5_000
@@ -67,7 +67,7 @@
 
 export interface ZoneBudgetOptions {
   readonly zone: ZoneId
-  /** All zones of the deployment; the first in order lends. */
+  /** All zones of the deployment, in the same order at every host; the first lends. */
   readonly zones: readonly ZoneId[]
   readonly getLimits: () => LoadLimits
   readonly getContact: (zone: ZoneId) => HostId | undefined
@@ -98,7 +98,7 @@
 }
 
 function createBudgetState (opts: ZoneBudgetOptions): BudgetState {
-  const zones = [...opts.zones].sort()
+  const { zones } = opts
   return {
     opts,
     zones,
--- a/routing/requests/src/due.ts
+++ b/routing/requests/src/due.ts
@@ -1,4 +1,5 @@
 /** Everything that happens because time has passed. */
+import type { MonotonicMs } from '@catkinferry/core.types'
 import type { RunContext } from '@catkinferry/host.events'
 import { avoidEndpoint, cancelDispatch, countLive, endLingering } from './attemptRows.ts'
 import { continueAfterFailure } from './attemptEvents.ts'
@@ -39,11 +40,17 @@
   else checkRunning(core, attempt, context)
 }
 
+/** Only streams show progress before their end. */
+function getSilentAt (core: Core, attempt: AttemptRow): MonotonicMs {
+  const { work } = attempt.row.request
+  const isStream = work.kind === 'adapter' && work.stream
+  return isStream ? attempt.lastProgressAt + core.getPolicy().progressTimeoutMs : Infinity
+}
+
 /** Ends an attempt of which the shell has said nothing for too long. */
 function checkRunning (core: Core, attempt: AttemptRow, context: RunContext): void {
   const { now } = context
-  const silentAt = attempt.lastProgressAt + core.getPolicy().progressTimeoutMs
-  const endAt = Math.min(attempt.endBeforeAt, silentAt) + SHELL_GRACE_MS
+  const endAt = Math.min(attempt.endBeforeAt, getSilentAt(core, attempt)) + SHELL_GRACE_MS
   if (now < endAt) {
     core.attemptChecks.set(attempt.grantId, endAt)
     return
--- a/routing/requests/src/grants.ts
+++ b/routing/requests/src/grants.ts
@@ -8,7 +8,7 @@
 import type { Core } from './core.ts'
 import { dispatchAttempt } from './dispatch.ts'
 import { failRequest } from './failing.ts'
-import { queueRequest } from './placing.ts'
+import { queueRequest, resendAsk } from './placing.ts'
 import type { AttemptRow, RequestsMessage } from './types.ts'
 
 type Given = Extract<GrantMessage, { kind: 'grant.given' }>
@@ -114,6 +114,7 @@
   const view = attempt.endpoint === undefined ? undefined : core.opts.zone.getEndpoint(attempt.endpoint)
   const isMoved = attempt.endpoint !== undefined && (view === undefined || view.leaving || view.owner !== attempt.owner)
   if (!isMoved && now < attempt.patienceUntil) {
+    if (now >= attempt.resendAt) resendAsk(core, attempt, context)
     core.attemptChecks.set(attempt.grantId, now + recheckMs)
     return
   }
--- a/routing/requests/src/placing.ts
+++ b/routing/requests/src/placing.ts
@@ -16,8 +16,9 @@
 const QUEUE_CHECK_MS = 50
 /** An ask is checked for a changed owner this often. */
 const ASK_CHECK_MS = 500
-/** Longest silence of an owner beyond the wait that it was expected to need. */
-const ASK_PATIENCE_MS = 3_000
+/** Longest silence of a live owner beyond the wait that it was expected to need; an ask that was lost is sent again before. */
+const ASK_PATIENCE_MS = 10_000
+const ASK_RESEND_MS = 2_000
 const PATIENCE_PER_EXPECTED_MS = 3
 /** A request waits this long for a pool without endpoints or a zone without a lease. */
 const OUTAGE_PATIENCE_MS = 2_000
@@ -168,6 +169,7 @@
     askedAt: now,
     resumeFrom: row.headSent ? row.nextIndex : undefined,
     patienceUntil: now + ASK_PATIENCE_MS + target.expectedMs * PATIENCE_PER_EXPECTED_MS,
+    resendAt: now + ASK_RESEND_MS,
     endpoint: target.endpoint?.endpoint,
     url: target.endpoint?.url ?? '',
     state: 'asking',
@@ -181,6 +183,12 @@
   return attempt
 }
 
+/** Sends an ask that has had no answer once more. Owners take a repeated ask for the same one. */
+export function resendAsk (core: Core, attempt: AttemptRow, context: RunContext): void {
+  attempt.resendAt = context.now + ASK_RESEND_MS
+  sendAsk(core, attempt, attempt.owner, attempt.endpoint, context)
+}
+
 function sendAsk (core: Core, attempt: AttemptRow, to: HostId | undefined, endpoint: string | undefined, context: RunContext): void {
   if (to === undefined) return
   const { row } = attempt
--- a/routing/requests/src/types.ts
+++ b/routing/requests/src/types.ts
@@ -105,6 +105,7 @@
   readonly askedAt: MonotonicMs
   readonly resumeFrom?: number
   readonly patienceUntil: MonotonicMs
+  resendAt: MonotonicMs
   endpoint?: EndpointId
   url: string
   /** `lingering`: given up, but the endpoint may not have stopped yet; the grant keeps the adapter pinned. */
--- a/routing/requests/test/failures.test.ts
+++ b/routing/requests/test/failures.test.ts
@@ -134,6 +134,16 @@
   })
 })
 
+describe('an answer without a stream', () => {
+  it('may stay silent until its time is over', () => {
+    const { harness } = startOne({ work: { ...GREEDY, stream: false } })
+    harness.advance(20_000)
+    expect(harness.list('attempt.cancel').length).toEqual(0)
+    harness.advance(11_000)
+    expect(getCodes(harness)).toEqual([['ERR_CATKINFERRY_DEADLINE', 'unknown']])
+  })
+})
+
 describe('hedging', () => {
   it('asks a second endpoint after silence and cancels the slower one', () => {
     const { harness, endpoint } = startOne()
--- a/routing/router/src/cost.ts
+++ b/routing/router/src/cost.ts
@@ -5,6 +5,9 @@
 /** Value of a full batch over an empty one at weight 1. */
 const FULL_BATCH_VALUE_MS = 60
 
+/** Cost of loading a cold adapter elsewhere than where it is gathered first, for each place further down. */
+const GATHER_STEP_MS = 30
+
 /** Owners publish changes faster than this; asks older than that are in the figures. */
 export const LONGEST_FIGURES_AGE_MS = 400
 
@@ -18,11 +21,11 @@
   return endpoint.kind === 'service' || endpoint.isResident(ask.adapterKey) || endpoint.isLoading(ask.adapterKey)
 }
 
-function estimateStall (ask: RouteAsk, { endpoint, isAsked }: Candidate): DurationMs {
+function estimateStall (ask: RouteAsk, { endpoint, isAsked, loadMs }: Candidate): DurationMs {
   if (endpoint.kind === 'service' || endpoint.isResident(ask.adapterKey)) return 0
-  if (isAsked || endpoint.isLoading(ask.adapterKey)) return endpoint.expectedLoadMs / 2
+  if (isAsked || endpoint.isLoading(ask.adapterKey)) return loadMs / 2
   const slotWaitMs = endpoint.freeSlots > 0 ? 0 : endpoint.expectedRunMs
-  return endpoint.expectedLoadMs + slotWaitMs
+  return loadMs + slotWaitMs
 }
 
 /** Queue wait + load stall x weight + prefix miss - batch fill x weight. */
@@ -36,6 +39,7 @@
   const misses = ask.prefixHash !== undefined && !memory.prefixes.has(ask.prefixHash, ask.now)
   const prefixMs = misses ? weights.prefixMissMs : 0
   const fillMs = excess > 0 ? 0 : FULL_BATCH_VALUE_MS * load / batchLimit
-  const totalMs = queueMs + stallMs * weights.loadStallWeight + prefixMs - fillMs * weights.batchFillWeight
+  const gatherMs = candidate.coldRank * GATHER_STEP_MS
+  const totalMs = queueMs + stallMs * weights.loadStallWeight + prefixMs + gatherMs - fillMs * weights.batchFillWeight
   return { totalMs, queueMs, stallMs, prefixMs, fillMs }
 }
--- a/routing/router/src/router.ts
+++ b/routing/router/src/router.ts
@@ -11,6 +11,9 @@
 import { chooseZone, findHomeZone, ZONE_STEP_MS } from './spill.ts'
 import type { Candidate, CostParts, EndpointMemory, RouteAsk, RouteChoice, Router, RouterWeights } from './types.ts'
 
+/** Endpoints that a cold adapter may be loaded on. */
+const COLD_CANDIDATES = 3
+
 export interface RouterOptions {
   readonly self: HostPlace
   readonly zone: ZoneView
@@ -52,6 +55,14 @@
   return endpoint.kind === 'engine' && endpoint.batchLimit === 0
 }
 
+/** Keeps the candidates with the heaviest rendezvous weights, heaviest first. */
+function addGathering (gathering: Candidate[], candidate: Candidate): void {
+  let place = gathering.length
+  while (place > 0 && (gathering[place - 1]?.weight ?? 0) < candidate.weight) place -= 1
+  gathering.splice(place, 0, candidate)
+  if (gathering.length > COLD_CANDIDATES) gathering.pop()
+}
+
 /** Picks the cheapest; the rendezvous weight decides between equals. */
 function pickCheapest (candidates: readonly Candidate[], getCost: (candidate: Candidate) => CostParts): { best: Candidate, cost: CostParts } | undefined {
   let found: { best: Candidate, cost: CostParts } | undefined
@@ -76,7 +87,7 @@
     const adapterHash = hashText(ask.adapterKey)
     const askedAt = places.find(ask.adapterKey, ask.now, LONGEST_FIGURES_AGE_MS)
     const candidates: Candidate[] = []
-    let gathering: Candidate | undefined
+    const gathering: Candidate[] = []
     let known = 0
     for (let index = 0; index < endpoints.length; index += 1) {
       const endpoint = endpoints[index] as EndpointView
@@ -86,13 +97,14 @@
       const weight = computeWeight(adapterHash, memory.hash)
       const isAsked = askedAt === endpoint.endpoint
       const isWeighed = isAsked || isWarm(ask, endpoint)
-      if (!isWeighed && weight <= (gathering?.weight ?? -1)) continue
+      if (!isWeighed && gathering.length === COLD_CANDIDATES && weight <= (gathering.at(-1)?.weight ?? 0)) continue
       if (isUnknown(endpoint) || !opts.isAllowed(endpoint, ask.now)) continue
-      const candidate = { endpoint, memory, weight, isAsked }
+      const candidate = { endpoint, memory, weight, isAsked, coldRank: 0, loadMs: endpoint.expectedLoadMs }
       if (isWeighed) candidates.push(candidate)
-      else gathering = candidate
+      else addGathering(gathering, candidate)
     }
-    if (gathering !== undefined) candidates.push(gathering)
+    const loadMs = gathering[0]?.loadMs ?? 0
+    gathering.forEach((candidate, coldRank) => candidates.push({ ...candidate, coldRank, loadMs }))
     return { candidates, known }
   }
 
--- a/routing/router/src/types.ts
+++ b/routing/router/src/types.ts
@@ -67,4 +67,8 @@
   readonly memory: EndpointMemory
   readonly weight: number
   readonly isAsked: boolean
+  /** Place among the endpoints that gather a cold adapter, from 0. */
+  readonly coldRank: number
+  /** Expected time of a load; one figure for all that gather, since they share the zone's load budget. */
+  readonly loadMs: DurationMs
 }
--- a/zone/coordination/src/holder.ts
+++ b/zone/coordination/src/holder.ts
@@ -1,7 +1,7 @@
 /** What the lease holder of a zone does: assigns owners, tells the hosts the view, keeps the load budget, sends digests. */
 import { createZoneBudget } from '@catkinferry/adapters.load-budget'
 import type { ZoneBudget } from '@catkinferry/adapters.load-budget'
-import type { EndpointId, EndpointRow, HostPlace, MonotonicMs, PeerRow } from '@catkinferry/core.types'
+import type { EndpointId, EndpointRow, HostPlace, MonotonicMs, PeerRow, RegionId, ZoneId } from '@catkinferry/core.types'
 import { EndpointKind } from '@catkinferry/core.types'
 import type { RunContext } from '@catkinferry/host.events'
 import type { ZoneSettings } from '@catkinferry/zone.grants'
@@ -36,6 +36,15 @@
   readonly getNow: () => MonotonicMs
 }
 
+/** Zones of the region with the most zones first: when regions lose each other, most zones keep their lender. */
+function listZonesByRegionSize (peers: readonly PeerRow[]): readonly ZoneId[] {
+  const regionOf = new Map(peers.map(({ zone, region }) => [zone, region]))
+  const sizes = new Map<RegionId, number>()
+  for (const region of regionOf.values()) sizes.set(region, (sizes.get(region) ?? 0) + 1)
+  const getSize = (zone: ZoneId): number => sizes.get(regionOf.get(zone) ?? '') ?? 0
+  return [...regionOf.keys()].sort((a, b) => getSize(b) - getSize(a) || (a < b ? -1 : 1))
+}
+
 /** Creates the holder's part; it does nothing before `begin`. */
 export function createHolder (opts: HolderOptions): Holder {
   const { self, peers, platform, table, digests } = opts
@@ -48,7 +57,7 @@
   })
   const budget = createZoneBudget({
     zone: self.zone,
-    zones: [...new Set(peers.map(({ zone }) => zone))],
+    zones: listZonesByRegionSize(peers),
     getLimits: () => opts.getSettings().loads,
     getContact: zone => digests.getContact(zone, opts.getNow())
   })
