Add frames and peer links

Cause: hosts talk over links that can go silent for good, between regions joined by a narrow link. Change: CBOR frames whose structure is checked before anything is decoded or allocated; one outgoing link a peer, opened on need, with bounded queues, control before bulk, probes, jittered back-off and mutual TLS whose certificates must name the host and are read again when they change. Conclusion: tested over real sockets with a proxy that swallows bytes, and fuzzed with arbitrary and damaged frames.

--- a/wire/frames/src/index.ts
+++ b/wire/frames/src/index.ts
@@ -1,2 +1,3 @@
 /** Length-prefixed cbor-x frames. */
-export {}
+export { createFrameReader, decodePayload, encodeFrame } from './frames.ts'
+export type { FrameReader, FrameReaderOptions } from './frames.ts'
--- /dev/null
+++ b/wire/peer-links/src/certificates.ts
@@ -0,0 +1,55 @@
+/** Certificates of this host and of its peers. */
+import { readFileSync } from 'node:fs'
+import type { DetailedPeerCertificate, PeerCertificate, TLSSocket } from 'node:tls'
+import type { HostId } from '@catkinferry/core.types'
+
+/** Paths of PEM files, read again when they change. */
+export interface TlsFiles {
+  readonly certFile: string
+  readonly keyFile: string
+  readonly caFile: string
+}
+
+export interface TlsMaterial {
+  readonly cert: string
+  readonly key: string
+  readonly ca: string
+}
+
+export interface CertificateStore {
+  readonly get: () => TlsMaterial
+  /** Reads the files again; true when they have changed. An unreadable file keeps what was read before. */
+  readonly update: () => boolean
+}
+
+function readMaterial ({ certFile, keyFile, caFile }: TlsFiles): TlsMaterial {
+  return { cert: readFileSync(certFile, 'utf8'), key: readFileSync(keyFile, 'utf8'), ca: readFileSync(caFile, 'utf8') }
+}
+
+/** Reads the files; throws when they cannot be read at the start. */
+export function createCertificateStore (files: TlsFiles): CertificateStore {
+  let material = readMaterial(files)
+  return {
+    get: () => material,
+    update: () => {
+      try {
+        const next = readMaterial(files)
+        const changed = next.cert !== material.cert || next.key !== material.key || next.ca !== material.ca
+        if (changed) material = next
+        return changed
+      } catch {
+        return false
+      }
+    }
+  }
+}
+
+function listNames (certificate: PeerCertificate | DetailedPeerCertificate): string[] {
+  const alternatives = (certificate.subjectaltname ?? '').split(', ').filter(name => name.startsWith('DNS:'))
+  return [...alternatives.map(name => name.slice('DNS:'.length)), String(certificate.subject?.CN ?? '')]
+}
+
+/** Whether the other side's certificate names a host. */
+export function isCertifiedFor (socket: TLSSocket, host: HostId): boolean {
+  return socket.authorized && listNames(socket.getPeerCertificate()).includes(host)
+}
--- /dev/null
+++ b/wire/peer-links/src/peerLinks.ts
@@ -0,0 +1,125 @@
+/** Links to all peers: each host opens one to every peer that it sends to, and takes messages on those opened to it. */
+import { isIP, BlockList } from 'node:net'
+import { createSystemClock } from '@catkinferry/core.clock'
+import { CatkinferryError, ErrorCode } from '@catkinferry/core.errors'
+import type { Logger } from '@catkinferry/core.logger'
+import type { HostId } from '@catkinferry/core.types'
+import { encodeFrame } from '@catkinferry/wire.frames'
+import type { PeerMessage } from '@catkinferry/wire.messages'
+import { createCertificateStore } from './certificates.ts'
+import type { TlsFiles } from './certificates.ts'
+import { CERTIFICATE_CHECK_MS, PING_INTERVAL_MS, SILENCE_MS } from './constants.ts'
+import { createIncomingLinks } from './incomingLinks.ts'
+import { createOutgoingLink, parseAddress } from './outgoingLink.ts'
+import type { LinkStatus, OutgoingLink } from './outgoingLink.ts'
+
+export interface PeerAddress {
+  readonly host: HostId
+  /** `ip:port` */
+  readonly address: string
+}
+
+export interface PeerLinksOptions {
+  readonly self: HostId
+  readonly group: string
+  readonly peers: readonly PeerAddress[]
+  /** `ip:port` to listen at; port 0 takes a free one. */
+  readonly listen: string
+  readonly tls?: TlsFiles
+  /** Allows addresses beyond loopback without certificates. */
+  readonly allowInsecure?: boolean
+  readonly onMessage: (from: HostId, message: PeerMessage) => void
+  readonly onLink: (host: HostId, up: boolean) => void
+  readonly logger: Logger
+  readonly pingIntervalMs?: number
+  readonly silenceMs?: number
+  readonly certificateCheckMs?: number
+}
+
+export interface PeerLinks {
+  /** Listens; resolves with the port. */
+  readonly open: () => Promise<number>
+  /** Queues a message; false when it was dropped because the peer is unknown, the queue full or the message too large. */
+  readonly send: (to: HostId, message: PeerMessage) => boolean
+  /** Replaces the peers; links to those that are gone are closed. */
+  readonly setPeers: (peers: readonly PeerAddress[]) => void
+  readonly listStatus: () => readonly LinkStatus[]
+  readonly close: () => Promise<void>
+}
+
+/** Kinds that wait behind all others. */
+const BULK_KINDS: ReadonlySet<string> = new Set(['consensus.snapshotChunk', 'settings.part'])
+
+const loopback = new BlockList()
+loopback.addSubnet('127.0.0.0', 8, 'ipv4')
+loopback.addAddress('::1', 'ipv6')
+
+function isLoopback (address: string): boolean {
+  const { host } = parseAddress(address)
+  const family = isIP(host)
+  return family !== 0 && loopback.check(host, family === 6 ? 'ipv6' : 'ipv4')
+}
+
+function checkAddresses ({ tls, allowInsecure, listen, peers }: PeerLinksOptions): void {
+  if (tls !== undefined || allowInsecure === true) return
+  const open = [listen, ...peers.map(({ address }) => address)].find(address => !isLoopback(address))
+  if (open === undefined) return
+  throw new CatkinferryError({
+    code: ErrorCode.BAD_SETTINGS,
+    message: `peer links beyond loopback (${open}) need certificates`,
+    step: 'listen',
+    hint: 'Set the certificate files of the peer links, or allow insecure links in the settings file.'
+  })
+}
+
+/** Creates the links. Throws a `CatkinferryError` when they would leave loopback without certificates. */
+export function createPeerLinks (opts: PeerLinksOptions): PeerLinks {
+  checkAddresses(opts)
+  const { getMonotonicMs } = createSystemClock()
+  const certificates = opts.tls === undefined ? undefined : createCertificateStore(opts.tls)
+  const silenceMs = opts.silenceMs ?? SILENCE_MS
+  const pingIntervalMs = opts.pingIntervalMs ?? PING_INTERVAL_MS
+  const links = new Map<HostId, { readonly link: OutgoingLink, readonly address: string }>()
+  const incoming = createIncomingLinks({ ...opts, certificates, pingIntervalMs: pingIntervalMs / 2, silenceMs, getNow: getMonotonicMs, isPeer: host => links.has(host) })
+  const certificateCheck = certificates === undefined ? undefined : setInterval(() => { if (certificates.update()) incoming.updateCertificates() }, opts.certificateCheckMs ?? CERTIFICATE_CHECK_MS)
+
+  function createLink ({ host, address }: PeerAddress): OutgoingLink {
+    const { self, group, logger, onLink } = opts
+    return createOutgoingLink({ self, group, peer: host, address, certificates, pingIntervalMs, silenceMs, getNow: getMonotonicMs, nextFraction: Math.random, onLink: up => onLink(host, up), logger })
+  }
+
+  function setPeers (peers: readonly PeerAddress[]): void {
+    checkAddresses({ ...opts, peers })
+    const wanted = new Map(peers.map(({ host, address }) => [host, address]))
+    for (const [host, { link, address }] of links) {
+      if (wanted.get(host) === address) continue
+      link.close()
+      links.delete(host)
+    }
+    for (const peer of peers) {
+      if (peer.host !== opts.self && !links.has(peer.host)) links.set(peer.host, { link: createLink(peer), address: peer.address })
+    }
+  }
+
+  setPeers(opts.peers)
+  return {
+    open: incoming.open,
+    send: (to, message) => {
+      const entry = links.get(to)
+      if (entry === undefined) return false
+      const frame = encodeFrame(message)
+      if (!frame.ok) {
+        opts.logger.error(frame.failure.message, { step: 'frame', peer: to, kind: message.kind })
+        return false
+      }
+      return entry.link.send(frame.value, BULK_KINDS.has(message.kind))
+    },
+    setPeers,
+    listStatus: () => [...links.values()].map(({ link }) => link.getStatus()),
+    close: async () => {
+      clearInterval(certificateCheck)
+      for (const { link } of links.values()) link.close()
+      await incoming.close()
+    }
+  }
+}
