Refuse malformed and overlong changes in the state itself

Cause: a change that was not a list of nodes threw inside the state machine, on every voter alike; a test showed it. Change: shape, number of nodes, length and change id are checked first; a long refused change leaves only its first paths on the audit trail. Conclusion: covered by a test with malformed changes.

--- a/settings/replicated-state/src/applyChange.ts
+++ b/settings/replicated-state/src/applyChange.ts
@@ -2,6 +2,7 @@
 import { ErrorCode } from '@catkinferry/core.errors'
 import type { Failure } from '@catkinferry/core.errors'
 import type { NodeChange } from '@catkinferry/core.types'
+import { MAX_CHANGE_ID_LENGTH } from '@catkinferry/settings.schema'
 import { planChange } from '@catkinferry/settings.tree'
 import type { ChangePlan, ChangeRefusal } from '@catkinferry/settings.tree'
 import type { Command, CommandOutcome, RevisionDelta } from '@catkinferry/wire.messages'
@@ -15,15 +16,29 @@
 type ResolveClaim = Extract<Command, { kind: 'claim.resolve' }>
 
 const FINGERPRINT_LENGTH = 16
+const MAX_REQUESTED_LENGTH = 65_536
+const MAX_REQUESTED_PATHS = 50
+const MAX_PATH_LENGTH = 1_024
 const STEP = 'settings.change'
 
+const BAD_CHANGE_ID: Failure = {
+  code: ErrorCode.BAD_ARGUMENT, message: `a change id is text of at most ${MAX_CHANGE_ID_LENGTH} characters`, step: STEP, hint: 'nothing was changed'
+}
+
 /** Hash of what a command asks for. */
 export function computeFingerprint (asked: unknown): string {
-  return createHash('sha256').update(JSON.stringify(asked)).digest('base64url').slice(0, FINGERPRINT_LENGTH)
+  return createHash('sha256').update(JSON.stringify([asked])).digest('base64url').slice(0, FINGERPRINT_LENGTH)
 }
 
-function describeRequested (changes: readonly NodeChange[]): AuditedNode[] {
-  return changes.map(({ path, values, remove }) => remove === true ? { path } : { path, after: values ?? {} })
+/** What a refused change asked for; of an overlong one only the first paths. */
+function describeRequested (changes: readonly (NodeChange | null | undefined)[]): AuditedNode[] {
+  if (!Array.isArray(changes)) return []
+  const isLong = JSON.stringify(changes).length > MAX_REQUESTED_LENGTH
+  const shown = isLong ? changes.slice(0, MAX_REQUESTED_PATHS) : changes
+  return shown.map(change => {
+    const path = String(change?.path).slice(0, MAX_PATH_LENGTH)
+    return isLong || change?.remove === true ? { path } : { path, after: change?.values ?? {} }
+  })
 }
 
 function formatReused (changeId: string): Failure {
@@ -55,6 +70,7 @@
 /** Applies one change; `onDelta` is told what it changed. */
 export function applySettingsChange (tables: StateTables, command: SettingsChange, onDelta: (delta: RevisionDelta) => void): CommandOutcome {
   const { tree, answers } = tables
+  if (typeof command.changeId !== 'string' || command.changeId.length > MAX_CHANGE_ID_LENGTH) return { kind: 'settings.refused', failure: BAD_CHANGE_ID, repeated: false }
   const fingerprint = computeFingerprint(command.changes)
   const known = answers.get(command.changeId)
   if (known !== undefined) return repeatAnswer(tables, command.changeId, known, fingerprint)
--- a/settings/replicated-state/test/replicatedState.test.ts
+++ b/settings/replicated-state/test/replicatedState.test.ts
@@ -132,6 +132,18 @@
     expect(late?.kind).toEqual('claim.expired')
   })
 
+  it('refuses malformed and overlong changes as it refuses any other, with a short audit entry', () => {
+    const state = createReplicatedState()
+    const huge = Array.from({ length: 1_001 }, (_, index) => ({ path: `fleet/${'x'.repeat(100)}${index}`, expectedRevision: 0, values: {} }))
+    const malformed: unknown[] = [undefined, 'text', [null], [{ path: 5 }], [{ path: 'fleet', expectedRevision: 0, values: null }], huge]
+    const outcomes = applyAll(state, malformed.map((changes, index) => formatChange(`c${index}`, changes as never)))
+    expect(outcomes.map(outcome => outcome.kind === 'settings.refused' && outcome.failure.code)).toEqual(malformed.map(() => 'ERR_CATKINFERRY_BAD_SETTINGS' as const))
+    expect(listAudit(state).entries.length).toEqual(malformed.length)
+    expect(JSON.stringify(listAudit(state)).length < 20_000).toEqual(true)
+    const [tooLong] = applyAll(state, [formatChange('c'.repeat(129), [{ path: 'fleet', expectedRevision: 0 }])])
+    expect(tooLong?.kind === 'settings.refused' && tooLong.failure.code).toEqual('ERR_CATKINFERRY_BAD_ARGUMENT')
+  })
+
   it('refuses a snapshot of another format', () => {
     const state = createReplicatedState()
     expect(() => state.restoreSnapshot(Uint8Array.from([0xa1, 0x66, 0x66, 0x6f, 0x72, 0x6d, 0x61, 0x74, 0x18, 0x63]))).toThrow('snapshot format 99 is not 1')
--- a/settings/tree/src/planChange.ts
+++ b/settings/tree/src/planChange.ts
@@ -2,15 +2,12 @@
 import { ErrorCode } from '@catkinferry/core.errors'
 import type { Failure } from '@catkinferry/core.errors'
 import type { NodeChange, NodePath } from '@catkinferry/core.types'
-import { getParentPath, parsePath, TreeName, validateValues } from '@catkinferry/settings.schema'
+import { getParentPath, parsePath, TreeName, validateChangeShape, validateValues } from '@catkinferry/settings.schema'
 import type { SettingsProblem } from '@catkinferry/settings.schema'
 import type { NodeValues } from './packValues.ts'
 import { sortValues } from './packValues.ts'
 import type { SettingsTree, TreeNode } from './settingsTree.ts'
 
-/** Nodes that one change may name. */
-export const MAX_NODES_PER_CHANGE = 1_000
-
 const STEP = 'settings.change'
 const SHOWN_PROBLEMS = 20
 const FIXED_KEYS = ['weightsUri', 'digest']
@@ -51,9 +48,8 @@
 }
 
 function checkShape (changes: readonly NodeChange[]): SettingsProblem[] {
-  if (changes.length === 0) return [{ path: '', reason: 'the change names no node' }]
-  if (changes.length > MAX_NODES_PER_CHANGE) return [{ path: '', reason: `the change names ${changes.length} nodes; at most ${MAX_NODES_PER_CHANGE} are allowed` }]
-  const problems: SettingsProblem[] = []
+  const problems = validateChangeShape(changes)
+  if (problems.length > 0) return problems
   const seen = new Set<NodePath>()
   for (const change of changes) {
     problems.push(...checkOne(change))
@@ -66,7 +62,6 @@
 function checkOne (change: NodeChange): SettingsProblem[] {
   const { path, values, unset, remove, expectedRevision } = change
   const problems = validateValues({ path, values, unset })
-  if (!Number.isSafeInteger(expectedRevision) || expectedRevision < 0) problems.push({ path, reason: 'expectedRevision must be a whole number from 0' })
   if (remove === true && (values !== undefined || unset !== undefined)) problems.push({ path, reason: 'is removed and changed at once' })
   if (remove === true && expectedRevision === 0) problems.push({ path, reason: 'does not exist and cannot be removed' })
   return problems
