Change lease voters one at a time through committed settings

Cause: a zone whose lease voters are gone for good stood closer to losing its majority with each further loss. Change: numbered sets of lease voters in the settings of the zone; voters refuse earlier sets and skipped steps; the holder proposes the next step when a voter is silent for 60 s and not listed, and the last step is applied by a majority. Test: five hosts lose two, two minutes later a third; the zone keeps a holder and owners. Candidates and voters at neighbouring sets never give two holders in 3,000 random cases. Conclusion: the host core has to carry proposals to the settings (proposeLeaseVoters).

--- a/settings/schema/src/keys.ts
+++ b/settings/schema/src/keys.ts
@@ -24,6 +24,11 @@
   'map of route name to { pool, idempotent, concurrency? }'
 )
 
+const leaseVoters = createShapeRule(
+  z.strictObject({ number: z.int().min(0), hosts: z.array(z.string().min(1).max(128)).max(15) }),
+  'object of { number, hosts }: each change raises the number by one and adds or removes one host'
+)
+
 const FLEET_KEYS: readonly KeyRow[] = [
   createFleetKey('caller.requestsPerSecond', perSecond, 1_000, 'Requests that one caller may submit per second at one host.'),
   createFleetKey('caller.burst', count, 2_000, 'Requests that one caller may submit at once before the rate applies.'),
@@ -54,6 +59,7 @@
   createFleetKey('adapters.evictHysteresis', createNumberRule('factor', 1, 100), 1.3, 'Factor by which a wanted adapter must outweigh a resident one to replace it.', 'zone'),
   createFleetKey('zone.leaseMs', createIntRule('ms', 500, 3_000), 3_000, 'Length of the zone lease.', 'zone'),
   createFleetKey('zone.subLeaseMs', createIntRule('ms', 300, 2_000), 2_000, 'Length of an owner\'s sub-lease; at most the zone lease.', 'zone'),
+  createFleetKey('zone.leaseVoters', leaseVoters, { number: 0, hosts: [] }, 'Hosts that vote on the zone lease; without hosts, those of the settings file.', 'zone'),
   createFleetKey('grant.startWithinMs', createIntRule('ms', 10, 1_000), 500, 'Time in which a grant must be used.', 'zone'),
   createFleetKey('request.maxRunMs', longMs, 120_000, 'Longest run of one attempt at an endpoint.', 'zone'),
   createFleetKey('stream.progressTimeoutMs', shortMs, 10_000, 'Silence on a stream that counts as a failure.'),
--- a/wire/messages/src/zone.ts
+++ b/wire/messages/src/zone.ts
@@ -3,8 +3,8 @@
 
 export type LeaseMessage =
   /** Asks a lease voter for the zone lease. `askId` is echoed so that the holder counts from when it asked. */
-  | { readonly kind: 'lease.ask', readonly zone: ZoneId, readonly ballot: number, readonly askId: number, readonly durationMs: DurationMs }
-  | { readonly kind: 'lease.answer', readonly zone: ZoneId, readonly ballot: number, readonly askId: number, readonly granted: boolean, readonly highestBallot: number, readonly remainingMs: DurationMs, /** Sub-leases of the ballot before may still run. */ readonly subLeasesMayRun: boolean, /** Who holds the lease, in a refusal. */ readonly holder?: HostId }
+  | { readonly kind: 'lease.ask', readonly zone: ZoneId, readonly ballot: number, readonly askId: number, readonly durationMs: DurationMs, /** Number of the set of lease voters that the candidate counts. */ readonly voterSet: number }
+  | { readonly kind: 'lease.answer', readonly zone: ZoneId, readonly ballot: number, readonly askId: number, readonly granted: boolean, readonly highestBallot: number, readonly remainingMs: DurationMs, /** Sub-leases of the ballot before may still run. */ readonly subLeasesMayRun: boolean, /** Number of the set of lease voters that the voter has applied. */ readonly voterSet: number, /** Who holds the lease, in a refusal. */ readonly holder?: HostId }
   /** A new holder tells the hosts of its zone. */
   | { readonly kind: 'lease.held', readonly zone: ZoneId, readonly ballot: number }
   /** `unused`: the ballot won no majority, so no sub-lease came from it. */
--- a/zone/coordination/src/createZoneCoordination.ts
+++ b/zone/coordination/src/createZoneCoordination.ts
@@ -1,12 +1,12 @@
 /** Leases, ownership, membership, grants and loads of a zone as one system. */
 import { MAX_CLOCK_DRIFT_FRACTION, MAX_ZONE_LEASE_MS } from '@catkinferry/core.constants'
 import type { Random } from '@catkinferry/core.random'
-import type { EndpointId, HostPlace, MonotonicMs, NodePath, PeerRow, SettingsView, ZoneView } from '@catkinferry/core.types'
+import type { EndpointId, HostPlace, MonotonicMs, NodePath, PeerRow, SettingsView, ZoneId, ZoneView } from '@catkinferry/core.types'
 import type { HostEvent, RunContext, System } from '@catkinferry/host.events'
 import type { GrantMessage, LeaseMessage, LoadBudgetMessage, MembershipMessage, OwnershipMessage } from '@catkinferry/wire.messages'
 import { createGrants, createZoneSettings } from '@catkinferry/zone.grants'
 import type { EndpointDescription, Grants } from '@catkinferry/zone.grants'
-import { createLeaseHolder, createLeaseVoter, listLeaseVoters } from '@catkinferry/zone.leases'
+import { createLeaseHolder, createLeaseVoter } from '@catkinferry/zone.leases'
 import type { HeldLease, LeaseHolder, LeaseVoter } from '@catkinferry/zone.leases'
 import { createPlatformTable, createZoneDigests, createZoneTable } from '@catkinferry/zone.membership'
 import { createSubLease } from '@catkinferry/zone.ownership'
@@ -17,6 +17,8 @@
 import { createMessageHandlers } from './messageHandlers.ts'
 import { createStatePublisher } from './statePublisher.ts'
 import { HOLDER_SILENCE_MS } from './zoneParts.ts'
+import { createVoterSets } from './voterSets.ts'
+import type { LeaseVoterProposal, VoterSets } from './voterSets.ts'
 import type { ZoneParts } from './zoneParts.ts'
 
 export type ZoneMessage =
@@ -36,6 +38,8 @@
   readonly random: Random
   /** Path of this host in the fleet tree. */
   readonly fleetPath?: NodePath
+  /** Called by the lease holder when a lease voter is gone, until the settings carry the next set. */
+  readonly proposeLeaseVoters?: (proposal: LeaseVoterProposal, context: RunContext) => void
 }
 
 export interface ZoneCoordination extends System<ZoneMessage> {
@@ -65,11 +69,11 @@
   return [...peers, { ...self, address: '', voter: false, leaseVoter: true }]
 }
 
-function createLazyVoter (isSoleVoter: boolean): (now: MonotonicMs) => LeaseVoter {
+function createLazyVoter (isSoleVoter: boolean, getVoterSet: (zone: ZoneId) => number | undefined): (now: MonotonicMs) => LeaseVoter {
   let voter: LeaseVoter | undefined
   return now => {
     const silenceMs = isSoleVoter ? 0 : MAX_ZONE_LEASE_MS * (1 + MAX_CLOCK_DRIFT_FRACTION)
-    voter ??= createLeaseVoter({ silentUntil: now + silenceMs })
+    voter ??= createLeaseVoter({ silentUntil: now + silenceMs, getVoterSet })
     return voter
   }
 }
@@ -78,12 +82,12 @@
   const { self, settings, random } = opts
   const peers = listAllPeers(opts)
   const zoneHosts = peers.filter(({ zone }) => zone === self.zone).map(({ host }) => host)
-  const voters = listLeaseVoters({ zone: self.zone, peers })
   const getSettings = createZoneSettings(settings, opts.fleetPath ?? `fleet/${self.region}/${self.zone}`)
   const clock = { now: 0 }
   const getNow = (): MonotonicMs => clock.now
   const known: ZoneParts['known'] = { holder: undefined, heardAt: -Infinity, leaving: false, released: false, held: undefined, subLeaseLive: false, platformAt: 0, askedViewAt: -Infinity }
-  const leaseHolder: LeaseHolder = createLeaseHolder({ zone: self.zone, getVoters: () => voters, getLeaseMs: () => getSettings().leaseMs, random })
+  const voterSets: VoterSets = createVoterSets({ self, peers, settings, getSettings, getHeard: voter => leaseHolder.getHeard(voter), propose: opts.proposeLeaseVoters })
+  const leaseHolder: LeaseHolder = createLeaseHolder({ zone: self.zone, getVoters: () => voterSets.getCurrent(), getLeaseMs: () => getSettings().leaseMs, random })
   const subLease = createSubLease({ zone: self.zone })
   const table = createZoneTable({ getNow })
   const platform = createPlatformTable({ zone: self.zone })
@@ -101,7 +105,7 @@
     onFencingRefused: (endpoint, highestFencing, context) => handBackRefused(parts, endpoint, highestFencing, context)
   })
   const publisher = createStatePublisher({ list: () => grants.listPublished() })
-  const isSoleVoter = zoneHosts.length === 1 && voters.length === 1 && voters[0] === self.host
+  const isSoleVoter = zoneHosts.length === 1 && voterSets.getCurrent().hosts.every(host => host === self.host)
   const parts: ZoneParts = {
     self,
     zoneHosts,
@@ -116,7 +120,8 @@
     holder,
     grants,
     publisher,
-    getVoter: createLazyVoter(isSoleVoter),
+    voterSets,
+    getVoter: createLazyVoter(isSoleVoter, voterSets.getNumber),
     crossZone: createCrossZone(),
     handedBack: new Map()
   }
@@ -215,6 +220,7 @@
   leaseHolder.run(context, isLeaseWanted(parts, context.now))
   subLease.run({ holder: known.holder, viewSequence: table.getSequence(), leaving: known.leaving }, context)
   holder.run(context)
+  if (known.held !== undefined) parts.voterSets.run(known.held, holder.assigner.listHosts(context.now), context)
   updateSubLease(parts, context)
   grants.run(context)
   sendHandBacks(parts, context)
@@ -235,7 +241,8 @@
     holder.getNextAt(),
     grants.getNextAt(),
     publisher.getNextAt(),
-    known.platformAt
+    known.platformAt,
+    known.held === undefined ? undefined : parts.voterSets.getNextAt()
   ].filter(at => at !== undefined)
   return Math.min(...times)
 }
@@ -268,7 +275,10 @@
     receiveReport: (event, context) => grants.receiveReport(event.endpoint, event.report, context),
     receiveUnreachable: (event, context) => grants.receiveUnreachable(event.endpoint, context),
     receiveOrderResult: (event, context) => grants.receiveOrderResult(event.orderId, event.outcome, context),
-    receivePlatformList: (event, context) => handlers.receivePlatformList(event.endpoints, context),
+    receivePlatformList: (event, context) => {
+      parts.voterSets.notePlatformHosts(event.hosts)
+      handlers.receivePlatformList(event.endpoints, context)
+    },
     notePause: context => {
       clock.now = context.now
       parts.leaseHolder.drop(context.now)
--- a/zone/coordination/src/describeZones.ts
+++ b/zone/coordination/src/describeZones.ts
@@ -1,5 +1,6 @@
 /** The zones as this host sees them, for operators. */
 import type { DurationMs, HostId, ZoneId } from '@catkinferry/core.types'
+import type { VoterSetDescription } from './voterSets.ts'
 import type { ZoneParts } from './zoneParts.ts'
 
 export interface ZoneDescription {
@@ -12,6 +13,8 @@
   readonly hosts: readonly HostId[]
   readonly endpoints: readonly { readonly endpoint: string, readonly owner: HostId | undefined, readonly fencing: number, readonly leaving: boolean }[]
   readonly budget: { readonly ratePerSecond: number, readonly inFlight: number, readonly inFlightLimit: number, readonly waiting: number } | undefined
+  /** Known to the lease holder only. */
+  readonly leaseVoters: VoterSetDescription | undefined
   readonly pools: readonly { readonly pool: string, readonly freeCapacity: number, readonly queueMs: DurationMs }[]
 }
 
@@ -27,6 +30,7 @@
     hosts: table.listHosts(),
     endpoints: table.listOwned().map(({ row, owner, fencing }) => ({ endpoint: row.endpoint, owner, fencing, leaving: row.leaving })),
     budget: known.held === undefined ? undefined : holder.budget.describe(clock.now),
+    leaseVoters: known.held === undefined ? undefined : parts.voterSets.describe(known.held, holder.assigner.listHosts(clock.now), clock.now),
     pools: []
   }
   const others = digests.list().map((digest): ZoneDescription => ({
@@ -38,6 +42,7 @@
     hosts: [],
     endpoints: [],
     budget: undefined,
+    leaseVoters: undefined,
     pools: digest.pools
   }))
   return [own, ...others]
--- a/zone/coordination/src/zoneParts.ts
+++ b/zone/coordination/src/zoneParts.ts
@@ -7,6 +7,7 @@
 import type { CrossZone } from './crossZone.ts'
 import type { Holder } from './holder.ts'
 import type { StatePublisher } from './statePublisher.ts'
+import type { VoterSets } from './voterSets.ts'
 
 /** The lease is asked for after this much silence of its holder. */
 export const HOLDER_SILENCE_MS = 1_500
@@ -41,6 +42,7 @@
   readonly holder: Holder
   readonly grants: Grants
   readonly publisher: StatePublisher
+  readonly voterSets: VoterSets
   readonly crossZone: CrossZone
   /** Hand-backs that were sent, to be sent again when the holder has not heard. */
   readonly handedBack: Map<EndpointId, HandBack>
--- a/zone/coordination/test/testSettings.ts
+++ b/zone/coordination/test/testSettings.ts
@@ -18,11 +18,21 @@
   'loads.expectedMs': 250
 }
 
+export interface TestSettings extends SettingsView {
+  /** Puts a value in force at all hosts at once. */
+  readonly set: (key: string, value: unknown) => void
+}
+
 /** Creates settings with the given values in place of the defaults. */
-export function createTestSettings (overrides: Readonly<Record<string, number>> | undefined): SettingsView {
-  const values = { ...DEFAULT_SETTINGS, ...overrides }
+export function createTestSettings (overrides: Readonly<Record<string, unknown>> | undefined): TestSettings {
+  const values: Record<string, unknown> = { ...DEFAULT_SETTINGS, ...overrides }
+  let revision = 1
   return {
-    getRevision: () => 1,
+    getRevision: () => revision,
+    set: (key, value) => {
+      values[key] = value
+      revision++
+    },
     isReady: () => true,
     getValue: <T>(_path: string, key: string) => values[key] as T,
     resolveAdapter: () => undefined,
--- a/zone/coordination/test/zoneFaults.test.ts
+++ b/zone/coordination/test/zoneFaults.test.ts
@@ -279,6 +279,20 @@
   })
 })
 
+describe('lease voters that are gone', () => {
+  it('are taken out step by step, so that a later loss leaves a majority', () => {
+    const pump = startZone({ hosts: 5 })
+    for (let count = 0; count < 3; count++) {
+      if (count === 2) pump.runFor(120_000)
+      pump.crash(findOther(pump, pump.findHolder(), ...[...pump.hosts.values()].filter(({ alive }) => !alive).map(({ host }) => host)))
+    }
+    pump.runFor(20_000)
+    expect(pump.findHolder()).not.toEqual(undefined)
+    expect(pump.findOwner('e1')).not.toEqual(undefined)
+    expect(pump.violations).toEqual([])
+  })
+})
+
 describe('leaving', () => {
   it('gives no grant at an endpoint that the platform lists as leaving', () => {
     const pump = startZone({ resident: ['a@1'] })
--- a/zone/coordination/test/zonePump.ts
+++ b/zone/coordination/test/zonePump.ts
@@ -50,7 +50,7 @@
   function createCoordination (host: HostId): ZoneCoordination {
     const self = peers.find(peer => peer.host === host)
     if (self === undefined) throw new Error(`no host ${host}`)
-    return createZoneCoordination({ self, peers, settings, random: createRandom(random.nextInt(1, 2 ** 30)) })
+    return createZoneCoordination({ self, peers, settings, random: createRandom(random.nextInt(1, 2 ** 30)), proposeLeaseVoters: ({ key, value }) => settings.set(key, value) })
   }
 
   /** Local clocks have their own start and drift; only durations cross. */
@@ -175,7 +175,7 @@
 
   function answerPlatform (host: PumpHost): void {
     const rows = [...engines.values()].map(({ row }) => row)
-    drive(host, context => host.coordination.receivePlatformList({ kind: 'platform.list', endpoints: rows, hosts: [] }, context))
+    drive(host, context => host.coordination.receivePlatformList({ kind: 'platform.list', endpoints: rows, hosts: [...hosts.values()].filter(({ alive }) => alive).map(({ host: name }) => ({ host: name, zone: 'z1', leaving: false })) }, context))
   }
 
   /** Runs one host: an event if there is one, then its systems. */
--- a/zone/grants/src/zoneSettings.ts
+++ b/zone/grants/src/zoneSettings.ts
@@ -1,6 +1,6 @@
 /** The settings that a zone's systems use, read again only when the revision changes. */
 import type { LoadLimits } from '@catkinferry/adapters.load-budget'
-import type { DurationMs, NodePath, SettingsView } from '@catkinferry/core.types'
+import type { DurationMs, HostId, NodePath, SettingsView } from '@catkinferry/core.types'
 
 export interface ZoneSettings {
   readonly leaseMs: DurationMs
@@ -13,6 +13,8 @@
   readonly ageingMs: DurationMs
   readonly evictHysteresis: number
   readonly prefetchShare: number
+  /** Numbered set of lease voters; without hosts, those of the settings file. */
+  readonly leaseVoters: { readonly number: number, readonly hosts: readonly HostId[] }
   readonly loads: LoadLimits
 }
 
@@ -29,6 +31,7 @@
     ageingMs: get('queue.ageingMs'),
     evictHysteresis: get('adapters.evictHysteresis'),
     prefetchShare: get('loads.prefetchShare'),
+    leaseVoters: settings.getValue<ZoneSettings['leaseVoters'] | undefined>(path, 'zone.leaseVoters') ?? { number: 0, hosts: [] },
     loads: {
       perSecond: get('loads.perSecond'),
       fullSpeedInFlight: get('loads.fullSpeedInFlight'),
--- a/zone/leases/src/index.ts
+++ b/zone/leases/src/index.ts
@@ -2,3 +2,4 @@
 export * from './leaseVoter.ts'
 export * from './leaseHolder.ts'
 export * from './leaseVoterSet.ts'
+export * from './planVoterSet.ts'
--- a/zone/leases/src/leaseHolder.ts
+++ b/zone/leases/src/leaseHolder.ts
@@ -4,6 +4,7 @@
 import type { DurationMs, HostId, MonotonicMs, ZoneId } from '@catkinferry/core.types'
 import type { RunContext } from '@catkinferry/host.events'
 import type { LeaseMessage } from '@catkinferry/wire.messages'
+import type { LeaseVoterSet } from './leaseVoterSet.ts'
 
 type LeaseAnswer = Extract<LeaseMessage, { kind: 'lease.answer' }>
 
@@ -21,7 +22,7 @@
   readonly ballot: number
   readonly askedAt: MonotonicMs
   readonly durationMs: DurationMs
-  readonly voters: readonly HostId[]
+  readonly voters: LeaseVoterSet
   readonly grantedBy: Set<HostId>
   subLeasesMayRun: boolean
 }
@@ -37,12 +38,19 @@
   readonly subLeasesMayRun: boolean
 }
 
+/** When a voter last answered, and the set that it had applied. */
+export interface HeardVoter {
+  readonly at: MonotonicMs
+  readonly voterSet: number
+}
+
 export interface LeaseHolder {
   readonly getHeld: (now: MonotonicMs) => HeldLease | undefined
   readonly receiveAnswer: (from: HostId, answer: LeaseAnswer, context: RunContext) => void
   /** Asks or renews when due. `wanted` false: neither asks nor renews. */
   readonly run: (context: RunContext, wanted: boolean) => void
   readonly getNextAt: (wanted: boolean) => MonotonicMs | undefined
+  readonly getHeard: (voter: HostId) => HeardVoter | undefined
   /** Gives up the lease and every open ask, without telling the voters. */
   readonly drop: (now: MonotonicMs) => void
   /** Gives up the lease and tells the voters. */
@@ -53,7 +61,7 @@
 
 export interface LeaseHolderOptions {
   readonly zone: ZoneId
-  readonly getVoters: () => readonly HostId[]
+  readonly getVoters: () => LeaseVoterSet
   readonly getLeaseMs: () => DurationMs
   readonly random: Random
 }
@@ -61,6 +69,7 @@
 /** Creates the holder side; it asks only when `run` is told that the lease is wanted. */
 export function createLeaseHolder (opts: LeaseHolderOptions): LeaseHolder {
   const open: OpenAsk[] = []
+  const heard = new Map<HostId, HeardVoter>()
   let held: HeldLease | undefined
   let highestBallot = 0
   let nextAskId = 1
@@ -83,7 +92,7 @@
     open.push({ askId, ballot, askedAt: now, durationMs, voters, grantedBy: new Set(), subLeasesMayRun: false })
     if (open.length > MAX_OPEN_ASKS) open.shift()
     nextAskAt = now + (current === undefined ? opts.random.nextInt(MIN_RETRY_MS, MAX_RETRY_MS) : durationMs / RENEWALS_PER_LEASE)
-    for (const voter of voters) context.send(voter, { kind: 'lease.ask', zone: opts.zone, ballot, askId, durationMs })
+    for (const voter of voters.hosts) context.send(voter, { kind: 'lease.ask', zone: opts.zone, ballot, askId, durationMs, voterSet: voters.number })
   }
 
   function applyMajority (granted: OpenAsk, now: MonotonicMs): void {
@@ -104,21 +113,22 @@
     open.splice(open.indexOf(asked), 1)
     const pauseMs = Math.min(remainingMs, LONGEST_PAUSE_MS) + opts.random.nextInt(MIN_RETRY_MS, MAX_RETRY_MS)
     nextAskAt = Math.max(nextAskAt, context.now + pauseMs)
-    for (const voter of asked.voters) context.send(voter, { kind: 'lease.release', zone: opts.zone, ballot: asked.ballot, unused: true })
+    for (const voter of asked.voters.hosts) context.send(voter, { kind: 'lease.release', zone: opts.zone, ballot: asked.ballot, unused: true })
   }
 
   function receiveAnswer (from: HostId, answer: LeaseAnswer, context: RunContext): void {
     highestBallot = Math.max(highestBallot, answer.highestBallot)
     const asked = open.find(({ askId }) => askId === answer.askId)
     if (asked === undefined || asked.ballot !== answer.ballot || asked.askedAt < validFrom) return
-    if (!asked.voters.includes(from)) return
+    if (!asked.voters.hosts.includes(from)) return
+    heard.set(from, { at: context.now, voterSet: answer.voterSet })
     if (!answer.granted) {
       if (getHeld(context.now) === undefined) abandon(asked, answer.remainingMs, context)
       return
     }
     asked.grantedBy.add(from)
     asked.subLeasesMayRun ||= answer.subLeasesMayRun
-    if (asked.grantedBy.size * 2 > asked.voters.length) applyMajority(asked, context.now)
+    if (asked.grantedBy.size * 2 > asked.voters.hosts.length) applyMajority(asked, context.now)
   }
 
   function drop (now: MonotonicMs): void {
@@ -129,6 +139,7 @@
 
   return {
     getHeld,
+    getHeard: voter => heard.get(voter),
     receiveAnswer,
     drop,
     run: (context, wanted) => {
@@ -139,7 +150,7 @@
       const current = getHeld(context.now)
       drop(context.now)
       if (current === undefined) return
-      for (const voter of opts.getVoters()) context.send(voter, { kind: 'lease.release', zone: opts.zone, ballot: current.ballot, unused: false })
+      for (const voter of opts.getVoters().hosts) context.send(voter, { kind: 'lease.release', zone: opts.zone, ballot: current.ballot, unused: false })
     },
     askAt: at => { nextAskAt = Math.min(nextAskAt, at) }
   }
--- a/zone/leases/src/leaseVoter.ts
+++ b/zone/leases/src/leaseVoter.ts
@@ -3,6 +3,7 @@
 import type { DurationMs, HostId, MonotonicMs, ZoneId } from '@catkinferry/core.types'
 import type { RunContext } from '@catkinferry/host.events'
 import type { LeaseMessage } from '@catkinferry/wire.messages'
+import { isVoterSetCurrent } from './leaseVoterSet.ts'
 
 type LeaseAsk = Extract<LeaseMessage, { kind: 'lease.ask' }>
 type LeaseRelease = Extract<LeaseMessage, { kind: 'lease.release' }>
@@ -18,6 +19,12 @@
   readonly subLeasesMayRun: boolean
 }
 
+export interface LeaseVoterOptions {
+  readonly silentUntil: MonotonicMs
+  /** Number of the set of lease voters of a zone that this host has applied; undefined while its settings are not ready. */
+  readonly getVoterSet: (zone: ZoneId) => number | undefined
+}
+
 export interface LeaseVoter {
   readonly receiveAsk: (from: HostId, ask: LeaseAsk, context: RunContext) => void
   readonly receiveRelease: (from: HostId, release: LeaseRelease, context: RunContext) => void
@@ -50,16 +57,17 @@
  * Creates a voter that answers for every zone that names it. It stays silent until `silentUntil`, one longest lease
  * after its start, so that a promise of an earlier life has ended.
  */
-export function createLeaseVoter (opts: { readonly silentUntil: MonotonicMs }): LeaseVoter {
+export function createLeaseVoter (opts: LeaseVoterOptions): LeaseVoter {
   const promises = new Map<ZoneId, LeasePromise>()
   const isSilent = (now: MonotonicMs): boolean => now < opts.silentUntil
 
   function receiveAsk (from: HostId, ask: LeaseAsk, context: RunContext): void {
     const { now } = context
-    if (isSilent(now)) return
+    const voterSet = opts.getVoterSet(ask.zone)
+    if (isSilent(now) || voterSet === undefined) return
     const promise = promises.get(ask.zone)
-    const refused = isPromisedToOther(promise, from, now) || isStale(promise, from, ask.ballot)
-    const answer = { kind: 'lease.answer', zone: ask.zone, ballot: ask.ballot, askId: ask.askId } as const
+    const refused = !isVoterSetCurrent(voterSet, ask.voterSet) || isPromisedToOther(promise, from, now) || isStale(promise, from, ask.ballot)
+    const answer = { kind: 'lease.answer', zone: ask.zone, ballot: ask.ballot, askId: ask.askId, voterSet } as const
     if (refused) {
       const remainingMs = Math.max(0, (promise?.until ?? now) - now)
       context.send(from, { ...answer, granted: false, highestBallot: promise?.ballot ?? 0, remainingMs, subLeasesMayRun: false, holder: remainingMs > 0 ? promise?.holder : undefined })
--- a/zone/leases/src/leaseVoterSet.ts
+++ b/zone/leases/src/leaseVoterSet.ts
@@ -3,6 +3,20 @@
 
 const SMALLEST_MAJORITY_SET = 3
 
+/**
+ * A numbered set of lease voters. Each change raises the number by one and adds or removes one host, so that majorities of
+ * neighbouring sets share a host. A change may follow only when a majority of the set has applied it.
+ */
+export interface LeaseVoterSet {
+  readonly number: number
+  readonly hosts: readonly HostId[]
+}
+
+/** Tells whether a voter that has applied set `own` may vote for a candidate that counts set `asked`. */
+export function isVoterSetCurrent (own: number, asked: number): boolean {
+  return asked === own || asked === own + 1
+}
+
 function compareByDistance (zone: PeerRow | undefined): (a: PeerRow, b: PeerRow) => number {
   return (a, b) => {
     const near = Number(b.region === zone?.region) - Number(a.region === zone?.region)
--- a/zone/leases/test/leases.test.ts
+++ b/zone/leases/test/leases.test.ts
@@ -3,8 +3,10 @@
 import type { PeerRow } from '@catkinferry/core.types'
 import type { RunContext } from '@catkinferry/host.events'
 import type { LeaseMessage, PeerMessage } from '@catkinferry/wire.messages'
-import { createLeaseHolder, createLeaseVoter, listLeaseVoters } from '@catkinferry/zone.leases'
+import { createLeaseHolder, createLeaseVoter, listLeaseVoters, planVoterSet } from '@catkinferry/zone.leases'
+import type { LeaseVoterSet } from '@catkinferry/zone.leases'
 import { expect } from 'earl'
+import fc from 'fast-check'
 import { describe, it } from 'node:test'
 
 type Answer = Extract<LeaseMessage, { kind: 'lease.answer' }>
@@ -14,21 +16,21 @@
   return { now, wallNow: 1_000_000, send: (to, message) => { sent.push({ to, message }) }, emit: () => {}, sent }
 }
 
-function askVoter (voter: ReturnType<typeof createLeaseVoter>, from: string, ballot: number, now: number): Answer | undefined {
+function askVoter (voter: ReturnType<typeof createLeaseVoter>, from: string, ballot: number, now: number, voterSet = 0): Answer | undefined {
   const context = createContext(now)
-  voter.receiveAsk(from, { kind: 'lease.ask', zone: 'z', ballot, askId: 1, durationMs: 3_000 }, context)
+  voter.receiveAsk(from, { kind: 'lease.ask', zone: 'z', ballot, askId: 1, durationMs: 3_000, voterSet }, context)
   return context.sent[0]?.message as Answer | undefined
 }
 
 describe('createLeaseVoter', () => {
   it('says nothing for one longest lease after its start', () => {
-    const voter = createLeaseVoter({ silentUntil: MAX_ZONE_LEASE_MS })
+    const voter = createLeaseVoter({ silentUntil: MAX_ZONE_LEASE_MS, getVoterSet: () => 0 })
     expect(askVoter(voter, 'a', 1, MAX_ZONE_LEASE_MS - 1)).toEqual(undefined)
     expect(askVoter(voter, 'a', 1, MAX_ZONE_LEASE_MS)?.granted).toEqual(true)
   })
 
   it('counts a lease longer than the holder by the drift bound, and names the holder to others', () => {
-    const voter = createLeaseVoter({ silentUntil: 0 })
+    const voter = createLeaseVoter({ silentUntil: 0, getVoterSet: () => 0 })
     askVoter(voter, 'a', 1, 0)
     expect(askVoter(voter, 'b', 2, 3_020)?.granted).toEqual(false)
     expect(askVoter(voter, 'b', 2, 3_020)?.holder).toEqual('a')
@@ -36,7 +38,7 @@
   })
 
   it('refuses a ballot that is not above the last holder\'s', () => {
-    const voter = createLeaseVoter({ silentUntil: 0 })
+    const voter = createLeaseVoter({ silentUntil: 0, getVoterSet: () => 0 })
     askVoter(voter, 'a', 5, 0)
     expect(askVoter(voter, 'b', 5, 4_000)?.granted).toEqual(false)
     expect(askVoter(voter, 'a', 4, 4_000)?.granted).toEqual(false)
@@ -44,7 +46,7 @@
   })
 
   it('warns of sub-leases after a release and a new ballot, also across an unused ballot, and not after an end', () => {
-    const voter = createLeaseVoter({ silentUntil: 0 })
+    const voter = createLeaseVoter({ silentUntil: 0, getVoterSet: () => 0 })
     askVoter(voter, 'a', 1, 0)
     voter.receiveRelease('a', { kind: 'lease.release', zone: 'z', ballot: 1, unused: false }, createContext(100))
     expect(askVoter(voter, 'b', 2, 200)?.subLeasesMayRun).toEqual(true)
@@ -55,11 +57,68 @@
   })
 })
 
+describe('sets of lease voters', () => {
+  it('has a voter refuse candidates of an earlier set, and of one that skips a step', () => {
+    const grants = [1, 2, 3, 4].map(asked => askVoter(createLeaseVoter({ silentUntil: 0, getVoterSet: () => 2 }), 'a', 1, 0, asked)?.granted)
+    expect(grants).toEqual([false, true, true, false])
+  })
+
+  it('has a voter without ready settings say nothing', () => {
+    expect(askVoter(createLeaseVoter({ silentUntil: 0, getVoterSet: () => undefined }), 'a', 1, 0)).toEqual(undefined)
+  })
+
+  const heard = (at: number, voterSet: number): { at: number, voterSet: number } => ({ at, voterSet })
+  const plan = (opts: { hosts: readonly string[], heard: Record<string, { at: number, voterSet: number }>, live: readonly string[], gone: readonly string[] }): LeaseVoterSet | undefined =>
+    planVoterSet({ current: { number: 4, hosts: opts.hosts }, getHeard: host => opts.heard[host], heldSince: 0, now: 100_000, liveHosts: opts.live, isListed: host => !opts.gone.includes(host) })
+
+  it('adds a spare host for a gone voter, then removes the gone one', () => {
+    const fresh = { a: heard(99_000, 4), b: heard(99_000, 4), d: heard(99_000, 4) }
+    expect(plan({ hosts: ['a', 'b', 'c'], heard: fresh, live: ['a', 'b', 'd'], gone: ['c'] })).toEqual({ number: 5, hosts: ['a', 'b', 'c', 'd'] })
+    expect(plan({ hosts: ['a', 'b', 'c', 'd'], heard: fresh, live: ['a', 'b', 'd'], gone: ['c'] })).toEqual({ number: 5, hosts: ['a', 'b', 'd'] })
+  })
+
+  it('changes nothing while the last step is not applied by a majority, a voter is listed or was heard of late', () => {
+    const old = { a: heard(99_000, 3), b: heard(99_000, 4) }
+    expect(plan({ hosts: ['a', 'b', 'c'], heard: old, live: ['a', 'b', 'd'], gone: ['c'] })).toEqual(undefined)
+    const fresh = { a: heard(99_000, 4), b: heard(99_000, 4), c: heard(60_000, 4) }
+    expect(plan({ hosts: ['a', 'b', 'c'], heard: fresh, live: ['a', 'b', 'd'], gone: ['c'] })).toEqual(undefined)
+    expect(plan({ hosts: ['a', 'b', 'c'], heard: { a: heard(99_000, 4), b: heard(99_000, 4) }, live: ['a', 'b', 'd'], gone: [] })).toEqual(undefined)
+  })
+
+  it('shrinks a set of five with two gone to three, and not below', () => {
+    const fresh = { a: heard(99_000, 4), b: heard(99_000, 4), c: heard(99_000, 4) }
+    expect(plan({ hosts: ['a', 'b', 'c', 'd', 'e'], heard: fresh, live: ['a', 'b', 'c'], gone: ['d', 'e'] })?.hosts).toEqual(['a', 'b', 'c', 'e'])
+    expect(plan({ hosts: ['a', 'b', 'c', 'e'], heard: fresh, live: ['a', 'b', 'c'], gone: ['d', 'e'] })?.hosts).toEqual(['a', 'b', 'c'])
+    expect(plan({ hosts: ['a', 'b', 'c'], heard: fresh, live: ['a', 'b'], gone: ['c'] })).toEqual(undefined)
+  })
+
+  it('cannot have two holders while candidates and voters stand at neighbouring sets', () => {
+    const sets = [['a', 'b', 'c', 'd', 'e'], ['a', 'b', 'c', 'd'], ['a', 'b', 'c']]
+    const numbers = fc.array(fc.integer({ min: 0, max: 2 }), { minLength: 5, maxLength: 5 })
+    const property = fc.property(numbers, fc.array(fc.record({ voter: fc.integer({ min: 0, max: 4 }), candidate: fc.integer({ min: 0, max: 1 }) }), { maxLength: 20 }), fc.tuple(fc.integer({ min: 0, max: 2 }), fc.integer({ min: 0, max: 2 })), (applied, asks, counted) => {
+      const settled = (number: number): boolean => (sets[number] ?? []).filter(host => (applied['abcde'.indexOf(host)] ?? 0) >= number).length * 2 > (sets[number]?.length ?? 0)
+      fc.pre(settled(1) || Math.max(...applied, ...counted) <= 1)
+      const voters = applied.map(number => createLeaseVoter({ silentUntil: 0, getVoterSet: () => number }))
+      const granted = [new Set<string>(), new Set<string>()]
+      for (const { voter, candidate } of asks) {
+        const row = voters[voter]
+        if (row !== undefined && askVoter(row, `candidate${candidate}`, 10 + candidate, 0, counted[candidate])?.granted === true) granted[candidate]?.add('abcde'[voter] ?? '')
+      }
+      const holds = [0, 1].map(candidate => {
+        const set = sets[counted[candidate] ?? 0] ?? []
+        return set.filter(host => granted[candidate]?.has(host)).length * 2 > set.length
+      })
+      expect(holds).not.toEqual([true, true])
+    })
+    fc.assert(property, { seed: 1, numRuns: 3_000 })
+  })
+})
+
 describe('createLeaseHolder', () => {
-  const create = (): ReturnType<typeof createLeaseHolder> => createLeaseHolder({ zone: 'z', getVoters: () => ['a', 'b', 'c'], getLeaseMs: () => 3_000, random: createRandom(1) })
+  const create = (): ReturnType<typeof createLeaseHolder> => createLeaseHolder({ zone: 'z', getVoters: () => ({ number: 0, hosts: ['a', 'b', 'c'] }), getLeaseMs: () => 3_000, random: createRandom(1) })
 
   function answer (holder: ReturnType<typeof createLeaseHolder>, from: string, ask: { ballot: number, askId: number }, now: number, granted = true): void {
-    holder.receiveAnswer(from, { kind: 'lease.answer', zone: 'z', ballot: ask.ballot, askId: ask.askId, granted, highestBallot: ask.ballot, remainingMs: 3_000, subLeasesMayRun: false }, createContext(now))
+    holder.receiveAnswer(from, { kind: 'lease.answer', zone: 'z', ballot: ask.ballot, askId: ask.askId, granted, highestBallot: ask.ballot, remainingMs: 3_000, subLeasesMayRun: false, voterSet: 0 }, createContext(now))
   }
 
   function takeAsk (holder: ReturnType<typeof createLeaseHolder>, now: number): { ballot: number, askId: number } {
@@ -97,7 +156,7 @@
     const ask = takeAsk(holder, 1_000)
     answer(holder, 'a', ask, 1_010)
     const context = createContext(1_020)
-    holder.receiveAnswer('b', { kind: 'lease.answer', zone: 'z', ballot: ask.ballot, askId: ask.askId, granted: false, highestBallot: 9, remainingMs: 3_000, subLeasesMayRun: false }, context)
+    holder.receiveAnswer('b', { kind: 'lease.answer', zone: 'z', ballot: ask.ballot, askId: ask.askId, granted: false, highestBallot: 9, remainingMs: 3_000, subLeasesMayRun: false, voterSet: 0 }, context)
     expect(context.sent.map(({ message }) => message.kind === 'lease.release' && message.unused)).toEqual([true, true, true])
     answer(holder, 'c', ask, 1_030)
     expect(holder.getHeld(1_030)).toEqual(undefined)
