Keep a voter whose disk does not count from passing for a source of settings

Cause: fuzzing wiped a voter's disk; the voter still heard its leader, so the dissemination took it for a source, and it and all hosts of its zone stayed at the old revision. Ruled out: the relay choice, which was right for a voter that follows the log. Change: a voter is in contact only while it leads or lately held all that the leader it hears had committed.

--- a/consensus/log-machine/src/followers.ts
+++ b/consensus/log-machine/src/followers.ts
@@ -31,6 +31,7 @@
   takeEntries(state, message, context)
   const matchIndex = message.previousIndex + message.entries.length
   state.commitIndex = Math.max(state.commitIndex, Math.min(message.commitIndex, matchIndex))
+  if (state.commitIndex >= message.commitIndex) state.caughtUpAt = context.now
   sendAppendAnswer(state, from, { success: true, matchIndex, readRound }, context)
 }
 
--- a/consensus/log-machine/src/state.ts
+++ b/consensus/log-machine/src/state.ts
@@ -96,6 +96,8 @@
   electionAt: MonotonicMs
   heartbeatAt: MonotonicMs
   leaderHeardAt: MonotonicMs
+  /** When this voter last held all that the leader said was committed. */
+  caughtUpAt: MonotonicMs
   leaderSince: MonotonicMs
   /** Incarnation of each voter that granted the current round. */
   votes: Map<HostId, string>
@@ -194,6 +196,7 @@
     electionAt: 0,
     heartbeatAt: 0,
     leaderHeardAt: Number.NEGATIVE_INFINITY,
+    caughtUpAt: Number.NEGATIVE_INFINITY,
     leaderSince: 0,
     votes: new Map(),
     voteWriteId: 0,
--- a/consensus/voter/src/constants.ts
+++ b/consensus/voter/src/constants.ts
@@ -29,3 +29,6 @@
 
 /** How often a replacement of a voter tries its next step. */
 export const REPLACEMENT_STEP_MS = 100
+
+/** A voter that has not held all that was committed for this long no longer counts as following the log. */
+export const KEEPS_UP_MS = 2_000
--- a/consensus/voter/src/voter.ts
+++ b/consensus/voter/src/voter.ts
@@ -7,7 +7,7 @@
 import type { HostId, MonotonicMs } from '@catkinferry/core.types'
 import type { RunContext, System } from '@catkinferry/host.events'
 import type { CommandMessage, ConsensusMessage, DiskAnswer, LogEntry, Query, StateMachine, StoredState } from '@catkinferry/wire.messages'
-import { MAX_APPLY_ENTRIES, MAX_HOPS, MAX_PENDING_QUERIES, MIN_COMPACT_BYTES, TAIL_ENTRIES } from './constants.ts'
+import { KEEPS_UP_MS, MAX_APPLY_ENTRIES, MAX_HOPS, MAX_PENDING_QUERIES, MIN_COMPACT_BYTES, TAIL_ENTRIES } from './constants.ts'
 import { createIntake } from './intake.ts'
 import type { Batch, Intake, Submission } from './intake.ts'
 import { createReplacement } from './replacement.ts'
@@ -36,7 +36,7 @@
   readonly receiveDisk: (answer: DiskAnswer, context: RunContext) => void
   readonly isLeader: () => boolean
   readonly getLeader: () => HostId | undefined
-  /** Whether a leader is known that was heard from within the election timeout. */
+  /** Whether this voter leads, or lately held all that the leader it hears had committed. A disk that does not count never does. */
   readonly isInContact: () => boolean
   readonly getStatus: (now?: MonotonicMs) => VoterStatus
   /** One step of a membership change; refused when it could lose the majority. The value is the index of its entry. */
@@ -58,6 +58,7 @@
   bytesSinceSnapshot: number
   snapshotBytes: number
   reportedRole: Role
+  lastRunAt: MonotonicMs
 }
 
 /** Creates a voter from what was found on its disk. */
@@ -75,7 +76,8 @@
     lastProposedAt: 0,
     bytesSinceSnapshot: 0,
     snapshotBytes: 0,
-    reportedRole: Role.FOLLOWER
+    reportedRole: Role.FOLLOWER,
+    lastRunAt: startedAt
   }
   if (stored.snapshot !== undefined) restoreState(state, stored.snapshot.data)
   const isLeader = (): boolean => machine.getState().role === Role.LEADER
@@ -86,7 +88,7 @@
     getNextAt: () => getNextAt(state),
     isLeader,
     getLeader: () => machine.getState().leader,
-    isInContact: () => machine.getState().leader !== undefined,
+    isInContact: () => isInContact(state),
     getStatus: at => describeVoter({ machine, now: at, pendingCommands: state.intake.getPendingCount(), replacement: state.replacement.getProgress() }),
     proposeMembership: (step, context) => machine.proposeMembership(step, createMachineContext(context)),
     beginReplacement: (request, context) => state.replacement.begin(request, createMachineContext(context)),
@@ -94,6 +96,12 @@
   }
 }
 
+function isInContact ({ machine, lastRunAt }: VoterState): boolean {
+  const { role, leader, caughtUpAt } = machine.getState()
+  if (role === Role.LEADER) return true
+  return leader !== undefined && lastRunAt - caughtUpAt <= KEEPS_UP_MS
+}
+
 function createMachineContext (context: RunContext): MachineContext {
   return {
     now: context.now,
@@ -169,6 +177,7 @@
 
 function run (state: VoterState, stateMachine: StateMachine, context: RunContext): void {
   const machineContext = createMachineContext(context)
+  state.lastRunAt = context.now
   state.machine.run(machineContext)
   reportRole(state, context)
   applyReady(state, stateMachine, context)
--- /dev/null
+++ b/testing/fuzz/test/regressions.test.ts
@@ -0,0 +1,28 @@
+import { SMALL_DEPLOYMENT } from '@catkinferry/testing.network'
+import { expect } from 'earl'
+import { describe, it } from 'node:test'
+import type { Action } from '../src/actions.ts'
+import { runActions } from '../src/runActions.ts'
+
+function run (actions: readonly Action[], seed = 0): readonly string[] {
+  return runActions({ seed, shape: SMALL_DEPLOYMENT, actions }).violations
+}
+
+describe('a deployment', () => {
+  it('brings changes into force in the zone of a voter whose disk was wiped', () => {
+    expect(run([
+      { kind: 'submit', host: 0, adapter: 0, pinned: false, serviceClass: 'urgent', times: 1 },
+      { kind: 'wipe', host: 0 },
+      { kind: 'wait', ms: 1 }
+    ])).toEqual([])
+  })
+
+  it('accepts changes after its leader was stopped gracefully', () => {
+    expect(run([
+      { kind: 'stop', host: 5 },
+      { kind: 'cutEndpoints', host: 0 },
+      { kind: 'heal' },
+      { kind: 'submit', host: 0, adapter: 0, pinned: false, serviceClass: 'urgent', times: 1 }
+    ])).toEqual([])
+  })
+})
