Let a voter that applies nothing take its settings from others

Cause: a voter that hears the leader and does not apply, as with a failed disk, counted as the source of its zone and held it at an old revision. Change: voters tell each other which revisions their zones have applied; one that has lacked such a revision for a second subscribes to another voter.

--- a/settings/dissemination/src/appliedReports.ts
+++ b/settings/dissemination/src/appliedReports.ts
@@ -4,7 +4,7 @@
 import type { AppliedRevision, SettingsMessage } from '@catkinferry/wire.messages'
 import { INNER_REPORT_MS, LEAF_REPORT_MS, RELAY_REPORT_MS, REPORT_REFRESH_MS } from './constants.ts'
 import type { Core } from './core.ts'
-import { sendSettings } from './core.ts'
+import { noteAppliedElsewhere, sendSettings } from './core.ts'
 
 type ZoneApplied = Extract<SettingsMessage, { kind: 'settings.zoneApplied' }>
 
@@ -82,6 +82,7 @@
       }
     },
     receiveZone: (report, context) => {
+      noteAppliedElsewhere(core, report.revision)
       const exceptions = new Map(report.exceptions.map(({ host, revision }) => [host, revision]))
       for (const { host, zone } of core.peers.values()) {
         if (zone !== report.zone) continue
--- a/settings/dissemination/src/constants.ts
+++ b/settings/dissemination/src/constants.ts
@@ -19,6 +19,9 @@
 /** Age of the last sign of a majority from which on this host counts as cut off. */
 export const CUT_OFF_MS = 5_000
 
+/** A voter that has lacked a revision for this long, which another voter's zone has applied, takes its settings from others. */
+export const MAX_VOTER_LAG_MS = 1_000
+
 /** Hosts of a zone that are subscribed to the same one, while none has failed. */
 export const FAN_OUT = 6
 
--- a/settings/dissemination/src/core.ts
+++ b/settings/dissemination/src/core.ts
@@ -6,7 +6,7 @@
 import type { RunContext } from '@catkinferry/host.events'
 import type { SettingsMessage } from '@catkinferry/wire.messages'
 import { encode } from 'cbor-x'
-import { CUT_OFF_MS } from './constants.ts'
+import { CUT_OFF_MS, MAX_VOTER_LAG_MS } from './constants.ts'
 import { createInForce } from './inForce.ts'
 import type { InForce, VoterState } from './inForce.ts'
 import { createTransfer } from './transfer.ts'
@@ -46,6 +46,10 @@
   ready: boolean
   /** When a majority was last known of, as told by others. */
   majorityAt?: MonotonicMs
+  /** On voters: a revision that others have applied and this voter has not, since when. */
+  lacked?: { readonly revision: number, readonly since: MonotonicMs }
+  /** On voters: the revision that the log has brought. */
+  readonly getVoterRevision: () => number | undefined
   /** True on a voter that takes its settings from the log at this time. */
   readonly isSource: () => boolean
 }
@@ -55,7 +59,7 @@
 /** Creates the shared state of one host. */
 export function createCore (opts: DisseminationOptions): Core {
   const { self, random, voterState, isInContact = () => false } = opts
-  return {
+  const core: Core = {
     self,
     random,
     inForce: createInForce(voterState, random.nextInt(0, MAX_EPOCH)),
@@ -65,8 +69,23 @@
     peers: new Map(opts.peers.map(peer => [peer.host, peer])),
     now: 0,
     ready: false,
-    isSource: () => voterState !== undefined && isInContact()
+    getVoterRevision: () => voterState?.getTree().getRevision(),
+    isSource: () => voterState !== undefined && !isLagging(core, voterState.getTree().getRevision()) && isInContact()
   }
+  return core
+}
+
+/** True when the log has not brought what others have had for a while, for example on a failed disk. */
+function isLagging ({ lacked, now }: Core, revision: number): boolean {
+  return lacked !== undefined && lacked.revision > revision && now - lacked.since > MAX_VOTER_LAG_MS
+}
+
+/** On voters: another voter's zone has applied a revision. */
+export function noteAppliedElsewhere (core: Core, revision: number): void {
+  const own = core.getVoterRevision()
+  if (own === undefined || revision <= own) return
+  const { lacked, now } = core
+  if (lacked === undefined || lacked.revision <= own) core.lacked = { revision, since: now }
 }
 
 /** How long ago a majority was known of; undefined when it never was. */
--- a/settings/dissemination/test/dissemination.test.ts
+++ b/settings/dissemination/test/dissemination.test.ts
@@ -148,6 +148,17 @@
     expect(bench.nodes.get('a-0')!.state!.getRevision()).toEqual(first)
   })
 
+  it('does not hold its zone back through a voter that hears the leader and applies nothing', () => {
+    const bench = createSettled()
+    bench.stuck.add('a-0')
+    const revision = bench.commit({ 'queue.limit': 4 })
+    expect(bench.advanceUntil(() => areAllAt(bench, revision), 6_000)).toEqual(true)
+    expect(bench.nodes.get('a-0')!.state!.getRevision()).toEqual(revision - 1)
+    bench.stuck.clear()
+    const next = bench.commit({ 'queue.limit': 5 })
+    expect(bench.advanceUntil(() => areAllAt(bench, next), 6_000)).toEqual(true)
+  })
+
   it('carries the full state in parts to a new host, also while changes go on and parts are lost', () => {
     const bench = createSettled()
     bench.kill('d-3')
