Wire the daemon, the dev command and the relay experiment

Cause: the core, the links and the disk had no process around them. Change: startHost builds a host from its settings file; catkinferryd serves and checks; catkinferry dev serves with two fake engines. The loop runs the host after 1,000 queued events, since a burst of unpaced stream data queued over 100,000 events in one turn.

--- /dev/null
+++ b/cli/main/src/dev.ts
@@ -0,0 +1,175 @@
+/** `catkinferry dev`: one host that is its own voter, two fake engines, data in a temporary folder. */
+import { createWriteStream } from 'node:fs'
+import { mkdtemp, rm } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { createDisposableStore } from '@catkinferry/core.tables'
+import type { DisposableStore } from '@catkinferry/core.tables'
+import type { Config } from '@catkinferry/daemon.config'
+import { startHost } from '@catkinferry/daemon.main'
+import type { Daemon } from '@catkinferry/daemon.main'
+import { createFakeStore, startFakeEngine } from '@catkinferry/testing.fakes'
+import { createOperatorClient } from './operatorClient.ts'
+import { ExitCode } from './exitCode.ts'
+import { sendFirstRequest } from './firstRequest.ts'
+import type { FirstAnswer } from './firstRequest.ts'
+
+export interface DevOptions {
+  /** Ends after the first answer. */
+  readonly once: boolean
+  readonly print: (line: string) => void
+}
+
+/** Ports of `catkinferry dev`; 0 picks free ones. */
+export interface DevPorts {
+  readonly caller: number
+  readonly operator: number
+}
+
+export interface DevHost {
+  readonly daemon: Daemon
+  readonly folder: string
+  readonly store: DisposableStore
+}
+
+const MODEL = 'demo'
+const ADAPTER = 'greeter'
+const VERSION = 'v1'
+const POOL = 'demo'
+const ENGINES = 2
+const TOKEN_MS = 20
+const FETCH_MS = 250
+const READY_WITHIN_MS = 20_000
+const READY_INTERVAL_MS = 50
+const CHANGE_DEADLINE_MS = 10_000
+const DEFAULT_PORTS: DevPorts = { caller: 8080, operator: 8081 }
+
+function buildConfig (opts: { readonly folder: string, readonly urls: readonly string[], readonly ports: DevPorts }): Config {
+  const place = { zone: 'dev-a', region: 'dev' }
+  return {
+    host: 'dev-a-1',
+    ...place,
+    path: 'fleet/dev/dev-a/rack-1/dev-a-1',
+    group: 'dev',
+    listen: { caller: `127.0.0.1:${opts.ports.caller}`, operator: `127.0.0.1:${opts.ports.operator}`, peer: '127.0.0.1:0' },
+    peers: [{ host: 'dev-a-1', ...place, address: '127.0.0.1:0' }],
+    voters: ['dev-a-1'],
+    leaseVoters: ['dev-a-1'],
+    dataFolder: join(opts.folder, 'data'),
+    callers: [],
+    services: [],
+    endpoints: opts.urls.map((url, index) => ({ endpoint: `engine-${index + 1}`, kind: 'engine', ...place, url, pool: POOL, model: MODEL })),
+    logs: { level: 'info' },
+    allowInsecure: false
+  }
+}
+
+async function startEngines (store: DisposableStore): Promise<string[]> {
+  const weights = createFakeStore({ fetchMs: FETCH_MS, fullSpeedInFlight: 2 })
+  const urls: string[] = []
+  for (let index = 0; index < ENGINES; index += 1) {
+    const engine = await startFakeEngine({ pool: POOL, tokenMs: TOKEN_MS, store: weights })
+    store.add(engine.close)
+    urls.push(engine.url)
+  }
+  return urls
+}
+
+/** Starts the host; `store` owns all of it. Engines are started too, unless their URLs are given. */
+export async function startDevHost (ports: DevPorts, engineUrls?: readonly string[]): Promise<DevHost> {
+  const store = createDisposableStore()
+  const folder = await mkdtemp(join(tmpdir(), 'catkinferry-dev-'))
+  store.add(async () => { await rm(folder, { recursive: true, force: true }) })
+  const urls = engineUrls ?? await startEngines(store)
+  const log = createWriteStream(join(folder, 'log.jsonl'))
+  store.add(async () => await new Promise(resolve => log.end(() => resolve())))
+  const daemon = await startHost({ config: buildConfig({ folder, urls, ports }), writeLog: line => { log.write(line) } })
+  return { daemon, folder, store }
+}
+
+/** Makes the model, the adapter and its version. */
+export async function createDemoAdapter (operatorUrl: string): Promise<void> {
+  const client = createOperatorClient({ url: operatorUrl, token: undefined })
+  const changes = [
+    { path: `models/${MODEL}`, expectedRevision: 0, values: { pool: POOL } },
+    { path: `models/${MODEL}/${ADAPTER}`, expectedRevision: 0, values: { inForce: VERSION } },
+    { path: `models/${MODEL}/${ADAPTER}/${VERSION}`, expectedRevision: 0, values: { weightsUri: 'demo:weights', digest: 'sha256:demo' } }
+  ]
+  const reply = await client.ask({ kind: 'settings.change', changeId: 'demo-adapter', changes, dryRun: false, deadlineMs: CHANGE_DEADLINE_MS })
+  if (!reply.ok) throw new Error(`the adapter was not accepted: ${reply.failure.message}`)
+}
+
+/** Waits until the balancer would send callers here. */
+export async function waitUntilReady (callerUrl: string): Promise<void> {
+  for (let waited = 0; waited < READY_WITHIN_MS; waited += READY_INTERVAL_MS) {
+    const answer = await fetch(`${callerUrl}/readyz`)
+    await answer.text()
+    if (answer.ok) return
+    await sleep(READY_INTERVAL_MS)
+  }
+  throw new Error(`the host was not ready within ${READY_WITHIN_MS} ms`)
+}
+
+function renderAnswer (answer: FirstAnswer): string[] {
+  return [
+    `answer      ${answer.text}`,
+    `adapter     ${answer.adapter}`,
+    `version     ${answer.version}`,
+    `request id  ${answer.requestId}`,
+    `timings     first chunk ${answer.firstChunkMs} ms, whole ${answer.wholeMs} ms, load stall ${answer.loadStallMs} ms, queue ${answer.queueMs} ms`
+  ]
+}
+
+function renderNextSteps (host: DevHost): string[] {
+  const { callerUrl, operatorUrl } = host.daemon
+  return [
+    '',
+    `Serving callers at ${callerUrl}, operators at ${operatorUrl}; logs in ${join(host.folder, 'log.jsonl')}. Stop with Ctrl-C. Try next:`,
+    `  curl -N ${callerUrl}/v1/completions -d '{"model":"${ADAPTER}","prompt":"hello","stream":true}'`,
+    `  curl ${callerUrl}/v1/models`,
+    `  node cli/main/dist/catkinferry.js --url ${operatorUrl} status`,
+    `  node cli/main/dist/catkinferry.js --url ${operatorUrl} endpoints list`,
+    `  node cli/main/dist/catkinferry.js --url ${operatorUrl} settings get fleet --effective --explain`
+  ]
+}
+
+/** Serves until a signal comes: the first stops gracefully, the second cuts short. */
+async function serveUntilStopped (daemon: Daemon): Promise<void> {
+  const onSignal = (): void => {
+    process.off('SIGINT', onSignal)
+    process.off('SIGTERM', onSignal)
+    process.once('SIGINT', daemon.cut)
+    process.once('SIGTERM', daemon.cut)
+    daemon.stop()
+  }
+  process.on('SIGINT', onSignal)
+  process.on('SIGTERM', onSignal)
+  await daemon.stopped
+}
+
+/** Runs the command. */
+export async function runDev (opts: DevOptions): Promise<ExitCode> {
+  const host = await startDevHost(opts.once ? { caller: 0, operator: 0 } : DEFAULT_PORTS)
+  const { daemon } = host
+  try {
+    await createDemoAdapter(daemon.operatorUrl)
+    await waitUntilReady(daemon.callerUrl)
+    const answer = await sendFirstRequest(daemon.callerUrl, ADAPTER)
+    renderAnswer(answer).forEach(opts.print)
+    if (!opts.once) {
+      renderNextSteps(host).forEach(opts.print)
+      await serveUntilStopped(daemon)
+      return ExitCode.OK
+    }
+    daemon.stop()
+    await daemon.stopped
+    return ExitCode.OK
+  } catch (error) {
+    opts.print((error as Error).message)
+    daemon.cut()
+    return ExitCode.REFUSED
+  } finally {
+    await host.store.dispose()
+  }
+}
--- a/cli/main/src/index.ts
+++ b/cli/main/src/index.ts
@@ -1,4 +1,5 @@
 /** catkinferry: the operator command line. */
 export * from './commands/index.ts'
+export * from './dev.ts'
 export * from './exitCode.ts'
 export * from './runCli.ts'
--- a/cli/main/src/main.ts
+++ b/cli/main/src/main.ts
@@ -1,2 +1,84 @@
-/** Entry point of the binary. */
-export {}
+/** Entry point of `catkinferry`. */
+import meow from 'meow'
+import { UsageError } from './commandContext.ts'
+import type { CliFlags } from './commandContext.ts'
+import { commands } from './commands/index.ts'
+import { runDev } from './dev.ts'
+import { ExitCode } from './exitCode.ts'
+import { readToken, runCli } from './runCli.ts'
+
+const DEFAULT_URL = 'http://127.0.0.1:8081'
+
+const cli = meow(`
+  Usage: catkinferry COMMAND [--url URL] [--token-file FILE] [--json]
+
+  Commands:
+${Object.values(commands).map(({ usage, description }) => `    ${usage}\n        ${description}`).join('\n')}
+    dev [--once]
+        one host with two fake engines in this process; sends a request and serves on
+
+  The operator token comes from --token-file or CATKINFERRY_TOKEN, the URL from --url or CATKINFERRY_URL.
+
+  Exit codes: ${Object.entries(ExitCode).map(([name, code]) => `${code} ${name}`).join(', ')}
+`, {
+  importMeta: import.meta,
+  allowUnknownFlags: false,
+  flags: {
+    url: { type: 'string' },
+    tokenFile: { type: 'string' },
+    json: { type: 'boolean' },
+    effective: { type: 'boolean' },
+    explain: { type: 'boolean' },
+    fresh: { type: 'boolean' },
+    dryRun: { type: 'boolean' },
+    follow: { type: 'boolean' },
+    export: { type: 'boolean' },
+    once: { type: 'boolean' },
+    expect: { type: 'number' },
+    limit: { type: 'number' },
+    after: { type: 'string' },
+    changeId: { type: 'string' },
+    file: { type: 'string', shortFlag: 'f' },
+    path: { type: 'string' },
+    who: { type: 'string' },
+    state: { type: 'string' },
+    as: { type: 'string' },
+    note: { type: 'string' },
+    add: { type: 'string' },
+    remove: { type: 'string' },
+    weightsUri: { type: 'string' },
+    digest: { type: 'string' },
+    role: { type: 'string' },
+    timeoutMs: { type: 'number' }
+  }
+})
+
+function printError (line: string): void {
+  process.stderr.write(line + '\n')
+}
+
+async function runMain (): Promise<ExitCode> {
+  const { url, tokenFile, ...flags } = cli.flags
+  if (cli.input.length === 0) {
+    printError(cli.help)
+    return ExitCode.BAD_ARGUMENT
+  }
+  if (cli.input[0] === 'dev') return await runDev({ once: flags.once === true, print: line => process.stdout.write(line + '\n') })
+  try {
+    const token = readToken({ tokenFile, environment: process.env.CATKINFERRY_TOKEN })
+    return await runCli({
+      words: cli.input,
+      flags: flags satisfies CliFlags,
+      url: url ?? process.env.CATKINFERRY_URL ?? DEFAULT_URL,
+      token,
+      print: line => process.stdout.write(line + '\n'),
+      printError
+    })
+  } catch (error) {
+    if (!(error instanceof UsageError)) throw error
+    printError(error.message)
+    return ExitCode.BAD_ARGUMENT
+  }
+}
+
+process.exit(await runMain())
--- /dev/null
+++ b/cli/main/test/devHost.test.ts
@@ -0,0 +1,73 @@
+import { expect } from 'earl'
+import { after, before, describe, it } from 'node:test'
+import { createDemoAdapter, startDevHost, waitUntilReady } from '../src/dev.ts'
+import type { DevHost } from '../src/dev.ts'
+import { sendFirstRequest } from '../src/firstRequest.ts'
+import { ExitCode, runCli } from '../src/index.ts'
+
+describe('dev host', () => {
+  let host: DevHost
+  let stopped = false
+  const out: string[] = []
+
+  async function runCommand (words: string): Promise<number> {
+    out.length = 0
+    const print = (line: string): void => { out.push(line) }
+    return await runCli({ words: words.split(' '), flags: { json: true }, url: host.daemon.operatorUrl, token: undefined, print, printError: print })
+  }
+
+  async function post (path: string, body: unknown): Promise<Response> {
+    return await fetch(host.daemon.callerUrl + path, { method: 'POST', body: JSON.stringify(body) })
+  }
+
+  before(async () => {
+    host = await startDevHost({ caller: 0, operator: 0 })
+    await createDemoAdapter(host.daemon.operatorUrl)
+    await waitUntilReady(host.daemon.callerUrl)
+  })
+
+  after(async () => {
+    if (!stopped) host.daemon.cut()
+    await host.daemon.stopped
+    await host.store.dispose()
+  })
+
+  it('answers a streamed request by the adapter and version in force', async () => {
+    const answer = await sendFirstRequest(host.daemon.callerUrl, 'greeter')
+    expect([answer.adapter, answer.version, answer.text.split(' ').length]).toEqual(['greeter', 'v1', 12])
+  })
+
+  it('answers a whole chat completion of a named version', async () => {
+    const answer = await post('/v1/chat/completions', { model: 'greeter@v1', messages: [{ role: 'user', content: 'hello' }], max_tokens: 3 })
+    const body = await answer.json() as { model: string, choices: { message: { content: string } }[] }
+    expect([answer.status, body.model, body.choices[0]?.message.content]).toEqual([200, 'greeter@v1', 'hello-0 hello-1 hello-2 '])
+  })
+
+  it('refuses unknown adapters and versions as not run', async () => {
+    for (const model of ['nobody', 'greeter@v9']) {
+      const answer = await post('/v1/completions', { model, prompt: 'x' })
+      const { error } = await answer.json() as { error: { ran: string } }
+      expect([answer.status, error.ran]).toEqual([404, 'no'])
+    }
+  })
+
+  it('shows changes on the audit trail and refuses one at an old revision', async () => {
+    expect(await runCommand('settings set fleet queue.limit=50')).toEqual(ExitCode.OK)
+    expect(await runCommand('settings get fleet --effective')).toEqual(ExitCode.OK)
+    expect(JSON.parse(out[0] ?? '')).toEqual(expect.subset({ values: { 'queue.limit': 50 } }))
+    expect(await runCommand('adapters create demo/greeter')).toEqual(ExitCode.CONFLICT)
+    expect(await runCommand('audit')).toEqual(ExitCode.OK)
+    const { entries } = JSON.parse(out[0] ?? '') as { entries: { outcome: string }[] }
+    expect(entries.map(({ outcome }) => outcome)).toEqual(['accepted', 'accepted', 'refused'])
+  })
+
+  it('lets a running stream end when it is stopped, and then stops', async () => {
+    const stream = await post('/v1/completions', { model: 'greeter', prompt: 'bye', stream: true, max_tokens: 20 })
+    stopped = true
+    host.daemon.stop()
+    const text = await stream.text()
+    expect(text.trimEnd().endsWith('data: [DONE]')).toEqual(true)
+    expect(text.match(/bye-/g)?.length).toEqual(20)
+    await host.daemon.stopped
+  })
+})
--- a/daemon/config/src/loadConfig.ts
+++ b/daemon/config/src/loadConfig.ts
@@ -75,7 +75,8 @@
 }
 
 function formatIssue (file: string, issue: z.core.$ZodIssue): ConfigProblem {
-  return { file, path: issue.path.map(String).join('.'), reason: issue.message }
+  const reason = issue.message.endsWith('received undefined') ? 'is missing' : issue.message
+  return { file, path: issue.path.map(String).join('.'), reason }
 }
 
 /** Loads a settings file; all problems at once. */
--- a/daemon/main/src/links.ts
+++ b/daemon/main/src/links.ts
@@ -3,9 +3,10 @@
 import type { PeerMessage } from '@catkinferry/wire.messages'
 
 export interface Links {
-  readonly send: (to: HostId, message: PeerMessage) => void
+  /** False when the message was dropped. */
+  readonly send: (to: HostId, message: PeerMessage) => boolean
   readonly close: () => Promise<void>
 }
 
 /** Links of a host without peers. */
-export const NO_LINKS: Links = { send: () => undefined, close: async () => undefined }
+export const NO_LINKS: Links = { send: () => false, close: async () => undefined }
--- a/daemon/main/src/main.ts
+++ b/daemon/main/src/main.ts
@@ -1,2 +1,70 @@
-/** Entry point of the binary. */
-export {}
+/** Entry point of `catkinferryd`. */
+import meow from 'meow'
+import { CatkinferryError } from '@catkinferry/core.errors'
+import { formatProblems, loadConfig } from '@catkinferry/daemon.config'
+import type { Config } from '@catkinferry/daemon.config'
+import type { Daemon } from './daemon.ts'
+import { startHost } from './startHost.ts'
+
+/** Exit codes of `catkinferryd`. */
+const ExitCode = { OK: 0, FAILED: 1, BAD_SETTINGS: 2 } as const
+
+const DEFAULT_FILE = '/etc/catkinferry/host.yaml'
+
+const cli = meow(`
+  Usage: catkinferryd [--config FILE]
+         catkinferryd --check FILE
+
+  --config FILE  serves as the settings file says; by default ${DEFAULT_FILE}
+  --check FILE   checks the settings file, prints every error and ends
+
+  SIGTERM and SIGINT stop gracefully; a second signal cuts what still runs.
+
+  Exit codes: 0 stopped or the file is good, 1 failed, 2 the settings file is wrong
+`, { importMeta: import.meta, allowUnknownFlags: false, flags: { config: { type: 'string', default: DEFAULT_FILE }, check: { type: 'string' } } })
+
+function printError (line: string): void {
+  process.stderr.write(line + '\n')
+}
+
+function stopOnSignals (daemon: Daemon): void {
+  let asked = false
+  const onSignal = (): void => {
+    if (asked) daemon.cut()
+    else daemon.stop()
+    asked = true
+  }
+  process.on('SIGTERM', onSignal)
+  process.on('SIGINT', onSignal)
+}
+
+async function serve (config: Config): Promise<number> {
+  try {
+    const daemon = await startHost({ config, writeLog: line => process.stdout.write(line) })
+    stopOnSignals(daemon)
+    await daemon.stopped
+    return ExitCode.OK
+  } catch (error) {
+    if (error instanceof CatkinferryError) {
+      const { code, message, step, hint } = error.failure
+      printError(`${code}: ${message} (step ${step})${hint === undefined ? '' : `\nhint: ${hint}`}`)
+    } else {
+      printError(error instanceof Error ? error.stack ?? error.message : String(error))
+    }
+    return ExitCode.FAILED
+  }
+}
+
+async function runMain (): Promise<number> {
+  const checked = cli.flags.check
+  const result = loadConfig(checked ?? cli.flags.config)
+  if (!result.ok) {
+    printError(formatProblems(result.problems))
+    return ExitCode.BAD_SETTINGS
+  }
+  if (checked === undefined) return await serve(result.config)
+  process.stdout.write(`${checked}: good\n`)
+  return ExitCode.OK
+}
+
+process.exit(await runMain())
--- a/daemon/main/src/outputHandlers.ts
+++ b/daemon/main/src/outputHandlers.ts
@@ -28,7 +28,7 @@
 export function createOutputHandlers (opts: OutputHandlerOptions): OutputHandlers {
   const { logger, metrics, links, disk, drivers, attempts, callerApi, operatorApi, emit } = opts
   return {
-    'peer.send': ({ to, message }) => links.send(to, message),
+    'peer.send': ({ to, message }) => { links.send(to, message) },
     'attempt.start': attempts.start,
     'attempt.cancel': ({ attemptId }) => attempts.cancel(attemptId),
     'order.send': drivers.engines.sendOrder,
--- a/daemon/main/src/shell.ts
+++ b/daemon/main/src/shell.ts
@@ -35,6 +35,8 @@
 }
 
 const MAX_TIMER_MS = 1_000
+/** With this many events queued the host runs at once, so that a burst of stream data cannot hold up leases and heartbeats. */
+const MAX_EVENTS_PER_RUN = 1_000
 /** Runs longer than this are measured one by one. */
 const SLOW_RUN_MS = 5
 
@@ -45,6 +47,8 @@
   let timer: NodeJS.Timeout | undefined
   let timerAt = Infinity
   let running = false
+  let inTurn = false
+  let queued = 0
 
   function dispatch (output: HostOutput): void {
     const handle = opts.handlers[output.kind] as (output: HostOutput) => void
@@ -68,19 +72,24 @@
   }
 
   function runTurn (): void {
+    clearImmediate(turn)
     turn = undefined
     if (!running) return
+    queued = 0
+    inTurn = true
     const startedAt = clock.getMonotonicMs()
     let outputs: HostOutput[]
     try {
       outputs = host.run(startedAt)
     } catch (error) {
       running = false
+      inTurn = false
       opts.onCrash(error)
       return
     }
     for (const output of outputs) dispatch(output)
     opts.onTurnEnd()
+    inTurn = false
     const endedAt = clock.getMonotonicMs()
     if (endedAt - startedAt > SLOW_RUN_MS) metrics.timing('loop.run_ms', endedAt - startedAt)
     if (running) armTimer(endedAt)
@@ -93,7 +102,9 @@
   return {
     emit: event => {
       host.receive(event)
-      scheduleTurn()
+      queued += 1
+      if (queued >= MAX_EVENTS_PER_RUN && !inTurn) runTurn()
+      else scheduleTurn()
     },
     start: () => {
       running = true
--- a/daemon/main/test/relayingHost.ts
+++ b/daemon/main/test/relayingHost.ts
@@ -33,7 +33,7 @@
     run: now => {
       const taken = events
       events = []
-      seen.push(...taken.map(({ kind }) => kind))
+      for (const { kind } of taken) seen.push(kind)
       return taken.flatMap(event => answer(event, now))
     },
     getNextAt: () => undefined,
--- /dev/null
+++ b/daemon/main/test/threeHosts.test.ts
@@ -0,0 +1,150 @@
+import type { OperatorQuestion, OperatorReply } from '@catkinferry/core.types'
+import type { Config } from '@catkinferry/daemon.config'
+import { startFakeEngine, startFakeService } from '@catkinferry/testing.fakes'
+import type { FakeEngine, FakeService } from '@catkinferry/testing.fakes'
+import { expect } from 'earl'
+import { once } from 'node:events'
+import { mkdtemp, rm } from 'node:fs/promises'
+import { createServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { after, before, describe, it } from 'node:test'
+import { startHost } from '../src/index.ts'
+import type { Daemon } from '../src/index.ts'
+
+const HOSTS = ['a-1', 'a-2', 'a-3'] as const
+const PLACE = { zone: 'a', region: 'r' }
+
+async function findFreePort (): Promise<number> {
+  const server = createServer()
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const { port } = server.address() as AddressInfo
+  server.close()
+  await once(server, 'close')
+  return port
+}
+
+describe('three hosts over loopback', () => {
+  const daemons = new Map<string, Daemon>()
+  let configs: Config[]
+  let folder: string
+  let engine: FakeEngine
+  let service: FakeService
+
+  async function start (config: Config): Promise<void> {
+    daemons.set(config.host, await startHost({ config, writeLog: () => undefined }))
+  }
+
+  function getDaemon (host: string): Daemon {
+    const daemon = daemons.get(host)
+    if (daemon === undefined) throw new Error(`${host} does not run`)
+    return daemon
+  }
+
+  async function ask (host: string, { kind, ...fields }: OperatorQuestion): Promise<OperatorReply> {
+    const answer = await fetch(`${getDaemon(host).operatorUrl}/operator/v1/${kind}`, { method: 'POST', body: JSON.stringify(fields) })
+    return await answer.json() as OperatorReply
+  }
+
+  async function complete (host: string): Promise<Response> {
+    const body = JSON.stringify({ model: 'greeter', prompt: 'hi', stream: true, max_tokens: 4 })
+    return await fetch(`${getDaemon(host).callerUrl}/v1/completions`, { method: 'POST', body })
+  }
+
+  async function waitUntilReady (host: string): Promise<void> {
+    for (;;) {
+      const answer = await fetch(`${getDaemon(host).callerUrl}/readyz`)
+      await answer.text()
+      if (answer.ok) return
+      await sleep(20)
+    }
+  }
+
+  before(async () => {
+    folder = await mkdtemp(join(tmpdir(), 'three-hosts-'))
+    engine = await startFakeEngine({ pool: 'demo', slots: 2 })
+    service = await startFakeService()
+    const peers: Config['peers'] = []
+    for (const host of HOSTS) peers.push({ host, ...PLACE, address: `127.0.0.1:${await findFreePort()}` })
+    configs = peers.map(({ host, address }) => ({
+      host,
+      ...PLACE,
+      path: `fleet/r/a/k/${host}`,
+      group: 'test',
+      listen: { caller: '127.0.0.1:0', operator: '127.0.0.1:0', peer: address },
+      peers,
+      voters: [...HOSTS],
+      leaseVoters: [...HOSTS],
+      dataFolder: join(folder, host),
+      callers: [],
+      services: [{ route: 'filings', pathPrefix: '/filings', idempotent: false }],
+      endpoints: [
+        { endpoint: 'e1', kind: 'engine', ...PLACE, url: engine.url, pool: 'demo', model: 'demo' },
+        { endpoint: 's1', kind: 'service', ...PLACE, url: service.url, pool: 'filings' }
+      ],
+      logs: { level: 'info' },
+      allowInsecure: false
+    }))
+    await Promise.all(configs.map(start))
+  })
+
+  after(async () => {
+    for (const daemon of daemons.values()) daemon.cut()
+    await Promise.allSettled([...daemons.values()].map(async daemon => await daemon.stopped))
+    await engine.close()
+    await service.close()
+    await rm(folder, { recursive: true })
+  })
+
+  it('puts a change made at one host in force at all of them', async () => {
+    const changes = [
+      { path: 'models/demo', expectedRevision: 0, values: { pool: 'demo' } },
+      { path: 'models/demo/greeter', expectedRevision: 0, values: { inForce: 'v1' } },
+      { path: 'models/demo/greeter/v1', expectedRevision: 0, values: { weightsUri: 'x:y', digest: 'sha256:z' } }
+    ]
+    const change = { kind: 'settings.change', changeId: 'c1', changes, dryRun: false, deadlineMs: 10_000 } as const
+    const first = await ask('a-2', change)
+    expect(first).toEqual(expect.subset({ ok: true, body: expect.subset({ revision: 1, repeated: false }) }))
+    expect(await ask('a-3', change)).toEqual(expect.subset({ ok: true, body: expect.subset({ revision: 1, repeated: true }) }))
+    await Promise.all(HOSTS.map(waitUntilReady))
+    for (const host of HOSTS) {
+      const answer = await complete(host)
+      expect([host, answer.status, (await answer.text()).trimEnd().endsWith('[DONE]')]).toEqual([host, 200, true])
+    }
+  })
+
+  it('runs non-idempotent work once for one key, whichever hosts it is sent to', async () => {
+    const headers = { 'idempotency-key': '01930000-0000-7000-8000-000000000001'.replace('01930000-0000', Date.now().toString(16).padStart(12, '0').replace(/^(.{8})/, '$1-')) }
+    const answers = await Promise.all(HOSTS.map(async host => await fetch(`${getDaemon(host).callerUrl}/filings/7`, { method: 'POST', body: '{"boat":7}', headers })))
+    const statuses = answers.map(({ status }) => status)
+    expect(statuses.filter(status => status === 200).length).toEqual(3)
+    expect(new Set(await Promise.all(answers.map(async answer => await answer.text()))).size).toEqual(1)
+    expect([...service.runs.values()]).toEqual([1])
+  })
+
+  it('goes on serving and accepting changes when one host stops, which cuts nothing', async () => {
+    const daemon = getDaemon('a-1')
+    daemon.stop()
+    await daemon.stopped
+    daemons.delete('a-1')
+    for (const host of ['a-2', 'a-3']) {
+      const answer = await complete(host)
+      expect([host, answer.status, (await answer.text()).trimEnd().endsWith('[DONE]')]).toEqual([host, 200, true])
+    }
+    const change = { kind: 'settings.change', changeId: 'c2', changes: [{ path: 'fleet', expectedRevision: 0, values: { 'queue.limit': 77 } }], dryRun: false, deadlineMs: 10_000 } as const
+    expect(await ask('a-3', change)).toEqual(expect.subset({ ok: true }))
+  })
+
+  it('takes a restarted host back with the settings that it missed', async () => {
+    const config = configs.find(({ host }) => host === 'a-1')
+    if (config === undefined) throw new Error('no settings of a-1')
+    await start(config)
+    await waitUntilReady('a-1')
+    const got = await ask('a-1', { kind: 'settings.get', path: 'fleet', effective: false, explain: false, fresh: true })
+    expect(got).toEqual(expect.subset({ ok: true, body: expect.subset({ values: { 'queue.limit': 77 } }) }))
+    expect((await complete('a-1')).status).toEqual(200)
+  })
+})
--- a/host/core/src/createHost.ts
+++ b/host/core/src/createHost.ts
@@ -1,6 +1,6 @@
 /** The deterministic host: events go in, outputs come out, time is handed in. */
 import { PAUSE_THRESHOLD_MS } from '@catkinferry/core.constants'
-import type { MonotonicMs } from '@catkinferry/core.types'
+import type { MonotonicMs, SettingsView } from '@catkinferry/core.types'
 import type { HostEvent, HostOutput, RunContext } from '@catkinferry/host.events'
 import { handleEvent } from './eventHandlers.ts'
 import { emitHealth } from './health.ts'
@@ -24,6 +24,8 @@
   /** Highest settings revision applied here. */
   readonly getRevision: () => number
   readonly isReady: () => boolean
+  /** Settings in force here. */
+  readonly settings: SettingsView
 }
 
 function loopBack (host: HostState, outbox: Outbox): void {
@@ -84,6 +86,7 @@
     run,
     getNextAt: () => Math.min(getNextDueAt(host.systems) ?? Infinity, host.lastRunAt + MAX_RUN_INTERVAL_MS),
     getRevision: () => host.systems.dissemination.view.getRevision(),
-    isReady: () => host.health?.ready ?? false
+    isReady: () => host.health?.ready ?? false,
+    settings: host.systems.dissemination.view
   }
 }
--- a/testing/measure/src/experiments/index.ts
+++ b/testing/measure/src/experiments/index.ts
@@ -1,11 +1,13 @@
 /** Lookup table of experiments by name. */
 import type { Experiment } from '../experiment.ts'
+import { relay } from './relay.ts'
 import { core } from './core.ts'
 import { dissemination } from './dissemination.ts'
 import { memory } from './memory.ts'
 import { policyExperiment } from './policy.ts'
 
 export const experiments: Readonly<Record<string, Experiment>> = {
+  relay,
   core,
   dissemination,
   memory,
--- /dev/null
+++ b/testing/measure/src/relay/engineThread.ts
@@ -0,0 +1,7 @@
+/** A fake engine in a thread of its own. */
+import { parentPort, workerData } from 'node:worker_threads'
+import { startFakeEngine } from '@catkinferry/testing.fakes'
+import type { FakeEngineOptions } from '@catkinferry/testing.fakes'
+
+const engine = await startFakeEngine(workerData as FakeEngineOptions)
+parentPort?.postMessage(engine.url)
--- /dev/null
+++ b/testing/measure/src/relay/measuredHost.ts
@@ -0,0 +1,22 @@
+/** The host that the relay experiment measures: the dev host before engines in other threads. */
+import { createDemoAdapter, startDevHost, waitUntilReady } from '@catkinferry/cli.main'
+
+export interface MeasuredHost {
+  readonly callerUrl: string
+  readonly stop: () => Promise<void>
+}
+
+/** Starts the host and makes the adapter `greeter@v1`. */
+export async function startMeasuredHost (engineUrls: readonly string[]): Promise<MeasuredHost> {
+  const { daemon, store } = await startDevHost({ caller: 0, operator: 0 }, engineUrls)
+  await createDemoAdapter(daemon.operatorUrl)
+  await waitUntilReady(daemon.callerUrl)
+  return {
+    callerUrl: daemon.callerUrl,
+    stop: async () => {
+      daemon.cut()
+      await daemon.stopped
+      await store.dispose()
+    }
+  }
+}
