Send the messages of each request in a compact form

Change: fields that the receiver knows are left out (request id, origin, pool, URL inside the zone), times are whole milliseconds, and these messages go as lists of values in a fixed order.

--- a/routing/requests/src/attemptRows.ts
+++ b/routing/requests/src/attemptRows.ts
@@ -55,7 +55,7 @@
 /** Tells the owner that gave the grant, and the owner of now if it is another, that the slot is free. */
 export function releaseGrant (core: Core, attempt: AttemptRow, opts: { ran: boolean, runMs: DurationMs }, context: RunContext): void {
   if (attempt.owner === undefined || attempt.endpoint === undefined) return
-  const message = { kind: 'grant.release', attemptId: attempt.grantId, endpoint: attempt.endpoint, ...opts } as const
+  const message = { kind: 'grant.release', attemptId: attempt.grantId, endpoint: attempt.endpoint, ran: opts.ran, runMs: Math.round(opts.runMs) } as const
   const owners = new Set<HostId>([attempt.owner])
   const ownerNow = core.opts.zone.getEndpoint(attempt.endpoint)?.owner
   if (ownerNow !== undefined) owners.add(ownerNow)
--- a/routing/requests/src/grants.ts
+++ b/routing/requests/src/grants.ts
@@ -46,7 +46,7 @@
   }
   // A contact in another zone chooses the owner, so that the granting host may differ from the one asked.
   attempt.owner = from
-  attempt.url = message.url
+  attempt.url = message.url ?? attempt.url
   bindEndpoint(core, attempt, message.endpoint)
   dispatchAttempt(core, attempt, { sendBeforeMs, loadStallMs: message.loadStallMs }, context)
 }
--- a/routing/requests/src/placing.ts
+++ b/routing/requests/src/placing.ts
@@ -195,13 +195,10 @@
   context.send(to, {
     kind: 'grant.ask',
     attemptId: attempt.grantId,
-    requestId: row.request.requestId,
-    origin: core.opts.self.host,
-    endpoint,
-    pool: row.target.pool,
+    ...(endpoint === undefined ? { pool: row.target.pool } : { endpoint }),
     adapterKey: row.target.adapterKey,
     serviceClass: row.request.serviceClass,
-    remainingMs: row.deadlineAt - context.now,
+    remainingMs: Math.floor(row.deadlineAt - context.now),
     maxRunMs: core.getPolicy().maxRunMs
   })
 }
--- a/wire/messages/src/index.ts
+++ b/wire/messages/src/index.ts
@@ -5,6 +5,7 @@
 import type { GrantMessage, LeaseMessage, LoadBudgetMessage, MembershipMessage, OwnershipMessage } from './zone.ts'
 
 export * from './commands.ts'
+export * from './compactForm.ts'
 export * from './consensus.ts'
 export * from './settings.ts'
 export * from './stateMachine.ts'
--- a/wire/messages/src/zone.ts
+++ b/wire/messages/src/zone.ts
@@ -1,5 +1,5 @@
 /** Messages inside a zone and between zones: leases, ownership, grants, membership, load budget. */
-import type { AdapterKey, AttemptId, DurationMs, EndpointId, EndpointRow, HostId, RequestId, ServiceClass, ZoneId } from '@catkinferry/core.types'
+import type { AdapterKey, AttemptId, DurationMs, EndpointId, EndpointRow, HostId, ServiceClass, ZoneId } from '@catkinferry/core.types'
 
 export type LeaseMessage =
   /** Asks a lease voter for the zone lease. `askId` is echoed so that the holder counts from when it asked. */
@@ -70,10 +70,10 @@
 }
 
 export type GrantMessage =
-  /** Entry host to owner: the right to use an adapter's slot. Without `endpoint`, a contact in another zone chooses. */
-  | { readonly kind: 'grant.ask', readonly attemptId: AttemptId, readonly requestId: RequestId, readonly origin: HostId, readonly endpoint?: EndpointId, readonly pool: string, readonly adapterKey: AdapterKey, readonly serviceClass: ServiceClass, readonly remainingMs: DurationMs, readonly maxRunMs: DurationMs }
-  /** `heldMs`: how long the owner held the ask. The grant may start until `askedAt + heldMs + startWithinMs` on the asker's clock. */
-  | { readonly kind: 'grant.given', readonly attemptId: AttemptId, readonly endpoint: EndpointId, readonly url: string, readonly fencing: number, readonly heldMs: DurationMs, readonly startWithinMs: DurationMs, readonly loadStallMs: DurationMs }
+  /** Entry host to owner: the right to use an adapter's slot. Without `endpoint`, a contact in another zone chooses one of `pool`. `origin` is absent where it is the sender. Whole milliseconds. */
+  | { readonly kind: 'grant.ask', readonly attemptId: AttemptId, readonly origin?: HostId, readonly endpoint?: EndpointId, readonly pool?: string, readonly adapterKey: AdapterKey, readonly serviceClass: ServiceClass, readonly remainingMs: DurationMs, readonly maxRunMs: DurationMs }
+  /** `heldMs`: how long the owner held the ask. The grant may start until `askedAt + heldMs + startWithinMs` on the asker's clock. `url` is absent for hosts of the owner's zone. */
+  | { readonly kind: 'grant.given', readonly attemptId: AttemptId, readonly endpoint: EndpointId, readonly url?: string, readonly fencing: number, readonly heldMs: DurationMs, readonly startWithinMs: DurationMs, readonly loadStallMs: DurationMs }
   | { readonly kind: 'grant.refused', readonly attemptId: AttemptId, readonly endpoint?: EndpointId, readonly reason: GrantRefusal, readonly owner?: HostId, readonly retryAfterMs?: DurationMs }
   /** The attempt ended, never started, or is no longer wanted. */
   | { readonly kind: 'grant.release', readonly attemptId: AttemptId, readonly endpoint: EndpointId, readonly ran: boolean, readonly runMs: DurationMs }
--- a/wire/peer-links/src/incomingLinks.ts
+++ b/wire/peer-links/src/incomingLinks.ts
@@ -7,6 +7,7 @@
 import type { HostId, MonotonicMs } from '@catkinferry/core.types'
 import { createFrameReader, encodeFrame } from '@catkinferry/wire.frames'
 import type { FrameReader } from '@catkinferry/wire.frames'
+import { decodeCompact } from '@catkinferry/wire.messages'
 import type { PeerMessage } from '@catkinferry/wire.messages'
 import { isCertifiedFor } from './certificates.ts'
 import type { CertificateStore } from './certificates.ts'
@@ -100,7 +101,7 @@
     }
     for (const value of read.value) {
       if (incoming.socket.destroyed) return
-      receiveValue(incoming, value)
+      receiveValue(incoming, decodeCompact(value))
     }
   }
 
--- a/wire/peer-links/src/peerLinks.ts
+++ b/wire/peer-links/src/peerLinks.ts
@@ -5,6 +5,7 @@
 import type { Logger } from '@catkinferry/core.logger'
 import type { HostId } from '@catkinferry/core.types'
 import { encodeFrame } from '@catkinferry/wire.frames'
+import { encodeCompact } from '@catkinferry/wire.messages'
 import type { PeerMessage } from '@catkinferry/wire.messages'
 import { createCertificateStore } from './certificates.ts'
 import type { TlsFiles } from './certificates.ts'
@@ -107,7 +108,7 @@
     send: (to, message) => {
       const entry = links.get(to)
       if (entry === undefined) return false
-      const frame = encodeFrame(message)
+      const frame = encodeFrame(encodeCompact(message))
       if (!frame.ok) {
         opts.logger.error(frame.failure.message, { step: 'frame', peer: to, kind: message.kind })
         return false
--- a/zone/coordination/src/messageHandlers.ts
+++ b/zone/coordination/src/messageHandlers.ts
@@ -2,13 +2,13 @@
 import type { EndpointRow, HostId } from '@catkinferry/core.types'
 import type { RunContext } from '@catkinferry/host.events'
 import type { GrantMessage, MembershipMessage, OwnershipMessage } from '@catkinferry/wire.messages'
+import type { GrantAsk } from '@catkinferry/zone.grants'
 import type { ZoneMessage } from './createZoneCoordination.ts'
 import { HOLDER_SILENCE_MS } from './zoneParts.ts'
 import type { ZoneParts } from './zoneParts.ts'
 
 type MessageOf<Kind extends ZoneMessage['kind']> = Extract<ZoneMessage, { kind: Kind }>
 type Handlers = { readonly [Kind in ZoneMessage['kind']]: (from: HostId, message: MessageOf<Kind>, context: RunContext) => void }
-type GrantAsk = Extract<GrantMessage, { kind: 'grant.ask' }>
 type GrantCancel = Extract<GrantMessage, { kind: 'grant.cancel' }>
 type OwnerAssign = Extract<OwnershipMessage, { kind: 'owner.assign' }>
 type MemberView = Extract<MembershipMessage, { kind: 'member.view' }>
@@ -76,7 +76,7 @@
 function handOnAsk (parts: ZoneParts, ask: GrantAsk, context: RunContext): void {
   const { crossZone, table } = parts
   const known = crossZone.get(ask.attemptId)
-  const view = known === undefined ? crossZone.choose({ views: table.listViews(ask.pool), adapterKey: ask.adapterKey }) : undefined
+  const view = known === undefined ? crossZone.choose({ views: table.listViews(ask.pool ?? ''), adapterKey: ask.adapterKey }) : undefined
   const target = known ?? (view?.owner === undefined ? undefined : { endpoint: view.endpoint, owner: view.owner })
   if (target === undefined) {
     context.send(ask.origin, { kind: 'grant.refused', attemptId: ask.attemptId, reason: 'full', retryAfterMs: RETRY_NO_CAPACITY_MS })
@@ -151,7 +151,8 @@
     },
     'budget.given': (_from, given, context) => grants.receiveBudgetGiven(given, context),
     'budget.done': (from, done, context) => holder.budget.receiveDone(from, done, context),
-    'grant.ask': (_from, ask, context) => {
+    'grant.ask': (from, message, context) => {
+      const ask = { ...message, origin: message.origin ?? from }
       if (ask.endpoint === undefined) handOnAsk(parts, ask, context)
       else grants.receiveAsk(ask, ask.endpoint, context)
     },
--- a/zone/coordination/test/zonePump.ts
+++ b/zone/coordination/test/zonePump.ts
@@ -264,7 +264,7 @@
     attempts.set(attemptId, { ...plan, host, adapterKey, askedAt: now, maxRunMs })
     const owner = request.to ?? (endpoint === undefined ? undefined : hosts.get(host)?.coordination.view.getEndpoint(endpoint)?.owner)
     if (owner === undefined) return
-    send(host, owner, { kind: 'grant.ask', attemptId, requestId: attemptId, origin: host, endpoint, pool: 'p', adapterKey, serviceClass: request.serviceClass ?? 'standard', remainingMs: request.remainingMs ?? 30_000, maxRunMs })
+    send(host, owner, { kind: 'grant.ask', attemptId, endpoint, pool: endpoint === undefined ? 'p' : undefined, adapterKey, serviceClass: request.serviceClass ?? 'standard', remainingMs: request.remainingMs ?? 30_000, maxRunMs })
   }
 
   function stopHost (row: PumpHost): void {
--- a/zone/grants/src/asks.ts
+++ b/zone/grants/src/asks.ts
@@ -10,7 +10,8 @@
 import type { GrantsCore } from './grantsCore.ts'
 import { MAX_SEND_MS } from './inventory.ts'
 
-export type GrantAsk = Extract<GrantMessage, { kind: 'grant.ask' }>
+/** An ask whose sender is named. */
+export type GrantAsk = Extract<GrantMessage, { kind: 'grant.ask' }> & { readonly origin: HostId }
 export type GrantRelease = Extract<GrantMessage, { kind: 'grant.release' }>
 export type GrantCancel = Extract<GrantMessage, { kind: 'grant.cancel' }>
 export type GrantActive = Extract<GrantMessage, { kind: 'grant.active' }>
--- a/zone/grants/src/granting.ts
+++ b/zone/grants/src/granting.ts
@@ -39,7 +39,17 @@
 /** Sends a grant. The time to start is counted from now on; `heldMs` is zero when an ask is answered again. */
 export function sendGiven (core: GrantsCore, state: EndpointState, pin: Pin, opts: { readonly heldMs: DurationMs, readonly startWithinMs: DurationMs, readonly loadStallMs: DurationMs }, context: RunContext): void {
   const { row, fencing } = state.owned
-  context.send(pin.origin, { kind: 'grant.given', attemptId: pin.attemptId, endpoint: row.endpoint, url: row.url, fencing, ...opts })
+  const isNear = core.opts.zoneHosts.includes(pin.origin)
+  context.send(pin.origin, {
+    kind: 'grant.given',
+    attemptId: pin.attemptId,
+    endpoint: row.endpoint,
+    ...(isNear ? {} : { url: row.url }),
+    fencing,
+    heldMs: Math.floor(opts.heldMs),
+    startWithinMs: Math.floor(opts.startWithinMs),
+    loadStallMs: Math.round(opts.loadStallMs)
+  })
 }
 
 function give (core: GrantsCore, state: EndpointState, ask: WaitingAsk, startWithinMs: DurationMs, context: RunContext): void {
