--- a/cli/main/src/commands/fleetCommands.ts
+++ b/cli/main/src/commands/fleetCommands.ts
@@ -52,13 +52,13 @@
     description: 'the host that is asked: health, revision, links, running requests',
     run: async context => await context.client.ask({ kind: 'status' })
   },
-  'endpoints list': {
-    usage: 'endpoints list',
+  endpoints: {
+    usage: 'endpoints',
     description: 'the endpoints of the zone with owner, load and residency',
     run: async context => await context.client.ask({ kind: 'endpoints.list' })
   },
-  'zones list': {
-    usage: 'zones list',
+  zones: {
+    usage: 'zones',
     description: 'the zones as this host knows them',
     run: async context => await context.client.ask({ kind: 'zones.list' })
   },
--- a/cli/main/src/dev.ts
+++ b/cli/main/src/dev.ts
@@ -129,7 +129,7 @@
     `  curl -N ${callerUrl}/v1/completions -d '{"model":"${ADAPTER}","prompt":"hello","stream":true}'`,
     `  curl ${callerUrl}/v1/models`,
     `  node cli/main/dist/catkinferry.js --url ${operatorUrl} status`,
-    `  node cli/main/dist/catkinferry.js --url ${operatorUrl} endpoints list`,
+    `  node cli/main/dist/catkinferry.js --url ${operatorUrl} endpoints`,
     `  node cli/main/dist/catkinferry.js --url ${operatorUrl} settings get fleet --effective --explain`
   ]
 }
--- /dev/null
+++ b/cli/main/src/flags.ts
@@ -0,0 +1,30 @@
+/** Flags of the command line, as meow takes them. */
+
+export const CLI_FLAGS = {
+  url: { type: 'string' },
+  tokenFile: { type: 'string' },
+  json: { type: 'boolean' },
+  effective: { type: 'boolean' },
+  explain: { type: 'boolean' },
+  fresh: { type: 'boolean' },
+  dryRun: { type: 'boolean' },
+  follow: { type: 'boolean' },
+  export: { type: 'boolean' },
+  once: { type: 'boolean' },
+  expect: { type: 'number' },
+  limit: { type: 'number' },
+  after: { type: 'string' },
+  changeId: { type: 'string' },
+  file: { type: 'string', shortFlag: 'f' },
+  path: { type: 'string' },
+  who: { type: 'string' },
+  state: { type: 'string' },
+  as: { type: 'string' },
+  note: { type: 'string' },
+  add: { type: 'string' },
+  remove: { type: 'string' },
+  weightsUri: { type: 'string' },
+  digest: { type: 'string' },
+  role: { type: 'string' },
+  timeoutMs: { type: 'number' }
+} as const
--- a/cli/main/src/index.ts
+++ b/cli/main/src/index.ts
@@ -2,4 +2,5 @@
 export * from './commands/index.ts'
 export * from './dev.ts'
 export * from './exitCode.ts'
+export * from './flags.ts'
 export * from './runCli.ts'
--- a/cli/main/src/main.ts
+++ b/cli/main/src/main.ts
@@ -5,6 +5,7 @@
 import { commands } from './commands/index.ts'
 import { runDev } from './dev.ts'
 import { ExitCode } from './exitCode.ts'
+import { CLI_FLAGS } from './flags.ts'
 import { readToken, runCli } from './runCli.ts'
 
 const DEFAULT_URL = 'http://127.0.0.1:8081'
@@ -23,34 +24,7 @@
 `, {
   importMeta: import.meta,
   allowUnknownFlags: false,
-  flags: {
-    url: { type: 'string' },
-    tokenFile: { type: 'string' },
-    json: { type: 'boolean' },
-    effective: { type: 'boolean' },
-    explain: { type: 'boolean' },
-    fresh: { type: 'boolean' },
-    dryRun: { type: 'boolean' },
-    follow: { type: 'boolean' },
-    export: { type: 'boolean' },
-    once: { type: 'boolean' },
-    expect: { type: 'number' },
-    limit: { type: 'number' },
-    after: { type: 'string' },
-    changeId: { type: 'string' },
-    file: { type: 'string', shortFlag: 'f' },
-    path: { type: 'string' },
-    who: { type: 'string' },
-    state: { type: 'string' },
-    as: { type: 'string' },
-    note: { type: 'string' },
-    add: { type: 'string' },
-    remove: { type: 'string' },
-    weightsUri: { type: 'string' },
-    digest: { type: 'string' },
-    role: { type: 'string' },
-    timeoutMs: { type: 'number' }
-  }
+  flags: CLI_FLAGS
 })
 
 function printError (line: string): void {
--- a/cli/main/test/runCli.test.ts
+++ b/cli/main/test/runCli.test.ts
@@ -93,8 +93,8 @@
 
   it('prints tables for people and JSON for programs', async () => {
     replies['endpoints.list'] = { ok: true, body: [{ endpoint: 'e1', running: 2 }, { endpoint: 'engine-2', running: 0 }] }
-    await run('endpoints list')
-    await run('endpoints list', { json: true })
+    await run('endpoints')
+    await run('endpoints', { json: true })
     expect(out).toEqual(['endpoint  running\ne1        2\nengine-2  0', '[{"endpoint":"e1","running":2},{"endpoint":"engine-2","running":0}]'])
   })
 
--- a/core/metrics/src/metricNames.ts
+++ b/core/metrics/src/metricNames.ts
@@ -6,7 +6,7 @@
   readonly description: string
 }
 
-/** Metrics of the shells; the systems' own are listed in `docs/operators/metrics-and-logs.md` beside them. */
+/** By name; `docs/operators/metrics-and-logs.md` has the same list. */
 export const METRIC_DESCRIPTIONS: Readonly<Record<string, MetricDescription>> = {
   'caller.requests': { type: 'count', unit: 'requests', description: 'Answers to callers, by `status`' },
   'caller.request_ms': { type: 'timing', unit: 'ms', description: 'Time from a request\'s arrival to the end of its answer' },
@@ -17,8 +17,18 @@
   'attempt.started': { type: 'count', unit: 'attempts', description: 'Dispatches whose answer began' },
   'attempt.failed': { type: 'count', unit: 'attempts', description: 'Failed dispatches, by `sent`' },
   'order.result': { type: 'count', unit: 'orders', description: 'Orders to engines, by `outcome`' },
-  'loop.run_ms': { type: 'timing', unit: 'ms', description: 'Time that one run of the host core took' },
-  'loop.pauses': { type: 'count', unit: 'pauses', description: 'Pauses of the process beyond the threshold' },
+  'loop.run_ms': { type: 'timing', unit: 'ms', description: 'Time of a turn of the loop, where it is over 5 ms' },
+  'host.pause_ms': { type: 'timing', unit: 'ms', description: 'Pauses of the process beyond the threshold, after which leases and grants count as expired' },
+  'requests.totalMs': { type: 'timing', unit: 'ms', description: 'Time from admission to the end of an answer, by `class`' },
+  'requests.refused': { type: 'count', unit: 'requests', description: 'Requests refused on arrival, by `code`' },
+  'requests.failed': { type: 'count', unit: 'requests', description: 'Admitted requests that failed, by `code` and `ran`' },
+  'requests.spilled': { type: 'count', unit: 'requests', description: 'Requests sent to another zone, by `zone`' },
+  'grants.refused': { type: 'count', unit: 'grants', description: 'Grants that an owner refused, by `reason`' },
+  'answers.dropped': { type: 'count', unit: 'answers', description: 'Answers dropped for a wrong attempt, adapter or version, by `reason`' },
+  'settings.longLinkBytes': { type: 'count', unit: 'bytes', description: 'Settings sent to other regions' },
+  'voter.leader': { type: 'gauge', unit: '0 or 1', description: '1 while this host leads the voters' },
+  'platform.unreachable': { type: 'count', unit: 'polls', description: 'Polls of the platform list that failed' },
+  'peer.unknown_message': { type: 'count', unit: 'messages', description: 'Messages of a kind that this version does not know' },
   'peer.links': { type: 'gauge', unit: 'links', description: 'Peer links that are up' },
   'process.heap_mb': { type: 'gauge', unit: 'MB', description: 'Heap in use' }
 }
--- a/daemon/main/src/daemon.ts
+++ b/daemon/main/src/daemon.ts
@@ -54,6 +54,9 @@
   readonly stopped: Promise<void>
 }
 
+const HEAP_REPORT_INTERVAL_MS = 10_000
+const BYTES_PER_MB = 2 ** 20
+
 interface Gates {
   readonly emit: (event: HostEvent) => void
   readonly stop: () => void
@@ -106,6 +109,13 @@
   }
 }
 
+/** Reports the heap in use until disposed of. */
+function startHeapReports (metrics: Metrics): () => void {
+  const timer = setInterval(() => metrics.gauge('process.heap_mb', process.memoryUsage().heapUsed / BYTES_PER_MB), HEAP_REPORT_INTERVAL_MS)
+  timer.unref()
+  return () => clearInterval(timer)
+}
+
 async function closeAll (listeners: readonly Listener[], store: DisposableStore): Promise<void> {
   await Promise.all(listeners.map(async listener => { await listener.close() }))
   await store.dispose()
@@ -145,6 +155,7 @@
   const operator = await openListener(config.listen.operator, operatorApi.handle)
   listeners.push(operator)
   shell.start()
+  store.add(startHeapReports(metrics))
   logger.info('serving', { step: 'start', callerUrl: caller.url, operatorUrl: operator.url })
   return {
     callerUrl: caller.url,
