Measure commit and dissemination over real TCP and files

Change: the experiment 'settings': 3 voters and 8 hosts with their own peer links and data folders, 50 changes a second, disk times beside.

--- a/testing/measure/src/experiments/index.ts
+++ b/testing/measure/src/experiments/index.ts
@@ -5,11 +5,13 @@
 import { dissemination } from './dissemination.ts'
 import { memory } from './memory.ts'
 import { policyExperiment } from './policy.ts'
+import { settings } from './settings.ts'
 
 export const experiments: Readonly<Record<string, Experiment>> = {
   relay,
   core,
   dissemination,
   memory,
-  policy: policyExperiment
+  policy: policyExperiment,
+  settings
 }
