--- a/daemon/config/test/loadConfig.test.ts
+++ b/daemon/config/test/loadConfig.test.ts
@@ -17,7 +17,7 @@
 }
 
 function loadAll (deployment: string): Config[] {
-  const files = readdirSync(join(EXAMPLES, deployment)).filter(name => name !== 'shared.yaml' && name.endsWith('.yaml'))
+  const files = readdirSync(join(EXAMPLES, deployment)).filter(name => name !== 'shared.yaml' && name !== 'settings.yaml' && name.endsWith('.yaml'))
   return files.map(name => {
     const result = loadConfig(join(EXAMPLES, deployment, name))
     if (!result.ok) throw new Error(JSON.stringify(result.problems))
--- a/daemon/main/src/daemon.ts
+++ b/daemon/main/src/daemon.ts
@@ -121,6 +121,23 @@
   await store.dispose()
 }
 
+interface OpenListenersOptions {
+  readonly config: Config
+  readonly callerApi: CallerApi
+  readonly operatorApi: OperatorApi
+  /** Takes each listener as soon as it is open. */
+  readonly listeners: Listener[]
+}
+
+async function openListeners (opts: OpenListenersOptions): Promise<readonly [Listener, Listener]> {
+  const { config, listeners } = opts
+  const caller = await openListener(config.listen.caller, opts.callerApi.handle)
+  listeners.push(caller)
+  const operator = await openListener(config.listen.operator, opts.operatorApi.handle)
+  listeners.push(operator)
+  return [caller, operator]
+}
+
 /** Starts a host. Rejects when a listener cannot be opened. */
 export async function startDaemon (opts: DaemonOptions): Promise<Daemon> {
   const { config, clock, logger, metrics, host } = opts
@@ -150,17 +167,20 @@
   store.add(links.close)
   const handlers = createOutputHandlers({ logger, metrics, links, disk: opts.disk, drivers, attempts, callerApi, operatorApi, emit: gates.emit, onStopped: gates.stop })
   const shell = createShell({ host, clock, logger, metrics, handlers, onTurnEnd: callerApi.flush, onCrash: gates.fail })
-  const caller = await openListener(config.listen.caller, callerApi.handle)
-  listeners.push(caller)
-  const operator = await openListener(config.listen.operator, operatorApi.handle)
-  listeners.push(operator)
+  const [caller, operator] = await openListeners({ config, callerApi, operatorApi, listeners }).catch(async error => {
+    await closeAll(listeners, store)
+    throw error
+  })
   shell.start()
   store.add(startHeapReports(metrics))
   logger.info('serving', { step: 'start', callerUrl: caller.url, operatorUrl: operator.url })
   return {
     callerUrl: caller.url,
     operatorUrl: operator.url,
-    stop: () => { shell.emit({ kind: 'host.stop' }) },
+    stop: () => {
+      logger.info('stopping gracefully', { step: 'stop' })
+      shell.emit({ kind: 'host.stop' })
+    },
     cut: () => {
       for (const listener of listeners) listener.cut()
       gates.stop()
--- a/daemon/main/test/daemon.test.ts
+++ b/daemon/main/test/daemon.test.ts
@@ -83,6 +83,16 @@
     expect(lines.some(line => line.includes('"message":"serving"'))).toEqual(true)
   })
 
+  it('releases everything when a listener cannot be opened', async () => {
+    const taken = { ...CONFIG, listen: { ...CONFIG.listen, operator: daemon.operatorUrl.slice('http://'.length) } }
+    let closed = 0
+    const links = { ...NO_LINKS, close: async () => { closed += 1 } }
+    const logger = createLogger({ level: 'error', write: () => undefined })
+    const metrics = createMetrics({ prefix: '', onError: () => undefined })
+    await expect(startDaemon({ config: taken, clock: createSystemClock(), logger, metrics, host, openLinks: async () => links })).toBeRejectedWith('EADDRINUSE')
+    expect(closed).toEqual(1)
+  })
+
   it('stops by itself when the core throws', async () => {
     daemon.cut()
     await daemon.stopped
--- a/daemon/main/test/threeHosts.test.ts
+++ b/daemon/main/test/threeHosts.test.ts
@@ -122,7 +122,7 @@
     const statuses = answers.map(({ status }) => status)
     expect(statuses.filter(status => status === 200).length).toEqual(3)
     expect(new Set(await Promise.all(answers.map(async answer => await answer.text()))).size).toEqual(1)
-    expect([...service.runs.values()]).toEqual([1])
+    expect([...service.runs]).toEqual([[headers['idempotency-key'], 1]])
   })
 
   it('goes on serving and accepting changes when one host stops, which cuts nothing', async () => {
--- a/endpoints/service-driver/src/serviceDriver.ts
+++ b/endpoints/service-driver/src/serviceDriver.ts
@@ -13,8 +13,7 @@
 }
 
 export interface ServiceDriver {
-  /** `idempotencyKey` goes to the service as the `idempotency-key` header. */
-  readonly startAttempt: (start: AttemptStart, idempotencyKey?: string) => void
+  readonly startAttempt: (start: AttemptStart) => void
   /** The attempt gives no more events. */
   readonly cancelAttempt: (attemptId: AttemptId) => void
   readonly setAttemptPaused: (attemptId: AttemptId, paused: boolean) => void
@@ -24,10 +23,10 @@
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024
 const TOO_MANY_REQUESTS = 429
 
-function buildHeaders (start: AttemptStart, work: ServiceWork, idempotencyKey: string | undefined): Record<string, string> {
+function buildHeaders (start: AttemptStart, work: ServiceWork): Record<string, string> {
   const headers: Record<string, string> = { 'x-catkinferry-attempt': start.attemptId }
   if (work.contentType !== undefined) headers['content-type'] = work.contentType
-  if (idempotencyKey !== undefined) headers['idempotency-key'] = idempotencyKey
+  if (start.claimKey !== undefined) headers['idempotency-key'] = start.claimKey
   return headers
 }
 
@@ -38,7 +37,6 @@
 
 interface ServiceAttemptOptions extends ServiceDriverOptions {
   readonly start: AttemptStart
-  readonly idempotencyKey: string | undefined
   readonly table: Connections
   readonly onDone: () => void
 }
@@ -95,7 +93,7 @@
     clock,
     method: work.method,
     path: work.path,
-    headers: buildHeaders(start, work, opts.idempotencyKey),
+    headers: buildHeaders(start, work),
     body: work.body === '' ? undefined : work.body,
     sendBeforeMs: start.sendBeforeMs,
     endBeforeMs: start.endBeforeMs,
@@ -115,8 +113,8 @@
   const table = createConnections(opts.connections)
   const attempts = createAttemptTable()
   return {
-    startAttempt: (start, idempotencyKey) => {
-      const call = startServiceAttempt({ ...opts, start, idempotencyKey, table, onDone: () => attempts.remove(start.attemptId) })
+    startAttempt: start => {
+      const call = startServiceAttempt({ ...opts, start, table, onDone: () => attempts.remove(start.attemptId) })
       attempts.put(start.attemptId, call)
     },
     cancelAttempt: attemptId => { attempts.cancel(attemptId) },
--- a/endpoints/service-driver/test/serviceDriver.test.ts
+++ b/endpoints/service-driver/test/serviceDriver.test.ts
@@ -29,12 +29,13 @@
     url: url ?? service.url,
     work: { kind: 'service', route: 'filings', method: 'POST', path: '/file?x=1', body: '{"boat":1}', contentType: 'application/json' },
     serviceClass: 'standard',
+    claimKey: 'key-1',
     freshConnection: true,
     sendBeforeMs: limit,
     endBeforeMs: limit,
     progressTimeoutMs: 1_000
   }
-  driver.startAttempt(start, 'key-1')
+  driver.startAttempt(start)
   await done
   await driver.close()
   await service.close()
--- a/host/events/src/outputs.ts
+++ b/host/events/src/outputs.ts
@@ -2,7 +2,7 @@
 import type { Failure } from '@catkinferry/core.errors'
 import type { DiskRequest, PeerMessage } from '@catkinferry/wire.messages'
 import type {
-  AdapterWork, AnswerFacts, AttemptId, EndpointId, HostId, MonotonicMs, OperatorReply, Order, OrderId, RequestFailure, RequestId,
+  AdapterWork, AnswerFacts, AttemptId, ClaimKey, EndpointId, HostId, MonotonicMs, OperatorReply, Order, OrderId, RequestFailure, RequestId,
   ServiceClass, ServiceWork
 } from '@catkinferry/core.types'
 
@@ -47,6 +47,8 @@
   readonly url: string
   readonly work: AdapterWork | ServiceWork
   readonly serviceClass: ServiceClass
+  /** Handed to plain services as the `idempotency-key` header. */
+  readonly claimKey?: ClaimKey
   readonly freshConnection: boolean
   /** Resume the stream from this chunk. */
   readonly resumeFrom?: number
--- a/routing/requests/src/dispatch.ts
+++ b/routing/requests/src/dispatch.ts
@@ -47,6 +47,7 @@
     url: attempt.url,
     work: row.target.version !== undefined && work.kind === 'adapter' ? { ...work, version: row.target.version } : work,
     serviceClass,
+    claimKey: row.claim?.claimKey,
     freshConnection: isRetry || row.claim !== undefined,
     resumeFrom: attempt.resumeFrom,
     sendBeforeMs: opts.sendBeforeMs,
