Route plain services by their settings and bound what a host keeps

Cause: the route's pool, repeatability and concurrency in the settings were not read; the queue limit held for each pool alone; what was learnt of endpoints that are gone was kept for ever. Change: service.routes gives pool and concurrency, and a route that it marks as not idempotent takes a claim whatever the submission says; the queues of a host share queue.limit; health, asks and prefixes are kept for 4,096 endpoints. Conclusion: services obey their settings.

--- a/routing/requests/src/core.ts
+++ b/routing/requests/src/core.ts
@@ -22,7 +22,9 @@
 
 /** Asks and running requests that one host may have at an endpoint, as a multiple of its batch limit. */
 const IN_FLIGHT_PER_BATCH = 2
-/** In place of a batch limit for plain services. */
+/** Endpoints of which this host keeps what it has learnt. */
+const MAX_KNOWN_ENDPOINTS = 4_096
+/** In place of a batch limit for plain services whose route sets none. */
 const SERVICE_CONCURRENCY = 64
 
 /** This host's experience with one endpoint. */
@@ -59,31 +61,41 @@
   lastPollAt: MonotonicMs
 }
 
-function getCeiling (endpoint: EndpointView): number {
-  return endpoint.kind === 'service' ? SERVICE_CONCURRENCY : Math.max(1, endpoint.batchLimit) * IN_FLIGHT_PER_BATCH
+function getCeiling (endpoint: EndpointView, serviceConcurrency?: number): number {
+  return endpoint.kind === 'service' ? serviceConcurrency ?? SERVICE_CONCURRENCY : Math.max(1, endpoint.batchLimit) * IN_FLIGHT_PER_BATCH
+}
+
+/** Forgets endpoints that this host has nothing under way at, the longest known first. */
+function dropOldHealth (health: Map<EndpointId, EndpointHealth>): void {
+  for (const [endpoint, { inFlight }] of health) {
+    if (health.size < MAX_KNOWN_ENDPOINTS) return
+    if (inFlight === 0) health.delete(endpoint)
+  }
 }
 
 /** Finds or creates the health of an endpoint. */
-export function getHealth (health: Map<EndpointId, EndpointHealth>, endpoint: EndpointId, view?: EndpointView): EndpointHealth {
+export function getHealth (health: Map<EndpointId, EndpointHealth>, endpoint: EndpointId, view?: EndpointView, serviceConcurrency?: number): EndpointHealth {
   let known = health.get(endpoint)
   if (known === undefined) {
-    known = { breaker: createBreaker(), limit: createAdaptiveLimit(view === undefined ? SERVICE_CONCURRENCY : getCeiling(view)), inFlight: 0 }
+    dropOldHealth(health)
+    known = { breaker: createBreaker(), limit: createAdaptiveLimit(view === undefined ? SERVICE_CONCURRENCY : getCeiling(view, serviceConcurrency)), inFlight: 0 }
     health.set(endpoint, known)
   }
-  if (view !== undefined) known.limit.setCeiling(getCeiling(view))
+  if (view !== undefined) known.limit.setCeiling(getCeiling(view, serviceConcurrency))
   return known
 }
 
 /** Creates the empty tables. */
 export function createCore (opts: RequestsOptions): Core {
   const health = new Map<EndpointId, EndpointHealth>()
+  const getPolicy = createPolicyReader(opts.settings, opts.fleetPath)
   const isAllowed = (endpoint: EndpointView, now: MonotonicMs): boolean => {
-    const { breaker, limit, inFlight } = getHealth(health, endpoint.endpoint, endpoint)
+    const { breaker, limit, inFlight } = getHealth(health, endpoint.endpoint, endpoint, getPolicy().serviceConcurrency.get(endpoint.pool))
     return inFlight < limit.getLimit() && breaker.isAllowed(now)
   }
   return {
     opts,
-    getPolicy: createPolicyReader(opts.settings, opts.fleetPath),
+    getPolicy,
     requests: new Map(),
     attempts: new Map(),
     dispatched: new Map(),
@@ -113,3 +125,10 @@
   core.queues.set(pool, queue)
   return queue
 }
+
+/** Counts the requests that wait in the queues of other pools. */
+export function countQueuedElsewhere (core: Core, pool: string): number {
+  let count = 0
+  for (const [other, queue] of core.queues) if (other !== pool) count += queue.getSize()
+  return count
+}
--- a/routing/requests/src/placing.ts
+++ b/routing/requests/src/placing.ts
@@ -5,7 +5,7 @@
 import type { CostParts, RouteChoice } from '@catkinferry/routing.router'
 import { addAttempt, buildGrantId } from './attemptRows.ts'
 import type { Core } from './core.ts'
-import { getHealth, getQueue } from './core.ts'
+import { countQueuedElsewhere, getHealth, getQueue } from './core.ts'
 import { dispatchAttempt } from './dispatch.ts'
 import { failRequest } from './failing.ts'
 import type { AttemptRow, RequestRow } from './types.ts'
@@ -31,7 +31,9 @@
   const queue = getQueue(core, row.target.pool)
   core.dirtyPools.add(row.target.pool)
   if (queue.has(requestId)) return
-  const added = queue.add({ requestId, serviceClass, deadlineAt: row.deadlineAt }, context.now, core.getPolicy().queue)
+  const limits = core.getPolicy().queue
+  const limit = Math.max(1, limits.limit - countQueuedElsewhere(core, row.target.pool))
+  const added = queue.add({ requestId, serviceClass, deadlineAt: row.deadlineAt }, context.now, { ...limits, limit })
   const loser = added.added ? core.requests.get(added.displaced ?? '') : row
   if (loser === undefined) return
   failRequest(core, loser, {
--- a/routing/requests/src/policy.ts
+++ b/routing/requests/src/policy.ts
@@ -6,6 +6,14 @@
 import type { QueueLimits } from '@catkinferry/routing.queues'
 import type { RouterWeights } from '@catkinferry/routing.router'
 
+/** A plain service route as the settings name it. */
+export interface ServiceRoutePolicy {
+  readonly pool: string
+  readonly idempotent: boolean
+  /** Calls of one host at one endpoint. */
+  readonly concurrency?: number
+}
+
 export interface Policy {
   readonly caller: CallerLimits
   readonly queue: QueueLimits
@@ -20,10 +28,22 @@
   readonly progressTimeoutMs: DurationMs
   readonly resumeEnabled: boolean
   readonly retentionMs: DurationMs
+  readonly serviceRoutes: Readonly<Record<string, ServiceRoutePolicy>>
+  /** Concurrency by pool of plain services, where it is set. */
+  readonly serviceConcurrency: ReadonlyMap<string, number>
+}
+
+function listConcurrency (routes: Policy['serviceRoutes']): Map<string, number> {
+  const limits = new Map<string, number>()
+  for (const { pool, concurrency } of Object.values(routes)) {
+    if (concurrency !== undefined) limits.set(pool, Math.min(concurrency, limits.get(pool) ?? Infinity))
+  }
+  return limits
 }
 
 function readPolicy (settings: SettingsView, path: NodePath): Policy {
   const get = <T>(key: string): T => settings.getValue<T>(path, key)
+  const serviceRoutes = get<Policy['serviceRoutes'] | undefined>('service.routes') ?? {}
   return {
     caller: {
       requestsPerSecond: get('caller.requestsPerSecond'),
@@ -59,7 +79,9 @@
     maxRunMs: get('request.maxRunMs'),
     progressTimeoutMs: get('stream.progressTimeoutMs'),
     resumeEnabled: get('stream.resumeEnabled'),
-    retentionMs: get('ledger.retentionMs')
+    retentionMs: get('ledger.retentionMs'),
+    serviceRoutes,
+    serviceConcurrency: listConcurrency(serviceRoutes)
   }
 }
 
--- a/routing/requests/src/submit.ts
+++ b/routing/requests/src/submit.ts
@@ -21,7 +21,10 @@
 
 function resolveTarget (core: Core, request: CallerRequest): RequestTarget | undefined {
   const { work } = request
-  if (work.kind === 'service') return { kind: 'service', pool: work.route, adapterKey: work.route }
+  if (work.kind === 'service') {
+    const pool = core.getPolicy().serviceRoutes[work.route]?.pool ?? work.route
+    return { kind: 'service', pool, adapterKey: work.route }
+  }
   const resolved: ResolvedAdapter | undefined = core.opts.settings.resolveAdapter(work.adapter, work.version)
   if (resolved === undefined) return undefined
   const { pool, adapterKey, adapter, version, model } = resolved
@@ -52,6 +55,13 @@
   return { code: ErrorCode.OVER_LIMIT, message: `the caller's limit on ${reason} is reached`, step: 'admission', retryAfterMs }
 }
 
+/** Calls of a route that the settings mark as not idempotent take a claim, whatever the submission says. */
+function isRepeatable (core: Core, request: CallerRequest): boolean {
+  const { work, idempotent } = request
+  if (work.kind !== 'service') return idempotent
+  return idempotent && core.getPolicy().serviceRoutes[work.route]?.idempotent !== false
+}
+
 function createRow (request: CallerRequest, target: RequestTarget, claim: RequestClaim | undefined, context: RunContext): RequestRow {
   return {
     request,
@@ -107,7 +117,7 @@
 function admitRequest (core: Core, request: CallerRequest, target: RequestTarget, context: RunContext): void {
   const { requestId, caller, serviceClass, deadlineMs } = request
   const { retentionMs } = core.getPolicy()
-  const claimed = request.idempotent ? undefined : createClaim({ request, wallNow: context.wallNow, random: core.opts.random, retentionMs })
+  const claimed = isRepeatable(core, request) ? undefined : createClaim({ request, wallNow: context.wallNow, random: core.opts.random, retentionMs })
   if (claimed?.ok === false) {
     core.admission.release(caller)
     refuseArrival(core, requestId, { code: claimed.code, message: claimed.message, hint: claimed.hint, step: 'claim', ran: 'no' }, context)
--- a/routing/router/src/router.ts
+++ b/routing/router/src/router.ts
@@ -21,6 +21,9 @@
   readonly isAllowed: (endpoint: EndpointView, now: MonotonicMs) => boolean
 }
 
+/** Endpoints of which this host remembers asks and prefixes. */
+const MAX_KNOWN_ENDPOINTS = 4_096
+
 interface Memories {
   readonly get: (endpoint: EndpointId) => EndpointMemory
   /** Memories of a list of endpoints, kept while the zone hands out the same list. */
@@ -36,6 +39,8 @@
     if (known !== undefined) return known
     const memory = { hash: hashText(endpoint), asks: createOwnAsks(), prefixes: createPrefixIndex() }
     memories.set(endpoint, memory)
+    const [oldest] = memories.size > MAX_KNOWN_ENDPOINTS ? memories.keys() : []
+    if (oldest !== undefined) memories.delete(oldest)
     return memory
   }
 
