--- a/settings/replicated-state/src/auditTrail.ts
+++ b/settings/replicated-state/src/auditTrail.ts
@@ -2,6 +2,7 @@
 import type { Failure } from '@catkinferry/core.errors'
 import type { ChangeId, ClaimKey, NodePath, OperatorIdentity, WallMs } from '@catkinferry/core.types'
 import { createEntryBlocks } from './entryBlocks.ts'
+import type { SavedBlocks } from './entryBlocks.ts'
 
 /** One node of an audited change. `after` is absent for a removal, `before` for a creation. */
 export interface AuditedNode {
@@ -49,12 +50,11 @@
   readonly length: number
 }
 
-/** An entry in a snapshot: time, revision of the state after it, text. */
-export type SavedAuditEntry = readonly [at: WallMs, revisionAfter: number, text: string]
-
 export interface SavedAudit {
   readonly firstSequence: number
-  readonly entries: readonly SavedAuditEntry[]
+  /** Time, revision after and length of each entry, one after the other. */
+  readonly rows: readonly number[]
+  readonly texts: SavedBlocks
 }
 
 export interface AuditTrail {
@@ -92,6 +92,15 @@
   return from
 }
 
+const ROW_FIELDS = 3
+
+function loadRows (saved: readonly number[]): EntryRow[] {
+  return Array.from({ length: saved.length / ROW_FIELDS }, (_, index) => {
+    const [at, revisionAfter, length] = saved.slice(index * ROW_FIELDS, (index + 1) * ROW_FIELDS)
+    return { at: at!, revisionAfter: revisionAfter!, length: length! }
+  })
+}
+
 /** Creates an empty trail. */
 export function createAuditTrail (): AuditTrail {
   let rows: EntryRow[] = []
@@ -118,12 +127,6 @@
     head = 0
   }
 
-  function addText (at: WallMs, revisionAfter: number, text: string): void {
-    rows.push({ at, revisionAfter, length: text.length })
-    texts.add(text)
-    bytes += text.length
-  }
-
   function read (sequence: number): AuditEntry {
     return JSON.parse(texts.get(sequence)) as AuditEntry
   }
@@ -152,7 +155,10 @@
   return {
     add: (entry, revisionAfter) => {
       const sequence = getLastSequence() + 1
-      addText(entry.at, revisionAfter, JSON.stringify({ sequence, ...entry }))
+      const text = JSON.stringify({ sequence, ...entry })
+      rows.push({ at: entry.at, revisionAfter, length: text.length })
+      texts.add(text)
+      bytes += text.length
       return sequence
     },
     get: sequence => sequence < firstSequence || sequence > getLastSequence() ? undefined : read(sequence),
@@ -166,15 +172,15 @@
     getBytes: () => bytes,
     save: () => ({
       firstSequence,
-      entries: rows.slice(head).map(({ at, revisionAfter }, index) => [at, revisionAfter, texts.get(firstSequence + index)])
+      rows: rows.slice(head).flatMap(({ at, revisionAfter, length }) => [at, revisionAfter, length]),
+      texts: texts.save()
     }),
     load: saved => {
-      rows = []
+      rows = loadRows(saved.rows)
       head = 0
-      bytes = 0
+      bytes = rows.reduce((sum, row) => sum + row.length, 0)
       firstSequence = saved.firstSequence
-      texts.reset(firstSequence)
-      for (const [at, revisionAfter, text] of saved.entries) addText(at, revisionAfter, text)
+      texts.load(saved.texts)
     }
   }
 }
--- a/settings/replicated-state/src/entryBlocks.ts
+++ b/settings/replicated-state/src/entryBlocks.ts
@@ -6,13 +6,22 @@
 const COMPRESSION_LEVEL = 1
 const SEPARATOR = '\n'
 
-interface Block {
+/** Compressed texts. */
+export interface Block {
   /** Number of its first text. */
   readonly first: number
   readonly count: number
   readonly compressed: Uint8Array
 }
 
+export interface SavedBlocks {
+  readonly blocks: readonly Block[]
+  /** The newest texts. */
+  readonly open: readonly string[]
+  /** Number of the first of the newest texts. */
+  readonly openFirst: number
+}
+
 export interface EntryBlocks {
   /** Adds a text without line breaks as the next number. */
   readonly add: (text: string) => void
@@ -20,8 +29,8 @@
   readonly get: (number: number) => string
   /** Texts below this number are no longer needed. */
   readonly dropBelow: (number: number) => void
-  /** Empties everything; the next text gets this number. */
-  readonly reset: (nextNumber: number) => void
+  readonly save: () => SavedBlocks
+  readonly load: (saved: SavedBlocks) => void
 }
 
 /** Creates empty blocks; the first text gets number 1. */
@@ -69,11 +78,12 @@
       if (kept !== 0) blocks = kept < 0 ? [] : blocks.slice(kept)
       if (read !== undefined && !blocks.includes(read.block)) read = undefined
     },
-    reset: nextNumber => {
-      blocks = []
-      open = []
-      openFirst = nextNumber
-      openCharacters = 0
+    save: () => ({ blocks, open, openFirst }),
+    load: saved => {
+      blocks = saved.blocks.map(block => ({ ...block, compressed: Uint8Array.from(block.compressed) }))
+      open = [...saved.open]
+      openFirst = saved.openFirst
+      openCharacters = open.reduce((sum, text) => sum + text.length, 0)
       read = undefined
     }
   }
--- a/settings/replicated-state/test/replicatedState.test.ts
+++ b/settings/replicated-state/test/replicatedState.test.ts
@@ -111,6 +111,18 @@
     expect(state.listDeltasAfter(499)?.map(delta => delta.revision)).toEqual([500, 501])
   })
 
+  it('goes on with its audit trail and deltas after a snapshot, also where entries were compressed', () => {
+    const state = createReplicatedState()
+    const formatStep = (index: number): Command => formatChange(`d${index}`, [{ path: `fleet/r${index}`, expectedRevision: 0, values: { 'queue.limit': 5 } }])
+    applyAll(state, Array.from({ length: 1_500 }, (_, index) => formatStep(index)))
+    const restored = createReplicatedState()
+    restored.restoreSnapshot(state.takeSnapshot())
+    for (const each of [state, restored]) applyAll(each, Array.from({ length: 1_500 }, (_, index) => formatStep(1_500 + index)))
+    expect(Buffer.compare(state.takeSnapshot(), restored.takeSnapshot())).toEqual(0)
+    expect(restored.listDeltasAfter(100)?.map(delta => delta.revision)).toEqual(Array.from({ length: 2_900 }, (_, index) => index + 101))
+    expect((restored.answerQuery({ kind: 'audit', afterSequence: 700, limit: 2 }) as AuditPage).entries.map(entry => entry.changeId)).toEqual(['d700', 'd701'])
+  })
+
   it('resolves an unknown claim once, with an audit entry', () => {
     const state = createReplicatedState()
     const resolve: Command = { kind: 'claim.resolve', changeId: 'c1', operator, claimKey: 'k', resolution: 'done', note: 'seen in the register' }
--- a/settings/tree/src/saveTree.ts
+++ b/settings/tree/src/saveTree.ts
@@ -2,6 +2,7 @@
 import { NO_NODE } from './nodeStore.ts'
 import type { NodeStore } from './nodeStore.ts'
 import { DIGEST_BYTES, DIGEST_MARK, restorePacked } from './packValues.ts'
+import type { PackedValues } from './packValues.ts'
 import { walkAllIds } from './readStore.ts'
 
 /** All nodes in depth-first order, placeholders included. Numbers of several bytes are little-endian. */
@@ -21,33 +22,42 @@
   readonly digests: Uint8Array
 }
 
+const WORD_BYTES = 4
 const NAME_SEPARATOR = '\n'
 
-function getDepth (store: NodeStore, id: number): number {
-  let depth = 0
-  for (let at = store.getParent(id); at !== NO_NODE; at = store.getParent(at)) depth++
-  return depth
-}
-
 /** Saves every node of a store. */
 export function saveStore (store: NodeStore, revision: number): SavedTree {
-  const ids = [...walkAllIds(store)]
+  const ids = Uint32Array.from(walkAllIds(store))
+  const depthById = new Uint8Array(store.getIdLimit())
   const depths = new Uint8Array(ids.length)
-  const revisions = Buffer.alloc(ids.length * 4)
-  const templateIndexes = Buffer.alloc(ids.length * 4)
+  const revisions = Buffer.alloc(ids.length * WORD_BYTES)
+  const templateIndexes = Buffer.alloc(ids.length * WORD_BYTES)
+  const digests = Buffer.alloc(ids.length * DIGEST_BYTES)
   const templates = new Map<string, number>()
-  const digests: Uint8Array[] = []
-  for (const [index, id] of ids.entries()) {
-    depths[index] = getDepth(store, id)
-    revisions.writeUInt32LE(store.getRevision(id), index * 4)
+  const names: string[] = []
+  let digestEnd = 0
+  for (let index = 0; index < ids.length; index++) {
+    const id = ids[index]!
+    const parent = store.getParent(id)
+    depthById[id] = parent === NO_NODE ? 0 : depthById[parent]! + 1
+    depths[index] = depthById[id]!
+    names.push(store.getName(id))
+    revisions.writeUInt32LE(store.getRevision(id), index * WORD_BYTES)
     const { values, digest } = store.getPacked(id)
-    const template = typeof values === 'string' ? values : JSON.stringify(values ?? {})
-    if (!templates.has(template)) templates.set(template, templates.size)
-    templateIndexes.writeUInt32LE(templates.get(template)!, index * 4)
-    if (digest !== undefined) digests.push(Uint8Array.from(digest))
+    templateIndexes.writeUInt32LE(getTemplateIndex(templates, values), index * WORD_BYTES)
+    if (digest === undefined) continue
+    digests.set(digest, digestEnd)
+    digestEnd += DIGEST_BYTES
   }
-  const names = ids.map(id => store.getName(id)).join(NAME_SEPARATOR)
-  return { revision, depths, names, revisions, templateIndexes, templates: [...templates.keys()], digests: Buffer.concat(digests) }
+  return { revision, depths, names: names.join(NAME_SEPARATOR), revisions, templateIndexes, templates: [...templates.keys()], digests: digests.subarray(0, digestEnd) }
+}
+
+function getTemplateIndex (templates: Map<string, number>, values: PackedValues): number {
+  const template = typeof values === 'string' ? values : JSON.stringify(values ?? {})
+  const known = templates.get(template)
+  if (known !== undefined) return known
+  templates.set(template, templates.size)
+  return templates.size - 1
 }
 
 /** Adds every saved node to an empty store that has its roots. Gives the number of nodes that exist. */
@@ -63,12 +73,12 @@
     const parent = depth === 0 ? NO_NODE : path[depth - 1]!
     const id = depth === 0 ? store.findChild(NO_NODE, name) : store.addChild(parent, name, isAdapterDepth(store.getName(path[0]!), depth))
     path[depth] = id
-    const template = saved.templates[templateIndexes.readUInt32LE(index * 4)]!
+    const template = saved.templates[templateIndexes.readUInt32LE(index * WORD_BYTES)]!
     const hasDigest = template.includes(DIGEST_MARK)
     const digest = hasDigest ? saved.digests.subarray(digestOffset, digestOffset + DIGEST_BYTES) : undefined
     if (hasDigest) digestOffset += DIGEST_BYTES
     store.setPacked(id, restorePacked(template, digest))
-    const revision = revisions.readUInt32LE(index * 4)
+    const revision = revisions.readUInt32LE(index * WORD_BYTES)
     store.setRevision(id, revision)
     if (revision > 0) count++
   }
