End graceful shutdown with the last answer, and drop slow callers in time

Cause: an answer that ended after the listener was closed left its kept-alive connection open, so the process waited for the caller's own timeout; a stream held back for a slow caller for longer than the progress timeout would have looked silent and counted against the endpoint's breaker. Change: idle connections are swept until the listener is closed; the pause is bounded by 0.8 of stream.progressTimeoutMs.

--- a/daemon/main/src/daemon.ts
+++ b/daemon/main/src/daemon.ts
@@ -29,6 +29,7 @@
 export interface HostViews {
   readonly listAdapters: (opts: { after?: string, limit: number }) => readonly ResolvedAdapter[]
   readonly getDefaultDeadlineMs: (serviceClass: ServiceClass) => DurationMs
+  readonly getMaxPauseMs: () => DurationMs
 }
 
 export interface DaemonOptions {
@@ -81,6 +82,7 @@
     findCaller: createCallerLookup(config.callers),
     listAdapters: host.listAdapters,
     getDefaultDeadlineMs: host.getDefaultDeadlineMs,
+    getMaxPauseMs: host.getMaxPauseMs,
     setPaused: attempts.setRequestPaused
   })
   const tokens = config.operatorTokens === undefined ? undefined : createOperatorTokens(config.operatorTokens)
--- a/daemon/main/src/listeners.ts
+++ b/daemon/main/src/listeners.ts
@@ -7,9 +7,7 @@
 export interface Listener {
   /** `http://ip:port` as bound. */
   readonly url: string
-  /** Stops listening; connections that wait for nothing are closed. */
-  readonly stop: () => void
-  /** Resolves when every connection has ended. */
+  /** Stops listening; resolves when every answer under way has ended. */
   readonly close: () => Promise<void>
   /** Cuts what is left. */
   readonly cut: () => void
@@ -18,6 +16,7 @@
 const HEADERS_TIMEOUT_MS = 10_000
 const REQUEST_TIMEOUT_MS = 60_000
 const KEEP_ALIVE_TIMEOUT_MS = 30_000
+const IDLE_SWEEP_INTERVAL_MS = 20
 const MAX_CONNECTIONS = 16_384
 
 /** Splits `ip:port`, with brackets around an IP of version 6. */
@@ -40,14 +39,13 @@
   const closed = once(server, 'close')
   return {
     url: getUrl(server),
-    stop: () => {
-      server.close()
-      server.closeIdleConnections()
-    },
     close: async () => {
       server.close()
+      // Answers that end only now leave connections that the caller would keep alive.
+      const sweep = setInterval(() => server.closeIdleConnections(), IDLE_SWEEP_INTERVAL_MS)
       server.closeIdleConnections()
       await closed
+      clearInterval(sweep)
     },
     cut: () => { server.closeAllConnections() }
   }
--- a/daemon/main/src/startHost.ts
+++ b/daemon/main/src/startHost.ts
@@ -25,6 +25,8 @@
 }
 
 const MAX_SEED = 2 ** 31 - 1
+/** Share of the progress timeout for which a stream may be held back. */
+const PAUSE_FRACTION = 0.8
 
 const DEADLINE_KEYS: Readonly<Record<ServiceClass, string>> = {
   urgent: 'deadline.urgentMs',
@@ -64,7 +66,8 @@
 function createViews (config: Config, core: Host): HostViews {
   return {
     listAdapters: core.settings.listAdapters,
-    getDefaultDeadlineMs: serviceClass => core.settings.getValue<number>(config.path, DEADLINE_KEYS[serviceClass])
+    getDefaultDeadlineMs: serviceClass => core.settings.getValue<number>(config.path, DEADLINE_KEYS[serviceClass]),
+    getMaxPauseMs: () => core.settings.getValue<number>(config.path, 'stream.progressTimeoutMs') * PAUSE_FRACTION
   }
 }
 
--- a/daemon/main/test/relayingHost.ts
+++ b/daemon/main/test/relayingHost.ts
@@ -38,6 +38,7 @@
     },
     getNextAt: () => undefined,
     listAdapters: () => [],
-    getDefaultDeadlineMs: () => FAR_MS
+    getDefaultDeadlineMs: () => FAR_MS,
+    getMaxPauseMs: () => FAR_MS
   }
 }
--- a/daemon/main/test/threeHosts.test.ts
+++ b/daemon/main/test/threeHosts.test.ts
@@ -147,4 +147,13 @@
     expect(got).toEqual(expect.subset({ ok: true, body: expect.subset({ values: { 'queue.limit': 77 } }) }))
     expect((await complete('a-1')).status).toEqual(200)
   })
+
+  it('stops all hosts at once, each after its running stream', async () => {
+    const streams = await Promise.all(HOSTS.map(complete))
+    const all = [...daemons.values()]
+    daemons.clear()
+    for (const daemon of all) daemon.stop()
+    for (const stream of streams) expect((await stream.text()).trimEnd().endsWith('[DONE]')).toEqual(true)
+    await Promise.all(all.map(async daemon => { await daemon.stopped }))
+  })
 })
--- a/gateway/caller-api/src/callerApi.ts
+++ b/gateway/caller-api/src/callerApi.ts
@@ -30,7 +30,9 @@
   readonly getDefaultDeadlineMs: (serviceClass: ServiceClass) => DurationMs
   /** Holds back the endpoint's stream of a request. */
   readonly setPaused: (requestId: RequestId, paused: boolean) => void
-  readonly limits?: Partial<AnswerLimits>
+  /** A caller that does not read for this long counts as gone; below the progress timeout, so that a held stream never looks silent. */
+  readonly getMaxPauseMs: () => DurationMs
+  readonly limits?: Partial<Omit<AnswerLimits, 'maxPauseMs'>>
 }
 
 type CallerOutput = Extract<HostOutput, { kind: 'caller.head' | 'caller.chunk' | 'caller.end' | 'caller.fail' }>
@@ -44,7 +46,7 @@
   readonly getActiveCount: () => number
 }
 
-const DEFAULT_LIMITS: AnswerLimits = { pauseAboveBytes: 64 * 1024, dropAboveBytes: 1024 * 1024, maxPauseMs: 30_000 }
+const DEFAULT_LIMITS: Omit<AnswerLimits, 'maxPauseMs'> = { pauseAboveBytes: 64 * 1024, dropAboveBytes: 1024 * 1024 }
 const MODELS_PAGE = 1_000
 const FORMS: Readonly<Record<string, AdapterWork['form']>> = { '/v1/completions': 'completions', '/v1/chat/completions': 'chat' }
 
@@ -57,7 +59,7 @@
 
 interface ApiState {
   readonly opts: CallerApiOptions
-  readonly limits: AnswerLimits
+  readonly limits: Omit<AnswerLimits, 'maxPauseMs'>
   readonly active: Map<RequestId, ActiveAnswer>
   readonly touched: Set<Answer>
   readonly idPrefix: string
@@ -109,7 +111,7 @@
   const answer = createAnswer({
     requestId,
     res,
-    limits: state.limits,
+    limits: { ...state.limits, maxPauseMs: state.opts.getMaxPauseMs() },
     setPaused: paused => {
       if (paused) metrics.count('caller.paused', 1)
       setPaused(requestId, paused)
--- a/gateway/caller-api/test/callerApi.test.ts
+++ b/gateway/caller-api/test/callerApi.test.ts
@@ -36,6 +36,7 @@
       listAdapters: () => [{ adapter: 'a', version: '1', adapterKey: 'a@1', model: 'm', pool: 'p' }],
       getDefaultDeadlineMs: () => 30_000,
       setPaused: () => undefined,
+      getMaxPauseMs: () => 30_000,
       ...change
     })
     server = createServer(api.handle)
@@ -170,6 +171,35 @@
     expect(api.getActiveCount()).toEqual(0)
   })
 
+  it('drops a caller that does not read for too long', async () => {
+    let left = 300
+    let paused = false
+    const gone = new Promise<HostEvent>(resolve => {
+      void start((request, api) => {
+        answerStream(request, api)
+        const feed = (): void => {
+          const event = events.find(({ kind }) => kind === 'caller.gone')
+          if (event !== undefined) return resolve(event)
+          if (left-- > 0) {
+            api.receiveOutput({ kind: 'caller.chunk', requestId: request.requestId, data: 'x'.repeat(100_000) })
+            api.flush()
+          }
+          setImmediate(feed)
+        }
+        feed()
+      }, { setPaused: (_requestId, value) => { paused ||= value }, getMaxPauseMs: () => 50, limits: { dropAboveBytes: 100_000_000 } }).then(async () => {
+        const req = sendRequest(url + '/v1/completions', { method: 'POST' })
+        req.on('error', () => undefined)
+        req.end(COMPLETION)
+        const [response] = await once(req, 'response') as [IncomingMessage]
+        response.on('error', () => undefined)
+        response.pause()
+      })
+    })
+    expect((await gone).kind).toEqual('caller.gone')
+    expect(paused).toEqual(true)
+  })
+
   it('answers health, readiness and models', async () => {
     const api = await start(() => undefined)
     expect((await fetch(url + '/healthz')).status).toEqual(200)
--- a/zone/ownership/src/assigner.ts
+++ b/zone/ownership/src/assigner.ts
@@ -70,6 +70,7 @@
 function rebalance (state: AssignerState, now: MonotonicMs): void {
   state.due.set(REBALANCE, now + REBALANCE_INTERVAL_MS)
   const hosts = listTakers(state, now)
+  if (hosts.length === 0) return
   const limit = computeOwnerLimit(state.rows.size, hosts.length)
   for (const owner of state.owners.values()) {
     if (!isLive(owner, now)) continue
