Tell the host's capacity from the pacing of the engines in the relay experiment

Cause: with a chunk a millisecond the fake engines' timers bounded the figure, not the host. Change: chunksPerSecond is measured with unpaced engines; the paced run stands beside it with how busy the host's thread was.

--- a/testing/measure/src/experiments/relay.ts
+++ b/testing/measure/src/experiments/relay.ts
@@ -7,7 +7,7 @@
 const STREAMS = 64
 const ENGINES = 2
 const TOKENS = 20_000
-/** Chunks come one by one, as from engines that generate them. */
+/** Chunks come one by one, as from engines that generate them; the pacing then bounds the rate, not the host. */
 const PACED_TOKEN_MS = 1
 const WARM_UP_MS = 2_000
 const MEASURED_MS = 4_000
@@ -34,6 +34,8 @@
   readonly chunksPerSecond: number
   readonly directChunksPerSecond: number
   readonly failedStreams: number
+  /** Share of the time that the host's thread was busy. */
+  readonly hostLoopUtilization: number
 }
 
 /** Starts engines with `tokenMs` between chunks and a host before them. */
@@ -57,12 +59,15 @@
   const bench = await startBench(tokenMs)
   try {
     const load = { kind: 'throughput', streams: STREAMS, tokens: TOKENS, warmUpMs: WARM_UP_MS, forMs: MEASURED_MS } as const
+    const loopBefore = performance.eventLoopUtilization()
     const relayed = await bench.client.run({ ...load, url: bench.callerUrl })
+    const { utilization } = performance.eventLoopUtilization(loopBefore)
     const direct = await bench.client.run({ ...load, url: bench.engineUrl })
     return {
       chunksPerSecond: Math.round(relayed.chunksPerSecond),
       directChunksPerSecond: Math.round(direct.chunksPerSecond),
-      failedStreams: relayed.failed
+      failedStreams: relayed.failed,
+      hostLoopUtilization: roundTo(utilization, 2)
     }
   } finally {
     await bench.stop()
@@ -87,8 +92,8 @@
 async function run (): Promise<Figures> {
   const firstChunks = await measureFirstChunks()
   const paced = await measureThroughput(PACED_TOKEN_MS)
-  const burst = await measureThroughput(0)
-  return { streams: STREAMS, engines: ENGINES, ...paced, ...firstChunks, burst }
+  const unpaced = await measureThroughput(0)
+  return { streams: STREAMS, engines: ENGINES, ...unpaced, ...firstChunks, paced }
 }
 
 export const relay: Experiment = {
