--- a/consensus/durable-log/src/durableLog.ts
+++ b/consensus/durable-log/src/durableLog.ts
@@ -26,7 +26,10 @@
 export interface DurableLog {
   /** What the folder held when it was opened. */
   readonly stored: StoredState
-  /** Carries requests out in order; requests that wait together share one sync. After one failure all later ones fail. */
+  /**
+   * Carries requests out; those that wait together share one sync. Log and hard state go in order; a snapshot may be
+   * answered after later requests. After one failure all later ones fail.
+   */
   readonly carryOut: (request: DiskRequest) => Promise<DiskAnswer>
   /** Waits for the requests under way and releases the folder. */
   readonly close: () => Promise<void>
@@ -114,6 +117,7 @@
   let waiting: Waiting[] = []
   let working: Promise<void> | undefined
   let failure: string | undefined
+  const preparing = new Set<Promise<void>>()
 
   async function work (): Promise<void> {
     while (waiting.length > 0) {
@@ -125,10 +129,28 @@
     working = undefined
   }
 
+  function enqueue (request: DiskRequest): Promise<DiskAnswer> {
+    return new Promise(resolve => {
+      waiting.push({ request, answer: resolve })
+      working ??= Promise.resolve().then(work)
+    })
+  }
+
+  /** A snapshot is large: it is written beside the log, and only put in force in turn with the other requests. */
+  async function carryOutSnapshot (request: Extract<DiskRequest, { kind: 'snapshot' }>): Promise<DiskAnswer> {
+    if (failure === undefined) {
+      const prepared = writer.prepareSnapshot(request.snapshot).catch((error: unknown) => { failure ??= formatDiskFailure(error) })
+      preparing.add(prepared)
+      await prepared
+      preparing.delete(prepared)
+    }
+    return await enqueue(request)
+  }
+
   async function writeGroup (requests: readonly DiskRequest[]): Promise<void> {
     const [first] = requests
     if (first?.kind === 'snapshot' && first.snapshot.lastIndex <= terms.getBaseIndex()) return
-    if (first?.kind === 'snapshot') await writer.saveSnapshot(first.snapshot, noteSnapshot(first.snapshot))
+    if (first?.kind === 'snapshot') await writer.finishSnapshot(first.snapshot, noteSnapshot(first.snapshot))
     else await writer.write(requests.flatMap(request => buildRecords(request)), terms.getLastIndex())
   }
 
@@ -150,11 +172,9 @@
   }
 
   return {
-    carryOut: request => new Promise(resolve => {
-      waiting.push({ request, answer: resolve })
-      working ??= Promise.resolve().then(work)
-    }),
+    carryOut: request => request.kind === 'snapshot' ? carryOutSnapshot(request) : enqueue(request),
     close: async () => {
+      await Promise.all(preparing)
       await working
       await writer.close().catch(() => undefined)
       await release()
--- a/consensus/durable-log/src/segmentWriter.ts
+++ b/consensus/durable-log/src/segmentWriter.ts
@@ -4,13 +4,15 @@
 import type { AppendFile, FileOperations } from './fileOperations.ts'
 import { formatSegmentName, formatSnapshotName, MAX_SEGMENT_BYTES, SNAPSHOT_BLOCK_BYTES, TEMPORARY_SUFFIX } from './formats.ts'
 import type { Identity, SegmentHeader, SegmentRecord, SnapshotHeader } from './formats.ts'
-import { writeFileWhole } from './writeFileWhole.ts'
+import { finishTemporary, writeTemporary } from './writeFileWhole.ts'
 
 export interface SegmentWriter {
   /** Writes records as one block and syncs. `lastIndex`: of the log after them. */
   readonly write: (records: readonly SegmentRecord[], lastIndex: number) => Promise<void>
-  /** Writes a snapshot, then removes what it covers. */
-  readonly saveSnapshot: (snapshot: Snapshot, log: { readonly nextIndex: number }) => Promise<void>
+  /** Writes a snapshot under a temporary name; other writes may go on meanwhile. */
+  readonly prepareSnapshot: (snapshot: Snapshot) => Promise<void>
+  /** Puts a prepared snapshot in force, then removes what it covers. */
+  readonly finishSnapshot: (snapshot: Snapshot, log: { readonly nextIndex: number }) => Promise<void>
   readonly close: () => Promise<void>
 }
 
@@ -84,9 +86,10 @@
       current.bytes += block.byteLength
       if (current.bytes >= MAX_SEGMENT_BYTES) await beginSegment(lastIndex + 1)
     },
-    saveSnapshot: async (snapshot, { nextIndex }) => {
+    prepareSnapshot: snapshot => writeTemporary({ fs, folder, name: formatSnapshotName(snapshot.lastIndex), blocks: listSnapshotBlocks(identity, snapshot) }),
+    finishSnapshot: async (snapshot, { nextIndex }) => {
       const name = formatSnapshotName(snapshot.lastIndex)
-      await writeFileWhole({ fs, folder, name, blocks: listSnapshotBlocks(identity, snapshot) })
+      await finishTemporary({ fs, folder, name })
       if (snapshotName !== undefined && snapshotName !== name) await fs.removeFile(`${folder}/${snapshotName}`)
       snapshotName = name
       await beginSegment(nextIndex)
--- a/consensus/durable-log/src/writeFileWhole.ts
+++ b/consensus/durable-log/src/writeFileWhole.ts
@@ -2,9 +2,14 @@
 import type { FileOperations } from './fileOperations.ts'
 import { TEMPORARY_SUFFIX } from './formats.ts'
 
-/** Writes to a temporary name, syncs, renames and syncs the folder. */
-export async function writeFileWhole (opts: { readonly fs: FileOperations, readonly folder: string, readonly name: string, readonly blocks: readonly Uint8Array[] }): Promise<void> {
-  const { fs, folder, name, blocks } = opts
+export interface WholeFile {
+  readonly fs: FileOperations
+  readonly folder: string
+  readonly name: string
+}
+
+/** Writes to the temporary name and syncs. */
+export async function writeTemporary ({ fs, folder, name, blocks }: WholeFile & { readonly blocks: readonly Uint8Array[] }): Promise<void> {
   const temporary = `${folder}/${name}${TEMPORARY_SUFFIX}`
   const file = await fs.createFile(temporary)
   try {
@@ -13,6 +18,16 @@
   } finally {
     await file.close()
   }
-  await fs.rename(temporary, `${folder}/${name}`)
+}
+
+/** Gives a temporary file its name and syncs the folder. */
+export async function finishTemporary ({ fs, folder, name }: WholeFile): Promise<void> {
+  await fs.rename(`${folder}/${name}${TEMPORARY_SUFFIX}`, `${folder}/${name}`)
   await fs.syncFolder(folder)
 }
+
+/** Does both. */
+export async function writeFileWhole (opts: WholeFile & { readonly blocks: readonly Uint8Array[] }): Promise<void> {
+  await writeTemporary(opts)
+  await finishTemporary(opts)
+}
--- a/consensus/log-machine/src/constants.ts
+++ b/consensus/log-machine/src/constants.ts
@@ -15,6 +15,12 @@
 /** A leader that has not heard from a majority for this long steps down. */
 export const CHECK_QUORUM_MS = 1_000
 
+/** A run that comes later than this after it was due follows a pause of the process. */
+export const LATE_RUN_MS = 300
+
+/** After a pause, messages that have arrived meanwhile get this long to be taken in before silence counts. */
+export const PAUSE_GRACE_MS = 200
+
 /** A leadership transfer is given up after this. */
 export const TRANSFER_TIMEOUT_MS = 1_500
 
--- a/consensus/log-machine/src/disk.ts
+++ b/consensus/log-machine/src/disk.ts
@@ -9,6 +9,7 @@
 function requestWrite (state: MachineState, body: RequestBody, pending: Omit<PendingWrite, 'writeId'>, context: MachineContext): number {
   const writeId = ++state.lastWriteId
   state.pendingWrites.push({ writeId, ...pending })
+  if (body.kind !== 'snapshot') state.lastLogWriteId = writeId
   context.requestDisk({ ...body, writeId } as DiskRequest)
   return writeId
 }
@@ -48,13 +49,13 @@
   return requestWrite(state, { kind: 'snapshot', snapshot }, { snapshot, ...use }, context)
 }
 
-/** Sends once everything that was asked of the disk so far is durable, unless the term has changed by then. */
+/** Sends once all that was asked of the disk so far, but for snapshots, is durable, unless the term has changed by then. */
 export function sendAfterDisk (state: MachineState, to: HostId, message: ConsensusMessage, context: MachineContext): void {
-  if (state.durableWriteId >= state.lastWriteId) {
+  if (state.durableWriteId >= state.lastLogWriteId) {
     context.send(to, message)
     return
   }
-  state.held.push({ afterWrite: state.lastWriteId, term: state.term, to, message })
+  state.held.push({ afterWrite: state.lastLogWriteId, term: state.term, to, message })
 }
 
 /** Sends what waited for the writes that are now durable. */
--- a/consensus/log-machine/src/elections.ts
+++ b/consensus/log-machine/src/elections.ts
@@ -161,6 +161,7 @@
 
 /** Steps down when a majority has not been heard from. */
 export function checkQuorum (state: MachineState, context: MachineContext): void {
+  if (context.now < state.quorumCheckAt) return
   const membership = getMembership(state)
   const heardAt = computeQuorumValue(membership, voter => {
     if (voter.host === state.host) return context.now
--- a/consensus/log-machine/src/machine.ts
+++ b/consensus/log-machine/src/machine.ts
@@ -2,6 +2,7 @@
 import type { Result } from '@catkinferry/core.errors'
 import type { HostId, MonotonicMs } from '@catkinferry/core.types'
 import type { ConsensusMessage, DiskAnswer, LogEntry, LogPayload, Membership, Snapshot } from '@catkinferry/wire.messages'
+import { LATE_RUN_MS, PAUSE_GRACE_MS } from './constants.ts'
 import { saveSnapshot, sendHeld } from './disk.ts'
 import * as elections from './elections.ts'
 import { receiveAppend } from './followers.ts'
@@ -11,7 +12,7 @@
 import { addLeaderEntry, receiveAppendAnswer, sendAppends, updateCommit } from './replication.ts'
 import { applySavedSnapshot, receiveSnapshotAnswer, receiveSnapshotChunk } from './snapshots.ts'
 import { createState, getMembership, Role } from './state.ts'
-import type { LogMachineOptions, MachineContext, MachineState } from './state.ts'
+import type { LogMachineOptions, MachineContext, MachineState, PendingWrite } from './state.ts'
 import { beginTransfer, continueTransfer } from './transfer.ts'
 
 /** What is ready to be applied: first a snapshot to restore, if any, then committed entries in order. */
@@ -31,7 +32,8 @@
   readonly beginRead: () => number | undefined
   /** Reads that may be answered now, and those that must be asked again elsewhere. */
   readonly takeReads: () => { readonly ready: readonly number[], readonly failed: readonly number[] }
-  readonly takeReady: (maxEntries: number) => ReadyToApply
+  /** At least one entry when any is committed, else within both bounds. */
+  readonly takeReady: (maxEntries: number, maxBytes?: number) => ReadyToApply
   /** Writes a snapshot of the state as applied up to `lastIndex`; entries before the tail leave memory when it is durable. */
   readonly compact: (opts: { readonly lastIndex: number, readonly data: Uint8Array, readonly tailEntries: number }, context: MachineContext) => void
   readonly transferLeadership: (context: MachineContext) => boolean
@@ -54,6 +56,22 @@
   'consensus.timeoutNow': elections.receiveTimeoutNow
 }
 
+/** Log and hard state are answered in order, so an answer covers those before; a snapshot is answered by itself. */
+function finishWrites (state: MachineState, writeId: number, context: MachineContext): void {
+  const answered = state.pendingWrites.find(write => write.writeId === writeId)
+  if (answered?.snapshot !== undefined) {
+    state.pendingWrites = state.pendingWrites.filter(write => write !== answered)
+    applySavedSnapshot(state, answered, context)
+    return
+  }
+  state.durableWriteId = writeId
+  const isDone = (write: PendingWrite): boolean => write.snapshot === undefined && write.writeId <= writeId
+  for (const { lastIndex } of state.pendingWrites.filter(isDone)) {
+    if (lastIndex !== undefined) state.durableIndex = Math.max(state.durableIndex, lastIndex)
+  }
+  state.pendingWrites = state.pendingWrites.filter(write => !isDone(write))
+}
+
 function receiveDisk (state: MachineState, answer: DiskAnswer, context: MachineContext): void {
   if (state.role === Role.FAILED) return
   if (!answer.ok) {
@@ -63,19 +81,21 @@
     state.held = []
     return
   }
-  state.durableWriteId = answer.writeId
-  while ((state.pendingWrites[0]?.writeId ?? Number.POSITIVE_INFINITY) <= answer.writeId) {
-    const done = state.pendingWrites.shift()
-    if (done?.lastIndex !== undefined) state.durableIndex = Math.max(state.durableIndex, done.lastIndex)
-    if (done?.snapshot !== undefined) applySavedSnapshot(state, done, context)
-  }
+  finishWrites(state, answer.writeId, context)
   sendHeld(state, context)
   elections.tryLead(state, context)
   updateCommit(state, context)
 }
 
+/** Silence during a pause of this process says nothing about the others: what they sent has not been read yet. */
+function notePause (state: MachineState, now: MonotonicMs): void {
+  if (state.role === Role.LEADER && now - state.heartbeatAt > LATE_RUN_MS) state.quorumCheckAt = now + PAUSE_GRACE_MS
+  if (state.role !== Role.LEADER && now - state.electionAt > LATE_RUN_MS) state.electionAt = now + PAUSE_GRACE_MS
+}
+
 function run (state: MachineState, context: MachineContext): void {
   if (state.role === Role.FAILED) return
+  notePause(state, context.now)
   if (state.role !== Role.LEADER) {
     if (context.now >= state.electionAt) elections.beginPreVote(state, context)
     return
@@ -92,11 +112,11 @@
   return state.replicationDue ? Number.NEGATIVE_INFINITY : state.heartbeatAt
 }
 
-function takeReady (state: MachineState, maxEntries: number): ReadyToApply {
+function takeReady (state: MachineState, maxEntries: number, maxBytes: number): ReadyToApply {
   const { restore } = state
   state.restore = undefined
   const count = Math.min(maxEntries, state.commitIndex - state.takenIndex)
-  const entries = state.log.list({ index: state.takenIndex + 1, maxEntries: count, maxBytes: Number.POSITIVE_INFINITY })
+  const entries = state.log.list({ index: state.takenIndex + 1, maxEntries: count, maxBytes })
   state.takenIndex += entries.length
   return restore === undefined ? { entries } : { restore, entries }
 }
@@ -131,7 +151,7 @@
       state.failedReads = []
       return { ready, failed }
     },
-    takeReady: maxEntries => takeReady(state, maxEntries),
+    takeReady: (maxEntries, maxBytes = Number.POSITIVE_INFINITY) => takeReady(state, maxEntries, maxBytes),
     compact: ({ lastIndex, data, tailEntries }, context) => {
       const lastTerm = state.log.getTerm(lastIndex)
       if (lastTerm === undefined || lastIndex > state.takenIndex || state.role === Role.FAILED || state.intake?.saving === true) return
--- a/consensus/log-machine/src/state.ts
+++ b/consensus/log-machine/src/state.ts
@@ -99,6 +99,8 @@
   /** When this voter last held all that the leader said was committed. */
   caughtUpAt: MonotonicMs
   leaderSince: MonotonicMs
+  /** No quorum check before this. */
+  quorumCheckAt: MonotonicMs
   /** Incarnation of each voter that granted the current round. */
   votes: Map<HostId, string>
   voteWriteId: number
@@ -115,7 +117,10 @@
   transferTo: HostId | undefined
   transferUntil: MonotonicMs
   intake: SnapshotIntake | undefined
+  /** Last write of any kind. */
   lastWriteId: number
+  /** Last write that answers wait for: all but snapshots. */
+  lastLogWriteId: number
   durableWriteId: number
   durableIndex: number
   pendingWrites: PendingWrite[]
@@ -198,6 +203,7 @@
     leaderHeardAt: Number.NEGATIVE_INFINITY,
     caughtUpAt: Number.NEGATIVE_INFINITY,
     leaderSince: 0,
+    quorumCheckAt: 0,
     votes: new Map(),
     voteWriteId: 0,
     peers: new Map(),
@@ -213,6 +219,7 @@
     transferUntil: 0,
     intake: undefined,
     lastWriteId: 0,
+    lastLogWriteId: 0,
     durableWriteId: 0,
     durableIndex: log.getLastIndex(),
     pendingWrites: [],
--- a/consensus/log-machine/test/group.ts
+++ b/consensus/log-machine/test/group.ts
@@ -35,7 +35,8 @@
   else if (request.kind === 'replaceFrom') disk.entries = [...disk.entries.filter(({ index }) => index < request.index), ...request.entries]
   else {
     const { lastIndex, lastTerm } = request.snapshot
-    const before = lastIndex === (disk.snapshot?.lastIndex ?? 0) || disk.entries.some(({ index, term }) => index === lastIndex && term === lastTerm)
+    if (lastIndex <= (disk.snapshot?.lastIndex ?? 0)) return
+    const before = disk.entries.some(({ index, term }) => index === lastIndex && term === lastTerm)
     disk.entries = before ? disk.entries.filter(({ index }) => index > lastIndex) : []
     disk.snapshot = request.snapshot
   }
@@ -81,15 +82,18 @@
       requestDisk: request => {
         const { life } = member
         member.unsynced.push(request)
-        schedule(diskHooks.slowMs ?? random.nextInt(1, opts.diskMs ?? 3), () => { if (member.life === life) syncDisk(member, request.writeId) })
+        schedule(diskHooks.slowMs ?? random.nextInt(1, opts.diskMs ?? 3), () => { if (member.life === life) syncDisk(member, request) })
       }
     }
   }
 
-  function syncDisk (member: Member, upTo: number): void {
-    while ((member.unsynced[0]?.writeId ?? Number.POSITIVE_INFINITY) <= upTo) {
-      const request = member.unsynced.shift()
-      if (request === undefined || member.machine === undefined) return
+  /** Syncs a request and those before it, but for snapshots, which may come later. */
+  function syncDisk (member: Member, last: DiskRequest): void {
+    const isDone = (request: DiskRequest): boolean => request === last || (request.kind !== 'snapshot' && request.writeId <= last.writeId)
+    const done = member.unsynced.filter(isDone)
+    member.unsynced = member.unsynced.filter(request => !isDone(request))
+    for (const request of done) {
+      if (member.machine === undefined) return
       const ok = diskHooks.fail !== member.host
       if (ok) applyToDisk(member.disk, request)
       const answer = ok ? { writeId: request.writeId, ok: true } as const : { writeId: request.writeId, ok: false, reason: 'sync failed' } as const
@@ -185,12 +189,14 @@
     deliver,
     getNow: () => now,
     isolate: (host: HostId, isCut: boolean) => { for (const other of all) if (other !== host) setCut(host, other, isCut) },
+    /** All processes stand still, and what is sent to them waits. */
+    pause: (ms: number) => { now += ms },
     /** Runs until a time has passed. */
     runFor: (ms: number) => {
       const end = now + ms
       for (let next = events.peek(); next !== undefined && next.at <= end; next = events.peek()) {
         events.pop()
-        now = next.at
+        now = Math.max(now, next.at)
         next.act()
       }
       now = end
--- a/consensus/log-machine/test/logMachine.test.ts
+++ b/consensus/log-machine/test/logMachine.test.ts
@@ -52,6 +52,17 @@
     expect(group.getMember(old).applied).toEqual(['x'])
   })
 
+  it('keeps its leader over a pause of the machine that all voters stand on', () => {
+    for (let seed = 1; seed <= 20; seed++) {
+      const group = createGroup({ seed, hosts: HOSTS })
+      const leader = electLeader(group)
+      const { term } = group.getMachine(leader).getState()
+      group.pause(3_000)
+      group.runFor(3_000)
+      expect({ seed, leader: group.findLeader(), term: group.getMachine(leader).getState().term }).toEqual({ seed, leader, term })
+    }
+  })
+
   it('hands leadership over without waiting for an election timeout', () => {
     const group = createGroup({ seed: 3, hosts: HOSTS })
     const old = electLeader(group)
--- a/consensus/voter/src/constants.ts
+++ b/consensus/voter/src/constants.ts
@@ -13,11 +13,14 @@
 export const MAX_BATCH_COMMANDS = 256
 
 /** Estimated bytes of one entry at most. */
-export const MAX_BATCH_BYTES = 512 * 1024
+export const MAX_BATCH_BYTES = 128 * 1024
 
 /** Entries applied in one run at most. */
 export const MAX_APPLY_ENTRIES = 256
 
+/** Estimated bytes of the entries applied in one run at most, so that heartbeats go out in between. */
+export const MAX_APPLY_BYTES = 128 * 1024
+
 /** A command or query is handed on this many times at most. */
 export const MAX_HOPS = 3
 
--- a/consensus/voter/src/voter.ts
+++ b/consensus/voter/src/voter.ts
@@ -7,7 +7,7 @@
 import type { HostId, MonotonicMs } from '@catkinferry/core.types'
 import type { RunContext, System } from '@catkinferry/host.events'
 import type { CommandMessage, ConsensusMessage, DiskAnswer, LogEntry, Query, StateMachine, StoredState } from '@catkinferry/wire.messages'
-import { KEEPS_UP_MS, MAX_APPLY_ENTRIES, MAX_HOPS, MAX_PENDING_QUERIES, MIN_COMPACT_BYTES, TAIL_ENTRIES } from './constants.ts'
+import { KEEPS_UP_MS, MAX_APPLY_BYTES, MAX_APPLY_ENTRIES, MAX_HOPS, MAX_PENDING_QUERIES, MIN_COMPACT_BYTES, TAIL_ENTRIES } from './constants.ts'
 import { createIntake } from './intake.ts'
 import type { Batch, Intake, Submission } from './intake.ts'
 import { createReplacement } from './replacement.ts'
@@ -223,7 +223,7 @@
 }
 
 function applyReady (state: VoterState, stateMachine: StateMachine, context: RunContext): void {
-  const { restore, entries } = state.machine.takeReady(MAX_APPLY_ENTRIES)
+  const { restore, entries } = state.machine.takeReady(MAX_APPLY_ENTRIES, MAX_APPLY_BYTES)
   if (restore !== undefined) {
     restoreState(state, restore.data)
     state.intake.dropProposedTo(restore.lastIndex)
--- a/wire/messages/src/consensus.ts
+++ b/wire/messages/src/consensus.ts
@@ -37,7 +37,7 @@
   | { readonly kind: 'consensus.snapshotAnswer', readonly group: string, readonly incarnation: string, readonly term: number, readonly lastIndex: number, readonly nextOffset: number, readonly done: boolean }
   | { readonly kind: 'consensus.timeoutNow', readonly group: string, readonly incarnation: string, readonly term: number }
 
-/** What a voter asks of its disk. Requests are carried out in order; each is synced before it is answered. */
+/** What a voter asks of its disk. Each is synced before it is answered. Requests are carried out in order, but a snapshot may be answered after later ones. */
 export type DiskRequest =
   | { readonly kind: 'append', readonly writeId: number, readonly entries: readonly LogEntry[] }
   /** Removes entries from this index on, then appends. */
