--- a/testing/measure/src/experiments/index.ts
+++ b/testing/measure/src/experiments/index.ts
@@ -6,6 +6,7 @@
 import { memory } from './memory.ts'
 import { policyExperiment } from './policy.ts'
 import { settings } from './settings.ts'
+import { recovery } from './recovery.ts'
 
 export const experiments: Readonly<Record<string, Experiment>> = {
   relay,
@@ -13,5 +14,6 @@
   dissemination,
   memory,
   policy: policyExperiment,
-  settings
+  settings,
+  recovery
 }
--- /dev/null
+++ b/testing/measure/src/recovery/voterNode.ts
@@ -0,0 +1,146 @@
+/** One voter over real files and TCP: what the daemon runs on a voter, without the rest. */
+import { openDurableLog } from '@catkinferry/consensus.durable-log'
+import { createVoter } from '@catkinferry/consensus.voter'
+import type { Voter, VoterMessage } from '@catkinferry/consensus.voter'
+import { createLogger } from '@catkinferry/core.logger'
+import { createRandom } from '@catkinferry/core.random'
+import type { RunContext } from '@catkinferry/host.events'
+import { createReplicatedState } from '@catkinferry/settings.replicated-state'
+import type { ReplicatedState } from '@catkinferry/settings.replicated-state'
+import type { Command, CommandMessage, PeerMessage } from '@catkinferry/wire.messages'
+import { createPeerLinks } from '@catkinferry/wire.peer-links'
+
+export interface VoterNodeOptions {
+  readonly host: string
+  readonly folder: string
+  readonly initialVoters: readonly string[]
+  readonly seed: number
+  /** Ports by host; a node adds its own when it listens. */
+  readonly ports: Map<string, number>
+}
+
+export interface VoterNode {
+  readonly host: string
+  readonly voter: Voter
+  readonly state: ReplicatedState
+  /** How long the folder took to open and the state to be restored. */
+  readonly openMs: number
+  /** Submits here; the answer is undefined when none comes in time. */
+  readonly submit: (command: Command, timeoutMs: number) => Promise<CommandMessage | undefined>
+  readonly act: <T>(work: (voter: Voter, context: RunContext) => T) => T
+  /** Links to the hosts whose ports are known. */
+  readonly connect: () => void
+  /** Ends without any farewell: links are cut, the folder is released. */
+  readonly stop: () => Promise<void>
+}
+
+const GROUP = 'measure'
+const CLIENT = 'client'
+
+/** Matches answers to commands by id. */
+function createAnswers (host: string) {
+  const waiting = new Map<string, (answer: CommandMessage) => void>()
+  let nextCommand = 0
+  return {
+    receive: (message: PeerMessage) => {
+      const answer = message as CommandMessage
+      const commandId = 'commandId' in answer ? answer.commandId : ''
+      waiting.get(commandId)?.(answer)
+      waiting.delete(commandId)
+    },
+    wait: (timeoutMs: number, send: (commandId: string) => void) => new Promise<CommandMessage | undefined>(resolve => {
+      const commandId = `${host}-${nextCommand++}`
+      const giveUp = setTimeout(() => {
+        waiting.delete(commandId)
+        resolve(undefined)
+      }, timeoutMs)
+      waiting.set(commandId, answer => {
+        clearTimeout(giveUp)
+        resolve(answer)
+      })
+      send(commandId)
+    })
+  }
+}
+
+/** Opens the folder, listens and begins to take part. */
+export async function startVoterNode (opts: VoterNodeOptions): Promise<VoterNode> {
+  const { host, ports } = opts
+  const startedAt = performance.now()
+  const log = await openDurableLog({ folder: opts.folder, host, group: GROUP })
+  const state = createReplicatedState()
+  const voter = createVoter({
+    host, group: GROUP, stored: log.stored, stateMachine: state, peersToBootstrap: opts.initialVoters, random: createRandom(opts.seed), startedAt: performance.now()
+  })
+  const openMs = performance.now() - startedAt
+  const answers = createAnswers(host)
+  let stopped = false
+  let runDue = false
+  let timer: NodeJS.Timeout | undefined
+
+  function createContext (): RunContext {
+    return {
+      now: performance.now(),
+      wallNow: Date.now(),
+      send: (to, message) => to === CLIENT ? answers.receive(message) : links.send(to, message),
+      emit: output => {
+        if (output.kind === 'disk.request') void log.carryOut(output.request).then(answer => act(inner => inner.receiveDisk(answer, createContext())))
+      }
+    }
+  }
+
+  /** One run for all events of a turn of the loop. */
+  function scheduleRun (): void {
+    if (runDue || stopped) return
+    runDue = true
+    setImmediate(run)
+  }
+
+  function run (): void {
+    runDue = false
+    if (stopped) return
+    voter.run(createContext())
+    clearTimeout(timer)
+    const nextAt = voter.getNextAt()
+    if (nextAt !== undefined) timer = setTimeout(scheduleRun, Math.max(0, nextAt - performance.now()))
+  }
+
+  function act<T> (work: (inner: Voter, context: RunContext) => T): T | undefined {
+    if (stopped) return undefined
+    const result = work(voter, createContext())
+    scheduleRun()
+    return result
+  }
+
+  const links = createPeerLinks({
+    self: host,
+    group: GROUP,
+    peers: [],
+    listen: '127.0.0.1:0',
+    onMessage: (from, message) => { act((inner, context) => inner.receive(from, message as VoterMessage, context)) },
+    onLink: () => {},
+    logger: createLogger({ level: 'error', write: line => { process.stderr.write(line) } })
+  })
+  ports.set(host, await links.open())
+  const connect = (): void => links.setPeers([...ports].map(([peer, port]) => ({ host: peer, address: `127.0.0.1:${port}` })))
+  connect()
+  scheduleRun()
+
+  return {
+    host,
+    voter,
+    state,
+    openMs,
+    act: act as VoterNode['act'],
+    connect,
+    submit: (command, timeoutMs) => answers.wait(timeoutMs, commandId => {
+      act((inner, context) => inner.receive(CLIENT, { kind: 'command.submit', commandId, origin: CLIENT, command, hops: 0 }, context))
+    }),
+    stop: async () => {
+      stopped = true
+      clearTimeout(timer)
+      await links.close()
+      await log.close()
+    }
+  }
+}
--- /dev/null
+++ b/testing/measure/src/recovery/voterNodes.ts
@@ -0,0 +1,75 @@
+/** A group of voters in one process, each with its own folder and sockets. */
+import { join } from 'node:path'
+import type { Command } from '@catkinferry/wire.messages'
+import { startVoterNode } from './voterNode.ts'
+import type { VoterNode } from './voterNode.ts'
+
+const POLL_MS = 2
+const ANSWER_TIMEOUT_MS = 60_000
+const MAX_UNDER_WAY = 256
+
+export interface VoterNodes {
+  readonly start: (host: string) => Promise<VoterNode>
+  readonly stop: (host: string) => Promise<void>
+  readonly stopAll: () => Promise<void>
+  readonly get: (host: string) => VoterNode
+  readonly waitForLeader: () => Promise<VoterNode>
+  /** Submits all at the leader, many at once; throws when one is not accepted. */
+  readonly submitAll: (commands: Iterable<Command>) => Promise<void>
+}
+
+export async function waitUntil (isDone: () => boolean): Promise<void> {
+  while (!isDone()) await new Promise(resolve => setTimeout(resolve, POLL_MS))
+}
+
+/** Creates the group; nothing runs before `start`. */
+export function createVoterNodes (opts: { readonly folder: string, readonly initialVoters: readonly string[], readonly seed: number }): VoterNodes {
+  const ports = new Map<string, number>()
+  const nodes = new Map<string, VoterNode>()
+
+  async function start (host: string): Promise<VoterNode> {
+    const node = await startVoterNode({ host, folder: join(opts.folder, host), initialVoters: opts.initialVoters, seed: opts.seed * 100 + nodes.size, ports })
+    nodes.set(host, node)
+    for (const other of nodes.values()) other.connect()
+    return node
+  }
+
+  async function stop (host: string): Promise<void> {
+    await nodes.get(host)?.stop()
+    nodes.delete(host)
+  }
+
+  /** A leader that has committed an entry of its term, so that the group goes on without it. */
+  async function waitForLeader (): Promise<VoterNode> {
+    const find = (): VoterNode | undefined => [...nodes.values()].find(({ voter }) => voter.isLeader() && voter.getStatus().commitIndex === voter.getStatus().lastIndex)
+    await waitUntil(() => find() !== undefined)
+    return find() as VoterNode
+  }
+
+  async function submitOne (leader: VoterNode, command: Command): Promise<void> {
+    const answer = await leader.submit(command, ANSWER_TIMEOUT_MS)
+    if (answer?.kind !== 'command.outcome' || answer.outcome.kind !== 'settings.accepted') throw new Error(`a change was not accepted: ${JSON.stringify(answer)}`)
+  }
+
+  return {
+    start,
+    stop,
+    waitForLeader,
+    stopAll: async () => { for (const host of [...nodes.keys()]) await stop(host) },
+    get: host => {
+      const node = nodes.get(host)
+      if (node === undefined) throw new Error(`voter ${host} does not run`)
+      return node
+    },
+    submitAll: async commands => {
+      const leader = await waitForLeader()
+      const underWay = new Set<Promise<void>>()
+      for (const command of commands) {
+        const sent = submitOne(leader, command).finally(() => underWay.delete(sent))
+        underWay.add(sent)
+        if (underWay.size >= MAX_UNDER_WAY) await Promise.race(underWay)
+      }
+      await Promise.all(underWay)
+    }
+  }
+}
