Let a holder renew at voters that promised a rival's ballot, and keep a restarted owner waiting

Cause: a voter that once promised a higher ballot to a rival without a majority refused the holder's renewals for good, so that the loss of one other voter of three ended the lease. A restarted owner got its endpoints back at once, while orders of its earlier process could still arrive. Change: renewals are marked and need no higher ballot, new ballots still do; renewals carry the life of the process, and a new life gets nothing before the old sub-lease has ended.

--- a/wire/messages/src/compactForm.ts
+++ b/wire/messages/src/compactForm.ts
@@ -10,7 +10,7 @@
   ['grant.refused', ['attemptId', 'endpoint', 'reason', 'owner', 'retryAfterMs']],
   ['grant.release', ['attemptId', 'endpoint', 'ran', 'runMs']],
   ['grant.cancel', ['attemptId', 'endpoint']],
-  ['owner.renew', ['zone', 'ballot', 'askId', 'epoch', 'viewSequence', 'highestFencing', 'leaving', 'holding']],
+  ['owner.renew', ['zone', 'ballot', 'askId', 'epoch', 'viewSequence', 'highestFencing', 'leaving', 'holding', 'life']],
   ['owner.assign', ['zone', 'ballot', 'askId', 'subLeaseMs', 'epoch', 'viewSequence', 'endpoints']]
 ]
 
--- a/wire/messages/src/zone.ts
+++ b/wire/messages/src/zone.ts
@@ -3,7 +3,7 @@
 
 export type LeaseMessage =
   /** Asks a lease voter for the zone lease. `askId` is echoed so that the holder counts from when it asked. */
-  | { readonly kind: 'lease.ask', readonly zone: ZoneId, readonly ballot: number, readonly askId: number, readonly durationMs: DurationMs, /** Number of the set of lease voters that the candidate counts. */ readonly voterSet: number }
+  | { readonly kind: 'lease.ask', readonly zone: ZoneId, readonly ballot: number, readonly askId: number, readonly durationMs: DurationMs, /** Number of the set of lease voters that the candidate counts. */ readonly voterSet: number, /** The sender holds the lease under this ballot. */ readonly renewal: boolean }
   | { readonly kind: 'lease.answer', readonly zone: ZoneId, readonly ballot: number, readonly askId: number, readonly granted: boolean, readonly highestBallot: number, readonly remainingMs: DurationMs, /** Sub-leases of the ballot before may still run. */ readonly subLeasesMayRun: boolean, /** Number of the set of lease voters that the voter has applied. */ readonly voterSet: number, /** Who holds the lease, in a refusal. */ readonly holder?: HostId }
   /** A new holder tells the hosts of its zone. */
   | { readonly kind: 'lease.held', readonly zone: ZoneId, readonly ballot: number }
@@ -13,8 +13,8 @@
 export type OwnershipMessage =
   /** Answer to a renewal, and the holder's heartbeat. `endpoints`: all that the owner holds, absent when unchanged since the `epoch` of the renewal. */
   | { readonly kind: 'owner.assign', readonly zone: ZoneId, readonly ballot: number, readonly askId: number, readonly subLeaseMs: DurationMs, readonly epoch: number, readonly viewSequence: number, readonly endpoints?: readonly AssignedEndpoint[] }
-  /** A host asks for its sub-lease, which it counts from when it asked; also its heartbeat. `epoch`: the last assignment applied of this ballot, else 0. */
-  | { readonly kind: 'owner.renew', readonly zone: ZoneId, readonly ballot: number, readonly askId: number, readonly epoch: number, readonly viewSequence: number, readonly highestFencing: number, readonly leaving: boolean, readonly holding: readonly HeldEndpoint[] }
+  /** A host asks for its sub-lease, which it counts from when it asked; also its heartbeat. `life` tells a restarted process from the one before. `epoch`: the last assignment applied of this ballot, else 0. */
+  | { readonly kind: 'owner.renew', readonly zone: ZoneId, readonly ballot: number, readonly askId: number, readonly epoch: number, readonly viewSequence: number, readonly highestFencing: number, readonly leaving: boolean, readonly holding: readonly HeldEndpoint[], readonly life: number }
   /** The owner grants and orders no more there. `settled`: none of its orders is under way. `highestFencing`: learned from a refusal, else 0. */
   | { readonly kind: 'owner.handBack', readonly zone: ZoneId, readonly ballot: number, readonly endpoint: EndpointId, readonly fencing: number, readonly settled: boolean, readonly highestFencing: number }
 
--- a/zone/coordination/src/createZoneCoordination.ts
+++ b/zone/coordination/src/createZoneCoordination.ts
@@ -62,6 +62,7 @@
 /** Candidates ask for the lease one after another, so that the first one wins. */
 const CANDIDATE_STEP_MS = 40
 const LAST_CANDIDATE_STEP = 10
+const LAST_LIFE = 2 ** 30
 
 function listAllPeers (opts: ZoneCoordinationOptions): readonly PeerRow[] {
   const { self, peers } = opts
@@ -88,7 +89,7 @@
   const known: ZoneParts['known'] = { holder: undefined, heardAt: -Infinity, leaving: false, released: false, held: undefined, subLeaseLive: false, platformAt: 0, askedViewAt: -Infinity }
   const voterSets: VoterSets = createVoterSets({ self, peers, settings, getSettings, getHeard: voter => leaseHolder.getHeard(voter), propose: opts.proposeLeaseVoters })
   const leaseHolder: LeaseHolder = createLeaseHolder({ zone: self.zone, getVoters: () => voterSets.getCurrent(), getLeaseMs: () => getSettings().leaseMs, random })
-  const subLease = createSubLease({ zone: self.zone })
+  const subLease = createSubLease({ zone: self.zone, life: random.nextInt(1, LAST_LIFE) })
   const table = createZoneTable({ getNow })
   const platform = createPlatformTable({ zone: self.zone })
   const digests = createZoneDigests({ region: self.region, peers })
--- a/zone/leases/src/leaseHolder.ts
+++ b/zone/leases/src/leaseHolder.ts
@@ -92,7 +92,7 @@
     open.push({ askId, ballot, askedAt: now, durationMs, voters, grantedBy: new Set(), subLeasesMayRun: false })
     if (open.length > MAX_OPEN_ASKS) open.shift()
     nextAskAt = now + (current === undefined ? opts.random.nextInt(MIN_RETRY_MS, MAX_RETRY_MS) : durationMs / RENEWALS_PER_LEASE)
-    for (const voter of voters.hosts) context.send(voter, { kind: 'lease.ask', zone: opts.zone, ballot, askId, durationMs, voterSet: voters.number })
+    for (const voter of voters.hosts) context.send(voter, { kind: 'lease.ask', zone: opts.zone, ballot, askId, durationMs, voterSet: voters.number, renewal: current !== undefined })
   }
 
   function applyMajority (granted: OpenAsk, now: MonotonicMs): void {
--- a/zone/leases/src/leaseVoter.ts
+++ b/zone/leases/src/leaseVoter.ts
@@ -12,6 +12,8 @@
 interface LeasePromise {
   readonly holder: HostId
   readonly ballot: number
+  /** The highest ballot that was ever promised. */
+  readonly highestBallot: number
   readonly until: MonotonicMs
   /** Ended before `until` was over. */
   readonly released: boolean
@@ -41,9 +43,14 @@
   return promise !== undefined && promise.holder !== from && promise.until > now
 }
 
-function isStale (promise: LeasePromise | undefined, from: HostId, ballot: number): boolean {
-  if (promise === undefined) return false
-  return promise.holder === from ? ballot < promise.ballot : ballot <= promise.ballot
+/**
+ * A new ballot must be above all that the voter promised. A renewal need not: its holder has a majority without this voter,
+ * and a rival's higher ballot that won none must not cost it this vote for good.
+ */
+function isStale (promise: LeasePromise | undefined, from: HostId, ask: LeaseAsk): boolean {
+  if (promise === undefined || ask.renewal) return false
+  const isSame = promise.holder === from && promise.ballot === ask.ballot
+  return !isSame && ask.ballot <= promise.highestBallot
 }
 
 /** Sub-leases end inside the lease that they came from, but not when it was released or taken anew before its end. */
@@ -66,17 +73,18 @@
     const voterSet = opts.getVoterSet(ask.zone)
     if (isSilent(now) || voterSet === undefined) return
     const promise = promises.get(ask.zone)
-    const refused = !isVoterSetCurrent(voterSet, ask.voterSet) || isPromisedToOther(promise, from, now) || isStale(promise, from, ask.ballot)
+    const refused = !isVoterSetCurrent(voterSet, ask.voterSet) || isPromisedToOther(promise, from, now) || isStale(promise, from, ask)
     const answer = { kind: 'lease.answer', zone: ask.zone, ballot: ask.ballot, askId: ask.askId, voterSet } as const
     if (refused) {
       const remainingMs = Math.max(0, (promise?.until ?? now) - now)
-      context.send(from, { ...answer, granted: false, highestBallot: promise?.ballot ?? 0, remainingMs, subLeasesMayRun: false, holder: remainingMs > 0 ? promise?.holder : undefined })
+      context.send(from, { ...answer, granted: false, highestBallot: promise?.highestBallot ?? 0, remainingMs, subLeasesMayRun: false, holder: remainingMs > 0 ? promise?.holder : undefined })
       return
     }
     const until = now + computeVoterLeaseMs(ask.durationMs)
     const subLeasesMayRun = maySubLeasesRun(promise, ask.ballot, now)
-    promises.set(ask.zone, { holder: from, ballot: ask.ballot, until, released: false, subLeasesMayRun })
-    context.send(from, { ...answer, granted: true, highestBallot: ask.ballot, remainingMs: ask.durationMs, subLeasesMayRun })
+    const highestBallot = Math.max(ask.ballot, promise?.highestBallot ?? 0)
+    promises.set(ask.zone, { holder: from, ballot: ask.ballot, highestBallot, until, released: false, subLeasesMayRun })
+    context.send(from, { ...answer, granted: true, highestBallot, remainingMs: ask.durationMs, subLeasesMayRun })
   }
 
   function receiveRelease (from: HostId, release: LeaseRelease, context: RunContext): void {
--- a/zone/ownership/src/assigner.ts
+++ b/zone/ownership/src/assigner.ts
@@ -113,8 +113,8 @@
   })
 }
 
-function addOwner (state: AssignerState, host: HostId, leaving: boolean): OwnerRow {
-  const owner: OwnerRow = { until: 0, epoch: state.nextEpoch++, appliedEpoch: 0, leaving, endpoints: new Set() }
+function addOwner (state: AssignerState, host: HostId, { leaving, life }: OwnerRenew): OwnerRow {
+  const owner: OwnerRow = { until: 0, epoch: state.nextEpoch++, appliedEpoch: 0, leaving, life, endpoints: new Set() }
   state.owners.set(host, owner)
   state.hostsChanged = true
   return owner
@@ -123,7 +123,9 @@
 function receiveRenew (state: AssignerState, from: HostId, renew: OwnerRenew, context: RunContext): void {
   if (!state.active) return
   state.highestFencing = Math.max(state.highestFencing, renew.highestFencing)
-  const owner = state.owners.get(from) ?? addOwner(state, from, renew.leaving)
+  const owner = state.owners.get(from) ?? addOwner(state, from, renew)
+  // A restarted process waits until the sub-lease of the one before has ended: its grants and orders may still arrive.
+  if (owner.life !== renew.life) return
   if (renew.ballot === state.ballot) owner.appliedEpoch = renew.epoch
   if (owner.leaving !== renew.leaving) {
     owner.leaving = renew.leaving
--- a/zone/ownership/src/assignerState.ts
+++ b/zone/ownership/src/assignerState.ts
@@ -34,6 +34,7 @@
   /** The last epoch that the owner is known to have applied. */
   appliedEpoch: number
   leaving: boolean
+  readonly life: number
   readonly endpoints: Set<EndpointId>
 }
 
--- a/zone/ownership/src/subLease.ts
+++ b/zone/ownership/src/subLease.ts
@@ -56,6 +56,7 @@
 
 interface SubLeaseState {
   readonly zone: ZoneId
+  readonly life: number
   readonly owned: Map<EndpointId, OwnedRow>
   readonly renewals: Map<number, { readonly at: MonotonicMs, readonly to: HostId }>
   until: MonotonicMs
@@ -70,9 +71,10 @@
   highestFencing: number
 }
 
-function createSubLeaseState (zone: ZoneId): SubLeaseState {
+function createSubLeaseState ({ zone, life }: { readonly zone: ZoneId, readonly life: number }): SubLeaseState {
   return {
     zone,
+    life,
     owned: new Map(),
     renewals: new Map(),
     until: -Infinity,
@@ -99,8 +101,8 @@
   state.nextAt = context.now + RENEW_INTERVAL_MS
   state.renewedTo = to
   const holding = to === state.holder ? [] : listHolding(state, context.now)
-  const { zone, ballot, epoch, highestFencing } = state
-  context.send(to, { kind: 'owner.renew', zone, ballot, askId, epoch, highestFencing, holding, ...opts })
+  const { zone, life, ballot, epoch, highestFencing } = state
+  context.send(to, { kind: 'owner.renew', zone, ballot, askId, epoch, highestFencing, holding, life, ...opts })
 }
 
 function computeWaits (waitMs: DurationMs, now: MonotonicMs): Pick<OwnedRow, 'orderAfter' | 'grantAfter'> {
@@ -164,8 +166,8 @@
 }
 
 /** Creates the owner's side, without a sub-lease. */
-export function createSubLease (opts: { readonly zone: ZoneId }): SubLease {
-  const state = createSubLeaseState(opts.zone)
+export function createSubLease (opts: { readonly zone: ZoneId, /** Differs between processes of the same host. */ readonly life: number }): SubLease {
+  const state = createSubLeaseState(opts)
   return {
     getUntil: () => state.until,
     isLive: now => state.until > now,
