--- a/consensus/log-machine/src/followers.ts
+++ b/consensus/log-machine/src/followers.ts
@@ -31,10 +31,15 @@
   takeEntries(state, message, context)
   const matchIndex = message.previousIndex + message.entries.length
   state.commitIndex = Math.max(state.commitIndex, Math.min(message.commitIndex, matchIndex))
-  if (state.commitIndex >= message.commitIndex) state.caughtUpAt = context.now
+  if (holdsCommitted(state, message)) state.caughtUpAt = context.now
   sendAppendAnswer(state, from, { success: true, matchIndex, readRound }, context)
 }
 
+/** A new leader does not know what is committed before an entry of its own term is. */
+function holdsCommitted (state: MachineState, message: Append): boolean {
+  return state.commitIndex >= message.commitIndex && state.log.getTerm(state.commitIndex) === message.term
+}
+
 function hasPrevious (state: MachineState, message: Append): boolean {
   if (message.previousIndex < state.log.getFirstIndex() - 1) return true
   return state.log.getTerm(message.previousIndex) === message.previousTerm
--- a/consensus/voter/src/voter.ts
+++ b/consensus/voter/src/voter.ts
@@ -97,8 +97,9 @@
 }
 
 function isInContact ({ machine, lastRunAt }: VoterState): boolean {
-  const { role, leader, caughtUpAt } = machine.getState()
-  if (role === Role.LEADER) return true
+  const { role, leader, caughtUpAt, commitIndex, takenIndex, termStartIndex } = machine.getState()
+  if (takenIndex < commitIndex) return false
+  if (role === Role.LEADER) return commitIndex >= termStartIndex
   return leader !== undefined && lastRunAt - caughtUpAt <= KEEPS_UP_MS
 }
 
--- a/testing/fuzz/src/actions.ts
+++ b/testing/fuzz/src/actions.ts
@@ -25,7 +25,9 @@
   | { readonly kind: 'degrade', readonly drop: number, readonly duplicate: number, readonly delayMs: number }
   | { readonly kind: 'heal' }
   | { readonly kind: 'engineRestart', readonly engine: number }
-  | { readonly kind: 'engineFault', readonly engine: number, readonly fault: 'loadsFail' | 'silent' | 'crossedEcho', readonly on: boolean }
+  | { readonly kind: 'engineFault', readonly engine: number, readonly fault: 'loadsFail' | 'silent' | 'crossedEcho' | 'breaks', readonly on: boolean }
+  | { readonly kind: 'slowDisks', readonly ms: number }
+  | { readonly kind: 'restartAll' }
   | { readonly kind: 'serviceRestart', readonly service: number }
   | { readonly kind: 'serviceSilent', readonly service: number, readonly on: boolean }
   | { readonly kind: 'leave', readonly engine: number }
@@ -59,7 +61,9 @@
   degrade: { weight: 2, arbitrary: fc.record({ kind: fc.constant('degrade'), drop: fc.nat({ max: 30 }), duplicate: fc.nat({ max: 30 }), delayMs: fc.integer({ min: 1, max: 400 }) }) },
   heal: { weight: 5, arbitrary: fc.record({ kind: fc.constant('heal') }) },
   engineRestart: { weight: 2, arbitrary: fc.record({ kind: fc.constant('engineRestart'), engine: index }) },
-  engineFault: { weight: 2, arbitrary: fc.record({ kind: fc.constant('engineFault'), engine: index, fault: fc.constantFrom('loadsFail', 'silent', 'crossedEcho'), on: fc.boolean() }) },
+  engineFault: { weight: 2, arbitrary: fc.record({ kind: fc.constant('engineFault'), engine: index, fault: fc.constantFrom('loadsFail', 'silent', 'crossedEcho', 'breaks'), on: fc.boolean() }) },
+  slowDisks: { weight: 2, arbitrary: fc.record({ kind: fc.constant('slowDisks'), ms: fc.integer({ min: 10, max: 1_500 }) }) },
+  restartAll: { weight: 1, arbitrary: fc.record({ kind: fc.constant('restartAll') }) },
   serviceRestart: { weight: 1, arbitrary: fc.record({ kind: fc.constant('serviceRestart'), service: index }) },
   serviceSilent: { weight: 1, arbitrary: fc.record({ kind: fc.constant('serviceSilent'), service: index, on: fc.boolean() }) },
   leave: { weight: 1, arbitrary: fc.record({ kind: fc.constant('leave'), engine: index }) },
@@ -67,10 +71,14 @@
   resendChange: { weight: 2, arbitrary: fc.record({ kind: fc.constant('resendChange'), host: index, change: index }) }
 }
 
-/** Lists of actions. */
-export function createActionsArbitrary (opts: { minLength: number, maxLength: number }): fc.Arbitrary<Action[]> {
-  const action = fc.oneof(...Object.values(arbitraries).map(({ weight, arbitrary }) => ({ weight, arbitrary: arbitrary as fc.Arbitrary<Action> })))
-  return fc.array(action, opts)
+/** Lists of actions, of all kinds or of some. */
+export function createActionsArbitrary (opts: { minLength: number, maxLength: number, kinds?: ReadonlyArray<Action['kind']> }): fc.Arbitrary<Action[]> {
+  const { minLength, maxLength, kinds = Object.keys(arbitraries) as Array<Action['kind']> } = opts
+  const action = fc.oneof(...kinds.map(kind => {
+    const { weight, arbitrary } = arbitraries[kind]
+    return { weight, arbitrary: arbitrary as fc.Arbitrary<Action> }
+  }))
+  return fc.array(action, { minLength, maxLength })
 }
 
 function pickAt<T> (items: readonly T[], at: number): T {
@@ -192,6 +200,12 @@
   heal: world => { world.cluster.faults.healAll() },
   engineRestart: (world, action) => { pickEngine(world, action.engine).restart() },
   engineFault: (world, action) => { pickEngine(world, action.engine).faults[action.fault] = action.on },
+  slowDisks: (world, action) => { for (const disk of world.cluster.disks.values()) disk.setSyncMs(action.ms) },
+  restartAll: world => {
+    const names = world.cluster.listHostNames()
+    for (const host of names) world.cluster.crash(host)
+    for (const host of names) world.cluster.start(host)
+  },
   serviceRestart: (world, action) => { pickAt([...world.cluster.services.values()], action.service).restart() },
   serviceSilent: (world, action) => { pickAt([...world.cluster.services.values()], action.service).faults.silent = action.on },
   leave: (world, action) => { world.cluster.setLeaving(pickAt([...world.cluster.engines.keys()], action.engine)) },
--- a/testing/fuzz/test/regressions.test.ts
+++ b/testing/fuzz/test/regressions.test.ts
@@ -17,6 +17,15 @@
     ])).toEqual([])
   })
 
+  it('serves no older settings after all hosts restarted and the new leader has committed nothing yet', () => {
+    expect(run([
+      { kind: 'slowDisks', ms: 1_491 },
+      { kind: 'wait', ms: 3_973 },
+      { kind: 'restartAll' },
+      { kind: 'wait', ms: 2_000 }
+    ], 7)).toEqual([])
+  })
+
   it('accepts changes after its leader was stopped gracefully', () => {
     expect(run([
       { kind: 'stop', host: 5 },
--- a/testing/network/src/cluster.ts
+++ b/testing/network/src/cluster.ts
@@ -151,6 +151,18 @@
   readonly timeRun?: (host: string, run: () => HostOutput[]) => HostOutput[]
 }
 
+/** Whether a host cannot reach a majority of the voters both ways. */
+function isIsolated (cluster: ClusterState, host: string): boolean {
+  const { faults, disks, hosts } = cluster
+  const reached = [...disks].filter(([voter, disk]) => {
+    if (disk.isWiped()) return false
+    if (voter === host) return true
+    const peer = hosts.get(voter)
+    return peer !== undefined && peer.isRunning() && !peer.isPaused() && !faults.isCut(host, voter) && !faults.isCut(voter, host)
+  })
+  return reached.length * 2 <= disks.size
+}
+
 /** Watches the revisions of hosts; a host counts as reachable while no fault at all is in force. */
 function watchRevisions (cluster: ClusterState): void {
   let faultlessSince: number | undefined
@@ -161,7 +173,7 @@
     for (const host of cluster.hosts.values()) {
       const core = host.getCore()
       if (core === undefined) continue
-      cluster.observe({ kind: 'hostRevision', at, host: host.name, ready: core.isReady(), revision: core.getRevision(), reachableSince: faultlessSince })
+      cluster.observe({ kind: 'hostRevision', at, host: host.name, life: host.getIncarnation(), isolated: isIsolated(cluster, host.name), ready: core.isReady(), revision: core.getRevision(), reachableSince: faultlessSince })
     }
     cluster.scheduler.add(WATCH_INTERVAL_MS, watch)
   }
--- a/testing/network/src/fakeDisk.ts
+++ b/testing/network/src/fakeDisk.ts
@@ -8,16 +8,22 @@
   /** Requests not yet synced are lost. */
   readonly crash: () => void
   readonly wipe: () => void
+  readonly isWiped: () => boolean
   readonly setFailing: (failing: boolean) => void
+  /** Time that a sync takes. */
+  readonly setSyncMs: (ms: number) => void
+  readonly restoreSpeed: () => void
 }
 
-const SYNC_MS = 2
+const USUAL_SYNC_MS = 2
 
 /** Creates an empty disk. */
 export function createFakeDisk (opts: { scheduler: Scheduler, group: string, host: string }): FakeDisk {
   let wipes = 0
   let epoch = 0
   let failing = false
+  let syncMs = USUAL_SYNC_MS
+  let lastDoneAt = 0
   let hardState: HardState = { term: 0 }
   let snapshot: Snapshot | undefined
   let entries: LogEntry[] = []
@@ -38,7 +44,9 @@
   return {
     carryOut: (request, answer) => {
       const begun = epoch
-      opts.scheduler.add(SYNC_MS, () => {
+      // Requests are carried out in order, also after the time of a sync has changed.
+      lastDoneAt = Math.max(lastDoneAt, opts.scheduler.getNow() + syncMs)
+      opts.scheduler.add(lastDoneAt - opts.scheduler.getNow(), () => {
         if (begun !== epoch) return
         if (failing) {
           answer({ writeId: request.writeId, ok: false, reason: 'sync failed' })
@@ -49,7 +57,10 @@
       })
     },
     read: () => ({ group: opts.group, incarnation: `${opts.host}-disk-${wipes}`, hardState, snapshot, entries: [...entries] }),
-    crash: () => { epoch++ },
+    crash: () => {
+      epoch++
+      lastDoneAt = 0
+    },
     wipe: () => {
       epoch++
       wipes++
@@ -57,6 +68,9 @@
       snapshot = undefined
       entries = []
     },
-    setFailing: value => { failing = value }
+    isWiped: () => wipes > 0,
+    setFailing: value => { failing = value },
+    setSyncMs: ms => { syncMs = ms },
+    restoreSpeed: () => { syncMs = USUAL_SYNC_MS }
   }
 }
--- a/testing/network/src/fakeEngine.ts
+++ b/testing/network/src/fakeEngine.ts
@@ -26,7 +26,10 @@
 export interface EngineFaults {
   loadsFail: boolean
   silent: boolean
+  /** Answers carry another attempt and another content. */
   crossedEcho: boolean
+  /** Connections break while the work runs, before any answer. */
+  breaks: boolean
 }
 
 export interface FakeEngine {
@@ -95,8 +98,10 @@
 }
 
 function answerPart (engine: EngineState, run: Run): void {
-  const { adapter, version, content } = run.work
-  const attemptId = engine.faults.crossedEcho ? `${run.work.attemptId}-other` : run.work.attemptId
+  const { adapter, version } = run.work
+  const { crossedEcho } = engine.faults
+  const attemptId = crossedEcho ? `${run.work.attemptId}-other` : run.work.attemptId
+  const content = crossedEcho ? `${run.work.content}-other` : run.work.content
   if (run.part === ANSWER_PARTS) {
     run.work.answer({ kind: 'ended', adapter, version, attemptId })
     finishRun(engine, run, 'complete')
@@ -113,6 +118,11 @@
   engine.scheduler.add(engine.partMs, () => advanceRun(engine, run))
 }
 
+function breakRun (engine: EngineState, run: Run): void {
+  finishRun(engine, run, 'crashed')
+  run.work.answer({ kind: 'broken' })
+}
+
 function submitWork (engine: EngineState, work: EngineWork): void {
   const adapterKey = `${work.adapter}@${work.version}`
   if (!engine.resident.has(adapterKey)) {
@@ -127,6 +137,10 @@
   engine.runs.set(work.attemptId, run)
   const { adapter, version, token, content } = work
   engine.observe({ kind: 'runStarted', at: engine.scheduler.getNow(), run: run.run, endpoint: engine.endpoint, token, content, adapter, version })
+  if (engine.faults.breaks) {
+    engine.scheduler.add(engine.partMs, () => breakRun(engine, run))
+    return
+  }
   work.answer({ kind: 'started', adapter, version, attemptId: work.attemptId })
   engine.scheduler.add(engine.partMs, () => advanceRun(engine, run))
 }
@@ -201,7 +215,7 @@
     resident: new Set(),
     loading: new Map(),
     runs: new Map(),
-    faults: { loadsFail: false, silent: false, crossedEcho: false },
+    faults: { loadsFail: false, silent: false, crossedEcho: false, breaks: false },
     instance: 0,
     runCount: 0,
     highestFencing: 0
--- a/testing/oracle/src/observations.ts
+++ b/testing/oracle/src/observations.ts
@@ -16,6 +16,9 @@
   /** From here to `hostStopped` no fault may be blamed for a cut request of this host. */
   | { readonly kind: 'hostStopping', readonly at: number, readonly host: string }
   | { readonly kind: 'hostStopped', readonly at: number, readonly host: string, readonly cutTokens: readonly string[] }
-  | { readonly kind: 'changeAccepted', readonly at: number, readonly revision: number, readonly path: string, readonly key: string, readonly value: unknown }
-  /** `reachableSince`: since when the host can reach everything without a break. */
-  | { readonly kind: 'hostRevision', readonly at: number, readonly host: string, readonly ready: boolean, readonly revision: number, readonly reachableSince: number | undefined }
+  | { readonly kind: 'changeAccepted', readonly at: number, readonly revision: number, readonly changeId: string }
+  /**
+   * `reachableSince`: since when the host can reach everything without a break. `isolated`: it cannot reach a majority
+   * of the voters. `life` rises with each start of its process.
+   */
+  | { readonly kind: 'hostRevision', readonly at: number, readonly host: string, readonly life: number, readonly isolated: boolean, readonly ready: boolean, readonly revision: number, readonly reachableSince: number | undefined }
--- a/testing/oracle/src/oracleState.ts
+++ b/testing/oracle/src/oracleState.ts
@@ -20,7 +20,8 @@
   readonly running: Map<string, RunningRow>
   readonly leaving: Map<string, number>
   readonly accepted: Array<Seen<'changeAccepted'>>
-  readonly revisions: Map<string, number>
+  /** Last revision of each host while it was ready, and the life in which it was seen. */
+  readonly revisions: Map<string, { readonly revision: number, readonly life: number }>
 }
 
 /** Creates an empty memory. */
@@ -65,5 +66,5 @@
 
 /** Recorded after the check of the same observation. */
 export const recordersAfter: { readonly [Kind in Observation['kind']]?: Recorder<Kind> } = {
-  hostRevision: (state, seen) => { if (seen.ready) state.revisions.set(seen.host, seen.revision) }
+  hostRevision: (state, seen) => { if (seen.ready) state.revisions.set(seen.host, { revision: seen.revision, life: seen.life }) }
 }
