--- a/consensus/voter/src/voter.ts
+++ b/consensus/voter/src/voter.ts
@@ -28,6 +28,8 @@
   /** Voters named in the settings file; used only until the log names its members. */
   readonly peersToBootstrap: readonly HostId[]
   readonly random: Random
+  /** When the log is compacted and how much of it stays; the usual bounds when absent. */
+  readonly compaction?: { readonly minBytes: number, readonly tailEntries: number }
   /** Time of the start; the first election waits from here. */
   readonly startedAt: MonotonicMs
 }
@@ -278,12 +280,15 @@
 }
 
 /** Takes a snapshot once the log has outgrown the last one. */
+const USUAL_COMPACTION = { minBytes: MIN_COMPACT_BYTES, tailEntries: TAIL_ENTRIES }
+
 function compact (state: VoterState, stateMachine: StateMachine, context: MachineContext): void {
-  if (state.bytesSinceSnapshot < Math.max(MIN_COMPACT_BYTES, state.snapshotBytes)) return
+  const { minBytes, tailEntries } = state.opts.compaction ?? USUAL_COMPACTION
+  if (state.bytesSinceSnapshot < Math.max(minBytes, state.snapshotBytes)) return
   const data = encodeVoterSnapshot({ lastProposedAt: state.lastProposedAt, data: stateMachine.takeSnapshot() })
   state.bytesSinceSnapshot = 0
   state.snapshotBytes = data.byteLength
-  state.machine.compact({ lastIndex: state.machine.getState().takenIndex, data, tailEntries: TAIL_ENTRIES }, context)
+  state.machine.compact({ lastIndex: state.machine.getState().takenIndex, data, tailEntries }, context)
 }
 
 function reportRole (state: VoterState, context: RunContext): void {
--- a/host/core/src/hostOptions.ts
+++ b/host/core/src/hostOptions.ts
@@ -12,6 +12,8 @@
   readonly peers: readonly PeerRow[]
   /** What the disk held at start; absent on hosts that do not vote. */
   readonly stored?: StoredState
+  /** When a voter compacts its log; the usual bounds when absent. */
+  readonly compaction?: { readonly minBytes: number, readonly tailEntries: number }
   readonly seed: number
   /** Wall time at 0 on the monotonic clock. */
   readonly wallAtZeroMs: WallMs
--- a/host/core/src/systems.ts
+++ b/host/core/src/systems.ts
@@ -47,6 +47,7 @@
     stateMachine,
     peersToBootstrap: listVoters(opts),
     random: createSystemRandom(opts, 1),
+    compaction: opts.compaction,
     startedAt: opts.startedAt
   })
   const committed: RevisionDelta[] = []
--- a/testing/network/src/cluster.ts
+++ b/testing/network/src/cluster.ts
@@ -131,7 +131,8 @@
         path: `fleet/${peer.region}/${peer.zone}/rack-1/${peer.host}`,
         group: GROUP,
         peers,
-        seed: opts.seed * 100 + index
+        seed: opts.seed * 100 + index,
+        compaction: COMPACTION
       },
       clockOffsetMs: cluster.random.nextInt(1_000, 1_000_000),
       clockRate: 1 + (cluster.random.nextFraction() - 0.5) * MAX_RATE_SPREAD,
@@ -141,6 +142,9 @@
   })
 }
 
+/** Small, so that snapshots are taken and sent within a simulated run. */
+const COMPACTION = { minBytes: 8 * 1024, tailEntries: 4 }
+
 /** Spread of the clock rates: plus and minus half a percent. */
 const MAX_RATE_SPREAD = 0.01
 
