--- a/testing/fuzz/src/mutations.ts
+++ b/testing/fuzz/src/mutations.ts
@@ -88,7 +88,7 @@
     name: 'votes and acknowledgements go out before the disk has synced',
     kinds: ['change', 'slowDisks', 'restartAll', 'wait'],
     file: 'consensus/log-machine/src/disk.ts',
-    find: 'if (state.durableWriteId >= state.lastWriteId) {',
-    replace: 'if (state.lastWriteId >= 0) {'
+    find: 'if (state.durableWriteId >= state.lastLogWriteId) {',
+    replace: 'if (state.lastLogWriteId >= 0) {'
   }
 ]
