Close connections only when their answers are written out

Cause: closing idle connections at shutdown counts an answer as over once it was ended, and destroys the socket while its tail may still be unsent. It is the likely cause of the test of three hosts that stop at once failing in 2 of some 20 runs under load; the failing runs did not show the stream's end. Change: the listener counts answers by connection and ends a connection when its last answer is closed.

--- a/daemon/main/src/listeners.ts
+++ b/daemon/main/src/listeners.ts
@@ -2,7 +2,8 @@
 import { once } from 'node:events'
 import { createServer } from 'node:http'
 import type { RequestListener, Server } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import { Server as NetServer } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 
 export interface Listener {
   /** `http://ip:port` as bound. */
@@ -16,7 +17,6 @@
 const HEADERS_TIMEOUT_MS = 10_000
 const REQUEST_TIMEOUT_MS = 60_000
 const KEEP_ALIVE_TIMEOUT_MS = 30_000
-const IDLE_SWEEP_INTERVAL_MS = 20
 const MAX_CONNECTIONS = 16_384
 
 /** Splits `ip:port`, with brackets around an IP of version 6. */
@@ -33,6 +33,21 @@
 /** Opens a listener; rejects when the address cannot be had. */
 export async function openListener (address: string, handle: RequestListener): Promise<Listener> {
   const server = createServer({ headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS, keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, noDelay: true }, handle)
+  const answering = new Map<Socket, number>()
+  let closing = false
+  server.on('connection', (socket: Socket) => {
+    answering.set(socket, 0)
+    socket.once('close', () => answering.delete(socket))
+  })
+  server.prependListener('request', ({ socket }, res) => {
+    answering.set(socket, (answering.get(socket) ?? 0) + 1)
+    res.once('close', () => {
+      if (socket.destroyed) return
+      const left = (answering.get(socket) ?? 1) - 1
+      answering.set(socket, left)
+      if (closing && left === 0) socket.end()
+    })
+  })
   server.maxConnections = MAX_CONNECTIONS
   server.listen(parseAddress(address))
   await once(server, 'listening')
@@ -40,12 +55,11 @@
   return {
     url: getUrl(server),
     close: async () => {
-      server.close()
-      // Answers that end only now leave connections that the caller would keep alive.
-      const sweep = setInterval(() => server.closeIdleConnections(), IDLE_SWEEP_INTERVAL_MS)
-      server.closeIdleConnections()
+      closing = true
+      // Not `server.close()` of HTTP: it destroys connections whose answer has ended but is not yet written out.
+      NetServer.prototype.close.call(server)
+      for (const [socket, answers] of answering) if (answers === 0) socket.destroy()
       await closed
-      clearInterval(sweep)
     },
     cut: () => { server.closeAllConnections() }
   }
