Ignore reports that orders of an earlier assignment may have outdated

Cause: 1,500 random schedules of a zone (seed 1) failed at number 435: a grant found its adapter not resident. When a lease moved, the endpoint was assigned to the same owner under a new fencing number; the owner began anew from the next report, which lags, and that was from before its own last eviction. Ruled out: a stale owner's order (all orders came from this owner), a restart of the engine. Change: a report is joined with the slots only when it was taken after the engine took our fencing number, or after the wait for earlier evictions; before that no load counts on free slots.

--- a/zone/coordination/test/zoneSafety.test.ts
+++ b/zone/coordination/test/zoneSafety.test.ts
@@ -48,6 +48,35 @@
   return { ...('host' in step ? { host: pick(step.host) } : {}), ...('other' in step ? { other: pick(step.other) } : {}) }
 }
 
+/** A schedule in which a new assignment met a report from before the last eviction. */
+const OUTDATED_REPORT: Step[] = [
+  { kind: 'ask', host: 4, endpoint: 2, adapter: 4, runMs: 2065, startAfterMs: 294 },
+  { kind: 'wait', durationMs: 18 },
+  { kind: 'ask', host: 3, endpoint: 2, adapter: 1, runMs: 59, startAfterMs: 156 },
+  { kind: 'wait', durationMs: 1402 },
+  { kind: 'ask', host: 3, endpoint: 1, adapter: 2, runMs: 2884, startAfterMs: 53 },
+  { kind: 'ask', host: 1, endpoint: 0, adapter: 4, runMs: 5123, startAfterMs: 256 },
+  { kind: 'wait', durationMs: 362 },
+  { kind: 'wait', durationMs: 1333 },
+  { kind: 'wait', durationMs: 1495 },
+  { kind: 'ask', host: 3, endpoint: 1, adapter: 4, runMs: 2019, startAfterMs: 293 },
+  { kind: 'wait', durationMs: 246 },
+  { kind: 'ask', host: 3, endpoint: 0, adapter: 2, runMs: 159, startAfterMs: 240 },
+  { kind: 'ask', host: 3, endpoint: 0, adapter: 4, runMs: 5257, startAfterMs: 60 },
+  { kind: 'ask', host: 4, endpoint: 2, adapter: 2, runMs: 5792, startAfterMs: 175 },
+  { kind: 'wait', durationMs: 1021 },
+  { kind: 'ask', host: 3, endpoint: 2, adapter: 2, runMs: 5879, startAfterMs: 1 },
+  { kind: 'wait', durationMs: 654 },
+  { kind: 'ask', host: 1, endpoint: 2, adapter: 0, runMs: 3018, startAfterMs: 7 },
+  { kind: 'wait', durationMs: 48 },
+  { kind: 'ask', host: 4, endpoint: 0, adapter: 3, runMs: 2452, startAfterMs: 12 },
+  { kind: 'shutdown', host: 5, other: 2 },
+  { kind: 'ask', host: 5, endpoint: 2, adapter: 1, runMs: 977, startAfterMs: 133 },
+  { kind: 'ask', host: 5, endpoint: 0, adapter: 3, runMs: 2344, startAfterMs: 298 },
+  { kind: 'ask', host: 2, endpoint: 0, adapter: 1, runMs: 3283, startAfterMs: 60 },
+  { kind: 'wait', durationMs: 1472 }
+]
+
 describe('zone safety under random faults', () => {
   it('never evicts under a running attempt, never lets a stale owner order, grants only resident adapters', () => {
     let given = 0
@@ -63,7 +92,7 @@
       evicted += pump.orders.filter(({ order }) => order.kind === 'evict').length
       expect(pump.violations).toEqual([])
     })
-    fc.assert(property, { seed: 1, numRuns: Number(process.env.ZONE_RUNS ?? 40) })
+    fc.assert(property, { seed: 1, numRuns: Number(process.env.ZONE_RUNS ?? 40), examples: [[50_379_214, 4, OUTDATED_REPORT]] })
     if (process.env.ZONE_RUNS !== undefined) console.log({ given, evicted })
     expect(given).toBeGreaterThan(100)
     expect(evicted).toBeGreaterThan(10)
--- a/zone/grants/src/createGrants.ts
+++ b/zone/grants/src/createGrants.ts
@@ -8,7 +8,7 @@
 import type { GrantActive, GrantAsk, GrantCancel, GrantRelease } from './asks.ts'
 import { buildPublished, describeOwned } from './describe.ts'
 import type { EndpointDescription } from './describe.ts'
-import { createEndpointState } from './endpointState.ts'
+import { createEndpointState, noteFencingTaken } from './endpointState.ts'
 import type { EndpointState } from './endpointState.ts'
 import { giveGrants, refuseAll, refuseWaiting } from './granting.ts'
 import { createGrantsCore, markEndpoint, planVisit } from './grantsCore.ts'
@@ -58,8 +58,8 @@
 const ORDER_HANDLERS: Readonly<Record<OrderRow['purpose'], OrderHandler>> = {
   load: receiveLoadResult,
   evict: receiveEvictResult,
-  claim: (_core, state, _row, outcome) => {
-    if (outcome.kind === 'done') state.fencingTaken = true
+  claim: (_core, state, _row, outcome, context) => {
+    if (outcome.kind === 'done') noteFencingTaken(state, context.now)
   },
   role: () => {}
 }
--- a/zone/grants/src/endpointState.ts
+++ b/zone/grants/src/endpointState.ts
@@ -43,6 +43,10 @@
   unreachableSince: MonotonicMs | undefined
   /** The engine is known to refuse lower fencing numbers than ours. */
   fencingTaken: boolean
+  /** Since when, if it does. */
+  fencingTakenAt: MonotonicMs
+  /** A report has been joined that no order of an earlier owner can have outdated. */
+  residencyKnown: boolean
   readonly loads: Map<AdapterKey, LoadRow>
   readonly openOrders: Set<OrderId>
   /** When an order last ended without a known outcome. */
@@ -83,6 +87,8 @@
     polledAt: undefined,
     unreachableSince: undefined,
     fencingTaken: false,
+    fencingTakenAt: Infinity,
+    residencyKnown: false,
     loads: new Map(),
     openOrders: new Set(),
     unsettledAt: -Infinity,
@@ -109,3 +115,14 @@
 export function countFreeSlots (state: EndpointState): number {
   return Math.max(0, (state.seen?.report.slots ?? 0) - state.pins.countAdapters())
 }
+
+/** From when on no order of an earlier owner changes what the engine holds. */
+export function getOrdersSettledAt (state: EndpointState): MonotonicMs {
+  return state.fencingTaken ? Math.min(state.fencingTakenAt, state.owned.grantAfter) : state.owned.grantAfter
+}
+
+/** Notes that the engine refuses the orders of earlier owners. */
+export function noteFencingTaken (state: EndpointState, at: MonotonicMs): void {
+  if (!state.fencingTaken) state.fencingTakenAt = at
+  state.fencingTaken = true
+}
--- a/zone/grants/src/loads.ts
+++ b/zone/grants/src/loads.ts
@@ -61,7 +61,7 @@
 }
 
 function hasFreeSlot (state: EndpointState): boolean {
-  return state.slots.countUsed() < (state.seen?.report.slots ?? 0)
+  return state.residencyKnown && state.slots.countUsed() < (state.seen?.report.slots ?? 0)
 }
 
 function chooseVictim (core: GrantsCore, state: EndpointState, wish: LoadWish, now: MonotonicMs): AdapterKey | undefined {
--- a/zone/grants/src/reports.ts
+++ b/zone/grants/src/reports.ts
@@ -2,6 +2,7 @@
 import type { EndpointId, EndpointReport, MonotonicMs } from '@catkinferry/core.types'
 import type { RunContext } from '@catkinferry/host.events'
 import { endAttempt } from './asks.ts'
+import { getOrdersSettledAt, noteFencingTaken } from './endpointState.ts'
 import type { EndpointState, SeenReport } from './endpointState.ts'
 import { markEndpoint } from './grantsCore.ts'
 import type { GrantsCore } from './grantsCore.ts'
@@ -72,9 +73,12 @@
   const seen: SeenReport = { report, takenAt, receivedAt: now }
   state.seen = seen
   if (before !== undefined && before.report.instanceId !== report.instanceId) noteRestart(core, state, before, context)
-  if (report.checksFencing && report.highestFencing >= state.owned.fencing) state.fencingTaken = true
+  if (report.checksFencing && report.highestFencing >= state.owned.fencing) noteFencingTaken(state, takenAt)
   core.opts.noteFencing(report.highestFencing)
-  state.slots.applyReport(report, takenAt, now)
+  if (takenAt >= getOrdersSettledAt(state)) {
+    state.slots.applyReport(report, takenAt, now)
+    state.residencyKnown = true
+  }
   if (state.inventory !== undefined) applyReportToInventory(state.inventory, seen)
   state.unknownRunning = countUnknownRunning(state, seen)
   state.endedAt = state.endedAt.filter(at => at >= takenAt)
