Measure control traffic and processor time in a zone of the target's size

Change: the simulated network and the experiment use the compact form; bytes are split by purpose; one point is a whole zone of the target's size (35 hosts, 385 engines, 39 requests a second and host).

--- a/testing/measure/src/capacity/measureControl.ts
+++ b/testing/measure/src/capacity/measureControl.ts
@@ -1,13 +1,17 @@
 /** Runs a simulated deployment under a steady load and counts what its hosts send and compute. */
 import { createRandom } from '@catkinferry/core.random'
+import type { NodeChange } from '@catkinferry/core.types'
 import type { HostOutput } from '@catkinferry/host.events'
-import { createCluster, ENGINE_POOL, MODEL } from '@catkinferry/testing.network'
+import { createCluster, encodeMessage, ENGINE_POOL, MODEL } from '@catkinferry/testing.network'
 import type { Cluster, DeploymentShape } from '@catkinferry/testing.network'
-import { encode } from 'cbor-x'
 
 const SETTLE_MS = 8_000
 const MEASURED_MS = 10_000
 const STEP_MS = 100
+/** A store fast enough not to bound the load. */
+const STORE = { 'loads.perSecond': 500, 'loads.fullSpeedInFlight': 200, 'loads.maxInFlight': 400 }
+/** Two nodes each; a change may name 1,000. */
+const ADAPTERS_PER_CHANGE = 400
 const DEADLINE_MS = 10_000
 const MS_PER_SECOND = 1_000
 /** Length prefix of a frame. */
@@ -31,6 +35,13 @@
   readonly holderCpuMs: number
   readonly leaderBytes: number
   readonly leaderCpuMs: number
+  /** Mean sent bytes a host by purpose. */
+  readonly grantBytesPerHost: number
+  readonly stateBytesPerHost: number
+  readonly membershipBytesPerHost: number
+  readonly budgetBytesPerHost: number
+  readonly settingsBytesPerHost: number
+  readonly consensusBytesPerHost: number
   readonly completedPerSecond: number
 }
 
@@ -52,17 +63,24 @@
   return { zones, voters, slots: 8, batchLimit: 16, loadMs: 250, checksFencing: false, adapters: load.adapters }
 }
 
-function createAdapters (cluster: Cluster, count: number): void {
-  const changes = [{ path: `models/${MODEL}`, expectedRevision: 0, values: { pool: ENGINE_POOL } as Record<string, unknown> }]
-  for (let index = 0; index < count; index++) {
-    changes.push({ path: `models/${MODEL}/adapter-${index}`, expectedRevision: 0, values: { inForce: 'v1' } })
-    changes.push({ path: `models/${MODEL}/adapter-${index}/v1`, expectedRevision: 0, values: {} })
-  }
+function submitNodes (cluster: Cluster, changeId: string, changes: readonly NodeChange[]): void {
   cluster.ask({
     host: cluster.listHostNames()[0] ?? '',
-    question: { kind: 'settings.change', changeId: 'adapters', changes, dryRun: false, deadlineMs: DEADLINE_MS },
+    question: { kind: 'settings.change', changeId, changes, dryRun: false, deadlineMs: DEADLINE_MS },
     onReply: reply => { if (!reply.ok) throw new Error(`the adapters were refused: ${reply.failure.message}`) }
   })
+}
+
+function createAdapters (cluster: Cluster, count: number): void {
+  submitNodes(cluster, 'model', [{ path: 'fleet', expectedRevision: 0, values: STORE }, { path: `models/${MODEL}`, expectedRevision: 0, values: { pool: ENGINE_POOL } }])
+  cluster.runFor(SETTLE_MS)
+  for (let from = 0; from < count; from += ADAPTERS_PER_CHANGE) {
+    const size = Math.min(ADAPTERS_PER_CHANGE, count - from)
+    submitNodes(cluster, `adapters-${from}`, Array.from({ length: size }, (_, index) => `models/${MODEL}/adapter-${from + index}`).flatMap(path => [
+      { path, expectedRevision: 0, values: { inForce: 'v1' } },
+      { path: `${path}/v1`, expectedRevision: 0, values: {} }
+    ]))
+  }
   cluster.runFor(SETTLE_MS)
 }
 
@@ -113,6 +131,7 @@
 export function measureControl (opts: { seed: number, load: ControlLoad }): ControlFigures {
   const { seed, load } = opts
   const counters = createCounters()
+  const bytesByKind = new Map<string, number>()
   const timeRun = (host: string, run: () => HostOutput[]): HostOutput[] => {
     const begun = performance.now()
     const outputs = run()
@@ -124,17 +143,21 @@
     if (output.kind !== 'peer.send') return
     const row = counters.get(host)
     row.messages++
-    row.bytes += encode(output.message).length + FRAME_HEADER_BYTES
+    const bytes = encodeMessage(output.message).length + FRAME_HEADER_BYTES
+    row.bytes += bytes
+    bytesByKind.set(output.message.kind, (bytesByKind.get(output.message.kind) ?? 0) + bytes)
   })
   cluster.runFor(SETTLE_MS)
   createAdapters(cluster, load.adapters)
   drive(cluster, load, seed)
   counters.clear()
+  bytesByKind.clear()
   const completedBefore = cluster.oracle.countCompleted()
   drive(cluster, load, seed + 1)
   const seconds = MEASURED_MS / MS_PER_SECOND
   const names = cluster.listHostNames()
   const mean = (key: keyof Counter): number => names.reduce((sum, host) => sum + counters.get(host)[key], 0) / names.length / seconds
+  const getKindBytes = (prefix: string): number => [...bytesByKind].filter(([kind]) => kind.startsWith(prefix)).reduce((sum, [, bytes]) => sum + bytes, 0) / names.length / seconds
   const [holder = '', leader = ''] = findRoles(cluster)
   return {
     meanBytesPerHost: mean('bytes'),
@@ -144,6 +167,12 @@
     holderCpuMs: counters.get(holder).cpuMs / seconds,
     leaderBytes: counters.get(leader).bytes / seconds,
     leaderCpuMs: counters.get(leader).cpuMs / seconds,
+    grantBytesPerHost: getKindBytes('grant.'),
+    stateBytesPerHost: getKindBytes('member.endpoints'),
+    membershipBytesPerHost: getKindBytes('member.') + getKindBytes('lease.') + getKindBytes('owner.') - getKindBytes('member.endpoints'),
+    budgetBytesPerHost: getKindBytes('budget.'),
+    settingsBytesPerHost: getKindBytes('settings.'),
+    consensusBytesPerHost: getKindBytes('consensus.') + getKindBytes('command.'),
     completedPerSecond: (cluster.oracle.countCompleted() - completedBefore) / seconds
   }
 }
--- a/testing/measure/src/experiments/capacity.ts
+++ b/testing/measure/src/experiments/capacity.ts
@@ -7,6 +7,8 @@
 const IDLE_SIZES = [4, 8, 16, 32] as const
 const REQUEST_RATES = [0, 2, 4, 8] as const
 const CHANGE_RATES = [0, 1, 2, 4] as const
+const LOADED_SIZES = [4, 8, 16] as const
+const LOADED_RATE = 4
 const ZONE_COUNTS = [1, 2, 4] as const
 const ENGINES_PER_HOST = 2
 
@@ -15,6 +17,9 @@
 
 const BASE: ControlLoad = { zones: 1, hostsPerZone: 8, enginesPerHost: ENGINES_PER_HOST, requestsPerHostPerSecond: 0, changesPerSecond: 0, adapters: 24 }
 
+/** One zone as it would be at the target size; engines and adapters are stand-ins on virtual time. */
+const TARGET_ZONE: ControlLoad = { zones: 1, hostsPerZone: 35, enginesPerHost: 11, requestsPerHostPerSecond: 39, changesPerSecond: 0.1, adapters: 300 }
+
 type Key = keyof ControlFigures
 
 function fit (points: ReadonlyArray<readonly [number, ControlFigures]>, key: Key): { readonly slope: number, readonly intercept: number } {
@@ -35,15 +40,19 @@
   const byEngines = measureSeries([1, 2, 4, 8], seed, enginesPerHost => ({ enginesPerHost }))
   const byRequests = measureSeries(REQUEST_RATES, seed, requestsPerHostPerSecond => ({ requestsPerHostPerSecond }))
   const byChanges = measureSeries(CHANGE_RATES, seed, changesPerSecond => ({ changesPerSecond }))
+  const byHostsUnderLoad = measureSeries(LOADED_SIZES, seed, hostsPerZone => ({ hostsPerZone, requestsPerHostPerSecond: LOADED_RATE }))
   const byZones = measureSeries(ZONE_COUNTS, seed, zones => ({ zones, hostsPerZone: 4 }))
+  const zoneOfTargetSize = measureControl({ seed, load: TARGET_ZONE })
   return {
     target: TARGET,
+    zoneOfTargetSize: { load: TARGET_ZONE, figures: zoneOfTargetSize },
     base: BASE,
     points: {
       hostsPerZone: Object.fromEntries(byHosts),
       enginesPerHost: Object.fromEntries(byEngines),
       requestsPerHostPerSecond: Object.fromEntries(byRequests),
       changesPerSecond: Object.fromEntries(byChanges),
+      hostsPerZoneUnderLoad: Object.fromEntries(byHostsUnderLoad),
       zones: Object.fromEntries(byZones)
     },
     slopes: {
@@ -51,6 +60,7 @@
       perEngineOfHost: listFits(byEngines),
       perRequestPerSecondOfHost: listFits(byRequests),
       perChangePerSecond: listFits(byChanges),
+      perHostInZoneUnderLoad: listFits(byHostsUnderLoad),
       perZone: listFits(byZones)
     }
   }
@@ -59,6 +69,10 @@
 export const capacity: Experiment = {
   name: 'capacity',
   description: 'control messages and processor time of each role over zone size, load and changes',
-  targets: [],
+  targets: [
+    { key: 'zoneOfTargetSize.figures.meanBytesPerHost', bound: 'atMost', value: 9_000, unit: 'B/s' },
+    { key: 'zoneOfTargetSize.figures.holderBytes', bound: 'atMost', value: 9_000, unit: 'B/s' },
+    { key: 'zoneOfTargetSize.figures.meanCpuMsPerHost', bound: 'atMost', value: 10, unit: 'ms/s' }
+  ],
   run: async ({ seed }) => run(seed)
 }
--- a/testing/measure/src/experiments/index.ts
+++ b/testing/measure/src/experiments/index.ts
@@ -1,5 +1,6 @@
 /** Lookup table of experiments by name. */
 import type { Experiment } from '../experiment.ts'
+import { capacity } from './capacity.ts'
 import { relay } from './relay.ts'
 import { core } from './core.ts'
 import { dissemination } from './dissemination.ts'
@@ -15,5 +16,6 @@
   memory,
   policy: policyExperiment,
   settings,
-  recovery
+  recovery,
+  capacity
 }
--- a/testing/network/src/outputHandlers.ts
+++ b/testing/network/src/outputHandlers.ts
@@ -4,7 +4,7 @@
 import { startAttempt } from './attempts.ts'
 import { addLogLine } from './cluster.ts'
 import type { ClusterState } from './cluster.ts'
-import { encodeMessage } from './messageCopy.ts'
+import { decodeMessage, encodeMessage } from './messageCopy.ts'
 
 /** Where an output came from. */
 export interface Origin {
@@ -37,11 +37,11 @@
 
 function sendToPeer (origin: Origin, to: string, message: Extract<HostOutput, { kind: 'peer.send' }>['message']): void {
   const { cluster, host } = origin
-  const bytes = encodeMessage.encode(message)
+  const bytes = encodeMessage(message)
   for (const delay of cluster.faults.pickDelays(host, to)) {
     cluster.scheduler.add(delay, () => {
       if (cluster.faults.isCut(host, to)) return
-      cluster.hosts.get(to)?.receive({ kind: 'peer.message', from: host, message: encodeMessage.decode(bytes) })
+      cluster.hosts.get(to)?.receive({ kind: 'peer.message', from: host, message: decodeMessage(bytes) })
     })
   }
 }
