--- a/host/core/src/systems.ts
+++ b/host/core/src/systems.ts
@@ -10,6 +10,7 @@
 import { createVoter } from '@catkinferry/consensus.voter'
 import type { RevisionDelta, StateMachine } from '@catkinferry/wire.messages'
 import type { HostOptions } from './hostOptions.ts'
+import { submitLeaseVoters } from './leaseVoterChange.ts'
 
 /** Creates a generator for one system, so that one system's draws don't shift another's. */
 function createSystemRandom (opts: HostOptions, salt: number): ReturnType<typeof createRandom> {
@@ -83,6 +84,7 @@
     peers: opts.peers,
     fleetPath: opts.path,
     settings: dissemination.view,
+    proposeLeaseVoters: (proposal, context) => { submitLeaseVoters({ self: opts.self, tree: dissemination.getTree(), commands, proposal }, context) },
     random: createSystemRandom(opts, 4)
   })
   const requests = createRequests({
--- a/testing/network/src/cluster.ts
+++ b/testing/network/src/cluster.ts
@@ -46,6 +46,8 @@
   readonly disks: Map<string, FakeDisk>
   readonly engines: Map<string, FakeEngine>
   readonly services: Map<string, FakeService>
+  /** Hosts that the platform no longer lists. */
+  readonly goneHosts: Set<string>
   /** What the platform list shows now, after its lag. */
   readonly listed: Map<string, EndpointRow>
   readonly callers: Callers
@@ -241,6 +243,7 @@
     disks: new Map(),
     engines: new Map(),
     services: new Map(),
+    goneHosts: new Set(),
     listed: new Map(),
     callers: createCallers({ observe, getNow: scheduler.getNow }),
     operatorReplies: new Map(),
--- a/testing/network/src/outputHandlers.ts
+++ b/testing/network/src/outputHandlers.ts
@@ -4,6 +4,7 @@
 import { startAttempt } from './attempts.ts'
 import { addLogLine } from './cluster.ts'
 import type { ClusterState } from './cluster.ts'
+import { buildPeers } from './topology.ts'
 import { decodeMessage, encodeMessage } from './messageCopy.ts'
 
 /** Where an output came from. */
@@ -96,9 +97,10 @@
 function pollPlatform (origin: Origin): void {
   const { cluster } = origin
   exchange(origin, PLATFORM_PLACE, () => {
-    const zone = cluster.hosts.get(origin.host)
-    if (zone === undefined) return
-    giveBack(origin, { kind: 'platform.list', endpoints: [...cluster.listed.values()], hosts: [] })
+    const hosts = buildPeers(cluster.shape)
+      .filter(({ host }) => !cluster.goneHosts.has(host))
+      .map(({ host, zone }) => ({ host, zone, leaving: false }))
+    giveBack(origin, { kind: 'platform.list', endpoints: [...cluster.listed.values()], hosts })
   }, () => giveBack(origin, { kind: 'platform.unreachable' }))
 }
 
