Put changes that are forbidden by role on the audit trail

Change: the API hands such a change over as an event of its own, the core submits it for the audit trail. Conclusion: refused changes are complete on the trail, as far as a majority is reached within 10 s; otherwise the host logs them.

--- a/gateway/operator-api/src/operatorApi.ts
+++ b/gateway/operator-api/src/operatorApi.ts
@@ -139,6 +139,19 @@
     })
   }
 
+  /** Refuses, and has a forbidden change put on the audit trail. */
+  async function refuseRole (req: IncomingMessage, kind: string, operator: AuthenticatedOperator, role: string): Promise<OperatorReply> {
+    const refusal = buildRefusal(ErrorCode.FORBIDDEN, `${kind} needs the role ${role}; ${operator.name} has ${operator.role}`)
+    if (kind !== 'settings.change') return refusal
+    const body = await readBody(req)
+    const parsed = body === undefined ? undefined : parseQuestion(kind, body)
+    if (parsed === undefined || 'ok' in parsed || parsed.question.kind !== 'settings.change' || parsed.question.dryRun) return refusal
+    const { changeId, changes } = parsed.question
+    const from = req.socket.remoteAddress ?? 'unknown'
+    opts.emit({ kind: 'operator.refused', operator: { ...operator, from }, changeId, changes, failure: refusal.failure })
+    return refusal
+  }
+
   async function answer (req: IncomingMessage): Promise<OperatorReply> {
     const kind = (req.url ?? '').slice(PATH_PREFIX.length)
     if (!(req.url ?? '').startsWith(PATH_PREFIX) || !Object.hasOwn(QUESTION_RULES, kind)) {
@@ -147,7 +160,7 @@
     const operator = await authenticate(req)
     if ('ok' in operator) return operator
     const { role } = QUESTION_RULES[kind as OperatorQuestion['kind']]
-    if (!hasRole(operator.role, role)) return buildRefusal(ErrorCode.FORBIDDEN, `${kind} needs the role ${role}; ${operator.name} has ${operator.role}`)
+    if (!hasRole(operator.role, role)) return await refuseRole(req, kind, operator, role)
     const body = await readBody(req)
     if (body === undefined) return buildRefusal(ErrorCode.TOO_LARGE, `the body is over ${MAX_BODY_BYTES} bytes`)
     const parsed = parseQuestion(kind, body)
--- a/host/core/src/eventHandlers.ts
+++ b/host/core/src/eventHandlers.ts
@@ -1,6 +1,7 @@
 /** Lookup table from events to what the host does with them. */
 import type { HostEvent, RunContext } from '@catkinferry/host.events'
 import { handleMessage } from './messageHandlers.ts'
+import { submitRefused } from './operatorCommands.ts'
 import { handleQuestion } from './operatorQuestions.ts'
 import type { HostState } from './hostState.ts'
 
@@ -30,6 +31,7 @@
   'platform.unreachable': (_host, _event, context) => { context.emit({ kind: 'metric', type: 'count', name: 'platform.unreachable', value: 1 }) },
   'disk.answer': (host, event, context) => { host.systems.voting?.voter.receiveDisk(event.answer, context) },
   'operator.request': (host, event, context) => { handleQuestion(host, event.opId, event.request, context) },
+  'operator.refused': (host, event, context) => { submitRefused(host, event, context) },
   'host.stop': (host, _event, context) => { beginShutdown(host, context) }
 }
 
--- a/host/core/src/operatorCommands.ts
+++ b/host/core/src/operatorCommands.ts
@@ -2,7 +2,7 @@
 import { ErrorCode } from '@catkinferry/core.errors'
 import type { Failure } from '@catkinferry/core.errors'
 import type { OperatorQuestion, OperatorReply, OperatorRequest } from '@catkinferry/core.types'
-import type { RunContext } from '@catkinferry/host.events'
+import type { HostEvent, RunContext } from '@catkinferry/host.events'
 import { planChange } from '@catkinferry/settings.tree'
 import type { PlannedChange } from '@catkinferry/settings.tree'
 import type { Command, CommandOutcome } from '@catkinferry/wire.messages'
@@ -77,3 +77,19 @@
   const { changeId, operator, claimKey, resolution, note, deadlineMs } = request
   submitCommand({ host, command: { kind: 'claim.resolve', changeId, operator, claimKey, resolution, note }, changeId, deadlineMs, reply, context })
 }
+
+/** Time that recording a refused change may take. */
+const REFUSED_DEADLINE_MS = 10_000
+
+/** Puts a change that was refused for want of a role on the audit trail. */
+export function submitRefused (host: HostState, event: Extract<HostEvent, { kind: 'operator.refused' }>, context: RunContext): void {
+  const { operator, changeId, changes, failure } = event
+  host.systems.commands.submit({
+    command: { kind: 'audit.refused', changeId, operator, changes, failure },
+    deadlineAt: context.now + REFUSED_DEADLINE_MS,
+    onOutcome: (result, answeredIn) => {
+      if (result.kind === 'outcome') return
+      answeredIn.emit({ kind: 'log', level: 'warn', message: 'a refused change could not be put on the audit trail', fields: { step: 'audit', peer: operator.name, changeId, failure } })
+    }
+  }, context)
+}
--- a/host/events/src/events.ts
+++ b/host/events/src/events.ts
@@ -2,7 +2,7 @@
 import type { Failure } from '@catkinferry/core.errors'
 import type { DiskAnswer, PeerMessage } from '@catkinferry/wire.messages'
 import type {
-  AdapterKey, AnswerEcho, AttemptId, CallerRequest, EndpointId, EndpointReport, EndpointRow, HostId, OperatorRequest, OrderId,
+  AdapterKey, AnswerEcho, AttemptId, CallerRequest, ChangeId, EndpointId, EndpointReport, EndpointRow, HostId, NodeChange, OperatorIdentity, OperatorRequest, OrderId,
   OrderOutcome, RequestId, ZoneId
 } from '@catkinferry/core.types'
 
@@ -22,6 +22,8 @@
   | { readonly kind: 'platform.unreachable' }
   | { readonly kind: 'disk.answer', readonly answer: DiskAnswer }
   | { readonly kind: 'operator.request', readonly opId: string, readonly request: OperatorRequest }
+  /** A change was refused before it reached the core, for want of a role; it goes on the audit trail. */
+  | { readonly kind: 'operator.refused', readonly operator: OperatorIdentity, readonly changeId: ChangeId, readonly changes: readonly NodeChange[], readonly failure: Failure }
   /** Graceful shutdown was asked for. */
   | { readonly kind: 'host.stop' }
 
