Show each host's true revision and refuse arguments that are not read

Cause: three daemons run as separate processes: after the leader was killed and started again, settings status showed a voter at revision 1 that served revision 5. Voters of one zone report that zone side by side, and a report made from older knowledge overwrote newer. And 'adapters create base/greeter v1' left the v1 out without a word. Change: a reported revision only raises what is known; commands refuse arguments beyond their usage.

--- a/cli/main/src/runCli.ts
+++ b/cli/main/src/runCli.ts
@@ -4,6 +4,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { ErrorCode } from '@catkinferry/core.errors'
 import type { OperatorReply } from '@catkinferry/core.types'
+import { checkArguments } from './checkArguments.ts'
 import { UsageError } from './commandContext.ts'
 import type { CliFlags, CommandContext } from './commandContext.ts'
 import { findCommand } from './commands/index.ts'
@@ -75,6 +76,7 @@
     wait: async ms => { await sleep(ms) }
   }
   try {
+    checkArguments(found.command.usage, found.args)
     const reply = await found.command.run(context)
     if (reply === undefined) return ExitCode.OK
     printReply(opts, reply)
--- a/settings/dissemination/src/appliedReports.ts
+++ b/settings/dissemination/src/appliedReports.ts
@@ -87,7 +87,8 @@
       for (const { host, zone } of core.peers.values()) {
         if (zone !== report.zone) continue
         const revision = exceptions.has(host) ? exceptions.get(host) : report.revision
-        if (revision !== undefined) applied.set(host, revision)
+        // Voters of one zone report it side by side; revisions only rise, so the higher word is the later one.
+        if (revision !== undefined && revision > (applied.get(host) ?? -1)) applied.set(host, revision)
       }
       if (report.forwarded || !core.isSource()) return
       for (const voter of listOtherVoters(core)) sendSettings(core, voter, { ...report, forwarded: true }, context)
