Pass the flag of a command in the test of the dev host as a flag

Change: the test passes the flag and checks the effective value too. Conclusion: stricter than before.

--- a/cli/main/test/devHost.test.ts
+++ b/cli/main/test/devHost.test.ts
@@ -10,10 +10,10 @@
   let stopped = false
   const out: string[] = []
 
-  async function runCommand (words: string): Promise<number> {
+  async function runCommand (words: string, flags: CliFlags = {}): Promise<number> {
     out.length = 0
     const print = (line: string): void => { out.push(line) }
-    return await runCli({ words: words.split(' '), flags: { json: true }, url: host.daemon.operatorUrl, token: undefined, print, printError: print })
+    return await runCli({ words: words.split(' '), flags: { json: true, ...flags }, url: host.daemon.operatorUrl, token: undefined, print, printError: print })
   }
 
   async function post (path: string, body: unknown): Promise<Response> {
@@ -53,8 +53,10 @@
 
   it('shows changes on the audit trail and refuses one at an old revision', async () => {
     expect(await runCommand('settings set fleet queue.limit=50')).toEqual(ExitCode.OK)
-    expect(await runCommand('settings get fleet --effective')).toEqual(ExitCode.OK)
-    expect(JSON.parse(out[0] ?? '')).toEqual(expect.subset({ values: { 'queue.limit': 50 } }))
+    expect(await runCommand('settings get fleet', { effective: true })).toEqual(ExitCode.OK)
+    const node = JSON.parse(out[0] ?? '') as { values: unknown, effective: { key: string, value: unknown }[] }
+    expect(node.values).toEqual({ 'queue.limit': 50 })
+    expect(node.effective.find(({ key }) => key === 'queue.limit')?.value).toEqual(50)
     expect(await runCommand('adapters create demo/greeter')).toEqual(ExitCode.CONFLICT)
     expect(await runCommand('audit')).toEqual(ExitCode.OK)
     const { entries } = JSON.parse(out[0] ?? '') as { entries: { outcome: string }[] }
