--- a/cli/main/test/devHost.test.ts
+++ b/cli/main/test/devHost.test.ts
@@ -1,3 +1,4 @@
+import type { CliFlags } from '../src/commandContext.ts'
 import { expect } from 'earl'
 import { after, before, describe, it } from 'node:test'
 import { createDemoAdapter, startDevHost, waitUntilReady } from '../src/dev.ts'
