Describe a voter and type an operator's reply in one place each

Cause: a read-through found the description of a voter built twice in one file, the type of a reply written three times in the host core, and a doc comment that stood above the wrong item. Change: one describe function, one Reply type, the comment where it belongs. Conclusion: behaviour is unchanged.

--- a/consensus/voter/src/voter.ts
+++ b/consensus/voter/src/voter.ts
@@ -91,7 +91,7 @@
     isLeader,
     getLeader: () => machine.getState().leader,
     isInContact: () => isInContact(state),
-    getStatus: at => describeVoter({ machine, now: at, pendingCommands: state.intake.getPendingCount(), replacement: state.replacement.getProgress() }),
+    getStatus: at => describe(state, at),
     proposeMembership: (step, context) => machine.proposeMembership(step, createMachineContext(context)),
     beginReplacement: (request, context) => state.replacement.begin(request, createMachineContext(context)),
     transferLeadership: context => machine.transferLeadership(createMachineContext(context))
@@ -105,6 +105,10 @@
   return leader !== undefined && lastRunAt - caughtUpAt <= KEEPS_UP_MS
 }
 
+function describe ({ machine, intake, replacement }: VoterState, now: MonotonicMs | undefined): VoterStatus {
+  return describeVoter({ machine, now, pendingCommands: intake.getPendingCount(), replacement: replacement.getProgress() })
+}
+
 function createMachineContext (context: RunContext): MachineContext {
   return {
     now: context.now,
@@ -166,10 +170,9 @@
 }
 
 function answerQuery (state: VoterState, query: Query, context: RunContext): unknown {
-  const { now } = context
   if (query.kind === 'replaceVoter') return state.replacement.begin(query, createMachineContext(context))
-  if (query.kind !== 'voters') return state.opts.stateMachine.answerQuery(query)
-  return describeVoter({ machine: state.machine, now, pendingCommands: state.intake.getPendingCount(), replacement: state.replacement.getProgress() })
+  if (query.kind === 'voters') return describe(state, context.now)
+  return state.opts.stateMachine.answerQuery(query)
 }
 
 function failAsk (state: VoterState, { origin, queryId }: Ask, message: string, context: RunContext): void {
@@ -279,9 +282,9 @@
   act(ask)
 }
 
-/** Takes a snapshot once the log has outgrown the last one. */
 const USUAL_COMPACTION = { minBytes: MIN_COMPACT_BYTES, tailEntries: TAIL_ENTRIES }
 
+/** Takes a snapshot once the log has outgrown the last one. */
 function compact (state: VoterState, stateMachine: StateMachine, context: MachineContext): void {
   const { minBytes, tailEntries } = state.opts.compaction ?? USUAL_COMPACTION
   if (state.bytesSinceSnapshot < Math.max(minBytes, state.snapshotBytes)) return
--- a/host/core/src/operatorCommands.ts
+++ b/host/core/src/operatorCommands.ts
@@ -8,7 +8,8 @@
 import type { Command, CommandOutcome } from '@catkinferry/wire.messages'
 import type { HostState } from './hostState.ts'
 
-type Reply = (reply: OperatorReply, context: RunContext) => void
+/** Gives the operator its answer, at once or in a later run. */
+export type Reply = (reply: OperatorReply, context: RunContext) => void
 
 interface CommandRequest<Kind extends OperatorQuestion['kind']> {
   readonly host: HostState
--- a/host/core/src/operatorQuestions.ts
+++ b/host/core/src/operatorQuestions.ts
@@ -1,19 +1,18 @@
 /** Lookup table from operators' questions to their answers. */
 import { ErrorCode } from '@catkinferry/core.errors'
 import type { Failure } from '@catkinferry/core.errors'
-import type { OperatorQuestion, OperatorReply, OperatorRequest } from '@catkinferry/core.types'
+import type { OperatorQuestion, OperatorRequest } from '@catkinferry/core.types'
 import type { RunContext } from '@catkinferry/host.events'
 import { describeNode, listSubtree } from '@catkinferry/settings.tree'
 import type { Query } from '@catkinferry/wire.messages'
 import { submitChange, submitResolution } from './operatorCommands.ts'
+import type { Reply } from './operatorCommands.ts'
 import type { HostState } from './hostState.ts'
 import { submitReplacement } from './voterQuestions.ts'
 
 /** Time that a query to the voters may take. */
 const QUERY_TIMEOUT_MS = 5_000
 
-export type Reply = (reply: OperatorReply, context: RunContext) => void
-
 type QuestionHandler<Kind extends OperatorQuestion['kind']> = (opts: {
   readonly host: HostState
   readonly request: Extract<OperatorRequest, { kind: Kind }>
--- a/host/core/src/voterQuestions.ts
+++ b/host/core/src/voterQuestions.ts
@@ -1,14 +1,15 @@
 /** Replacement of a voter: one command, carried out step by step by the leader. */
 import type { Result } from '@catkinferry/core.errors'
-import type { OperatorReply, OperatorRequest } from '@catkinferry/core.types'
+import type { OperatorRequest } from '@catkinferry/core.types'
 import type { RunContext } from '@catkinferry/host.events'
 import type { HostState } from './hostState.ts'
+import type { Reply } from './operatorCommands.ts'
 
 /** Asks the leader to begin the replacement, or for its progress when it has begun. */
 export function submitReplacement (opts: {
   readonly host: HostState
   readonly request: Extract<OperatorRequest, { kind: 'voters.replace' }>
-  readonly reply: (reply: OperatorReply, context: RunContext) => void
+  readonly reply: Reply
   readonly context: RunContext
 }): void {
   const { host, request, reply, context } = opts
