--- a/daemon/fleet/src/callerServer.ts
+++ b/daemon/fleet/src/callerServer.ts
@@ -2,6 +2,7 @@
 import { once } from 'node:events'
 import { createServer } from 'node:http'
 import type { RequestListener, Server } from 'node:http'
+import { Server as NetServer } from 'node:net'
 import type { Socket } from 'node:net'
 import type { CallerLimits } from '@catkinferry/core.types'
 
@@ -17,7 +18,10 @@
   readonly setLimits: (limits: CallerLimits) => void
   /** Closes connections that carry no request; the others close with their answers. */
   readonly closeIdle: () => void
-  readonly close: () => Promise<void>
+  /** Takes no new connections; those that are open go on. */
+  readonly refuse: () => void
+  /** Closes what is left. */
+  readonly close: () => void
 }
 
 /** Opens the listener at `ip:port`. */
@@ -44,10 +48,8 @@
       server.keepAliveTimeout = idleTimeoutMs
     },
     closeIdle: () => server.closeIdleConnections(),
-    close: async () => {
-      server.close()
-      for (const socket of sockets) socket.destroySoon()
-      await Promise.resolve()
-    }
+    // Not `server.close()` of HTTP: it destroys connections whose answer is not yet written out.
+    refuse: () => { if (server.listening) NetServer.prototype.close.call(server) },
+    close: () => { for (const socket of sockets) socket.destroySoon() }
   }
 }
--- a/daemon/fleet/src/entryHost.ts
+++ b/daemon/fleet/src/entryHost.ts
@@ -113,22 +113,27 @@
   await node.open()
   const pageTimer = setInterval(() => page.set('active_requests', relay.getActiveCount()), PAGE_INTERVAL_MS)
 
-  async function waitForIdle (untilMs: number): Promise<void> {
-    while (relay.getActiveCount() > 0 && clock.getMonotonicMs() < untilMs) await new Promise(resolve => setTimeout(resolve, DRAIN_CHECK_MS))
+  /** Idle connections are closed at once: a caller that sends on one in that moment knows that its request was not read. */
+  async function drain (turnedAwayAt: number, until: number): Promise<void> {
+    for (let now = clock.getMonotonicMs(); now < until; now = clock.getMonotonicMs()) {
+      callers.closeIdle()
+      if (now >= turnedAwayAt) callers.refuse()
+      if (now >= turnedAwayAt && relay.getActiveCount() === 0) return
+      await new Promise(resolve => setTimeout(resolve, DRAIN_CHECK_MS))
+    }
   }
 
   return {
     failed,
     stop: async () => {
-      const until = clock.getMonotonicMs() + settings.times.graceMs - CUT_BEFORE_MS
+      const now = clock.getMonotonicMs()
       readiness.stop()
       relay.drain()
-      await new Promise(resolve => setTimeout(resolve, TURN_AWAY_MS))
-      callers.closeIdle()
-      await waitForIdle(until)
+      await drain(now + TURN_AWAY_MS, now + settings.times.graceMs - CUT_BEFORE_MS)
       logger.info('requests have ended', { step: 'stop', left: relay.getActiveCount() })
       clearInterval(pageTimer)
-      await callers.close()
+      callers.refuse()
+      callers.close()
       relay.close()
       ready.close()
       await node.close()
--- /dev/null
+++ b/fleet/directory/test/directory.test.ts
@@ -0,0 +1,118 @@
+import { createDirectory } from '@catkinferry/fleet.directory'
+import type { LoadAnswer } from '@catkinferry/fleet.directory'
+import type { RunContext } from '@catkinferry/host.events'
+import type { FleetEndpoint, FleetMessage, PeerMessage } from '@catkinferry/wire.messages'
+import type { RouteTable } from '@catkinferry/core.types'
+import { expect } from 'earl'
+import { describe, it } from 'node:test'
+
+function createStand () {
+  const sent: Array<{ to: string, message: FleetMessage }> = []
+  const versions: number[] = []
+  let now = 0
+  let leader: string | undefined = 'c1'
+  const directory = createDirectory({ getLeader: () => leader, onRoutes: ({ table }) => { versions.push(table.version) } })
+  const getContext = (): RunContext => ({ now, wallNow: now, emit: () => undefined, send: (to: string, message: PeerMessage) => { sent.push({ to, message: message as FleetMessage }) } })
+  return {
+    directory,
+    sent,
+    versions,
+    receive: (message: FleetMessage) => directory.receive('c1', message as never, getContext()),
+    runFor: (ms: number) => { for (const end = now + ms; now < end; now += 10) directory.run(getContext()) },
+    setLeader: (next: string | undefined) => { leader = next },
+    getNow: () => now
+  }
+}
+
+function buildRoutes (version: number): FleetMessage {
+  const table: RouteTable = { version, routes: [], pools: [], limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } }
+  return { kind: 'fleet.routes', table }
+}
+
+function buildRow (endpoint: string, resident: readonly string[] = []): FleetEndpoint {
+  return { endpoint, kind: 'engine', pool: 'p', zone: 'z', region: 'r', address: '10.0.0.1:1', leaving: false, models: ['m'], resident }
+}
+
+function buildUpdate (changes: Partial<Extract<FleetMessage, { kind: 'fleet.endpoints' }>>): FleetMessage {
+  return { kind: 'fleet.endpoints', term: 1, sequence: 1, whole: false, rows: [], gone: [], residency: [], ...changes }
+}
+
+describe('routes', () => {
+  it('never go back within one life', () => {
+    const { receive, versions, directory } = createStand()
+    for (const version of [3, 2, 5, 5, 4]) receive(buildRoutes(version))
+    expect([versions, directory.getHeld().routesVersion]).toEqual([[3, 5], 5])
+  })
+})
+
+describe('endpoints', () => {
+  it('change in order only, and are replaced whole after a gap', () => {
+    const { receive, directory } = createStand()
+    receive(buildUpdate({ whole: true, rows: [buildRow('e1')] }))
+    receive(buildUpdate({ sequence: 2, residency: [{ endpoint: 'e1', adapterKey: 'm/a@1', resident: true }] }))
+    receive(buildUpdate({ sequence: 4, gone: ['e1'] }))
+    expect([directory.getHeld().endpointsSequence, directory.getEndpoint('e1')?.resident.has('m/a@1')]).toEqual([2, true])
+    receive(buildUpdate({ sequence: 4, whole: true, rows: [buildRow('e2')] }))
+    expect(directory.listEndpoints('p').map(({ endpoint }) => endpoint)).toEqual(['e2'])
+  })
+
+  it('of a former leader are not taken', () => {
+    const { receive, directory } = createStand()
+    receive(buildUpdate({ term: 5, whole: true, rows: [buildRow('e1')] }))
+    receive(buildUpdate({ term: 4, sequence: 9, whole: true, rows: [buildRow('e2')] }))
+    expect(directory.listEndpoints('p').map(({ endpoint }) => endpoint)).toEqual(['e1'])
+  })
+})
+
+describe('adapter versions', () => {
+  it('are taken in any order, the highest stays, and a gap is not skipped', () => {
+    const { receive, directory } = createStand()
+    receive({ kind: 'fleet.announced', after: 0, sequence: 2, versions: [['m', 'a', 3]] })
+    receive({ kind: 'fleet.announced', after: 0, sequence: 1, versions: [['m', 'a', 2]] })
+    receive({ kind: 'fleet.announced', after: 5, sequence: 6, versions: [['m', 'a', 9]] })
+    expect([directory.getAnnounced('m', 'a')?.version, directory.getHeld().announcedSequence]).toEqual([3, 2])
+  })
+})
+
+describe('asks for loads', () => {
+  const question = { pool: 'p', model: 'm', adapter: 'a', priority: 0, avoid: [], deadlineAt: 2_000 }
+
+  it('are sent again to a new leader and answered once', () => {
+    const stand = createStand()
+    const answers: LoadAnswer[] = []
+    stand.directory.askLoad(question, answer => answers.push(answer))
+    stand.runFor(100)
+    stand.setLeader('c2')
+    stand.runFor(100)
+    expect(stand.sent.filter(({ message }) => message.kind === 'load.ask').map(({ to }) => to)).toEqual(['c1', 'c2'])
+    for (let count = 0; count < 2; count += 1) stand.receive({ kind: 'load.given', askId: 1, endpoint: 'e1', adapterKey: 'm/a@1' })
+    expect(answers).toEqual([{ kind: 'given', endpoint: 'e1', adapterKey: 'm/a@1' }])
+  })
+
+  it('end at their deadline without a leader, and do not keep the loop busy', () => {
+    const stand = createStand()
+    const answers: LoadAnswer[] = []
+    stand.setLeader(undefined)
+    stand.directory.askLoad(question, answer => answers.push(answer))
+    stand.runFor(20)
+    expect((stand.directory.getNextAt() ?? 0) > stand.getNow()).toEqual(true)
+    stand.runFor(2_100)
+    expect(answers.map(({ kind }) => kind)).toEqual(['refused'])
+  })
+})
+
+describe('use reports', () => {
+  it('tell what began and what runs, and end with what has ended', () => {
+    const stand = createStand()
+    stand.directory.noteBegun('e1', 'm/a@1')
+    stand.runFor(600)
+    stand.directory.noteEnded('e1', 'm/a@1')
+    stand.runFor(1_500)
+    const reports = stand.sent.flatMap(({ message }) => message.kind === 'fleet.use' ? message.uses : [])
+    expect(reports).toEqual([
+      { endpoint: 'e1', adapterKey: 'm/a@1', begun: 1, running: 1 },
+      { endpoint: 'e1', adapterKey: 'm/a@1', begun: 0, running: 1 },
+      { endpoint: 'e1', adapterKey: 'm/a@1', begun: 0, running: 0 }
+    ])
+  })
+})
--- /dev/null
+++ b/fleet/membership/test/fleetMembership.test.ts
@@ -0,0 +1,123 @@
+import type { HostId } from '@catkinferry/core.types'
+import { createFleetMembership, FORGET_CORE_MS, PRESENCE_MS } from '@catkinferry/fleet.membership'
+import type { FleetMembership, LeadStatus } from '@catkinferry/fleet.membership'
+import type { RunContext } from '@catkinferry/host.events'
+import type { PeerMessage } from '@catkinferry/wire.messages'
+import { expect } from 'earl'
+import { describe, it } from 'node:test'
+
+const HELD = { routesVersion: 0, announcedSequence: 0, endpointsTerm: 0, endpointsSequence: 0 }
+
+interface Member {
+  readonly host: HostId
+  readonly membership: FleetMembership
+  down: boolean
+}
+
+/** Hosts whose messages arrive at once. */
+function createFleet () {
+  const members = new Map<HostId, Member>()
+  let now = 0
+  let sent = 0
+  let lead: LeadStatus = { leader: 'c1', inContact: true, routesVersion: 3 }
+
+  function createContext (from: HostId): RunContext {
+    return {
+      now,
+      wallNow: now,
+      emit: () => undefined,
+      send: (to: HostId, message: PeerMessage) => {
+        sent += 1
+        const target = members.get(to)
+        if (target?.down === false && members.get(from)?.down === false) target.membership.receive(from, message as never, createContext(to))
+      }
+    }
+  }
+
+  return {
+    members,
+    add: (host: HostId, role: 'entry' | 'core', seeds: readonly HostId[]) => {
+      const membership = createFleetMembership({ self: { host, zone: 'z', region: 'r' }, role, getSeeds: () => seeds, getHeld: () => HELD, ...(role === 'core' ? { getLead: () => lead } : {}) })
+      members.set(host, { host, membership, down: false })
+      return membership
+    },
+    runFor: (ms: number) => {
+      for (const end = now + ms; now < end; now += 50) {
+        for (const { host, membership, down } of members.values()) if (!down) membership.run(createContext(host))
+      }
+    },
+    setLead: (next: LeadStatus) => { lead = next },
+    getNow: () => now,
+    takeSent: () => {
+      const count = sent
+      sent = 0
+      return count
+    }
+  }
+}
+
+describe('createFleetMembership', () => {
+  it('finds core hosts that are no seeds, and the leader', () => {
+    const fleet = createFleet()
+    fleet.add('c1', 'core', ['c1'])
+    fleet.add('c2', 'core', ['c1'])
+    const entry = fleet.add('e1', 'entry', ['c1'])
+    fleet.runFor(2_000)
+    expect(entry.listLiveCore(fleet.getNow()).toSorted()).toEqual(['c1', 'c2'])
+    expect(entry.getLeader(fleet.getNow())).toEqual('c1')
+  })
+
+  it('follows seeds that were exchanged for hosts it does not know', () => {
+    const fleet = createFleet()
+    const seeds = ['gone']
+    fleet.add('c9', 'core', [])
+    const entry = fleet.add('e1', 'entry', seeds)
+    fleet.runFor(2_000)
+    expect(entry.getLeader(fleet.getNow())).toEqual(undefined)
+    seeds[0] = 'c9'
+    fleet.runFor(1_000)
+    expect(entry.getLeader(fleet.getNow())).toEqual('c1')
+  })
+
+  it('does not take the word of a core host that is cut off from the majority', () => {
+    const fleet = createFleet()
+    fleet.setLead({ leader: 'c1', inContact: false, routesVersion: 1 })
+    fleet.add('c1', 'core', ['c1'])
+    const entry = fleet.add('e1', 'entry', ['c1'])
+    fleet.runFor(2_000)
+    expect([entry.getLeader(fleet.getNow()), entry.isCurrent(1)]).toEqual([undefined, false])
+    fleet.setLead({ leader: 'c1', inContact: true, routesVersion: 2 })
+    fleet.runFor(1_000)
+    expect([entry.getLeader(fleet.getNow()), entry.isCurrent(1), entry.isCurrent(2)]).toEqual(['c1', false, true])
+  })
+
+  it('counts a silent host as gone, and forgets it later', () => {
+    const fleet = createFleet()
+    const core = fleet.add('c1', 'core', ['c1'])
+    fleet.add('c2', 'core', ['c1'])
+    fleet.add('e1', 'entry', ['c1'])
+    fleet.runFor(2_000)
+    const second = fleet.members.get('c2')
+    const entry = fleet.members.get('e1')
+    if (second !== undefined) second.down = true
+    if (entry !== undefined) entry.down = true
+    fleet.runFor(PRESENCE_MS + 500)
+    expect([core.listLiveCore(fleet.getNow()), core.listLiveEntries(fleet.getNow()).length]).toEqual([['c1'], 0])
+    fleet.runFor(FORGET_CORE_MS)
+    expect(core.listPeers()).toEqual([])
+  })
+
+  it('costs messages in proportion to hosts, not to their square', () => {
+    const measure = (entries: number): number => {
+      const fleet = createFleet()
+      for (const core of ['c1', 'c2', 'c3']) fleet.add(core, 'core', ['c1', 'c2', 'c3'])
+      for (let index = 0; index < entries; index += 1) fleet.add(`e${index}`, 'entry', ['c1'])
+      fleet.runFor(5_000)
+      fleet.takeSent()
+      fleet.runFor(10_000)
+      return fleet.takeSent()
+    }
+    const slope = (measure(200) - measure(100)) / (measure(100) - measure(50))
+    expect(slope > 1.9 && slope < 2.1).toEqual(true)
+  })
+})
--- a/fleet/placement/src/engineState.ts
+++ b/fleet/placement/src/engineState.ts
@@ -48,11 +48,31 @@
   return engine
 }
 
+/**
+ * The state of an engine that started again under its name. What was ordered lately may have reached the new start and be
+ * missing from a list that lags: those places stay taken, and no orders are given until the list has caught up.
+ */
+export function createRestartedEngine (former: EngineState, listed: ListedEndpoint, now: MonotonicMs): EngineState {
+  const engine = createEngineState(listed, now)
+  engine.quietUntil = now + LIST_LAG_MS
+  for (const [slotKey, slot] of former.slots) {
+    const mayCome = slot.state === SlotState.LOADING || slot.unsettledUntil > now || !isListNewer(slot.changedAt, now)
+    if (!mayCome || engine.slots.has(slotKey)) continue
+    engine.slots.set(slotKey, { ...slot, state: SlotState.EVICTING, changedAt: now, unsettledUntil: Math.max(slot.unsettledUntil, now + LIST_LAG_MS) })
+  }
+  return engine
+}
+
 export function createSlot (opts: { model: ModelId, adapter: AdapterName, version: number, state: SlotState, now: MonotonicMs }): Slot {
   const { model, adapter, version, state, now } = opts
   return { model, adapter, version, state, changedAt: now, unsettledUntil: Number.NEGATIVE_INFINITY, isSuspect: false, usedAt: Number.NEGATIVE_INFINITY, running: new Map() }
 }
 
+/** The version of an adapter by the last list; undefined where it is not there. */
+export function findListedVersion ({ listed }: EngineState, { model, adapter }: Pick<Slot, 'model' | 'adapter'>): number | undefined {
+  return listed.models?.find(row => row.model === model)?.adapters.find(row => row.adapter === adapter)?.version
+}
+
 /** Remembers an adapter as held by the engine's own memory. */
 export function noteHeld (engine: EngineState, { model, adapter, version }: Pick<Slot, 'model' | 'adapter' | 'version'>): void {
   const key = formatPlacedKey(model, adapter, version)
@@ -117,7 +137,7 @@
   const came = models.flatMap(({ model, adapters }) => adapters.map(adapter => applyListedAdapter(engine, model, adapter, now))).filter(slot => slot !== undefined)
   const went: Slot[] = []
   for (const [slotKey, slot] of engine.slots) {
-    if (seen.has(slotKey) || slot.state !== SlotState.RESIDENT || !isListNewer(slot.changedAt, now)) continue
+    if (seen.has(slotKey) || slot.state !== SlotState.RESIDENT || !isListNewer(slot.changedAt, now) || now < slot.unsettledUntil) continue
     engine.slots.delete(slotKey)
     went.push(slot)
   }
--- a/fleet/placement/src/jobs.ts
+++ b/fleet/placement/src/jobs.ts
@@ -2,8 +2,8 @@
 import type { EndpointId, EngineOrderOutcome, ModelId, MonotonicMs } from '@catkinferry/core.types'
 import type { RunContext } from '@catkinferry/host.events'
 import type { EngineChoice } from './chooseEngine.ts'
-import { CACHED_LOAD_MS, LATE_ORDER_MS, LOAD_LIMIT_MS, MODEL_RESEND_MS, RESEND_MS, STORE_LOAD_MS } from './constants.ts'
-import { createSlot, formatSlotKey, freeSlot, noteHeld, SlotState } from './engineState.ts'
+import { CACHED_LOAD_MS, LATE_ORDER_MS, LIST_LAG_MS, LOAD_LIMIT_MS, MODEL_RESEND_MS, RESEND_MS, STORE_LOAD_MS } from './constants.ts'
+import { createSlot, findListedVersion, formatSlotKey, freeSlot, noteHeld, SlotState } from './engineState.ts'
 import type { EngineState, Slot } from './engineState.ts'
 import { logInfo } from './placementState.ts'
 import type { Job, PlacementState, Wish } from './placementState.ts'
@@ -185,7 +185,7 @@
 function failJob (state: PlacementState, job: Job, reason: string, context: RunContext): void {
   state.jobs.delete(job.key)
   const engine = state.engines.get(job.endpoint)
-  for (const { kind, adapter, model } of job.steps) {
+  for (const { adapter, model } of job.steps) {
     if (adapter === undefined) {
       if (engine !== undefined) engine.modelLoad = undefined
       continue
@@ -195,15 +195,34 @@
     // The place stays taken until the list shows what became of it.
     slot.state = SlotState.EVICTING
     slot.changedAt = context.now
-    if (kind === 'evict') slot.unsettledUntil = Math.max(slot.unsettledUntil, context.now + QUIET_MS)
+    slot.unsettledUntil = Math.max(slot.unsettledUntil, context.now + LIST_LAG_MS)
   }
   context.emit({ kind: 'log', level: 'warn', message: 'an order is given up', fields: { step: 'placement', peer: job.endpoint, orders: job.steps, reason, afterMs: Math.round(context.now - job.since), term: state.term } })
 }
 
-/** Frees places of orders that were given up once nothing can come of them any more. */
+/** Adapters of an engine whose orders are under way. */
+function listUnderWay ({ jobs }: PlacementState, endpoint: EndpointId): Set<string> {
+  const underWay = new Set<string>()
+  for (const job of jobs.values()) {
+    if (job.endpoint !== endpoint) continue
+    for (const { model, adapter } of job.steps) if (adapter !== undefined) underWay.add(formatSlotKey(model, adapter))
+  }
+  return underWay
+}
+
+/** Settles places of orders that were given up, once nothing can come of them any more: the list shows what became of them. */
 export function settleSlots (state: PlacementState, engine: EngineState, now: MonotonicMs): void {
+  const { endpoint } = engine.listed
+  const underWay = listUnderWay(state, endpoint)
   for (const [slotKey, slot] of engine.slots) {
-    const isUnderWay = state.jobs.has(formatJobKey(engine.listed.endpoint, slotKey)) || [...state.jobs.values()].some(({ endpoint, steps }) => endpoint === engine.listed.endpoint && steps.some(({ model, adapter }) => adapter !== undefined && formatSlotKey(model, adapter) === slotKey))
-    if (slot.state !== SlotState.RESIDENT && !isUnderWay && now >= slot.unsettledUntil) freeSlot(engine, slotKey, now)
+    if (slot.state === SlotState.RESIDENT || underWay.has(slotKey) || now < slot.unsettledUntil) continue
+    const version = findListedVersion(engine, slot)
+    if (version === undefined) {
+      engine.slots.delete(slotKey)
+      continue
+    }
+    slot.version = version
+    slot.state = SlotState.RESIDENT
+    state.publisher.noteResidency(endpoint, slot, true)
   }
 }
--- a/fleet/placement/src/placement.ts
+++ b/fleet/placement/src/placement.ts
@@ -7,7 +7,7 @@
 import type { FleetMessage, HeldState } from '@catkinferry/wire.messages'
 import { LIST_INTERVAL_MS, MAX_MODEL_LOADS, MODEL_LOAD_WINDOW_MS, RESEND_MS } from './constants.ts'
 import { createEndpointPublisher } from './endpointPublisher.ts'
-import { applyListed, createEngineState, formatSlotKey, SlotState } from './engineState.ts'
+import { applyListed, createEngineState, createRestartedEngine, formatSlotKey, SlotState } from './engineState.ts'
 import type { EngineState } from './engineState.ts'
 import { beginEvict, beginModelLoad, runJobs, settleSlots, takeOutcomes } from './jobs.ts'
 import { findPool, isOutdated, listPoolEngines, logInfo } from './placementState.ts'
@@ -113,7 +113,8 @@
 function addEngine (state: PlacementState, row: ListedEndpoint, context: RunContext): void {
   const { endpoint, pool, zone, address, leaving, bornAt } = row
   for (const [key, job] of state.jobs) if (job.endpoint === endpoint) state.jobs.delete(key)
-  state.engines.set(endpoint, createEngineState(row, context.now))
+  const former = state.engines.get(endpoint)
+  state.engines.set(endpoint, former === undefined ? createEngineState(row, context.now) : createRestartedEngine(former, row, context.now))
   state.publisher.noteRow(endpoint)
   logInfo(context, 'an endpoint is listed', { peer: endpoint, pool, zone, address, leaving, bornAt, models: row.models?.length })
 }
@@ -154,7 +155,7 @@
 function replaceOutdated (state: PlacementState, context: RunContext): void {
   for (const engine of state.engines.values()) {
     for (const slot of engine.slots.values()) {
-      if (slot.state !== SlotState.RESIDENT || !isOutdated(state, slot)) continue
+      if (slot.state !== SlotState.RESIDENT || !isOutdated(state, slot) || context.now < slot.unsettledUntil) continue
       if (hasNewVersion(state, engine.listed.pool, slot.model, slot.adapter)) beginEvict(state, engine, slot, context)
       else addWish(state, { pool: engine.listed.pool, model: slot.model, adapter: slot.adapter, priority: BACKGROUND_PRIORITY, avoid: [] }, context.now)
     }
--- /dev/null
+++ b/fleet/placement/test/fakeEngines.ts
@@ -0,0 +1,188 @@
+/** Engines on virtual time that take orders as the real ones do, and a holder in front of them. */
+import type { EngineOrder, EngineOrderOutcome, ListedEndpoint, RouteTable } from '@catkinferry/core.types'
+import { createPlacement } from '@catkinferry/fleet.placement'
+import type { OrderCall, Placement } from '@catkinferry/fleet.placement'
+import type { HostOutput, RunContext } from '@catkinferry/host.events'
+import type { FleetMessage, PeerMessage } from '@catkinferry/wire.messages'
+
+export const MODEL = 'm'
+export const POOL = 'llm'
+const LOAD_MS = 250
+const ORDER_MS = 2
+
+interface Engine {
+  readonly id: string
+  born: number
+  highestFence: number
+  hasModel: boolean
+  /** Version by adapter. */
+  readonly resident: Map<string, number>
+  /** End of the load by adapter. */
+  readonly loading: Map<string, { readonly until: number, readonly version: number }>
+  readonly busyWith: Set<string>
+}
+
+interface Due {
+  readonly at: number
+  readonly act: () => void
+}
+
+export interface FakeEngines {
+  readonly placement: Placement
+  readonly sent: Array<{ readonly to: string, readonly message: FleetMessage }>
+  readonly orders: Array<{ readonly at: number, readonly endpoint: string, readonly order: EngineOrder, readonly fencing: number }>
+  /** Engines that were ordered to load more than they have room for. */
+  readonly overfilled: string[]
+  readonly engines: Map<string, Engine>
+  readonly receive: (message: FleetMessage, from?: string) => void
+  readonly runFor: (ms: number) => void
+  readonly setTerm: (term: number | undefined) => void
+  readonly setVersion: (adapter: string, version: number) => void
+  /** Decides what becomes of an order: carried out, lost on its way, or carried out late without an answer. */
+  setFate: (fate: (order: EngineOrder) => 'now' | 'lost' | 'late' | 'unreachable') => void
+  readonly restart: (id: string) => void
+  readonly getNow: () => number
+}
+
+export interface FakeEnginesOptions {
+  readonly ids: readonly string[]
+  readonly places: number
+  /** Lag of the list. */
+  readonly lagMs?: number
+  readonly lateMs?: number
+  readonly handOverMs?: number
+}
+
+export function createFakeEngines (opts: FakeEnginesOptions): FakeEngines {
+  const { places, lagMs = 800, lateMs = 3_000, handOverMs = 0 } = opts
+  const engines = new Map<string, Engine>(opts.ids.map(id => [id, { id, born: 1, highestFence: 0, hasModel: true, resident: new Map(), loading: new Map(), busyWith: new Set() }]))
+  const versions = new Map<string, number>()
+  const lists: { at: number, listed: ListedEndpoint[] }[] = []
+  const sent: FakeEngines['sent'] = []
+  const orders: FakeEngines['orders'] = []
+  const overfilled: string[] = []
+  let dues: Due[] = []
+  let now = 0
+  let term: number | undefined = 1
+  let fate: (order: EngineOrder) => 'now' | 'lost' | 'late' | 'unreachable' = () => 'now'
+
+  const table: RouteTable = {
+    version: 1,
+    routes: [],
+    pools: [{ name: POOL, healthPath: '/', maxConnections: 10, engine: { batchLimit: 8, weightsMb: 100, adapterPlaces: places, modelLoadsPerSecond: 2, models: [{ model: MODEL, weightsMb: 50, loadMs: 500, adapterMb: 1 }] } }],
+    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
+  }
+
+  function settle (engine: Engine): void {
+    for (const [adapter, { until, version }] of engine.loading) {
+      if (until > now) continue
+      engine.loading.delete(adapter)
+      engine.resident.set(adapter, version)
+    }
+  }
+
+  function carryOut (engine: Engine, { kind, adapter, version = 1 }: EngineOrder, fencing: number): EngineOrderOutcome {
+    if (fencing < engine.highestFence) return 'fenced'
+    engine.highestFence = fencing
+    settle(engine)
+    if (adapter === undefined) {
+      engine.hasModel = true
+      return 'holds'
+    }
+    if (kind === 'evict') {
+      if (engine.busyWith.has(adapter)) return 'accepted'
+      engine.resident.delete(adapter)
+      return 'holds'
+    }
+    if (!engine.hasModel) return 'misdirected'
+    if (engine.resident.get(adapter) === version) return 'holds'
+    if (engine.loading.has(adapter)) return 'accepted'
+    if (engine.loading.size >= 4) return 'busy'
+    engine.resident.delete(adapter)
+    engine.loading.set(adapter, { until: now + LOAD_MS, version })
+    if (engine.resident.size + engine.loading.size > places) overfilled.push(engine.id)
+    return 'accepted'
+  }
+
+  function sendOrder ({ endpoint, order, fencing, onOutcome }: OrderCall): void {
+    orders.push({ at: now, endpoint, order, fencing })
+    const engine = engines.get(endpoint)
+    const what = fate(order)
+    const answer = (outcome: EngineOrderOutcome): void => { dues.push({ at: now + ORDER_MS, act: () => onOutcome(outcome) }) }
+    if (engine === undefined || what === 'unreachable') answer('notSent')
+    else if (what === 'now') answer(carryOut(engine, order, fencing))
+    else {
+      const { born } = engine
+      if (what === 'late') dues.push({ at: now + lateMs, act: () => { if (engine.born === born) carryOut(engine, order, fencing) } })
+      dues.push({ at: now + 700, act: () => onOutcome('unanswered') })
+    }
+  }
+
+  function describe (engine: Engine): ListedEndpoint {
+    settle(engine)
+    const adapters = [...engine.resident].map(([adapter, version]) => ({ adapter, version }))
+    return { endpoint: engine.id, bornAt: engine.born, pool: POOL, zone: 'z', address: `10.0.0.1:${engine.id.length}`, leaving: false, models: engine.hasModel ? [{ model: MODEL, adapters }] : [] }
+  }
+
+  const placement = createPlacement({
+    self: 'core',
+    getLeadTerm: () => term,
+    handOverMs,
+    getRoutes: () => table,
+    getVersion: (_model, adapter) => versions.get(adapter) ?? 1,
+    getRegion: () => 'r',
+    listEntries: () => ['entry'],
+    sendOrder,
+    pollList: () => {
+      const seen = lists.findLast(({ at }) => at <= now - lagMs) ?? lists[0]
+      if (seen !== undefined) dues.push({ at: now + 1, act: () => placement.receiveList(seen.listed, createContext()) })
+    }
+  })
+
+  function createContext (): RunContext {
+    return { now, wallNow: now, send: (to: string, message: PeerMessage) => { sent.push({ to, message: message as FleetMessage }) }, emit: (_output: HostOutput) => undefined }
+  }
+
+  function runFor (ms: number): void {
+    const end = now + ms
+    for (; now < end; now += 1) {
+      if (now % 50 === 0) {
+        lists.push({ at: now, listed: [...engines.values()].map(describe) })
+        if (lists.length > 100) lists.shift()
+      }
+      const taken = dues.filter(({ at }) => at <= now)
+      dues = dues.filter(({ at }) => at > now)
+      for (const { act } of taken) act()
+      if ((placement.getNextAt() ?? Infinity) <= now || taken.length > 0 || now % 100 === 0) placement.run(createContext())
+    }
+  }
+
+  return {
+    placement,
+    sent,
+    orders,
+    overfilled,
+    engines,
+    receive: (message, from = 'entry') => { placement.receive(from, message as never, createContext()) },
+    runFor,
+    setTerm: next => { term = next },
+    setVersion: (adapter, version) => { versions.set(adapter, version) },
+    setFate: next => { fate = next },
+    restart: id => {
+      const engine = engines.get(id)
+      if (engine === undefined) return
+      engine.born += 1
+      engine.highestFence = 0
+      engine.resident.clear()
+      engine.loading.clear()
+      engine.hasModel = false
+    },
+    getNow: () => now
+  }
+}
+
+let nextAskId = 1
+
+export function buildAsk (adapter: string, changes: Partial<Extract<FleetMessage, { kind: 'load.ask' }>> = {}): Extract<FleetMessage, { kind: 'load.ask' }> {
+  return { kind: 'load.ask', askId: nextAskId++, pool: POOL, model: MODEL, adapter, priority: 1, remainingMs: 2_000, avoid: [], ...changes }
+}
--- /dev/null
+++ b/fleet/placement/test/placement.test.ts
@@ -0,0 +1,145 @@
+import { createRandom } from '@catkinferry/core.random'
+import { expect } from 'earl'
+import { describe, it } from 'node:test'
+import { buildAsk, createFakeEngines } from './fakeEngines.ts'
+import type { FakeEngines } from './fakeEngines.ts'
+
+function findAnswer ({ sent }: FakeEngines, askId: number) {
+  return sent.map(({ message }) => message).find(message => (message.kind === 'load.given' || message.kind === 'load.refused') && message.askId === askId)
+}
+
+describe('createPlacement', () => {
+  it('loads an adapter once for all that ask for it, and gives the engine when it holds it', () => {
+    const fleet = createFakeEngines({ ids: ['e1', 'e2'], places: 4 })
+    fleet.runFor(1_000)
+    const asks = [buildAsk('a'), buildAsk('a')]
+    for (const ask of asks) fleet.receive(ask)
+    fleet.runFor(200)
+    expect(asks.map(({ askId }) => findAnswer(fleet, askId))).toEqual([undefined, undefined])
+    fleet.runFor(100)
+    const [first, second] = asks.map(({ askId }) => findAnswer(fleet, askId))
+    expect(first?.kind).toEqual('load.given')
+    expect(second?.kind).toEqual('load.given')
+    expect(new Set(fleet.orders.map(({ endpoint }) => endpoint)).size).toEqual(1)
+  })
+
+  it('does not take back an adapter that it evicted from a list that lags', () => {
+    const fleet = createFakeEngines({ ids: ['e1'], places: 3 })
+    fleet.runFor(1_000)
+    for (let index = 0; index < 12; index += 1) {
+      fleet.receive(buildAsk(`a${index}`))
+      fleet.runFor(700)
+    }
+    expect(fleet.overfilled).toEqual([])
+    expect(fleet.engines.get('e1')?.resident.size).toEqual(2)
+  })
+
+  it('gives no orders before the ones of the holder before have ended, and then under its own term', () => {
+    const fleet = createFakeEngines({ ids: ['e1'], places: 4, handOverMs: 3_000 })
+    fleet.setTerm(7)
+    fleet.receive(buildAsk('a', { remainingMs: 10_000 }))
+    fleet.runFor(2_900)
+    expect(fleet.orders).toEqual([])
+    fleet.receive(buildAsk('a', { remainingMs: 10_000 }))
+    fleet.runFor(1_000)
+    expect(fleet.orders.length > 0).toEqual(true)
+    expect(fleet.orders.every(({ at, fencing }) => at >= 3_000 && fencing === 7)).toEqual(true)
+  })
+
+  it('refuses asks that wait when the lead moves', () => {
+    const fleet = createFakeEngines({ ids: ['e1'], places: 4 })
+    fleet.runFor(1_000)
+    const ask = buildAsk('a')
+    fleet.receive(ask)
+    fleet.runFor(20)
+    fleet.setTerm(undefined)
+    fleet.runFor(200)
+    expect(findAnswer(fleet, ask.askId)?.kind).toEqual('load.refused')
+    const { length } = fleet.orders
+    fleet.runFor(3_000)
+    expect(fleet.orders.length).toEqual(length)
+  })
+
+  it('loads a new version on another engine before the old one goes', () => {
+    const fleet = createFakeEngines({ ids: ['e1', 'e2'], places: 4 })
+    fleet.runFor(1_000)
+    fleet.receive(buildAsk('a'))
+    fleet.runFor(1_000)
+    const [holder] = fleet.orders.map(({ endpoint }) => endpoint)
+    fleet.setVersion('a', 2)
+    fleet.runFor(1_500)
+    const versions = [...fleet.engines.values()].map(({ id, resident }) => [id, resident.get('a')])
+    expect(Object.fromEntries(versions)).toEqual(holder === 'e1' ? { e1: undefined, e2: 2 } : { e1: 2, e2: undefined })
+    const evictedAt = fleet.orders.find(({ order }) => order.kind === 'evict')?.at ?? 0
+    const loadedAt = fleet.orders.find(({ order }) => order.version === 2)?.at ?? Infinity
+    expect(evictedAt - loadedAt >= 250).toEqual(true)
+  })
+
+  it('replaces a version in place where there is one engine only', () => {
+    const fleet = createFakeEngines({ ids: ['e1'], places: 4 })
+    fleet.runFor(1_000)
+    fleet.receive(buildAsk('a'))
+    fleet.runFor(1_000)
+    fleet.setVersion('a', 2)
+    fleet.runFor(1_500)
+    expect(fleet.engines.get('e1')?.resident.get('a')).toEqual(2)
+  })
+
+  it('takes another engine when one cannot be reached', () => {
+    const fleet = createFakeEngines({ ids: ['e1', 'e2'], places: 4 })
+    fleet.runFor(1_000)
+    let refused: string | undefined
+    fleet.setFate(() => {
+      const { endpoint } = fleet.orders.at(-1) ?? {}
+      refused ??= endpoint
+      return endpoint === refused ? 'unreachable' : 'now'
+    })
+    const ask = buildAsk('a')
+    fleet.receive(ask)
+    fleet.runFor(600)
+    const answer = findAnswer(fleet, ask.askId)
+    expect(answer?.kind === 'load.given' && answer.endpoint !== refused).toEqual(true)
+  })
+
+  it('keeps adapters in use and evicts the least recently used one', () => {
+    const fleet = createFakeEngines({ ids: ['e1'], places: 3 })
+    fleet.runFor(1_000)
+    for (const adapter of ['a', 'b']) {
+      fleet.receive(buildAsk(adapter))
+      fleet.runFor(800)
+    }
+    fleet.receive({ kind: 'fleet.use', uses: [{ endpoint: 'e1', adapterKey: 'm/a@1', begun: 0, running: 1 }] })
+    fleet.runFor(100)
+    fleet.receive(buildAsk('c'))
+    fleet.runFor(800)
+    expect([...fleet.engines.get('e1')?.resident.keys() ?? []].toSorted()).toEqual(['a', 'c'])
+  })
+
+  it('gives an engine that restarted empty its base model again', () => {
+    const fleet = createFakeEngines({ ids: ['e1', 'e2'], places: 3 })
+    fleet.runFor(1_000)
+    fleet.restart('e1')
+    fleet.runFor(4_000)
+    expect(fleet.engines.get('e1')?.hasModel).toEqual(true)
+  })
+
+  for (const seed of Array.from({ length: 20 }, (_, index) => index + 1)) {
+    it(`never overfills an engine while orders are lost, late and engines restart (seed ${seed})`, () => {
+      const random = createRandom(seed)
+      const fleet = createFakeEngines({ ids: ['e1', 'e2', 'e3'], places: 4, lateMs: 1_500 + random.nextInt(0, 8_000) })
+      fleet.setFate(() => {
+        const draw = random.nextFraction()
+        if (draw < 0.1) return 'late'
+        return draw < 0.2 ? 'lost' : draw < 0.22 ? 'unreachable' : 'now'
+      })
+      fleet.runFor(1_000)
+      for (let step = 0; step < 120; step += 1) {
+        fleet.receive(buildAsk(`a${random.nextInt(0, 25)}`))
+        if (random.nextFraction() < 0.02) fleet.restart(`e${random.nextInt(1, 3)}`)
+        if (random.nextFraction() < 0.03) fleet.setVersion(`a${random.nextInt(0, 25)}`, 2 + step)
+        fleet.runFor(random.nextInt(20, 300))
+      }
+      expect(fleet.overfilled).toEqual([])
+    })
+  }
+})
--- a/gateway/relay/src/attempt.ts
+++ b/gateway/relay/src/attempt.ts
@@ -26,6 +26,8 @@
   readonly target: Target
   readonly request: ClientRequest
   readonly settle: (end: AttemptEnd) => void
+  /** Whether the answer that has ended is whole. */
+  readonly isWhole: () => boolean
   /** Takes the answer's head. */
   readonly noteHead: (facts: AnswerFacts) => void
 }
@@ -72,6 +74,7 @@
   return new Promise(resolve => {
     let settled = false
     let connected = false
+    let socketFailed = false
     const outgoing = request({ ...splitAddress(link.address), agent: link.agent, method: req.method, path: req.url, headers: buildHeaders(opts), setHost: false })
     const connectTimer = setTimeout(() => { if (!connected) fail('no connection was established in time') }, CONNECT_TIMEOUT_MS)
 
@@ -93,6 +96,8 @@
       outgoing.destroy()
     }
     outgoing.on('socket', socket => {
+      // Before the parser takes the end of a broken connection for the end of an answer without a length.
+      socket.prependOnceListener('error', () => { socketFailed = true })
       const onConnected = (): void => {
         connected = true
         clearTimeout(connectTimer)
@@ -106,7 +111,7 @@
     outgoing.on('error', error => fail(error.message))
     outgoing.on('close', () => fail('the connection was closed'))
     outgoing.on('response', answer => {
-      receiveAnswer({ exchange, target: opts.target, request: outgoing, settle, noteHead: opts.onHead }, answer, opts)
+      receiveAnswer({ exchange, target: opts.target, request: outgoing, settle, noteHead: opts.onHead, isWhole: () => answer.complete && !socketFailed }, answer, opts)
     })
   })
 }
--- a/gateway/relay/src/passAnswer.ts
+++ b/gateway/relay/src/passAnswer.ts
@@ -31,7 +31,7 @@
 }
 
 function holdAnswer (attempt: Attempt, answer: IncomingMessage, endpoint: EndpointId): void {
-  const { exchange, settle, request } = attempt
+  const { exchange, settle, request, isWhole } = attempt
   const status = answer.statusCode ?? 0
   const parts: Buffer[] = []
   let bytes = 0
@@ -43,7 +43,7 @@
     streamAnswer(attempt, answer, Buffer.concat(parts))
   })
   answer.on('end', () => {
-    if (!answer.complete) return
+    if (!isWhole()) return
     const held: HeldAnswer = { status, rawHeaders: answer.rawHeaders, body: Buffer.concat(parts), endpoint }
     if (status >= FIRST_ERROR_STATUS) {
       settle({ kind: 'failed', answer: held })
@@ -56,7 +56,7 @@
   })
   answer.on('close', () => {
     settle({ kind: 'lost', reason: 'the answer broke off' })
-    if (!answer.complete) request.destroy()
+    if (!isWhole()) request.destroy()
   })
 }
 
@@ -85,13 +85,13 @@
 }
 
 function streamAnswer (attempt: Attempt, answer: IncomingMessage, begun: Buffer = Buffer.alloc(0)): void {
-  const { exchange, settle, request } = attempt
+  const { exchange, settle, request, isWhole } = attempt
   const splitter = exchange.route.resumable ? createEventSplitter(exchange.lastEventId) : undefined
   const state: StreamState = { attempt, answer, splitter, bytes: 0 }
   writePart(state, begun)
   answer.on('data', (chunk: Buffer) => writePart(state, splitter === undefined ? chunk : splitter.add(chunk)))
   answer.on('end', () => {
-    if (!answer.complete || exchange.ended !== undefined) return
+    if (!isWhole() || exchange.ended !== undefined) return
     if (splitter !== undefined) writePart(state, splitter.takeRest())
     if (!exchange.headSent) exchange.res.writeHead(answer.statusCode ?? 0, takeEndToEnd(answer.rawHeaders, NONE))
     exchange.headSent = true
@@ -100,6 +100,6 @@
   })
   answer.on('close', () => {
     settle({ kind: 'lost', reason: 'the stream broke off' })
-    if (!answer.complete) request.destroy()
+    if (!isWhole()) request.destroy()
   })
 }
--- a/gateway/relay/src/relay.ts
+++ b/gateway/relay/src/relay.ts
@@ -24,9 +24,9 @@
 
 export interface Relay {
   readonly handle: (req: IncomingMessage, res: ServerResponse) => void
-  /** Exchanges under way. */
+  /** Answers that are not written out yet. */
   readonly getActiveCount: () => number
-  /** Answers ask callers to close their connections from now on. */
+  /** Connections end with the answers that they carry now, and with all later ones. */
   readonly drain: () => void
   readonly close: () => void
 }
@@ -40,7 +40,8 @@
   readonly links: EndpointLinks
   readonly finder: TargetFinder
   readonly allowance: RetryAllowance
-  active: number
+  /** Answers that are not written out yet. */
+  readonly answering: Set<ServerResponse>
   draining: boolean
 }
 
@@ -54,15 +55,18 @@
     links,
     finder: createTargetFinder({ relay: opts, links }),
     allowance: createRetryAllowance({ ...opts.retryBudget, getEntryCount: opts.getEntryCount }),
-    active: 0,
+    answering: new Set(),
     draining: false
   }
   const sweep = setInterval(links.sweep, SWEEP_INTERVAL_MS)
   sweep.unref()
   return {
     handle: (req, res) => { void handle(state, req, res) },
-    getActiveCount: () => state.active,
-    drain: () => { state.draining = true },
+    getActiveCount: () => state.answering.size,
+    drain: () => {
+      state.draining = true
+      for (const res of state.answering) endConnectionAfter(res)
+    },
     close: () => {
       clearInterval(sweep)
       links.close()
@@ -70,9 +74,16 @@
   }
 }
 
+/** Ends the connection with this answer: by its head where that is not sent yet. */
+function endConnectionAfter (res: ServerResponse): void {
+  if (res.headersSent) res.once('finish', () => res.socket?.end())
+  else res.shouldKeepAlive = false
+}
+
 async function handle (state: RelayState, req: IncomingMessage, res: ServerResponse): Promise<void> {
-  state.active += 1
-  if (state.draining) res.shouldKeepAlive = false
+  state.answering.add(res)
+  res.once('close', () => state.answering.delete(res))
+  if (state.draining) endConnectionAfter(res)
   res.on('error', () => undefined)
   try {
     const exchange = beginExchange(state, req, res)
@@ -81,8 +92,6 @@
     state.opts.logger.error('a request failed inside the relay', { step: 'relay', cause: error })
     if (res.headersSent) res.destroy()
     else sendFailure(res, { code: ErrorCode.INTERNAL, message: 'the relay failed', step: 'relay' })
-  } finally {
-    state.active -= 1
   }
 }
 
--- /dev/null
+++ b/gateway/relay/test/relay.test.ts
@@ -0,0 +1,220 @@
+import { expect } from 'earl'
+import { afterEach, describe, it } from 'node:test'
+import { answerOk, startEndpoint, startRawEndpoint, startStand } from './stand.ts'
+import type { Stand, StandOptions } from './stand.ts'
+
+let stand: Stand | undefined
+
+async function start (opts: StandOptions): Promise<Stand> {
+  stand = await startStand(opts)
+  return stand
+}
+
+afterEach(() => {
+  stand?.close()
+  stand = undefined
+})
+
+const STREAM = { kind: 'stream' } as const
+const RESUMABLE = { kind: 'stream', resumable: true, maxEndpoints: 2 } as const
+const NON_IDEMPOTENT = { kind: 'nonIdempotent', maxEndpoints: 2 } as const
+
+describe('what is passed on', () => {
+  it('is the request as the caller sent it, with the system\'s own headers replaced', async () => {
+    const endpoint = await startEndpoint('e1', (req, res) => answerOk(req, res))
+    const { call } = await start({ endpoints: [endpoint] })
+    const answer = await call({ body: 'a\u0000b', headers: { 'X-Other': 'kept', 'X-Endpoint': 'forged', Connection: 'X-Hop, keep-alive', 'X-Hop': 'one connection' } })
+    expect([answer.status, answer.body]).toEqual([200, 'done'])
+    const [seen] = endpoint.seen
+    expect([seen?.url, seen?.body, seen?.headers['x-other'], seen?.headers['x-endpoint'], seen?.headers['x-hop']]).toEqual(['/p/x?q=1', 'a\u0000b', 'kept', 'e1', undefined])
+  })
+
+  it('carries no more time than the caller and the route have left', async () => {
+    const endpoint = await startEndpoint('e1', (req, res) => answerOk(req, res))
+    const { call } = await start({ endpoints: [endpoint], route: { timeoutMs: 700 } })
+    await call({ headers: { 'X-Deadline': '5000' } })
+    const left = Number(endpoint.seen[0]?.headers['x-left'])
+    expect(left <= 700 && left > 500).toEqual(true)
+  })
+
+  it('is nothing where no route matches or the body is too large', async () => {
+    const endpoint = await startEndpoint('e1', (req, res) => answerOk(req, res))
+    const { call } = await start({ endpoints: [endpoint], maxBodyBytes: 10 })
+    expect((await call({ path: '/other/' })).status).toEqual(404)
+    expect((await call({ body: 'x'.repeat(11) })).status).toEqual(413)
+    expect(endpoint.seen).toEqual([])
+  })
+})
+
+describe('a request that must not run twice', () => {
+  it('is sent to another endpoint only after a true refusal', async () => {
+    const full = await startEndpoint('e1', (_req, res) => { res.writeHead(503, { 'X-Not-Run': '1' }); res.end() })
+    const free = await startEndpoint('e2', (req, res) => answerOk(req, res))
+    const { call } = await start({ endpoints: [full, free], route: NON_IDEMPOTENT })
+    expect((await call()).status).toEqual(200)
+    expect(free.seen.length).toEqual(1)
+  })
+
+  for (const [name, answer] of [
+    ['is reset', (socket: { resetAndDestroy: () => unknown }) => socket.resetAndDestroy()],
+    ['is closed', (socket: { end: () => unknown }) => socket.end()]
+  ] as const) {
+    it(`ends with 502 when the connection ${name} without an answer`, async () => {
+      const broken = await startRawEndpoint('e1', socket => { answer(socket) })
+      const sound = await startEndpoint('e2', (req, res) => answerOk(req, res))
+      const { call } = await start({ endpoints: [broken, sound], route: NON_IDEMPOTENT })
+      const { status } = await call()
+      expect(status).toEqual(502)
+      expect(sound.seen).toEqual([])
+    })
+  }
+
+  it('gets the endpoint\'s own failure unchanged', async () => {
+    const failing = await startEndpoint('e1', (req, res) => { res.writeHead(500, { 'X-Id': String(req.headers['x-id']), 'X-Stamp': 's' }); res.end('broken') })
+    const { call } = await start({ endpoints: [failing], route: NON_IDEMPOTENT })
+    const answer = await call()
+    expect([answer.status, answer.body, answer.headers['x-stamp']]).toEqual([500, 'broken', 's'])
+  })
+})
+
+describe('an idempotent request', () => {
+  it('goes to another endpoint after a failure, within the route\'s number', async () => {
+    const failing = await startEndpoint('e1', (req, res) => { res.writeHead(500, { 'X-Id': String(req.headers['x-id']) }); res.end() })
+    const sound = await startEndpoint('e2', (req, res) => answerOk(req, res))
+    const { call } = await start({ endpoints: [failing, sound], route: { maxEndpoints: 2 } })
+    expect((await call()).status).toEqual(200)
+  })
+
+  it('is not passed off as whole when an answer without a length is reset', async () => {
+    const broken = await startRawEndpoint('e1', socket => {
+      socket.write('HTTP/1.1 200 OK\r\nX-Id: id1\r\nX-Stamp: s\r\nConnection: close\r\n\r\nhalf of it', () => setTimeout(() => socket.resetAndDestroy(), 20))
+    })
+    const { call } = await start({ endpoints: [broken] })
+    expect((await call()).status).toEqual(502)
+  })
+
+  it('never gets the answer of another request', async () => {
+    const crossed = await startRawEndpoint('e1', socket => { socket.write('HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Stamp: s\r\nContent-Length: 5\r\n\r\nwrong') })
+    const { call } = await start({ endpoints: [crossed] })
+    expect((await call()).status).toEqual(502)
+  })
+
+  it('never gets a success without the endpoint\'s mark', async () => {
+    const forged = await startRawEndpoint('e1', socket => { socket.write('HTTP/1.1 200 OK\r\nX-Id: id1\r\nContent-Length: 5\r\n\r\nwrong') })
+    const { call } = await start({ endpoints: [forged] })
+    expect((await call()).status).toEqual(502)
+  })
+
+  it('keeps a second answer on the connection from the next request', async () => {
+    const answer = (id: string): string => `HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nX-Stamp: s\r\nContent-Length: 2\r\n\r\n`
+    const double = await startRawEndpoint('e1', (socket, text) => {
+      const id = /X-Id: (\w+)/i.exec(text)?.[1] ?? ''
+      socket.write(`${answer(id)}ok`)
+      if (id === 'first') setTimeout(() => socket.write(`${answer(id)}no`), 30)
+    })
+    const { call } = await start({ endpoints: [double] })
+    expect((await call({ headers: { 'X-Id': 'first' } })).body).toEqual('ok')
+    await new Promise(resolve => setTimeout(resolve, 60))
+    const second = await call({ headers: { 'X-Id': 'second' } })
+    expect(second.status === 200 ? second.body : second.status).toEqual(second.status === 200 ? 'ok' : 502)
+  })
+})
+
+describe('a stream', () => {
+  const event = (id: number): string => `id: ${id}\ndata: ${id}\n\n`
+  const head = (req: { headers: NodeJS.Dict<string | string[]> }): Record<string, string> => ({ 'X-Id': String(req.headers['x-id']), 'X-Stamp': 's', 'Content-Type': 'text/event-stream' })
+
+  it('reaches the caller event by event', async () => {
+    const parts: string[] = []
+    const endpoint = await startEndpoint('e1', (req, res) => {
+      res.writeHead(200, head(req))
+      res.write(event(1))
+      setTimeout(() => res.end(event(2)), 60)
+    })
+    const { call } = await start({ endpoints: [endpoint], route: STREAM })
+    const answer = await call({ onPart: part => parts.push(part) })
+    expect([answer.body, answer.broken, parts.length]).toEqual([event(1) + event(2), false, 2])
+  })
+
+  it('that breaks off does not look complete', async () => {
+    const endpoint = await startEndpoint('e1', (req, res) => {
+      res.writeHead(200, head(req))
+      res.write(event(1))
+      setTimeout(() => res.destroy(), 30)
+    })
+    const { call } = await start({ endpoints: [endpoint], route: STREAM })
+    const answer = await call()
+    expect([answer.body, answer.broken]).toEqual([event(1), true])
+  })
+
+  it('that may be resumed goes on at another endpoint after its last whole event', async () => {
+    const first = await startEndpoint('e1', (req, res) => {
+      res.writeHead(200, head(req))
+      res.write(event(1) + event(2) + 'id: 3\nda')
+      setTimeout(() => res.destroy(), 30)
+    })
+    const second = await startEndpoint('e2', (req, res) => {
+      res.writeHead(200, head(req))
+      res.end(event(3) + event(4))
+    })
+    const { call } = await start({ endpoints: [first, second], route: RESUMABLE })
+    const answer = await call()
+    const [begun, resumed] = first.seen.length > 0 ? [first, second] : [second, first]
+    expect([answer.broken, begun.seen.length]).toEqual([false, 1])
+    if (begun === first) expect([answer.body, resumed.seen[0]?.headers['x-resume']]).toEqual([event(1) + event(2) + event(3) + event(4), '2'])
+  })
+
+  it('is cancelled at the endpoint when the caller leaves', async () => {
+    let closedAt: number | undefined
+    const endpoint = await startEndpoint('e1', (req, res) => {
+      res.writeHead(200, head(req))
+      res.write(event(1))
+      res.on('close', () => { closedAt = performance.now() })
+    })
+    const { call } = await start({ endpoints: [endpoint], route: STREAM })
+    const leftAt = performance.now()
+    await call({ onPart: (_part, abort) => abort() }).catch(() => undefined)
+    await new Promise(resolve => setTimeout(resolve, 100))
+    expect(closedAt !== undefined && closedAt - leftAt < 500).toEqual(true)
+  })
+})
+
+describe('the end of time', () => {
+  it('is a 504 where the request may have run', async () => {
+    const silent = await startEndpoint('e1', () => undefined)
+    const { call } = await start({ endpoints: [silent], route: { timeoutMs: 150 } })
+    const startedAt = performance.now()
+    expect((await call()).status).toEqual(504)
+    expect(performance.now() - startedAt < 600).toEqual(true)
+  })
+
+  it('is a true refusal with a time to come back where it was never sent', async () => {
+    const { call } = await start({ endpoints: [], resident: {}, route: { timeoutMs: 150 }, askLoad: () => new Promise(() => undefined) })
+    const answer = await call({ headers: { 'X-Model': 'a' } })
+    expect([answer.status, Number(answer.headers['retry-after']) > 0]).toEqual([503, true])
+  })
+})
+
+describe('an adapter', () => {
+  it('is served where it is resident, at the version in force', async () => {
+    const old = await startEndpoint('e1', (req, res) => answerOk(req, res))
+    const current = await startEndpoint('e2', (req, res) => answerOk(req, res))
+    const { call } = await start({ endpoints: [old, current], resident: { e1: ['a@1'], e2: ['a@2'] }, announced: { version: 2, agoMs: 0 } })
+    expect((await call({ headers: { 'X-Model': 'a' } })).status).toEqual(200)
+    expect([old.seen.length, current.seen[0]?.headers['x-version']]).toEqual([0, '2'])
+  })
+
+  it('is not served at an old version for long after a new one was announced', async () => {
+    const old = await startEndpoint('e1', (req, res) => answerOk(req, res))
+    const { call } = await start({ endpoints: [old], resident: { e1: ['a@1'] }, announced: { version: 2, agoMs: 3_000 } })
+    expect((await call({ headers: { 'X-Model': 'a' } })).status).toEqual(503)
+    expect(old.seen).toEqual([])
+  })
+
+  it('is loaded by the leader where no engine has it', async () => {
+    const endpoint = await startEndpoint('e1', (req, res) => answerOk(req, res))
+    const { call, lines } = await start({ endpoints: [endpoint], resident: { e1: [] }, askLoad: async () => ({ kind: 'given', endpoint: 'e1', adapterKey: 'm/a@1' }) })
+    expect((await call({ headers: { 'X-Model': 'a' } })).status).toEqual(200)
+    expect(lines.map(({ step }) => step)).toEqual(['offer', 'end'])
+  })
+})
--- /dev/null
+++ b/gateway/relay/test/stand.ts
@@ -0,0 +1,179 @@
+/** A relay between callers and scripted endpoints on loopback, under header names of its own. */
+import { once } from 'node:events'
+import { Agent, createServer, request } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { createServer as createTcpServer } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
+import { createSystemClock } from '@catkinferry/core.clock'
+import { createLogger } from '@catkinferry/core.logger'
+import { createRandom } from '@catkinferry/core.random'
+import type { Route, RouteTable } from '@catkinferry/core.types'
+import type { DirectoryEndpoint, LoadAnswer, LoadQuestion } from '@catkinferry/fleet.directory'
+import { createRelay } from '@catkinferry/gateway.relay'
+import type { Relay, RelayDialect } from '@catkinferry/gateway.relay'
+import { createRouteMatcher } from '@catkinferry/routes.table'
+
+export const dialect: RelayDialect = {
+  ownHeaders: new Set(['x-endpoint', 'x-left', 'x-version', 'x-resume']),
+  readRequest: headers => ({
+    requestId: headers['x-id'] as string | undefined,
+    deadlineMs: headers['x-deadline'] === undefined ? undefined : Number(headers['x-deadline']),
+    model: headers['x-model'] === undefined ? undefined : 'm',
+    adapter: headers['x-model'] as string | undefined,
+    lastEventId: headers['x-resume'] as string | undefined
+  }),
+  buildHeaders: ({ endpoint, remainingMs, version, lastEventId }) => [
+    'X-Endpoint', endpoint, 'X-Left', String(remainingMs),
+    ...(version === undefined ? [] : ['X-Version', String(version)]),
+    ...(lastEventId === undefined ? [] : ['X-Resume', lastEventId])
+  ],
+  readAnswer: (headers, status) => ({ requestId: headers['x-id'] as string | undefined, isSigned: headers['x-stamp'] !== undefined, notRun: headers['x-not-run'] !== undefined || status === 421 })
+}
+
+export interface Call {
+  readonly method?: string
+  readonly path?: string
+  readonly headers?: Readonly<Record<string, string>>
+  readonly body?: string
+  /** Called with each part of the answer. */
+  readonly onPart?: (part: string, abort: () => void) => void
+}
+
+export interface Called {
+  readonly status: number
+  readonly headers: IncomingMessage['headers']
+  readonly body: string
+  /** The connection ended before the answer did. */
+  readonly broken: boolean
+}
+
+type Script = (req: IncomingMessage, res: ServerResponse, body: string) => void
+
+export interface Endpoint {
+  readonly id: string
+  readonly address: string
+  /** Requests that arrived, in order. */
+  readonly seen: Array<{ readonly headers: IncomingMessage['headers'], readonly body: string, readonly url: string }>
+  readonly close: () => void
+}
+
+/** Answers as a sound endpoint does. */
+export function answerOk (req: IncomingMessage, res: ServerResponse, body = 'done', extra: Readonly<Record<string, string>> = {}): void {
+  res.writeHead(200, { 'X-Id': String(req.headers['x-id']), 'X-Stamp': 's', 'Content-Length': Buffer.byteLength(body), ...extra })
+  res.end(body)
+}
+
+export async function startEndpoint (id: string, script: Script): Promise<Endpoint> {
+  const seen: Endpoint['seen'] = []
+  const server = createServer((req, res) => {
+    const parts: Buffer[] = []
+    req.on('data', (part: Buffer) => parts.push(part))
+    req.on('end', () => {
+      const body = Buffer.concat(parts).toString()
+      seen.push({ headers: req.headers, body, url: req.url ?? '' })
+      script(req, res, body)
+    })
+  })
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  return { id, address: `127.0.0.1:${(server.address() as AddressInfo).port}`, seen, close: () => { server.closeAllConnections(); server.close() } }
+}
+
+/** An endpoint that answers with raw bytes. */
+export async function startRawEndpoint (id: string, onData: (socket: Socket, text: string) => void): Promise<Endpoint> {
+  const sockets = new Set<Socket>()
+  const server = createTcpServer(socket => {
+    sockets.add(socket)
+    socket.on('error', () => undefined)
+    socket.on('data', chunk => onData(socket, chunk.toString()))
+  })
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  return { id, address: `127.0.0.1:${(server.address() as AddressInfo).port}`, seen: [], close: () => { for (const socket of sockets) socket.destroy(); server.close() } }
+}
+
+export interface StandOptions {
+  readonly endpoints: readonly Endpoint[]
+  readonly route?: Partial<Route>
+  /** Adapters by endpoint; makes the pool one of engines. */
+  readonly resident?: Readonly<Record<string, readonly string[]>>
+  readonly askLoad?: (question: LoadQuestion) => Promise<LoadAnswer>
+  readonly announced?: { readonly version: number, readonly agoMs: number }
+  readonly maxBodyBytes?: number
+}
+
+export interface Stand {
+  readonly relay: Relay
+  readonly lines: Array<Record<string, unknown>>
+  readonly call: (call?: Call) => Promise<Called>
+  readonly close: () => void
+}
+
+function buildTable (opts: StandOptions): RouteTable {
+  const engine = opts.resident === undefined ? {} : { engine: { batchLimit: 4, weightsMb: 1, adapterPlaces: 4, modelLoadsPerSecond: 1, models: [] } }
+  const route: Route = { name: 'r', host: 'h.example', pathPrefix: '/p/', kind: 'idempotent', resumable: false, timeoutMs: 2_000, objectiveMs: 100, priority: 1, maxEndpoints: 1, shares: [{ pool: 'pool', weight: 1 }], ...opts.route }
+  return { version: 1, routes: [route], pools: [{ name: 'pool', healthPath: '/', maxConnections: 50, ...engine }], limits: { maxHeaderBytes: 10_000, maxBodyBytes: opts.maxBodyBytes ?? 1_000_000, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 } }
+}
+
+export async function startStand (opts: StandOptions): Promise<Stand> {
+  const table = buildTable(opts)
+  const lines: Stand['lines'] = []
+  const clock = createSystemClock()
+  const rows: DirectoryEndpoint[] = opts.endpoints.map(({ id, address }) => ({ endpoint: id, kind: 'engine', pool: 'pool', zone: 'z', region: 'r', address, leaving: false, models: ['m'], resident: new Set(opts.resident?.[id]?.map(adapter => `m/${adapter}`)) }))
+  const { announced } = opts
+  const relay = createRelay({
+    place: { zone: 'z', region: 'r' },
+    dialect,
+    directory: {
+      getRoutes: () => ({ table, matcher: createRouteMatcher(table) }),
+      listEndpoints: () => rows,
+      getEndpoint: id => rows.find(({ endpoint }) => endpoint === id),
+      getAnnounced: () => announced === undefined ? undefined : { version: announced.version, at: clock.getMonotonicMs() - announced.agoMs },
+      askLoad: (question, onAnswer) => { void (opts.askLoad?.(question) ?? Promise.resolve({ kind: 'refused' as const, reason: 'none', retryAfterMs: 100 })).then(onAnswer) },
+      askCopy: () => undefined,
+      noteBegun: () => undefined,
+      noteEnded: () => undefined,
+      dropResident: () => undefined
+    },
+    clock,
+    random: createRandom(1),
+    logger: createLogger({ level: 'info', write: line => lines.push(JSON.parse(line) as Record<string, unknown>) }),
+    observer: { count: () => undefined, time: () => undefined },
+    getEntryCount: () => 1,
+    retryBudget: { ratio: 0.2, slack: 20 }
+  })
+  const server: Server = createServer(relay.handle)
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const { port } = server.address() as AddressInfo
+  const agent = new Agent({ keepAlive: true })
+  return {
+    relay,
+    lines,
+    call: (call = {}) => sendCall(port, agent, call),
+    close: () => {
+      agent.destroy()
+      server.closeAllConnections()
+      server.close()
+      relay.close()
+      for (const endpoint of opts.endpoints) endpoint.close()
+    }
+  }
+}
+
+function sendCall (port: number, agent: Agent, { method = 'POST', path = '/p/x?q=1', headers = {}, body = 'ask', onPart }: Call): Promise<Called> {
+  return new Promise((resolve, reject) => {
+    const outgoing = request({ host: '127.0.0.1', port, agent, method, path, headers: { Host: 'h.example', 'X-Id': 'id1', 'X-Deadline': '1500', ...headers } }, res => {
+      let text = ''
+      const finish = (broken: boolean): void => resolve({ status: res.statusCode ?? 0, headers: res.headers, body: text, broken })
+      res.on('data', (part: Buffer) => {
+        text += part.toString()
+        onPart?.(part.toString(), () => outgoing.destroy())
+      })
+      res.on('end', () => finish(!res.complete))
+      res.on('error', () => finish(true))
+    })
+    outgoing.on('error', error => reject(error))
+    outgoing.end(body)
+  })
+}
