Pass on the lack of a frame, and keep idle connections shorter than endpoints do

Ruled out: a reset that the parser hides (the socket ended in order; a trial printed its state). Change: such an answer goes to the caller without a length and ends its connection. Test: gateway/relay, 'gets no length for an answer that has none'.

--- a/gateway/relay/src/attempt.ts
+++ b/gateway/relay/src/attempt.ts
@@ -2,6 +2,7 @@
 import { request } from 'node:http'
 import type { ClientRequest, IncomingMessage } from 'node:http'
 import { isIP } from 'node:net'
+import type { Socket } from 'node:net'
 import { CONNECT_TIMEOUT_MS } from './constants.ts'
 import type { AnswerFacts } from './dialect.ts'
 import type { Exchange, HeldAnswer, Target } from './exchange.ts'
@@ -75,6 +76,8 @@
     let settled = false
     let connected = false
     let socketFailed = false
+    let socketInUse: Socket | undefined
+    const onSocketError = (): void => { socketFailed = true }
     const outgoing = request({ ...splitAddress(link.address), agent: link.agent, method: req.method, path: req.url, headers: buildHeaders(opts), setHost: false })
     const connectTimer = setTimeout(() => { if (!connected) fail('no connection was established in time') }, CONNECT_TIMEOUT_MS)
 
@@ -82,6 +85,7 @@
       if (settled) return
       settled = true
       clearTimeout(connectTimer)
+      socketInUse?.off('error', onSocketError)
       exchange.interrupt = undefined
       resolve(end)
     }
@@ -97,7 +101,8 @@
     }
     outgoing.on('socket', socket => {
       // Before the parser takes the end of a broken connection for the end of an answer without a length.
-      socket.prependOnceListener('error', () => { socketFailed = true })
+      socketInUse = socket
+      socket.prependListener('error', onSocketError)
       const onConnected = (): void => {
         connected = true
         clearTimeout(connectTimer)
--- a/gateway/relay/src/endpointLinks.ts
+++ b/gateway/relay/src/endpointLinks.ts
@@ -1,10 +1,12 @@
 /** Connections, load and health of each endpoint, as this host sees them. */
 import { Agent } from 'node:http'
+import type { Socket } from 'node:net'
+import type { Duplex } from 'node:stream'
 import type { Clock } from '@catkinferry/core.clock'
 import type { DurationMs, EndpointId, MonotonicMs } from '@catkinferry/core.types'
 import { createBreaker } from '@catkinferry/routing.breakers'
 import type { Breaker, BreakerLimits } from '@catkinferry/routing.breakers'
-import { MAX_IDLE_MS } from './constants.ts'
+import { IDLE_FRACTION, MAX_IDLE_MS } from './constants.ts'
 import type { EndpointLoad } from './dialect.ts'
 
 /** An endpoint is avoided for a while when this share of its answers failed. */
@@ -19,10 +21,21 @@
 /** Least number of connections that one host may open. */
 const MIN_CONNECTIONS = 4
 
+/** Keeps idle connections for a shorter time than the endpoint does, so that no request meets its close. */
+class IdleLimitAgent extends Agent {
+  idleMs: DurationMs = MAX_IDLE_MS
+
+  override keepSocketAlive (socket: Duplex): boolean {
+    const isKept = super.keepSocketAlive(socket) as unknown as boolean
+    if (isKept) (socket as Socket).setTimeout(this.idleMs)
+    return isKept
+  }
+}
+
 export interface EndpointLink {
   readonly endpoint: EndpointId
   readonly address: string
-  readonly agent: Agent
+  readonly agent: IdleLimitAgent
   readonly breaker: Breaker
   /** Requests of this host under way there. */
   inFlight: number
@@ -53,12 +66,17 @@
   link.firstByteMs = usual + (firstByteMs - usual) * SMOOTHING
 }
 
+/** Takes what the endpoint says of how long it keeps an idle connection. */
+export function noteKeepAlive (link: EndpointLink, keepAliveMs: DurationMs | undefined): void {
+  if (keepAliveMs !== undefined) link.agent.idleMs = Math.min(MAX_IDLE_MS, keepAliveMs * IDLE_FRACTION)
+}
+
 /** Creates an empty set of links. */
 export function createEndpointLinks (opts: { readonly clock: Clock, readonly getEntryCount: () => number }): EndpointLinks {
   const links = new Map<string, EndpointLink>()
 
   function create (endpoint: EndpointId, address: string): EndpointLink {
-    const agent = new Agent({ keepAlive: true, scheduling: 'lifo', timeout: MAX_IDLE_MS })
+    const agent = new IdleLimitAgent({ keepAlive: true, scheduling: 'lifo', timeout: MAX_IDLE_MS })
     return { endpoint, address, agent, breaker: createBreaker(), inFlight: 0, figures: undefined, firstByteMs: undefined, usedAt: opts.clock.getMonotonicMs() }
   }
 
--- a/gateway/relay/src/exchange.ts
+++ b/gateway/relay/src/exchange.ts
@@ -14,6 +14,8 @@
   readonly status: number
   readonly rawHeaders: readonly string[]
   readonly body: Buffer
+  /** False where the end of the connection was the end of the answer. */
+  readonly framed: boolean
   readonly endpoint: EndpointId
 }
 
--- a/gateway/relay/src/passAnswer.ts
+++ b/gateway/relay/src/passAnswer.ts
@@ -1,5 +1,5 @@
 /** Passes an endpoint's answer to the caller: short ones whole, streams as they come. */
-import type { IncomingMessage } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { EndpointId } from '@catkinferry/core.types'
 import { RouteKind } from '@catkinferry/core.types'
 import type { Attempt } from './attempt.ts'
@@ -11,12 +11,26 @@
 
 const NONE: ReadonlySet<string> = new Set()
 const FIRST_ERROR_STATUS = 400
+const NO_CONTENT = 204
+const NOT_MODIFIED = 304
+
+/** Whether an answer has a length or chunks; the end of any other is the end of its connection, wherever that came. */
+function isFramed ({ headers, statusCode }: IncomingMessage): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined || statusCode === NO_CONTENT || statusCode === NOT_MODIFIED
+}
+
+/** Passes the lack of a frame on: a body that may have been cut must not get the frame of a whole one. */
+function endWithConnection (res: ServerResponse): void {
+  res.useChunkedEncodingByDefault = false
+  res.shouldKeepAlive = false
+}
 
 /** Sends an answer that was read whole. */
-export function sendHeld ({ res }: Exchange, { status, rawHeaders, body }: HeldAnswer): void {
+export function sendHeld ({ res }: Exchange, { status, rawHeaders, body, framed }: HeldAnswer): void {
   const headers = takeEndToEnd(rawHeaders, new Set(['content-length']))
-  const isBodiless = status === 204 || status === 304
-  res.writeHead(status, isBodiless ? headers : [...headers, 'Content-Length', String(body.length)])
+  const isBodiless = status === NO_CONTENT || status === NOT_MODIFIED
+  if (!framed) endWithConnection(res)
+  res.writeHead(status, isBodiless || !framed ? headers : [...headers, 'Content-Length', String(body.length)])
   res.end(isBodiless ? undefined : body)
 }
 
@@ -44,7 +58,7 @@
   })
   answer.on('end', () => {
     if (!isWhole()) return
-    const held: HeldAnswer = { status, rawHeaders: answer.rawHeaders, body: Buffer.concat(parts), endpoint }
+    const held: HeldAnswer = { status, rawHeaders: answer.rawHeaders, body: Buffer.concat(parts), framed: isFramed(answer), endpoint }
     if (status >= FIRST_ERROR_STATUS) {
       settle({ kind: 'failed', answer: held })
       return
@@ -60,6 +74,12 @@
   })
 }
 
+function sendHead (exchange: Exchange, answer: IncomingMessage): void {
+  exchange.headSent = true
+  if (!isFramed(answer)) endWithConnection(exchange.res)
+  exchange.res.writeHead(answer.statusCode ?? 0, takeEndToEnd(answer.rawHeaders, NONE))
+}
+
 interface StreamState {
   readonly attempt: Attempt
   readonly answer: IncomingMessage
@@ -72,10 +92,7 @@
   const { attempt: { exchange }, answer, splitter } = state
   const { res } = exchange
   if (part.length === 0 || exchange.ended !== undefined) return
-  if (!exchange.headSent) {
-    exchange.headSent = true
-    res.writeHead(answer.statusCode ?? 0, takeEndToEnd(answer.rawHeaders, NONE))
-  }
+  if (!exchange.headSent) sendHead(exchange, answer)
   state.bytes += part.length
   if (splitter !== undefined) exchange.lastEventId = splitter.getLastEventId()
   if (!res.write(part)) {
@@ -93,8 +110,7 @@
   answer.on('end', () => {
     if (!isWhole() || exchange.ended !== undefined) return
     if (splitter !== undefined) writePart(state, splitter.takeRest())
-    if (!exchange.headSent) exchange.res.writeHead(answer.statusCode ?? 0, takeEndToEnd(answer.rawHeaders, NONE))
-    exchange.headSent = true
+    if (!exchange.headSent) sendHead(exchange, answer)
     exchange.res.end()
     settle({ kind: 'delivered', status: answer.statusCode ?? 0, bytes: state.bytes })
   })
--- a/gateway/relay/src/relay.ts
+++ b/gateway/relay/src/relay.ts
@@ -9,7 +9,7 @@
 import { sendAttempt } from './attempt.ts'
 import type { AttemptEnd } from './attempt.ts'
 import { MAX_REFUSED_SENDS, MIN_REMAINING_MS, RETRY_AFTER_MS } from './constants.ts'
-import { BREAKER_LIMITS, createEndpointLinks, noteFirstByte } from './endpointLinks.ts'
+import { BREAKER_LIMITS, createEndpointLinks, noteFirstByte, noteKeepAlive } from './endpointLinks.ts'
 import type { EndpointLinks } from './endpointLinks.ts'
 import { EndReason, isRepeatable } from './exchange.ts'
 import type { Exchange, Target } from './exchange.ts'
@@ -187,9 +187,10 @@
     relay: opts,
     exchange,
     target,
-    onHead: ({ load }) => {
+    onHead: ({ load, keepAliveMs }) => {
       const now = opts.clock.getMonotonicMs()
       noteFirstByte(link, now - sentAt)
+      noteKeepAlive(link, keepAliveMs)
       opts.observer.time('first_byte_ms', now - sentAt)
       if (load !== undefined) link.figures = { load, inFlight: link.inFlight, at: now }
     }
--- a/gateway/relay/test/relay.test.ts
+++ b/gateway/relay/test/relay.test.ts
@@ -93,6 +93,13 @@
     expect((await call()).status).toEqual(502)
   })
 
+  it('gets no length for an answer that has none and may have been cut', async () => {
+    const cut = await startRawEndpoint('e1', socket => { socket.end('HTTP/1.1 200 OK\r\nX-Id: id1\r\nX-Stamp: s\r\nConnection: close\r\n\r\nhalf of it') })
+    const { call } = await start({ endpoints: [cut] })
+    const { status, body, headers } = await call()
+    expect([status, body, headers['content-length'], headers['transfer-encoding'], headers.connection]).toEqual([200, 'half of it', undefined, undefined, 'close'])
+  })
+
   it('never gets the answer of another request', async () => {
     const crossed = await startRawEndpoint('e1', socket => { socket.write('HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Stamp: s\r\nContent-Length: 5\r\n\r\nwrong') })
     const { call } = await start({ endpoints: [crossed] })
