--- a/daemon/fleet/src/coreSystems.ts
+++ b/daemon/fleet/src/coreSystems.ts
@@ -133,7 +133,9 @@
       voter.run(context)
       keeper.run(context, membership.listLiveCore(now))
       if (voter.isLeader()) publisher.flush(context, membership.listLiveEntries(now))
+      const termBefore = placement.getLeadTerm()
       placement.run(context)
+      if (placement.getLeadTerm() !== termBefore && placement.getLeadTerm() !== undefined) membership.announceLead(context)
     },
     getNextAt: () => Math.min(voter.getNextAt() ?? Infinity, commands.getNextAt() ?? Infinity, membership.getNextAt() ?? Infinity, keeper.getNextAt(), placement.getNextAt() ?? Infinity),
     listPeers: membership.listPeers,
--- a/fleet/membership/src/constants.ts
+++ b/fleet/membership/src/constants.ts
@@ -4,7 +4,7 @@
 export const HELLO_INTERVAL_MS = 500
 
 /** How often an entry host tells the other core hosts. */
-export const SLOW_HELLO_INTERVAL_MS = 2_000
+export const SLOW_HELLO_INTERVAL_MS = 1_000
 
 /** A host that was not heard from for this long counts as gone. */
 export const PRESENCE_MS = 2_500
--- a/fleet/membership/src/fleetMembership.ts
+++ b/fleet/membership/src/fleetMembership.ts
@@ -50,6 +50,8 @@
   readonly listLiveEntries: (now: MonotonicMs) => readonly FleetPeer[]
   /** Entry hosts of the whole fleet, as far as known. */
   readonly getEntryCount: (now: MonotonicMs) => number
+  /** Tells all hosts that said hello of the lead, without waiting for their next one. */
+  readonly announceLead: (context: RunContext) => void
   /** Every host to keep a link to. */
   readonly listPeers: () => readonly HostId[]
 }
@@ -80,13 +82,17 @@
 }
 
 function receiveHello (state: MembershipState, from: HostId, { role, zone, region, held }: Hello, context: RunContext): void {
-  const { opts } = state
   state.peers.set(from, { host: from, role, zone, region, held, heardAt: context.now })
   if (role === FleetRole.CORE) addCore(state, from, context.now).heardAt = context.now
-  if (opts.getLead === undefined) return
+  sendWelcome(state, from, context)
+}
+
+function sendWelcome (state: MembershipState, to: HostId, context: RunContext): void {
+  const { getLead } = state.opts
+  if (getLead === undefined) return
   const core = listLiveCore(state, context.now)
   const entries = listLiveEntries(state, context.now).length
-  context.send(from, { kind: 'fleet.welcome', ...opts.getLead(), core, entries })
+  context.send(to, { kind: 'fleet.welcome', ...getLead(), core, entries })
 }
 
 function receiveWelcome (state: MembershipState, from: HostId, welcome: Welcome, context: RunContext): void {
@@ -171,6 +177,7 @@
     listLiveCore: now => listLiveCore(state, now),
     listLiveEntries: now => listLiveEntries(state, now),
     getEntryCount: now => opts.role === FleetRole.CORE ? listLiveEntries(state, now).length : Math.max(1, state.entries),
+    announceLead: context => { for (const { host } of listLiveEntries(state, context.now)) sendWelcome(state, host, context) },
     listPeers: () => [...new Set([...state.core.keys(), ...state.peers.keys()])].filter(host => host !== opts.self.host)
   }
 }
--- a/fleet/membership/test/fleetMembership.test.ts
+++ b/fleet/membership/test/fleetMembership.test.ts
@@ -48,6 +48,7 @@
     },
     setLead: (next: LeadStatus) => { lead = next },
     getNow: () => now,
+    announce: (host: HostId, membership: FleetMembership) => membership.announceLead(createContext(host)),
     takeSent: () => {
       const count = sent
       sent = 0
@@ -91,6 +92,16 @@
     expect([entry.getLeader(fleet.getNow()), entry.isCurrent(1), entry.isCurrent(2)]).toEqual(['c1', false, true])
   })
 
+  it('tells entry hosts of a new lead at once', () => {
+    const fleet = createFleet()
+    const core = fleet.add('c1', 'core', ['c1'])
+    const entry = fleet.add('e1', 'entry', ['c1'])
+    fleet.runFor(2_000)
+    fleet.setLead({ leader: 'c2', inContact: true, routesVersion: 3 })
+    fleet.announce('c1', core)
+    expect(entry.getLeader(fleet.getNow())).toEqual('c2')
+  })
+
   it('counts a silent host as gone, and forgets it later', () => {
     const fleet = createFleet()
     const core = fleet.add('c1', 'core', ['c1'])
--- a/gateway/relay/src/constants.ts
+++ b/gateway/relay/src/constants.ts
@@ -4,7 +4,7 @@
 export const CONNECT_TIMEOUT_MS = 1_000
 
 /** An idle connection to an endpoint is not used again after this, or after a part of what the endpoint announces. */
-export const MAX_IDLE_MS = 4_000
+export const MAX_IDLE_MS = 7_000
 export const IDLE_FRACTION = 0.7
 
 /** Answers up to this size are read whole before the caller gets their head, so that a broken one can be tried again. */
@@ -19,9 +19,9 @@
 /** Least time left for which a request is sent on. */
 export const MIN_REMAINING_MS = 10
 
-/** Share of the remaining time, and longest time, that a request waits for an engine to load its adapter. */
+/** Longest wait for an engine to load an adapter: a share of the remaining time, and a multiple of the latency objective. */
 export const LOAD_WAIT_FRACTION = 0.4
-export const MAX_LOAD_WAIT_MS = 2_500
+export const LOAD_WAIT_OBJECTIVES = 2
 
 /** An adapter's older version is used for this long after a newer one was announced, if no engine has that yet. */
 export const OLD_VERSION_MS = 2_500
--- a/gateway/relay/src/target.ts
+++ b/gateway/relay/src/target.ts
@@ -4,7 +4,7 @@
 import type { DirectoryEndpoint, LoadAnswer } from '@catkinferry/fleet.directory'
 import { chooseEndpoint } from './chooseEndpoint.ts'
 import type { ChosenEndpoint } from './chooseEndpoint.ts'
-import { COPY_INTERVAL_MS, COPY_LOAD_FRACTION, FIRST_VERSION, LOAD_WAIT_FRACTION, MAX_LOAD_WAIT_MS, OLD_VERSION_MS } from './constants.ts'
+import { COPY_INTERVAL_MS, COPY_LOAD_FRACTION, FIRST_VERSION, LOAD_WAIT_FRACTION, LOAD_WAIT_OBJECTIVES, OLD_VERSION_MS } from './constants.ts'
 import type { EndpointLink, EndpointLinks } from './endpointLinks.ts'
 import { getWantedAdapter } from './exchange.ts'
 import type { Exchange, Target, WantedAdapter } from './exchange.ts'
@@ -87,7 +87,7 @@
 
 function waitForLoad (state: FinderState, exchange: Exchange, wanted: WantedAdapter): Promise<LoadAnswer> {
   const now = state.relay.clock.getMonotonicMs()
-  const waitMs = Math.min(MAX_LOAD_WAIT_MS, (exchange.endAt - now) * LOAD_WAIT_FRACTION)
+  const waitMs = Math.min(exchange.route.objectiveMs * LOAD_WAIT_OBJECTIVES, (exchange.endAt - now) * LOAD_WAIT_FRACTION)
   return new Promise(resolve => {
     exchange.interrupt = () => resolve({ kind: 'refused', reason: 'the exchange has ended', retryAfterMs: 0 })
     const avoid: EndpointId[] = [...exchange.tried, ...exchange.refusedBy]
