Keep requests at a host that has just started until it knows the routes

Ruled out: the election (0.6 s) and the links. Change: such a request waits for routes and endpoints for up to 0.3 of its time, 2 s at most. Tests: gateway/relay, 'a host that has just started'.

--- a/daemon/fleet/src/entryHost.ts
+++ b/daemon/fleet/src/entryHost.ts
@@ -47,7 +47,7 @@
 const DRAIN_CHECK_MS = 50
 
 /** Joins the systems of an entry host. */
-function joinSystems (membership: FleetMembership, directory: Directory): NodeSystems {
+function joinSystems (membership: FleetMembership, directory: Directory, onRun: () => void): NodeSystems {
   return {
     receive: (from, message, context) => {
       if (message.kind === 'fleet.hello' || message.kind === 'fleet.welcome') membership.receive(from, message, context)
@@ -56,6 +56,7 @@
     run: context => {
       membership.run(context)
       directory.run(context)
+      onRun()
     },
     getNextAt: () => Math.min(membership.getNextAt() ?? Infinity, directory.getNextAt() ?? Infinity),
     listPeers: membership.listPeers,
@@ -79,6 +80,7 @@
     }
   })
   const membership = createFleetMembership({ self: { host, zone, region }, role: FleetRole.ENTRY, getSeeds: opts.getSeeds, getHeld: directory.getHeld })
+  const readiness = createReadiness({ directory, membership, logger, page })
   const wake = (): void => node.shell.emit(() => undefined)
   const relay = createRelay({
     place: { zone, region },
@@ -98,17 +100,17 @@
     random,
     logger,
     observer: page,
+    waitUntilKnown: readiness.waitUntilKnown,
     getEntryCount: () => membership.getEntryCount(clock.getMonotonicMs()),
     retryBudget: settings.retryBudget
   })
   const callers = await openCallerServer(opts.listen.caller, relay.handle)
 
-  const readiness = createReadiness({ directory, membership, logger, page })
   const ready = await openTextServer(opts.listen.ready, (_req, res) => {
     res.statusCode = readiness.check() ? 200 : 503
     res.end()
   })
-  const systems = joinSystems(membership, directory)
+  const systems = joinSystems(membership, directory, readiness.wakeWaiting)
   const node = createFleetNode({ host, clock, logger, metrics, systems, onCrash: onFailed })
   await node.open()
   const pageTimer = setInterval(() => page.set('active_requests', relay.getActiveCount()), PAGE_INTERVAL_MS)
--- a/gateway/relay/src/constants.ts
+++ b/gateway/relay/src/constants.ts
@@ -16,6 +16,10 @@
 /** When a caller may come back after a refusal. */
 export const RETRY_AFTER_MS = 250
 
+/** Longest wait of a request, as a share of its time and at all, at a host that has just started and knows no routes yet. */
+export const KNOWN_WAIT_FRACTION = 0.3
+export const MAX_KNOWN_WAIT_MS = 2_000
+
 /** Least time left for which a request is sent on. */
 export const MIN_REMAINING_MS = 10
 
--- a/gateway/relay/src/relay.ts
+++ b/gateway/relay/src/relay.ts
@@ -8,7 +8,7 @@
 import { pickShare } from '@catkinferry/routes.table'
 import { sendAttempt } from './attempt.ts'
 import type { AttemptEnd } from './attempt.ts'
-import { MAX_REFUSED_SENDS, MIN_REMAINING_MS, RETRY_AFTER_MS } from './constants.ts'
+import { KNOWN_WAIT_FRACTION, MAX_KNOWN_WAIT_MS, MAX_REFUSED_SENDS, MIN_REMAINING_MS, RETRY_AFTER_MS } from './constants.ts'
 import { BREAKER_LIMITS, createEndpointLinks, noteFirstByte, noteKeepAlive } from './endpointLinks.ts'
 import type { EndpointLinks } from './endpointLinks.ts'
 import { EndReason, isRepeatable } from './exchange.ts'
@@ -45,6 +45,8 @@
   draining: boolean
 }
 
+type Arrival = Pick<Exchange, 'req' | 'res' | 'facts' | 'arrivedAt'>
+
 type Logged = Readonly<Record<string, unknown>>
 
 /** Creates a relay; the shell calls `handle` for each request. */
@@ -86,7 +88,11 @@
   if (state.draining) endConnectionAfter(res)
   res.on('error', () => undefined)
   try {
-    const exchange = beginExchange(state, req, res)
+    const arrivedAt = state.opts.clock.getMonotonicMs()
+    const facts = state.opts.dialect.readRequest(req.headers)
+    await state.opts.waitUntilKnown(Math.min(MAX_KNOWN_WAIT_MS, (facts.deadlineMs ?? Infinity) * KNOWN_WAIT_FRACTION))
+    if (res.destroyed) return
+    const exchange = beginExchange(state, { req, res, facts, arrivedAt })
     if (exchange !== undefined) await serve(state, exchange)
   } catch (error) {
     state.opts.logger.error('a request failed inside the relay', { step: 'relay', cause: error })
@@ -96,9 +102,9 @@
 }
 
 /** Finds the route; answers itself where there is none. */
-function beginExchange (state: RelayState, req: IncomingMessage, res: ServerResponse): Exchange | undefined {
+function beginExchange (state: RelayState, arrival: Arrival): Exchange | undefined {
   const { opts } = state
-  const facts = opts.dialect.readRequest(req.headers)
+  const { req, res, facts, arrivedAt } = arrival
   const refuse = (failure: Failure): undefined => {
     const status = sendFailure(res, failure)
     req.resume()
@@ -113,15 +119,11 @@
   const poolName = pickShare(route.shares, opts.random.nextFraction())
   const pool = routes.table.pools.find(({ name }) => name === poolName)
   if (pool === undefined) throw new Error(`route '${route.name}' names the unknown service '${poolName}'`)
-  const arrivedAt = opts.clock.getMonotonicMs()
   return {
-    req,
-    res,
-    facts,
+    ...arrival,
     route,
     pool,
     routesVersion: routes.table.version,
-    arrivedAt,
     endAt: arrivedAt + Math.min(route.timeoutMs, facts.deadlineMs ?? Infinity),
     body: Buffer.alloc(0),
     tried: new Set(),
@@ -136,8 +138,8 @@
 }
 
 async function serve (state: RelayState, exchange: Exchange): Promise<void> {
-  const { res, endAt, arrivedAt } = exchange
-  const timer = setTimeout(() => endExchange(state, exchange, EndReason.TIMEOUT), Math.max(0, endAt - arrivedAt))
+  const { res, endAt } = exchange
+  const timer = setTimeout(() => endExchange(state, exchange, EndReason.TIMEOUT), Math.max(0, endAt - state.opts.clock.getMonotonicMs()))
   const onClose = (): void => { if (!res.writableFinished) endExchange(state, exchange, EndReason.CALLER_GONE) }
   res.on('close', onClose)
   try {
--- a/gateway/relay/src/relayOptions.ts
+++ b/gateway/relay/src/relayOptions.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '@catkinferry/core.clock'
 import type { Logger } from '@catkinferry/core.logger'
 import type { Random } from '@catkinferry/core.random'
-import type { RegionId, ZoneId } from '@catkinferry/core.types'
+import type { DurationMs, RegionId, ZoneId } from '@catkinferry/core.types'
 import type { Directory } from '@catkinferry/fleet.directory'
 import type { RelayDialect } from './dialect.ts'
 
@@ -25,6 +25,8 @@
   readonly random: Random
   readonly logger: Logger
   readonly observer: RelayObserver
+  /** Resolves once routes and endpoints are known here, or after the time given. */
+  readonly waitUntilKnown: (maxMs: DurationMs) => Promise<void>
   /** Entry hosts that share connections and the retry budget. */
   readonly getEntryCount: () => number
   /** Sends beyond the first that the whole fleet may make: a share of the requests, and a number in each window. */
--- a/gateway/relay/test/relay.test.ts
+++ b/gateway/relay/test/relay.test.ts
@@ -186,6 +186,22 @@
   })
 })
 
+describe('a host that has just started', () => {
+  it('keeps a request until the routes are known', async () => {
+    const endpoint = await startEndpoint('e1', (req, res) => answerOk(req, res))
+    let known = false
+    const { call } = await start({ endpoints: [endpoint], isKnown: () => known, waitUntilKnown: async () => { await new Promise(resolve => setTimeout(resolve, 50)); known = true } })
+    expect((await call()).status).toEqual(200)
+  })
+
+  it('refuses it truly when they do not come in a part of its time', async () => {
+    const waits: number[] = []
+    const { call } = await start({ endpoints: [], isKnown: () => false, waitUntilKnown: async maxMs => { waits.push(maxMs) } })
+    const answer = await call({ headers: { 'X-Deadline': '1000' } })
+    expect([answer.status, waits]).toEqual([503, [300]])
+  })
+})
+
 describe('the end of time', () => {
   it('is a 504 where the request may have run', async () => {
     const silent = await startEndpoint('e1', () => undefined)
--- a/gateway/relay/test/stand.ts
+++ b/gateway/relay/test/stand.ts
@@ -100,6 +100,8 @@
   readonly askLoad?: (question: LoadQuestion) => Promise<LoadAnswer>
   readonly announced?: { readonly version: number, readonly agoMs: number }
   readonly maxBodyBytes?: number
+  readonly isKnown?: () => boolean
+  readonly waitUntilKnown?: (maxMs: number) => Promise<void>
 }
 
 export interface Stand {
@@ -125,7 +127,7 @@
     place: { zone: 'z', region: 'r' },
     dialect,
     directory: {
-      getRoutes: () => ({ table, matcher: createRouteMatcher(table) }),
+      getRoutes: () => opts.isKnown?.() === false ? undefined : ({ table, matcher: createRouteMatcher(table) }),
       listEndpoints: () => rows,
       getEndpoint: id => rows.find(({ endpoint }) => endpoint === id),
       getAnnounced: () => announced === undefined ? undefined : { version: announced.version, at: clock.getMonotonicMs() - announced.agoMs },
@@ -139,6 +141,7 @@
     random: createRandom(1),
     logger: createLogger({ level: 'info', write: line => lines.push(JSON.parse(line) as Record<string, unknown>) }),
     observer: { count: () => undefined, time: () => undefined },
+    waitUntilKnown: opts.waitUntilKnown ?? (async () => undefined),
     getEntryCount: () => 1,
     retryBudget: { ratio: 0.2, slack: 20 }
   })
