--- a/cli/main/src/commands/fleetCommands.ts
+++ b/cli/main/src/commands/fleetCommands.ts
@@ -1,9 +1,13 @@
 /** Commands that show and repair the running system. */
+import { readFileSync } from 'node:fs'
 import type { OperatorReply } from '@catkinferry/core.types'
 import { getArgument, getDeadlineMs, getLimit, UsageError } from '../commandContext.ts'
 import type { Command, CommandContext } from '../commandContext.ts'
+import { findCourse, parseLogLines, renderCourse } from '../explainLogs.ts'
 
 const FOLLOW_INTERVAL_MS = 1_000
+/** Descriptor of standard input. */
+const STDIN = 0
 
 interface AuditBody {
   readonly entries: readonly Record<string, unknown>[]
@@ -46,6 +50,24 @@
   return await submitWithId(context, async changeId => await context.client.ask({ kind: 'claims.resolve', changeId, claimKey, resolution, note, deadlineMs: getDeadlineMs(context) }))
 }
 
+function readLogs (file: string): string {
+  try {
+    return readFileSync(file === '-' ? STDIN : file, 'utf8')
+  } catch (error) {
+    throw new UsageError(`${file}: ${(error as Error).message}`)
+  }
+}
+
+async function explainRequest (context: CommandContext): Promise<OperatorReply | undefined> {
+  const requestId = getArgument(context, 0, 'REQUEST-ID')
+  const { file, json } = context.flags
+  if (file === undefined) return await context.client.ask({ kind: 'explain', requestId })
+  const course = findCourse(parseLogLines(readLogs(file)), requestId)
+  if (course === undefined) throw new UsageError(`no line of ${file} names request ${requestId}`)
+  context.print(json === true ? JSON.stringify(course) : renderCourse(course))
+  return undefined
+}
+
 export const fleetCommands: Readonly<Record<string, Command>> = {
   status: {
     usage: 'status',
@@ -101,8 +123,8 @@
     }
   },
   explain: {
-    usage: 'explain REQUEST-ID',
-    description: 'what was decided for a request, and why; ask the host named in the id',
-    run: async context => await context.client.ask({ kind: 'explain', requestId: getArgument(context, 0, 'REQUEST-ID') })
+    usage: 'explain REQUEST-ID [--file FILE]',
+    description: 'what was decided for a request, and why; asks the host named in the id, or reads log lines of any hosts from FILE (- for standard input)',
+    run: explainRequest
   }
 }
--- a/fleet/placement/src/endpointPublisher.ts
+++ b/fleet/placement/src/endpointPublisher.ts
@@ -7,7 +7,10 @@
 import type { EngineState, Slot } from './engineState.ts'
 
 /** Changes younger than this may still be on their way to a host that says it lacks them. */
-const UNDER_WAY_MS = 400
+const UNDER_WAY_MS = 600
+/** Pause between two rounds of changes for each host that they go to, and at most. */
+const FLUSH_MS_PER_HOST = 2
+const MAX_FLUSH_MS = 200
 
 export interface EndpointPublisher {
   readonly noteRow: (endpoint: EndpointId) => void
@@ -18,6 +21,8 @@
   /** Sends everything to a host that lacks changes. */
   readonly update: (context: RunContext, host: HostId, held: HeldState) => void
   readonly begin: (term: number) => void
+  /** When changes that wait may go out. */
+  readonly getNextAt: () => MonotonicMs
 }
 
 export interface EndpointPublisherOptions {
@@ -35,6 +40,7 @@
   const rows = new Set<EndpointId>()
   const gone = new Set<EndpointId>()
   let residency: ResidencyChange[] = []
+  let flushAt = Number.NEGATIVE_INFINITY
   let term = 0
   let sequence = 0
   let settled = { sequence: 0, at: Number.NEGATIVE_INFINITY }
@@ -58,7 +64,8 @@
     noteResidency: (endpoint, { model, adapter, version }, resident) => { residency.push({ endpoint, adapterKey: formatPlacedKey(model, adapter, version), resident }) },
     flush: (context, hosts) => {
       noteSettled(context.now)
-      if (rows.size + gone.size + residency.length === 0) return
+      if (rows.size + gone.size + residency.length === 0 || context.now < flushAt) return
+      flushAt = context.now + Math.min(MAX_FLUSH_MS, hosts.length * FLUSH_MS_PER_HOST)
       sequence += 1
       const changed = [...rows].map(endpoint => opts.engines.get(endpoint)).filter(engine => engine !== undefined).map(buildRow)
       const message = { kind: 'fleet.endpoints', term, sequence, whole: false, rows: changed, gone: [...gone], residency } as const
@@ -71,7 +78,9 @@
       if (held.endpointsTerm === term && held.endpointsSequence >= settled.sequence) return
       context.send(host, { kind: 'fleet.endpoints', term, sequence, whole: true, rows: [...opts.engines.values()].map(buildRow), gone: [], residency: [] })
     },
+    getNextAt: () => rows.size + gone.size + residency.length === 0 ? Infinity : flushAt,
     begin: next => {
+      flushAt = Number.NEGATIVE_INFINITY
       term = next
       sequence = 1
       settled = { sequence: 1, at: Number.NEGATIVE_INFINITY }
--- a/fleet/placement/src/placement.ts
+++ b/fleet/placement/src/placement.ts
@@ -218,7 +218,7 @@
 function getNextAt (state: PlacementState): number {
   if (state.term === undefined) return Infinity
   if (state.outcomes.length > 0) return Number.NEGATIVE_INFINITY
-  let nextAt = state.nextListAt
+  let nextAt = Math.min(state.nextListAt, state.publisher.getNextAt())
   for (const { calling, nextAt: jobAt } of state.jobs.values()) if (!calling) nextAt = Math.min(nextAt, Math.max(jobAt, state.ordersFrom))
   if (state.wishes.size > 0) nextAt = Math.min(nextAt, state.lastRunAt + RESEND_MS)
   return nextAt
--- a/wire/peer-links/src/peerLinks.ts
+++ b/wire/peer-links/src/peerLinks.ts
@@ -104,13 +104,20 @@
     }
   }
 
+  /** A message that goes to many peers in a row is encoded once. */
+  let latest: { readonly message: PeerMessage, readonly frame: ReturnType<typeof encodeFrame> } | undefined
+  function encodeOnce (message: PeerMessage): ReturnType<typeof encodeFrame> {
+    if (latest?.message !== message) latest = { message, frame: encodeFrame(encodeCompact(message)) }
+    return latest.frame
+  }
+
   setPeers(opts.peers)
   return {
     open: incoming.open,
     send: (to, message) => {
       const entry = links.get(to)
       if (entry === undefined) return false
-      const frame = encodeFrame(encodeCompact(message))
+      const frame = encodeOnce(message)
       if (!frame.ok) {
         opts.logger.error(frame.failure.message, { step: 'frame', peer: to, kind: message.kind })
         return false
