Pass no request on from a connection that ends, and place loads near their asker

Ruled out: new connections, the listener was closed at 2.6 s. Change: the socket is ended with the stream, a request on an ending connection is dropped unread, connections without a first request close at 2.6 s. Loads prefer the asker's zone and region; an adapter asked for 5 times from another region gets a copy.

--- a/daemon/fleet/src/callerServer.ts
+++ b/daemon/fleet/src/callerServer.ts
@@ -3,7 +3,7 @@
 import { createServer } from 'node:http'
 import type { RequestListener, Server } from 'node:http'
 import { Server as NetServer } from 'node:net'
-import type { Socket } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import type { CallerLimits } from '@catkinferry/core.types'
 
 /** Bounds until a configuration says otherwise. */
@@ -16,14 +16,22 @@
 
 export interface CallerServer {
   readonly setLimits: (limits: CallerLimits) => void
-  /** Closes connections that carry no request; the others close with their answers. */
+  readonly address: string
+  /** Closes connections that carry no request, but for new ones whose first request is still to come. */
   readonly closeIdle: () => void
-  /** Takes no new connections; those that are open go on. */
+  /** Takes no new connections and no first requests; what is under way goes on. */
   readonly refuse: () => void
   /** Closes what is left. */
   readonly close: () => void
 }
 
+interface Connection {
+  /** Answers that are not written out. */
+  answers: number
+  /** A request has come on it. */
+  isUsed: boolean
+}
+
 /** Opens the listener at `ip:port`. */
 export async function openCallerServer (address: string, handle: RequestListener): Promise<CallerServer> {
   const colon = address.lastIndexOf(':')
@@ -35,21 +43,36 @@
     requestTimeout: BODY_TIMEOUT_MS,
     connectionsCheckingInterval: CHECK_INTERVAL_MS
   }, handle)
-  const sockets = new Set<Socket>()
+  const connections = new Map<Socket, Connection>()
+  let refusing = false
   server.on('connection', socket => {
-    sockets.add(socket)
-    socket.once('close', () => sockets.delete(socket))
+    connections.set(socket, { answers: 0, isUsed: false })
+    socket.once('close', () => connections.delete(socket))
+  })
+  server.prependListener('request', ({ socket }, res) => {
+    const connection = connections.get(socket)
+    if (connection === undefined) return
+    connection.isUsed = true
+    connection.answers += 1
+    res.once('close', () => { connection.answers -= 1 })
   })
   server.listen({ host: address.slice(0, colon), port: Number(address.slice(colon + 1)), backlog: 1024 })
   await once(server, 'listening')
+  const bound = server.address() as AddressInfo
   return {
+    address: `${bound.address}:${bound.port}`,
     setLimits: ({ headerTimeoutMs, idleTimeoutMs }) => {
       server.headersTimeout = headerTimeoutMs
       server.keepAliveTimeout = idleTimeoutMs
     },
-    closeIdle: () => server.closeIdleConnections(),
+    closeIdle: () => {
+      for (const [socket, { answers, isUsed }] of connections) if (answers === 0 && (isUsed || refusing)) socket.destroy()
+    },
     // Not `server.close()` of HTTP: it destroys connections whose answer is not yet written out.
-    refuse: () => { if (server.listening) NetServer.prototype.close.call(server) },
-    close: () => { for (const socket of sockets) socket.destroySoon() }
+    refuse: () => {
+      refusing = true
+      if (server.listening) NetServer.prototype.close.call(server)
+    },
+    close: () => { for (const socket of connections.keys()) socket.destroySoon() }
   }
 }
--- a/daemon/fleet/src/coreSystems.ts
+++ b/daemon/fleet/src/coreSystems.ts
@@ -59,6 +59,29 @@
   'fleet.use': 'placement'
 }
 
+interface Receivers {
+  readonly voter: Voter
+  readonly commands: CommandClient
+  readonly placement: Placement
+  readonly receiveMembership: (from: HostId, message: Extract<FleetMessage, { kind: 'fleet.hello' | 'fleet.welcome' }>, context: RunContext) => void
+}
+
+/** Hands each message to its system. */
+function createReceive ({ voter, commands, placement, receiveMembership }: Receivers): NodeSystems['receive'] {
+  const byFamily: Readonly<Record<Family, (from: HostId, message: never, context: RunContext) => void>> = {
+    consensus: (from, message: VoterMessage, context) => voter.receive(from, message, context),
+    voter: (from, message: VoterMessage, context) => voter.receive(from, message, context),
+    client: (from, message: CommandClientMessage, context) => commands.receive(from, message, context),
+    membership: receiveMembership,
+    placement: (from, message: Extract<FleetMessage, { kind: 'load.ask' | 'fleet.use' }>, context) => placement.receive(from, message, context)
+  }
+  return (from, message: PeerMessage, context) => {
+    const family = message.kind.startsWith('consensus.') ? 'consensus' : FAMILIES[message.kind]
+    if (family === undefined) context.emit({ kind: 'log', level: 'warn', message: 'a message of an unknown kind is dropped', fields: { step: 'receive', peer: from, kind: message.kind } })
+    else byFamily[family](from, message as never, context)
+  }
+}
+
 /** Creates the systems from what was found on the disk. */
 export function createCoreSystems (opts: CoreSystemsOptions): CoreSystems {
   const { settings, stored, seed, startedAt, getSeeds } = opts
@@ -87,6 +110,7 @@
     getVersion: (model, adapter) => state.getAnnouncedVersion(model, adapter) ?? FIRST_VERSION,
     getRegion: (name: ZoneId) => regionsByZone.get(name) ?? '',
     listEntries: at => membership.listLiveEntries(at).map(entry => entry.host),
+    getPlace: membership.findPlace,
     sendOrder: opts.sendOrder,
     pollList: opts.pollList
   })
@@ -107,13 +131,7 @@
     placement.update(from, message.held, context)
   }
 
-  const receivers: Readonly<Record<Family, (from: HostId, message: never, context: RunContext) => void>> = {
-    consensus: (from, message: VoterMessage, context) => voter.receive(from, message, context),
-    voter: (from, message: VoterMessage, context) => voter.receive(from, message, context),
-    client: (from, message: CommandClientMessage, context) => commands.receive(from, message, context),
-    membership: receiveMembership,
-    placement: (from, message: Extract<FleetMessage, { kind: 'load.ask' | 'fleet.use' }>, context) => placement.receive(from, message, context)
-  }
+  const receive = createReceive({ voter, commands, placement, receiveMembership })
 
   return {
     voter,
@@ -121,11 +139,7 @@
     placement,
     receiveDisk: (answer, context) => voter.receiveDisk(answer, context),
     getRoutesVersion,
-    receive: (from, message: PeerMessage, context) => {
-      const family = message.kind.startsWith('consensus.') ? 'consensus' : FAMILIES[message.kind]
-      if (family === undefined) context.emit({ kind: 'log', level: 'warn', message: 'a message of an unknown kind is dropped', fields: { step: 'receive', peer: from, kind: message.kind } })
-      else receivers[family](from, message as never, context)
-    },
+    receive,
     run: context => {
       now = context.now
       membership.run(context)
--- a/daemon/fleet/src/entryHost.ts
+++ b/daemon/fleet/src/entryHost.ts
@@ -10,6 +10,7 @@
 import type { Directory, DirectoryMessage } from '@catkinferry/fleet.directory'
 import { createFleetMembership } from '@catkinferry/fleet.membership'
 import type { FleetMembership } from '@catkinferry/fleet.membership'
+import type { RunContext } from '@catkinferry/host.events'
 import { createRelay } from '@catkinferry/gateway.relay'
 import type { RelayDialect } from '@catkinferry/gateway.relay'
 import { FleetRole } from '@catkinferry/wire.messages'
@@ -46,8 +47,20 @@
 const CUT_BEFORE_MS = 400
 const DRAIN_CHECK_MS = 50
 
+/** Logs when the leader is lost, found or another one. */
+function createLeaderWatch (membership: FleetMembership): (context: RunContext) => void {
+  let known: HostId | undefined
+  return ({ now, emit }) => {
+    const leader = membership.getLeader(now)
+    if (leader === known) return
+    emit({ kind: 'log', level: leader === undefined ? 'warn' : 'info', message: leader === undefined ? 'no leader is known' : 'the leader is known', fields: { step: 'leader', peer: leader, former: known } })
+    known = leader
+  }
+}
+
 /** Joins the systems of an entry host. */
 function joinSystems (membership: FleetMembership, directory: Directory, onRun: () => void): NodeSystems {
+  const watchLeader = createLeaderWatch(membership)
   return {
     receive: (from, message, context) => {
       if (message.kind === 'fleet.hello' || message.kind === 'fleet.welcome') membership.receive(from, message, context)
@@ -56,6 +69,7 @@
     run: context => {
       membership.run(context)
       directory.run(context)
+      watchLeader(context)
       onRun()
     },
     getNextAt: () => Math.min(membership.getNextAt() ?? Infinity, directory.getNextAt() ?? Infinity),
--- a/fleet/directory/src/directory.ts
+++ b/fleet/directory/src/directory.ts
@@ -89,7 +89,10 @@
     'fleet.routes': receiveRoutes,
     'fleet.announced': receiveAnnounced,
     'fleet.endpoints': receiveEndpoints,
-    'load.given': (message, { now }) => { asks.receive(message, now) },
+    'load.given': (message, { now }) => {
+      if (message.adapterKey !== undefined) endpoints.addResident(message.endpoint, message.adapterKey)
+      asks.receive(message, now)
+    },
     'load.refused': (message, { now }) => { asks.receive(message, now) }
   }
 
--- a/fleet/directory/src/endpointTable.ts
+++ b/fleet/directory/src/endpointTable.ts
@@ -20,6 +20,8 @@
   readonly get: (endpoint: EndpointId) => DirectoryEndpoint | undefined
   readonly getHeld: () => Pick<HeldState, 'endpointsTerm' | 'endpointsSequence'>
   readonly getSize: () => number
+  /** The leader said that the endpoint has the adapter now. */
+  readonly addResident: (endpoint: EndpointId, adapterKey: AdapterKey) => void
   /** The endpoint said itself that it lacks the adapter. */
   readonly dropResident: (endpoint: EndpointId, adapterKey: AdapterKey) => void
 }
@@ -65,6 +67,7 @@
     get: endpoint => rows.get(endpoint),
     getHeld: () => ({ endpointsTerm: term, endpointsSequence: sequence }),
     getSize: () => rows.size,
+    addResident: (endpoint, adapterKey) => { rows.get(endpoint)?.resident.add(adapterKey) },
     dropResident: (endpoint, adapterKey) => { rows.get(endpoint)?.resident.delete(adapterKey) }
   }
 }
--- a/fleet/membership/src/fleetMembership.ts
+++ b/fleet/membership/src/fleetMembership.ts
@@ -48,6 +48,8 @@
   /** Core hosts heard from lately, this one included. */
   readonly listLiveCore: (now: MonotonicMs) => readonly HostId[]
   readonly listLiveEntries: (now: MonotonicMs) => readonly FleetPeer[]
+  /** Where a host stands that said hello. */
+  readonly findPlace: (host: HostId) => FleetPeer | undefined
   /** Entry hosts of the whole fleet, as far as known. */
   readonly getEntryCount: (now: MonotonicMs) => number
   /** Tells all hosts that said hello of the lead, without waiting for their next one. */
@@ -176,6 +178,7 @@
     isCurrent: routesVersion => state.currentVersion !== undefined && routesVersion >= state.currentVersion,
     listLiveCore: now => listLiveCore(state, now),
     listLiveEntries: now => listLiveEntries(state, now),
+    findPlace: host => state.peers.get(host),
     getEntryCount: now => opts.role === FleetRole.CORE ? listLiveEntries(state, now).length : Math.max(1, state.entries),
     announceLead: context => { for (const { host } of listLiveEntries(state, context.now)) sendWelcome(state, host, context) },
     listPeers: () => [...new Set([...state.core.keys(), ...state.peers.keys()])].filter(host => host !== opts.self.host)
--- a/fleet/placement/src/placement.ts
+++ b/fleet/placement/src/placement.ts
@@ -76,7 +76,7 @@
     refuseWaiter(waiter, 'no engine has the model', context)
     return
   }
-  addWish(state, { pool, model, adapter, priority, avoid, beyond: copyBeyond, ...(copyBeyond === undefined ? { waiter } : {}) }, context.now)
+  addWish(state, { ...state.opts.getPlace(from), pool, model, adapter, priority, avoid, beyond: copyBeyond, ...(copyBeyond === undefined ? { waiter } : {}) }, context.now)
 }
 
 function receiveUse (state: PlacementState, from: string, { uses }: Use, { now }: RunContext): void {
--- a/fleet/placement/src/placementState.ts
+++ b/fleet/placement/src/placementState.ts
@@ -1,5 +1,5 @@
 /** The tables of the holder: engines, asks for adapters, and orders under way. */
-import type { AdapterName, EndpointId, EngineOrder, EngineOrderOutcome, HostId, ModelId, MonotonicMs, Pool, RegionId, RouteTable, ZoneId } from '@catkinferry/core.types'
+import type { AdapterName, EndpointId, EngineOrder, EngineOrderOutcome, HostId, HostPlace, ModelId, MonotonicMs, Pool, RegionId, RouteTable, ZoneId } from '@catkinferry/core.types'
 import type { RunContext } from '@catkinferry/host.events'
 import type { EngineState, Slot } from './engineState.ts'
 import type { EndpointPublisher } from './endpointPublisher.ts'
@@ -25,6 +25,8 @@
   readonly getVersion: (model: ModelId, adapter: AdapterName) => number
   readonly getRegion: (zone: ZoneId) => RegionId
   readonly listEntries: (now: MonotonicMs) => readonly HostId[]
+  /** Where an entry host stands. */
+  readonly getPlace: (host: HostId) => Pick<HostPlace, 'zone' | 'region'> | undefined
   readonly sendOrder: (call: OrderCall) => void
   readonly pollList: () => void
 }
--- a/fleet/placement/test/fakeEngines.ts
+++ b/fleet/placement/test/fakeEngines.ts
@@ -132,6 +132,7 @@
     getVersion: (_model, adapter) => versions.get(adapter) ?? 1,
     getRegion: () => 'r',
     listEntries: () => ['entry'],
+    getPlace: () => ({ zone: 'z', region: 'r' }),
     sendOrder,
     pollList: () => {
       const seen = lists.findLast(({ at }) => at <= now - lagMs) ?? lists[0]
--- a/gateway/relay/src/constants.ts
+++ b/gateway/relay/src/constants.ts
@@ -36,3 +36,6 @@
 /** One more copy of an adapter is asked for at this share of a full batch, at most once in this time. */
 export const COPY_LOAD_FRACTION = 0.7
 export const COPY_INTERVAL_MS = 1_000
+
+/** Requests for one adapter that this host sends to another region before it asks for a copy in its own. */
+export const FAR_REQUESTS_FOR_COPY = 5
--- a/gateway/relay/src/exchange.ts
+++ b/gateway/relay/src/exchange.ts
@@ -38,6 +38,8 @@
   failure: HeldAnswer | undefined
   lastEventId: string | undefined
   headSent: boolean
+  /** Time from the arrival to the head of the last answer. */
+  firstByteMs: number | undefined
   /** A send is under way, or one may have run. */
   offered: boolean
   ended: EndReason | undefined
--- a/gateway/relay/src/relay.ts
+++ b/gateway/relay/src/relay.ts
@@ -78,11 +78,17 @@
 
 /** Ends the connection with this answer: by its head where that is not sent yet. */
 function endConnectionAfter (res: ServerResponse): void {
-  if (res.headersSent) res.once('finish', () => res.socket?.end())
+  const { socket } = res
+  if (res.headersSent) res.once('finish', () => socket?.end())
   else res.shouldKeepAlive = false
 }
 
 async function handle (state: RelayState, req: IncomingMessage, res: ServerResponse): Promise<void> {
+  if (req.socket.writableEnded) {
+    // It crossed the end of the connection; not answered and not passed on, it is safe to send elsewhere.
+    req.socket.destroy()
+    return
+  }
   state.answering.add(res)
   res.once('close', () => state.answering.delete(res))
   if (state.draining) endConnectionAfter(res)
@@ -132,6 +138,7 @@
     lastEventId: facts.lastEventId,
     headSent: false,
     offered: false,
+    firstByteMs: undefined,
     ended: undefined,
     interrupt: undefined
   }
@@ -192,6 +199,7 @@
     onHead: ({ load, keepAliveMs }) => {
       const now = opts.clock.getMonotonicMs()
       noteFirstByte(link, now - sentAt)
+      exchange.firstByteMs = Math.round(now - exchange.arrivedAt)
       noteKeepAlive(link, keepAliveMs)
       opts.observer.time('first_byte_ms', now - sentAt)
       if (load !== undefined) link.figures = { load, inFlight: link.inFlight, at: now }
@@ -275,8 +283,8 @@
   }
 }
 
-function describeEnd ({ opts }: RelayState, { arrivedAt, route, tried, refusedBy }: Exchange): Logged {
-  return { route: route.name, tookMs: Math.round(opts.clock.getMonotonicMs() - arrivedAt), tried: [...tried], refusedBy: refusedBy.size === 0 ? undefined : [...refusedBy] }
+function describeEnd ({ opts }: RelayState, { arrivedAt, route, tried, refusedBy, firstByteMs }: Exchange): Logged {
+  return { route: route.name, firstByteMs, tookMs: Math.round(opts.clock.getMonotonicMs() - arrivedAt), tried: [...tried], refusedBy: refusedBy.size === 0 ? undefined : [...refusedBy] }
 }
 
 function logEnd ({ opts }: RelayState, fields: Logged): void {
--- a/gateway/relay/src/target.ts
+++ b/gateway/relay/src/target.ts
@@ -4,7 +4,7 @@
 import type { DirectoryEndpoint, LoadAnswer } from '@catkinferry/fleet.directory'
 import { chooseEndpoint } from './chooseEndpoint.ts'
 import type { ChosenEndpoint } from './chooseEndpoint.ts'
-import { COPY_INTERVAL_MS, COPY_LOAD_FRACTION, FIRST_VERSION, LOAD_WAIT_FRACTION, LOAD_WAIT_OBJECTIVES, OLD_VERSION_MS } from './constants.ts'
+import { COPY_INTERVAL_MS, COPY_LOAD_FRACTION, FAR_REQUESTS_FOR_COPY, FIRST_VERSION, LOAD_WAIT_FRACTION, LOAD_WAIT_OBJECTIVES, OLD_VERSION_MS } from './constants.ts'
 import type { EndpointLink, EndpointLinks } from './endpointLinks.ts'
 import { getWantedAdapter } from './exchange.ts'
 import type { Exchange, Target, WantedAdapter } from './exchange.ts'
@@ -26,10 +26,12 @@
   readonly links: EndpointLinks
   /** When a copy of an adapter was last asked for. */
   readonly copiesAskedAt: Map<string, MonotonicMs>
+  /** Requests sent to other regions since the last ask for a copy, by adapter. */
+  readonly farRequests: Map<string, number>
 }
 
 /** Bound on the adapters remembered for copies. */
-const MAX_COPIES_REMEMBERED = 2_000
+const MAX_ADAPTERS_REMEMBERED = 2_000
 
 function listUsable ({ relay }: FinderState, exchange: Exchange): DirectoryEndpoint[] {
   const { pool, tried, refusedBy, facts } = exchange
@@ -67,21 +69,37 @@
     const holders = usable.filter(({ resident }) => resident.has(adapterKey))
     const chosen = choose(state, exchange, holders)
     if (chosen === undefined) continue
-    askCopyIfBusy(state, exchange, wanted, chosen, holders)
+    askCopyIfWorth(state, exchange, wanted, chosen, holders)
     return { kind: 'target', target: { endpoint: chosen.endpoint.endpoint, link: chosen.link, adapterKey, version }, facts: describeChoice(state, chosen, holders.length) }
   }
   return undefined
 }
 
-function askCopyIfBusy (state: FinderState, exchange: Exchange, wanted: WantedAdapter, chosen: ChosenEndpoint, holders: readonly DirectoryEndpoint[]): void {
-  if (chosen.load < COPY_LOAD_FRACTION * getSlots(exchange, chosen.link)) return
-  const now = state.relay.clock.getMonotonicMs()
+/** Whether the adapter is worth one more copy: its engines are busy, or all are far from here and asked often. */
+function isCopyWorth (state: FinderState, exchange: Exchange, key: string, { endpoint, link, load }: ChosenEndpoint): boolean {
+  if (load >= COPY_LOAD_FRACTION * getSlots(exchange, link)) return true
+  if (endpoint.region === state.relay.place.region) return false
+  const count = (state.farRequests.get(key) ?? 0) + 1
+  state.farRequests.set(key, count % FAR_REQUESTS_FOR_COPY)
+  return count >= FAR_REQUESTS_FOR_COPY
+}
+
+/** Keeps a table from growing beyond what is useful, oldest first. */
+function dropOldest (rows: Map<string, unknown>): void {
+  const [oldest] = rows.size > MAX_ADAPTERS_REMEMBERED ? rows.keys() : []
+  if (oldest !== undefined) rows.delete(oldest)
+}
+
+function askCopyIfWorth (state: FinderState, exchange: Exchange, wanted: WantedAdapter, chosen: ChosenEndpoint, holders: readonly DirectoryEndpoint[]): void {
   const key = `${exchange.pool.name}|${wanted.model}/${wanted.adapter}`
+  const isWorth = isCopyWorth(state, exchange, key, chosen)
+  dropOldest(state.farRequests)
+  if (!isWorth) return
+  const now = state.relay.clock.getMonotonicMs()
   if (now - (state.copiesAskedAt.get(key) ?? Number.NEGATIVE_INFINITY) < COPY_INTERVAL_MS) return
   state.copiesAskedAt.delete(key)
   state.copiesAskedAt.set(key, now)
-  const [oldest] = state.copiesAskedAt.size > MAX_COPIES_REMEMBERED ? state.copiesAskedAt.keys() : []
-  if (oldest !== undefined) state.copiesAskedAt.delete(oldest)
+  dropOldest(state.copiesAskedAt)
   state.relay.directory.askCopy({ pool: exchange.pool.name, ...wanted, priority: exchange.route.priority, beyond: holders.map(({ endpoint }) => endpoint) })
 }
 
@@ -91,6 +109,7 @@
   return new Promise(resolve => {
     exchange.interrupt = () => resolve({ kind: 'refused', reason: 'the exchange has ended', retryAfterMs: 0 })
     const avoid: EndpointId[] = [...exchange.tried, ...exchange.refusedBy]
+    state.relay.logger.info('no engine has the adapter, a load is asked for', { step: 'load', requestId: exchange.facts.requestId, adapter: `${wanted.model}/${wanted.adapter}`, versions: listVersions(state, wanted), avoid, waitMs: Math.round(waitMs) })
     state.relay.directory.askLoad({ pool: exchange.pool.name, ...wanted, priority: exchange.route.priority, avoid, deadlineAt: now + waitMs }, resolve)
   })
 }
@@ -118,7 +137,7 @@
 
 /** Creates a finder. */
 export function createTargetFinder (opts: { readonly relay: RelayOptions, readonly links: EndpointLinks }): TargetFinder {
-  const state: FinderState = { ...opts, copiesAskedAt: new Map() }
+  const state: FinderState = { ...opts, copiesAskedAt: new Map(), farRequests: new Map() }
   return {
     find: async exchange => {
       const wanted = exchange.pool.engine === undefined ? undefined : getWantedAdapter(exchange)
--- a/gateway/relay/test/relay.test.ts
+++ b/gateway/relay/test/relay.test.ts
@@ -202,6 +202,31 @@
   })
 })
 
+describe('a host that stops', () => {
+  it('ends a connection with the answer that it carries, and passes no later request on', async () => {
+    const endpoint = await startEndpoint('e1', (req, res) => {
+      res.writeHead(200, { 'X-Id': String(req.headers['x-id']), 'X-Stamp': 's' })
+      res.write('first')
+      setTimeout(() => res.end('last'), 80)
+    })
+    const { relay, dial } = await start({ endpoints: [endpoint], route: STREAM })
+    const socket = dial()
+    let text = ''
+    let ended = false
+    socket.on('data', chunk => {
+      text += String(chunk)
+      if (text.includes('last')) socket.write(request)
+    })
+    socket.on('close', () => { ended = true })
+    const request = 'POST /p/x HTTP/1.1\r\nHost: h.example\r\nX-Id: id1\r\nContent-Length: 0\r\n\r\n'
+    socket.write(request)
+    await new Promise(resolve => setTimeout(resolve, 40))
+    relay.drain()
+    await new Promise(resolve => setTimeout(resolve, 150))
+    expect([text.includes('last'), ended, endpoint.seen.length]).toEqual([true, true, 1])
+  })
+})
+
 describe('the end of time', () => {
   it('is a 504 where the request may have run', async () => {
     const silent = await startEndpoint('e1', () => undefined)
@@ -238,6 +263,6 @@
     const endpoint = await startEndpoint('e1', (req, res) => answerOk(req, res))
     const { call, lines } = await start({ endpoints: [endpoint], resident: { e1: [] }, askLoad: async () => ({ kind: 'given', endpoint: 'e1', adapterKey: 'm/a@1' }) })
     expect((await call({ headers: { 'X-Model': 'a' } })).status).toEqual(200)
-    expect(lines.map(({ step }) => step)).toEqual(['offer', 'end'])
+    expect(lines.map(({ step }) => step)).toEqual(['load', 'offer', 'end'])
   })
 })
--- a/gateway/relay/test/stand.ts
+++ b/gateway/relay/test/stand.ts
@@ -2,7 +2,7 @@
 import { once } from 'node:events'
 import { Agent, createServer, request } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import { createServer as createTcpServer } from 'node:net'
+import { connect, createServer as createTcpServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
 import { createSystemClock } from '@catkinferry/core.clock'
 import { createLogger } from '@catkinferry/core.logger'
@@ -108,6 +108,8 @@
   readonly relay: Relay
   readonly lines: Array<Record<string, unknown>>
   readonly call: (call?: Call) => Promise<Called>
+  /** Opens a connection of its own to the relay. */
+  readonly dial: () => Socket
   readonly close: () => void
 }
 
@@ -154,6 +156,7 @@
     relay,
     lines,
     call: (call = {}) => sendCall(port, agent, call),
+    dial: () => connect({ host: '127.0.0.1', port }).on('error', () => undefined),
     close: () => {
       agent.destroy()
       server.closeAllConnections()
