Tell entry hosts the load of all, prefer idle connections, log the longest pause of a stream

Change: the leader adds up the use reports and tells changes every 0.4 s; the fresher of these and the endpoint's own figures counts. Opening a connection costs as much as 13 in 100 of an endpoint's slots. The end line of a stream gives its longest pause. Ruled out for the rest of the late streams: the entry hosts; the pauses come from the engines (676 of 4960 over 290 ms, most at 8 of 42 engines).

--- a/fleet/directory/src/directory.ts
+++ b/fleet/directory/src/directory.ts
@@ -4,6 +4,8 @@
 import type { FleetMessage, HeldState } from '@catkinferry/wire.messages'
 import { createEndpointTable } from './endpointTable.ts'
 import type { DirectoryEndpoint } from './endpointTable.ts'
+import { createFleetLoads } from './fleetLoads.ts'
+import type { OthersLoad } from './fleetLoads.ts'
 import { createLoadAsks } from './loadAsks.ts'
 import type { LoadAnswer, LoadQuestion } from './loadAsks.ts'
 import { createRouteHolder } from './routesInForce.ts'
@@ -12,10 +14,10 @@
 
 export type { DirectoryEndpoint } from './endpointTable.ts'
 
-export type DirectoryMessage = Extract<FleetMessage, { kind: 'fleet.routes' | 'fleet.announced' | 'fleet.endpoints' | 'load.given' | 'load.refused' }>
+export type DirectoryMessage = Extract<FleetMessage, { kind: 'fleet.routes' | 'fleet.announced' | 'fleet.endpoints' | 'fleet.load' | 'load.given' | 'load.refused' }>
 
 /** How often the leader is told what runs. */
-const USE_INTERVAL_MS = 500
+const USE_INTERVAL_MS = 400
 
 /** Asks for copies that wait for a leader at most. */
 const MAX_COPIES = 64
@@ -37,6 +39,9 @@
   readonly askLoad: (question: LoadQuestion, onAnswer: (answer: LoadAnswer) => void) => void
   /** Asks for one more copy than on these engines; nobody waits for it. */
   readonly askCopy: (question: Omit<LoadQuestion, 'deadlineAt' | 'avoid'> & { readonly beyond: readonly EndpointId[] }) => void
+  /** Requests of other entry hosts at an endpoint. */
+  readonly getOthersLoad: (endpoint: EndpointId) => OthersLoad | undefined
+  /** `adapterKey` is empty for a request without an adapter. */
   readonly noteBegun: (endpoint: EndpointId, adapterKey: AdapterKey) => void
   readonly noteEnded: (endpoint: EndpointId, adapterKey: AdapterKey) => void
   readonly dropResident: (endpoint: EndpointId, adapterKey: AdapterKey) => void
@@ -54,6 +59,7 @@
   const endpoints = createEndpointTable()
   const asks = createLoadAsks()
   const uses = createUseReports()
+  const loads = createFleetLoads()
   const announced = new Map<string, Announced>()
   let announcedSequence = 0
   let useAt = 0
@@ -89,6 +95,7 @@
     'fleet.routes': receiveRoutes,
     'fleet.announced': receiveAnnounced,
     'fleet.endpoints': receiveEndpoints,
+    'fleet.load': (message, { now }) => { loads.receive(message, now, uses.getTold) },
     'load.given': (message, { now }) => {
       if (message.adapterKey !== undefined) endpoints.addResident(message.endpoint, message.adapterKey)
       asks.receive(message, now)
@@ -119,6 +126,7 @@
     getAnnounced: (model, adapter) => announced.get(`${model}/${adapter}`),
     askLoad: asks.ask,
     askCopy: ({ beyond, ...question }) => { copies = [...copies.slice(-MAX_COPIES), { kind: 'load.ask', askId: 0, ...question, remainingMs: 0, copyBeyond: beyond, avoid: [] }] },
+    getOthersLoad: loads.get,
     noteBegun: uses.noteBegun,
     noteEnded: uses.noteEnded,
     dropResident: endpoints.dropResident
--- a/fleet/directory/src/useReports.ts
+++ b/fleet/directory/src/useReports.ts
@@ -7,10 +7,13 @@
   readonly noteEnded: (endpoint: EndpointId, adapterKey: AdapterKey) => void
   /** What has changed or still runs; the counts of begun requests start anew. */
   readonly take: () => readonly AdapterUse[]
+  /** Requests at an endpoint that the last report told of. */
+  readonly getTold: (endpoint: EndpointId) => number
 }
 
 /** Creates empty counts. */
 export function createUseReports (): UseReports {
+  let told = new Map<EndpointId, number>()
   const rows = new Map<string, { endpoint: EndpointId, adapterKey: AdapterKey, begun: number, running: number }>()
 
   function getRow (endpoint: EndpointId, adapterKey: AdapterKey) {
@@ -31,11 +34,14 @@
     noteEnded: (endpoint, adapterKey) => { getRow(endpoint, adapterKey).running -= 1 },
     take: () => {
       const uses = [...rows.values()].map(row => ({ ...row }))
+      told = new Map()
+      for (const { endpoint, running } of uses) told.set(endpoint, (told.get(endpoint) ?? 0) + running)
       for (const [key, row] of rows) {
         row.begun = 0
         if (row.running <= 0) rows.delete(key)
       }
       return uses
-    }
+    },
+    getTold: endpoint => told.get(endpoint) ?? 0
   }
 }
--- a/fleet/placement/src/chooseEngine.ts
+++ b/fleet/placement/src/chooseEngine.ts
@@ -39,6 +39,8 @@
   readonly pool: EnginePool
   readonly now: MonotonicMs
   readonly getRegion: (zone: ZoneId) => RegionId
+  /** Requests under way at an engine. */
+  readonly getRunning: (endpoint: EndpointId) => number
 }
 
 /** Slots that are loading, an eviction of theirs included. */
@@ -48,12 +50,6 @@
   return count
 }
 
-function countEngineRunning (engine: EngineState, now: MonotonicMs): number {
-  let count = 0
-  for (const slot of engine.slots.values()) count += countRunning(slot, now)
-  return count
-}
-
 /** The least recently used adapter that may be evicted now. */
 export function findVictim (engine: EngineState, now: MonotonicMs): Slot | undefined {
   let victim: Slot | undefined
@@ -83,7 +79,7 @@
   const isHeld = engine.held.has(formatPlacedKey(ask.model, ask.adapter, ask.version))
   const idleSeconds = victim === undefined ? Infinity : (now - victim.usedAt) / MS_PER_SECOND
   const costMs = (isHeld ? 0 : STORE_COST_MS) + loading * QUEUED_LOAD_COST_MS + EVICT_COST_MS / Math.max(1, idleSeconds) +
-    FULL_BATCH_COST_MS * countEngineRunning(engine, now) / Math.max(1, pool.batchLimit) + computePlaceCost(ask, engine, opts)
+    FULL_BATCH_COST_MS * opts.getRunning(listed.endpoint) / Math.max(1, pool.batchLimit) + computePlaceCost(ask, engine, opts)
   return { choice: { engine, isHeld, ...(victim === undefined ? {} : { victim }) }, costMs }
 }
 
--- a/fleet/placement/src/placement.ts
+++ b/fleet/placement/src/placement.ts
@@ -10,6 +10,7 @@
 import { applyListed, createEngineState, createRestartedEngine, formatSlotKey, SlotState } from './engineState.ts'
 import type { EngineState } from './engineState.ts'
 import { beginEvict, beginModelLoad, runJobs, settleSlots, takeOutcomes } from './jobs.ts'
+import { createLoadTotals } from './loadTotals.ts'
 import { findPool, isOutdated, listPoolEngines, logInfo } from './placementState.ts'
 import type { PlacementOptions, PlacementState } from './placementState.ts'
 import { addWish, refuseWaiter, runWishes } from './wishes.ts'
@@ -48,6 +49,7 @@
       getRegion: opts.getRegion,
       isEngine: pool => opts.getRoutes()?.pools.find(({ name }) => name === pool)?.engine !== undefined
     }),
+    totals: createLoadTotals(),
     outcomes: []
   }
   return {
@@ -80,6 +82,7 @@
 }
 
 function receiveUse (state: PlacementState, from: string, { uses }: Use, { now }: RunContext): void {
+  state.totals.receive(from, uses, now)
   for (const { endpoint, adapterKey, begun, running } of uses) {
     const engine = state.engines.get(endpoint)
     const slot = engine?.slots.get(adapterKey.slice(0, adapterKey.lastIndexOf('@')))
@@ -140,6 +143,7 @@
   state.jobs.clear()
   state.outcomes.length = 0
   state.engines.clear()
+  state.totals.clear()
   state.term = term
   if (term === undefined) {
     logInfo(context, 'this host no longer places adapters', {})
@@ -212,13 +216,15 @@
     loadModels(state, context)
     runJobs(state, context)
   }
-  state.publisher.flush(context, state.opts.listEntries(context.now))
+  const entries = state.opts.listEntries(context.now)
+  state.publisher.flush(context, entries)
+  state.totals.flush(context, entries)
 }
 
 function getNextAt (state: PlacementState): number {
   if (state.term === undefined) return Infinity
   if (state.outcomes.length > 0) return Number.NEGATIVE_INFINITY
-  let nextAt = Math.min(state.nextListAt, state.publisher.getNextAt())
+  let nextAt = Math.min(state.nextListAt, state.publisher.getNextAt(), state.totals.getNextAt())
   for (const { calling, nextAt: jobAt } of state.jobs.values()) if (!calling) nextAt = Math.min(nextAt, Math.max(jobAt, state.ordersFrom))
   if (state.wishes.size > 0) nextAt = Math.min(nextAt, state.lastRunAt + RESEND_MS)
   return nextAt
--- a/fleet/placement/src/placementState.ts
+++ b/fleet/placement/src/placementState.ts
@@ -3,6 +3,7 @@
 import type { RunContext } from '@catkinferry/host.events'
 import type { EngineState, Slot } from './engineState.ts'
 import type { EndpointPublisher } from './endpointPublisher.ts'
+import type { LoadTotals } from './loadTotals.ts'
 
 /** An order as handed to the shell. */
 export interface OrderCall {
@@ -80,6 +81,7 @@
   /** Starts of loads of base models, oldest first. */
   modelLoads: MonotonicMs[]
   readonly publisher: EndpointPublisher
+  readonly totals: LoadTotals
   /** Outcomes that came in since the last run. */
   readonly outcomes: Array<{ readonly job: Job, readonly outcome: EngineOrderOutcome }>
 }
--- a/fleet/placement/src/wishes.ts
+++ b/fleet/placement/src/wishes.ts
@@ -110,7 +110,7 @@
 
 function tryWish (state: PlacementState, wish: Wish, context: RunContext): boolean {
   const engines = listPoolEngines(state, wish.pool)
-  const [holder] = listHolders(wish, engines)
+  const [holder] = listHolders(wish, engines).toSorted((a, b) => state.totals.get(a.listed.endpoint) - state.totals.get(b.listed.endpoint))
   if (holder !== undefined) {
     giveWish(wish, holder, context)
     return true
@@ -122,7 +122,8 @@
     engines,
     pool,
     now: context.now,
-    getRegion: state.opts.getRegion
+    getRegion: state.opts.getRegion,
+    getRunning: state.totals.get
   }) ?? chooseReplacement(state, wish, engines, context.now)
   if (choice === undefined || (!choice.isHeld && countStoreLoads(state) >= MAX_STORE_LOADS)) return false
   beginLoad(state, wish, choice, context)
--- a/gateway/relay/src/attempt.ts
+++ b/gateway/relay/src/attempt.ts
@@ -3,6 +3,7 @@
 import type { ClientRequest, IncomingMessage } from 'node:http'
 import { isIP } from 'node:net'
 import type { Socket } from 'node:net'
+import type { MonotonicMs } from '@catkinferry/core.types'
 import { CONNECT_TIMEOUT_MS } from './constants.ts'
 import type { AnswerFacts } from './dialect.ts'
 import type { Exchange, HeldAnswer, Target } from './exchange.ts'
@@ -27,6 +28,7 @@
   readonly target: Target
   readonly request: ClientRequest
   readonly settle: (end: AttemptEnd) => void
+  readonly getNow: () => MonotonicMs
   /** Whether the answer that has ended is whole. */
   readonly isWhole: () => boolean
   /** Takes the answer's head. */
@@ -116,7 +118,7 @@
     outgoing.on('error', error => fail(error.message))
     outgoing.on('close', () => fail('the connection was closed'))
     outgoing.on('response', answer => {
-      receiveAnswer({ exchange, target: opts.target, request: outgoing, settle, noteHead: opts.onHead, isWhole: () => answer.complete && !socketFailed }, answer, opts)
+      receiveAnswer({ exchange, target: opts.target, request: outgoing, settle, noteHead: opts.onHead, getNow: opts.relay.clock.getMonotonicMs, isWhole: () => answer.complete && !socketFailed }, answer, opts)
     })
   })
 }
--- a/gateway/relay/src/chooseEndpoint.ts
+++ b/gateway/relay/src/chooseEndpoint.ts
@@ -1,7 +1,7 @@
 /** Chooses an endpoint for one request, by cost in milliseconds. */
 import type { DurationMs, MonotonicMs } from '@catkinferry/core.types'
-import type { DirectoryEndpoint } from '@catkinferry/fleet.directory'
-import { estimateLoad } from './endpointLinks.ts'
+import type { DirectoryEndpoint, OthersLoad } from '@catkinferry/fleet.directory'
+import { estimateLoad, hasIdleConnection } from './endpointLinks.ts'
 import type { EndpointLink } from './endpointLinks.ts'
 import type { RelayPlace } from './relayOptions.ts'
 
@@ -12,6 +12,8 @@
 const OTHER_ZONE_COST_MS = 3
 /** Time and price of a request and its answer over the link between two regions. */
 const OTHER_REGION_COST_MS = 30
+/** Cost of opening a connection where none is idle. */
+const NEW_CONNECTION_COST_MS = 8
 /** Cost of an endpoint whose breaker is open; it is used where there is no other. */
 const BROKEN_COST_MS = 100_000
 /** Part of the usual time to the first byte that counts, over the fastest candidate's. */
@@ -20,6 +22,8 @@
 export interface Candidate {
   readonly endpoint: DirectoryEndpoint
   readonly link: EndpointLink
+  /** Undefined where the leader has told nothing. */
+  readonly others: OthersLoad | undefined
 }
 
 export interface ChosenEndpoint extends Candidate {
@@ -50,14 +54,14 @@
   const { candidates, place, now } = opts
   const fastestMs = findFastest(candidates)
   let best: ChosenEndpoint | undefined
-  for (const { endpoint, link } of candidates) {
-    const load = estimateLoad(link, now)
+  for (const { endpoint, link, others } of candidates) {
+    const load = estimateLoad(link, others, now)
     const slots = Math.max(1, opts.getSlots(link))
     const queued = Math.max(0, load + 1 - slots)
     const slowMs = link.firstByteMs === undefined || fastestMs === Infinity ? 0 : (link.firstByteMs - fastestMs) * SLOWNESS_WEIGHT
     const brokenMs = link.breaker.isAllowed(now) ? 0 : BROKEN_COST_MS
-    const costMs = FULL_COST_MS * Math.min(1, load / slots) + QUEUED_COST_MS * queued / slots + slowMs + brokenMs + computePlaceCost(endpoint, place)
-    if (best === undefined || costMs < best.costMs) best = { endpoint, link, costMs, load }
+    const costMs = FULL_COST_MS * Math.min(1, load / slots) + QUEUED_COST_MS * queued / slots + slowMs + brokenMs + computePlaceCost(endpoint, place) + (hasIdleConnection(link) ? 0 : NEW_CONNECTION_COST_MS)
+    if (best === undefined || costMs < best.costMs) best = { endpoint, link, others, costMs, load }
   }
   return best
 }
--- a/gateway/relay/src/constants.ts
+++ b/gateway/relay/src/constants.ts
@@ -4,8 +4,8 @@
 export const CONNECT_TIMEOUT_MS = 1_000
 
 /** An idle connection to an endpoint is not used again after this, or after a part of what the endpoint announces. */
-export const MAX_IDLE_MS = 7_000
-export const IDLE_FRACTION = 0.7
+export const MAX_IDLE_MS = 8_000
+export const IDLE_FRACTION = 0.8
 
 /** Answers up to this size are read whole before the caller gets their head, so that a broken one can be tried again. */
 export const MAX_HELD_ANSWER_BYTES = 256 * 1024
--- a/gateway/relay/src/endpointLinks.ts
+++ b/gateway/relay/src/endpointLinks.ts
@@ -4,6 +4,7 @@
 import type { Duplex } from 'node:stream'
 import type { Clock } from '@catkinferry/core.clock'
 import type { DurationMs, EndpointId, MonotonicMs } from '@catkinferry/core.types'
+import type { OthersLoad } from '@catkinferry/fleet.directory'
 import { createBreaker } from '@catkinferry/routing.breakers'
 import type { Breaker, BreakerLimits } from '@catkinferry/routing.breakers'
 import { IDLE_FRACTION, MAX_IDLE_MS } from './constants.ts'
@@ -14,7 +15,7 @@
 
 /** Weight of a new sample in the usual time to the first byte. */
 const SMOOTHING = 0.15
-/** Figures of an endpoint lose weight with this time constant. */
+/** Figures of an endpoint lose weight with this time constant, where the leader tells nothing. */
 const FIGURES_TIME_MS = 800
 /** Links of endpoints that are gone and idle are closed. */
 const UNUSED_MS = 30_000
@@ -52,13 +53,21 @@
   readonly close: () => void
 }
 
-/** Requests that run or wait at an endpoint: its own figures as far as they are fresh, this host's counts otherwise. */
-export function estimateLoad (link: EndpointLink, now: MonotonicMs): number {
+/**
+ * Requests that run or wait at an endpoint: those of this host, and those of others by the fresher of the endpoint's own
+ * figures and what the leader tells.
+ */
+export function estimateLoad (link: EndpointLink, others: OthersLoad | undefined, now: MonotonicMs): number {
   const { figures, inFlight } = link
-  if (figures === undefined) return inFlight
+  const isFigureFresher = figures !== undefined && (others === undefined || figures.at >= others.at)
+  if (!isFigureFresher) return inFlight + (others === undefined ? 0 : others.running)
   const { load: { running, waiting }, inFlight: inFlightThen, at } = figures
-  const others = Math.max(0, running + waiting - inFlightThen) * Math.exp(-(now - at) / FIGURES_TIME_MS)
-  return inFlight + others
+  const weight = others === undefined ? Math.exp(-(now - at) / FIGURES_TIME_MS) : 1
+  return inFlight + Math.max(0, running + waiting - inFlightThen) * weight
+}
+
+export function hasIdleConnection ({ agent }: EndpointLink): boolean {
+  return Object.keys(agent.freeSockets).length > 0
 }
 
 export function noteFirstByte (link: EndpointLink, firstByteMs: DurationMs): void {
--- a/gateway/relay/src/exchange.ts
+++ b/gateway/relay/src/exchange.ts
@@ -40,6 +40,9 @@
   headSent: boolean
   /** Time from the arrival to the head of the last answer. */
   firstByteMs: number | undefined
+  /** When the last part of a stream came, and the longest pause between two. */
+  partAt: MonotonicMs | undefined
+  longestPauseMs: number | undefined
   /** A send is under way, or one may have run. */
   offered: boolean
   ended: EndReason | undefined
--- a/gateway/relay/src/passAnswer.ts
+++ b/gateway/relay/src/passAnswer.ts
@@ -1,6 +1,6 @@
 /** Passes an endpoint's answer to the caller: short ones whole, streams as they come. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { EndpointId } from '@catkinferry/core.types'
+import type { EndpointId, MonotonicMs } from '@catkinferry/core.types'
 import { RouteKind } from '@catkinferry/core.types'
 import type { Attempt } from './attempt.ts'
 import { MAX_HELD_ANSWER_BYTES } from './constants.ts'
@@ -88,10 +88,18 @@
   bytes: number
 }
 
+function notePause (exchange: Exchange, now: MonotonicMs): void {
+  const { partAt, longestPauseMs = 0 } = exchange
+  if (partAt !== undefined) exchange.longestPauseMs = Math.max(longestPauseMs, now - partAt)
+  exchange.partAt = now
+}
+
 function writePart (state: StreamState, part: Buffer): void {
-  const { attempt: { exchange }, answer, splitter } = state
+  const { attempt, answer, splitter } = state
+  const { exchange } = attempt
   const { res } = exchange
   if (part.length === 0 || exchange.ended !== undefined) return
+  notePause(exchange, attempt.getNow())
   if (!exchange.headSent) sendHead(exchange, answer)
   state.bytes += part.length
   if (splitter !== undefined) exchange.lastEventId = splitter.getLastEventId()
--- a/gateway/relay/src/relay.ts
+++ b/gateway/relay/src/relay.ts
@@ -139,6 +139,8 @@
     headSent: false,
     offered: false,
     firstByteMs: undefined,
+    partAt: undefined,
+    longestPauseMs: undefined,
     ended: undefined,
     interrupt: undefined
   }
@@ -191,7 +193,7 @@
   exchange.offered = true
   link.inFlight += 1
   link.breaker.noteSent(sentAt)
-  if (adapterKey !== undefined) opts.directory.noteBegun(endpoint, adapterKey)
+  opts.directory.noteBegun(endpoint, adapterKey ?? '')
   const end = await sendAttempt({
     relay: opts,
     exchange,
@@ -206,7 +208,7 @@
     }
   })
   link.inFlight -= 1
-  if (adapterKey !== undefined) opts.directory.noteEnded(endpoint, adapterKey)
+  opts.directory.noteEnded(endpoint, adapterKey ?? '')
   noteAttemptEnd(state, exchange, target, end)
   return end
 }
@@ -283,8 +285,8 @@
   }
 }
 
-function describeEnd ({ opts }: RelayState, { arrivedAt, route, tried, refusedBy, firstByteMs }: Exchange): Logged {
-  return { route: route.name, firstByteMs, tookMs: Math.round(opts.clock.getMonotonicMs() - arrivedAt), tried: [...tried], refusedBy: refusedBy.size === 0 ? undefined : [...refusedBy] }
+function describeEnd ({ opts }: RelayState, { arrivedAt, route, tried, refusedBy, firstByteMs, longestPauseMs }: Exchange): Logged {
+  return { route: route.name, firstByteMs, longestPauseMs: longestPauseMs === undefined ? undefined : Math.round(longestPauseMs), tookMs: Math.round(opts.clock.getMonotonicMs() - arrivedAt), tried: [...tried], refusedBy: refusedBy.size === 0 ? undefined : [...refusedBy] }
 }
 
 function logEnd ({ opts }: RelayState, fields: Logged): void {
--- a/gateway/relay/src/relayOptions.ts
+++ b/gateway/relay/src/relayOptions.ts
@@ -20,7 +20,7 @@
 export interface RelayOptions {
   readonly place: RelayPlace
   readonly dialect: RelayDialect
-  readonly directory: Pick<Directory, 'getRoutes' | 'listEndpoints' | 'getEndpoint' | 'getAnnounced' | 'askLoad' | 'askCopy' | 'noteBegun' | 'noteEnded' | 'dropResident'>
+  readonly directory: Pick<Directory, 'getRoutes' | 'listEndpoints' | 'getEndpoint' | 'getAnnounced' | 'askLoad' | 'askCopy' | 'getOthersLoad' | 'noteBegun' | 'noteEnded' | 'dropResident'>
   readonly clock: Clock
   readonly random: Random
   readonly logger: Logger
--- a/gateway/relay/src/target.ts
+++ b/gateway/relay/src/target.ts
@@ -45,13 +45,15 @@
 
 function choose (state: FinderState, exchange: Exchange, endpoints: readonly DirectoryEndpoint[]): ChosenEndpoint | undefined {
   const { relay, links } = state
-  const candidates = endpoints.map(endpoint => ({ endpoint, link: links.get(endpoint.endpoint, endpoint.address, exchange.pool.maxConnections) }))
+  const candidates = endpoints.map(endpoint => ({ endpoint, link: links.get(endpoint.endpoint, endpoint.address, exchange.pool.maxConnections), others: relay.directory.getOthersLoad(endpoint.endpoint) }))
   return chooseEndpoint({ candidates, place: relay.place, now: relay.clock.getMonotonicMs(), getSlots: link => getSlots(exchange, link) })
 }
 
-function describeChoice ({ relay }: FinderState, { costMs, load, link }: ChosenEndpoint, weighed: number): Readonly<Record<string, unknown>> {
-  const figuresAgeMs = link.figures === undefined ? undefined : Math.round(relay.clock.getMonotonicMs() - link.figures.at)
-  return { weighed, costMs: Math.round(costMs), load: Math.round(load), figuresAgeMs }
+function describeChoice ({ relay }: FinderState, { costMs, load, link, others }: ChosenEndpoint, weighed: number): Readonly<Record<string, unknown>> {
+  const now = relay.clock.getMonotonicMs()
+  const figuresAgeMs = link.figures === undefined ? undefined : Math.round(now - link.figures.at)
+  const totalsAgeMs = others === undefined ? undefined : Math.round(now - others.at)
+  return { weighed, costMs: Math.round(costMs), load: Math.round(load), figuresAgeMs, totalsAgeMs }
 }
 
 /** Versions that may be used now, the best first. */
--- /dev/null
+++ b/gateway/relay/test/chooseEndpoint.test.ts
@@ -0,0 +1,52 @@
+import type { DirectoryEndpoint } from '@catkinferry/fleet.directory'
+import { createSystemClock } from '@catkinferry/core.clock'
+import { expect } from 'earl'
+import { after, describe, it } from 'node:test'
+import { chooseEndpoint } from '../src/chooseEndpoint.ts'
+import type { Candidate } from '../src/chooseEndpoint.ts'
+import { BREAKER_LIMITS, createEndpointLinks, estimateLoad } from '../src/endpointLinks.ts'
+
+const links = createEndpointLinks({ clock: createSystemClock(), getEntryCount: () => 1 })
+after(() => links.close())
+
+function build (id: string, changes: { region?: string, inFlight?: number, othersRunning?: number, firstByteMs?: number, broken?: boolean } = {}): Candidate {
+  const endpoint: DirectoryEndpoint = { endpoint: id, kind: 'engine', pool: 'p', zone: changes.region === undefined ? 'z1' : 'z9', region: changes.region ?? 'r1', address: '127.0.0.1:1', leaving: false, models: [], resident: new Set() }
+  const link = links.get(`${id}-${Math.random()}`, endpoint.address, 10)
+  link.inFlight = changes.inFlight ?? 0
+  link.firstByteMs = changes.firstByteMs
+  if (changes.broken === true) for (let count = 0; count < BREAKER_LIMITS.minimumRequests; count += 1) link.breaker.noteFailure(1_000, BREAKER_LIMITS)
+  return { endpoint, link, others: changes.othersRunning === undefined ? undefined : { running: changes.othersRunning, at: 1_000 } }
+}
+
+function choose (candidates: readonly Candidate[]): string | undefined {
+  return chooseEndpoint({ candidates, place: { zone: 'z1', region: 'r1' }, getSlots: () => 10, now: 1_000 })?.endpoint.endpoint
+}
+
+describe('chooseEndpoint', () => {
+  it('takes the least loaded, requests of other hosts included', () => {
+    expect(choose([build('a', { inFlight: 3 }), build('b', { inFlight: 2 })])).toEqual('b')
+    expect(choose([build('a', { inFlight: 3 }), build('b', { inFlight: 2, othersRunning: 6 })])).toEqual('a')
+  })
+
+  it('stays in the region until the endpoint there is much busier', () => {
+    expect(choose([build('near', { inFlight: 4 }), build('far', { region: 'r2' })])).toEqual('near')
+    expect(choose([build('near', { inFlight: 9 }), build('far', { region: 'r2' })])).toEqual('far')
+  })
+
+  it('avoids slow ones, and broken ones while there is another', () => {
+    expect(choose([build('slow', { firstByteMs: 400 }), build('fast', { firstByteMs: 30, inFlight: 2 })])).toEqual('fast')
+    expect(choose([build('broken', { broken: true }), build('sound', { inFlight: 12 })])).toEqual('sound')
+    expect(choose([build('broken', { broken: true })])).toEqual('broken')
+  })
+
+  it('has no choice among none', () => { expect(choose([])).toEqual(undefined) })
+})
+
+describe('estimateLoad', () => {
+  it('takes the fresher of the endpoint\'s figures and the leader\'s totals', () => {
+    const { link } = build('a', { inFlight: 2 })
+    link.figures = { load: { running: 7, waiting: 1, slots: 10 }, inFlight: 3, at: 900 }
+    expect(estimateLoad(link, { running: 1, at: 800 }, 1_000)).toEqual(7)
+    expect(estimateLoad(link, { running: 1, at: 950 }, 1_000)).toEqual(3)
+  })
+})
--- a/gateway/relay/test/stand.ts
+++ b/gateway/relay/test/stand.ts
@@ -135,6 +135,7 @@
       getAnnounced: () => announced === undefined ? undefined : { version: announced.version, at: clock.getMonotonicMs() - announced.agoMs },
       askLoad: (question, onAnswer) => { void (opts.askLoad?.(question) ?? Promise.resolve({ kind: 'refused' as const, reason: 'none', retryAfterMs: 100 })).then(onAnswer) },
       askCopy: () => undefined,
+      getOthersLoad: () => undefined,
       noteBegun: () => undefined,
       noteEnded: () => undefined,
       dropResident: () => undefined
