--- a/fleet/placement/src/chooseEngine.ts
+++ b/fleet/placement/src/chooseEngine.ts
@@ -1,7 +1,7 @@
 /** Chooses the engine that loads an adapter, and the adapter that makes way there. */
-import type { AdapterName, EndpointId, EnginePool, ModelId, MonotonicMs, RegionId, ZoneId } from '@catkinferry/core.types'
+import type { AdapterName, DurationMs, EndpointId, EnginePool, ModelId, MonotonicMs, RegionId, ZoneId } from '@catkinferry/core.types'
 import { formatPlacedKey } from '@catkinferry/core.types'
-import { EVICT_IDLE_MS, MAX_LOADS_PER_ENDPOINT, SPARE_PLACES } from './constants.ts'
+import { MAX_LOADS_PER_ENDPOINT, SPARE_PLACES } from './constants.ts'
 import { countRunning, formatSlotKey, SlotState } from './engineState.ts'
 import type { EngineState, Slot } from './engineState.ts'
 
@@ -24,6 +24,8 @@
   readonly zone?: ZoneId
   readonly region?: RegionId
   readonly isAvoided: (endpoint: EndpointId) => boolean
+  /** An adapter makes way only if it was not used for this long. */
+  readonly minIdleMs: DurationMs
 }
 
 export interface EngineChoice {
@@ -51,10 +53,10 @@
 }
 
 /** The least recently used adapter that may be evicted now. */
-export function findVictim (engine: EngineState, now: MonotonicMs): Slot | undefined {
+export function findVictim (engine: EngineState, now: MonotonicMs, minIdleMs: DurationMs): Slot | undefined {
   let victim: Slot | undefined
   for (const slot of engine.slots.values()) {
-    const isFree = slot.state === SlotState.RESIDENT && now - slot.usedAt > EVICT_IDLE_MS && now >= slot.unsettledUntil && countRunning(slot, now) === 0
+    const isFree = slot.state === SlotState.RESIDENT && now - slot.usedAt > minIdleMs && now >= slot.unsettledUntil && countRunning(slot, now) === 0
     if (isFree && (victim === undefined || slot.usedAt < victim.usedAt)) victim = slot
   }
   return victim
@@ -74,7 +76,7 @@
   const loading = countLoading(engine)
   if (loading >= MAX_LOADS_PER_ENDPOINT) return undefined
   const hasPlace = slots.size < pool.adapterPlaces - SPARE_PLACES
-  const victim = hasPlace ? undefined : findVictim(engine, now)
+  const victim = hasPlace ? undefined : findVictim(engine, now, ask.minIdleMs)
   if (!hasPlace && victim === undefined) return undefined
   const isHeld = engine.held.has(formatPlacedKey(ask.model, ask.adapter, ask.version))
   const idleSeconds = victim === undefined ? Infinity : (now - victim.usedAt) / MS_PER_SECOND
--- a/fleet/placement/src/constants.ts
+++ b/fleet/placement/src/constants.ts
@@ -36,6 +36,9 @@
 /** An adapter that was used or given out this recently is not evicted. */
 export const EVICT_IDLE_MS = 600
 
+/** For a copy that nobody waits for, only an adapter that was not used for this long makes way. */
+export const COPY_EVICT_IDLE_MS = 4_000
+
 /** Adapters remembered as held by an engine, after their eviction. */
 export const MAX_HELD = 100
 
--- a/fleet/placement/src/wishes.ts
+++ b/fleet/placement/src/wishes.ts
@@ -4,7 +4,7 @@
 import type { RunContext } from '@catkinferry/host.events'
 import { chooseEngine } from './chooseEngine.ts'
 import type { EngineChoice } from './chooseEngine.ts'
-import { MAX_STORE_LOADS, MIN_REMAINING_MS, REFUSED_RETRY_MS } from './constants.ts'
+import { COPY_EVICT_IDLE_MS, EVICT_IDLE_MS, MAX_STORE_LOADS, MIN_REMAINING_MS, REFUSED_RETRY_MS } from './constants.ts'
 import { formatSlotKey, SlotState } from './engineState.ts'
 import type { EngineState } from './engineState.ts'
 import { beginLoad } from './jobs.ts'
@@ -118,7 +118,7 @@
   const pool = findPool(state, wish.pool)?.engine
   if (pool === undefined || context.now < state.ordersFrom || isLoading(wish, engines)) return false
   const choice = chooseEngine({
-    ask: { ...wish, isAvoided: endpoint => wish.avoid.has(endpoint) || wish.beyond.has(endpoint) },
+    ask: { ...wish, minIdleMs: wish.waiters.length > 0 ? EVICT_IDLE_MS : COPY_EVICT_IDLE_MS, isAvoided: endpoint => wish.avoid.has(endpoint) || wish.beyond.has(endpoint) },
     engines,
     pool,
     now: context.now,
@@ -132,7 +132,8 @@
 
 /** Serves the wishes, the most urgent first. */
 export function runWishes (state: PlacementState, context: RunContext): void {
-  const sorted = [...state.wishes].sort(([, a], [, b]) => a.priority - b.priority || a.since - b.since)
+  const isWaited = ({ waiters }: Wish): number => waiters.length > 0 ? 0 : 1
+  const sorted = [...state.wishes].sort(([, a], [, b]) => isWaited(a) - isWaited(b) || a.priority - b.priority || a.since - b.since)
   for (const [key, wish] of sorted) {
     refuseLate(wish, context)
     const isWanted = wish.waiters.length > 0 || context.now < wish.until
--- a/gateway/relay/src/chooseEndpoint.ts
+++ b/gateway/relay/src/chooseEndpoint.ts
@@ -6,7 +6,7 @@
 import type { RelayPlace } from './relayOptions.ts'
 
 /** Cost of a full batch or of all slots taken, over an idle endpoint. */
-const FULL_COST_MS = 60
+const FULL_COST_MS = 120
 /** Cost of each request that must wait for a slot, as a share of the time that it takes. */
 const QUEUED_COST_MS = 400
 const OTHER_ZONE_COST_MS = 3
--- a/gateway/relay/src/constants.ts
+++ b/gateway/relay/src/constants.ts
@@ -34,7 +34,7 @@
 export const FIRST_VERSION = 1
 
 /** One more copy of an adapter is asked for at this share of a full batch, at most once in this time. */
-export const COPY_LOAD_FRACTION = 0.7
+export const COPY_LOAD_FRACTION = 0.35
 export const COPY_INTERVAL_MS = 1_000
 
 /** Requests for one adapter that this host sends to another region before it asks for a copy in its own. */
