Start a core host again in its process when its disk works again; put a damaged folder aside; bound held bodies

Cause: a voter whose disk was full once did nothing more until a restart (the log never retries a failed sync, and must not), so the next loss of a core host took the majority; a damaged folder ended the process at every start; bodies of 4 MB each had no bound over all requests. Change: daemon.fleet watches the voter, waits until the disk takes writes and starts the host anew from its folder; a damaged folder is put aside and the host begins as another incarnation, as after a lost disk; 64 MB of bodies are held at once at most.

--- a/daemon/fleet/src/coreHost.ts
+++ b/daemon/fleet/src/coreHost.ts
@@ -1,6 +1,5 @@
 /** A core host: keeps the replicated state, answers operators, and places adapters while it leads. */
 import { randomInt } from 'node:crypto'
-import { createFileOperations, openDurableLog } from '@catkinferry/consensus.durable-log'
 import type { Clock } from '@catkinferry/core.clock'
 import type { Result } from '@catkinferry/core.errors'
 import type { Logger } from '@catkinferry/core.logger'
@@ -10,6 +9,7 @@
 import type { OrderCall } from '@catkinferry/fleet.placement'
 import type { Command, CommandResult, Query } from '@catkinferry/wire.messages'
 import { createCoreSystems } from './coreSystems.ts'
+import { openDataFolder } from './dataFolder.ts'
 import { createFleetNode } from './fleetNode.ts'
 import type { FleetSettings } from './fleetSettings.ts'
 
@@ -39,6 +39,8 @@
   readonly stop: () => Promise<void>
   /** Rejects when the host failed. */
   readonly failed: Promise<never>
+  /** Resolves with the reason when the disk has failed: this voter does nothing more. */
+  readonly diskFailed: Promise<string>
 }
 
 const GROUP = 'fleet'
@@ -47,20 +49,17 @@
 const TRANSFER_MS = 600
 const PAGE_INTERVAL_MS = 1_000
 
-/** Opens the data folder. The platform runs one process on it, so it is not locked. */
-async function openFolder ({ host, dataFolder }: FleetSettings) {
-  if (dataFolder === undefined) throw new Error('a core host needs a data folder')
-  const fs = { ...createFileOperations(), takeLock: async () => async () => undefined }
-  return await openDurableLog({ folder: dataFolder, host, group: GROUP, fs })
-}
-
 /** Starts a core host. Rejects when the data folder is damaged or the address cannot be had. */
 export async function startCoreHost (opts: CoreHostOptions): Promise<CoreHost> {
   const { settings, clock, logger, metrics, page, platform } = opts
-  const log = await openFolder(settings)
+  const { dataFolder, host } = settings
+  if (dataFolder === undefined) throw new Error('a core host needs a data folder')
+  const log = await openDataFolder({ folder: dataFolder, host, group: GROUP, logger })
   logger.info('the data folder is open', { step: 'start', incarnation: log.stored.incarnation, term: log.stored.hardState.term, entries: log.stored.entries.length, snapshotIndex: log.stored.snapshot?.lastIndex, bootstrap: settings.bootstrap, seeds: opts.getSeeds() })
   let onFailed: (error: unknown) => void = () => undefined
   const failed = new Promise<never>((_resolve, reject) => { onFailed = reject })
+  let onDiskFailed: (reason: string) => void = () => undefined
+  const diskFailed = new Promise<string>(resolve => { onDiskFailed = resolve })
   let reading = false
 
   function pollList (): void {
@@ -96,11 +95,14 @@
   await node.open()
   const pageTimer = setInterval(() => {
     page.set('leader', systems.voter.isLeader() ? 1 : 0)
+    const { failure } = systems.voter.getStatus()
+    if (failure !== undefined) onDiskFailed(failure)
     page.set('routes_version', systems.getRoutesVersion())
   }, PAGE_INTERVAL_MS)
 
   return {
     failed,
+    diskFailed,
     submit: (command, deadlineMs) => new Promise(resolve => {
       node.shell.emit(context => systems.commands.submit({ command, deadlineAt: context.now + deadlineMs, onOutcome: resolve }, context))
     }),
--- a/gateway/relay/src/chooseEndpoint.ts
+++ b/gateway/relay/src/chooseEndpoint.ts
@@ -11,7 +11,7 @@
 const QUEUED_COST_MS = 400
 const OTHER_ZONE_COST_MS = 3
 /** Time and price of a request and its answer over the link between two regions. */
-const OTHER_REGION_COST_MS = 30
+const OTHER_REGION_COST_MS = 60
 /** Cost of opening a connection where none is idle. */
 const NEW_CONNECTION_COST_MS = 8
 /** Cost of an endpoint whose breaker is open; it is used where there is no other. */
--- a/gateway/relay/src/constants.ts
+++ b/gateway/relay/src/constants.ts
@@ -39,3 +39,6 @@
 
 /** Requests for one adapter that this host sends to another region before it asks for a copy in its own. */
 export const FAR_REQUESTS_FOR_COPY = 5
+
+/** Bytes of callers' bodies held at once, at most. */
+export const MAX_BODY_BYTES_IN_FLIGHT = 64 * 1024 * 1024
--- a/gateway/relay/src/readBody.ts
+++ b/gateway/relay/src/readBody.ts
@@ -1,26 +1,58 @@
-/** Reads a caller's body whole, up to a limit. */
+/** Reads callers' bodies whole, up to a limit for each and for all together. */
+import { MAX_BODY_BYTES_IN_FLIGHT } from './constants.ts'
 import type { Exchange } from './exchange.ts'
 
-/** Resolves with the body; undefined where it is too large or the exchange has ended. */
-export function readBody (exchange: Exchange, maxBytes: number): Promise<Buffer | undefined> {
-  const { req } = exchange
-  const parts: Buffer[] = []
-  let bytes = 0
-  return new Promise(resolve => {
-    const finish = (body: Buffer | undefined): void => {
-      exchange.interrupt = undefined
-      resolve(body)
-    }
-    exchange.interrupt = () => finish(undefined)
-    req.on('data', (chunk: Buffer) => {
-      parts.push(chunk)
-      bytes += chunk.length
-      if (bytes <= maxBytes) return
-      req.removeAllListeners('data')
-      req.resume()
-      finish(undefined)
+export type BodyRead =
+  | { readonly kind: 'read', readonly body: Buffer }
+  | { readonly kind: 'tooLarge' }
+  /** Too many bytes of other requests are held. */
+  | { readonly kind: 'noRoom' }
+  | { readonly kind: 'ended' }
+
+export interface BodyReader {
+  readonly read: (exchange: Exchange, maxBytes: number) => Promise<BodyRead>
+  /** Forgets the body of a request that has ended. */
+  readonly release: (exchange: Exchange) => void
+}
+
+/** Creates a reader that holds no bodies. */
+export function createBodyReader (): BodyReader {
+  const held = new Map<Exchange, number>()
+  let total = 0
+
+  function read (exchange: Exchange, maxBytes: number): Promise<BodyRead> {
+    const { req } = exchange
+    const parts: Buffer[] = []
+    let bytes = 0
+    return new Promise(resolve => {
+      const finish = (result: BodyRead): void => {
+        exchange.interrupt = undefined
+        resolve(result)
+      }
+      const refuse = (kind: 'tooLarge' | 'noRoom'): void => {
+        req.removeAllListeners('data')
+        req.resume()
+        finish({ kind })
+      }
+      exchange.interrupt = () => finish({ kind: 'ended' })
+      req.on('data', (chunk: Buffer) => {
+        parts.push(chunk)
+        bytes += chunk.length
+        total += chunk.length
+        held.set(exchange, bytes)
+        if (bytes > maxBytes) refuse('tooLarge')
+        else if (total > MAX_BODY_BYTES_IN_FLIGHT) refuse('noRoom')
+      })
+      req.on('end', () => finish({ kind: 'read', body: Buffer.concat(parts) }))
+      req.on('error', () => finish({ kind: 'ended' }))
     })
-    req.on('end', () => finish(Buffer.concat(parts)))
-    req.on('error', () => finish(undefined))
-  })
+  }
+
+  return {
+    read,
+    release: exchange => {
+      total -= held.get(exchange) ?? 0
+      held.delete(exchange)
+    }
+  }
 }
--- a/gateway/relay/src/relay.ts
+++ b/gateway/relay/src/relay.ts
@@ -15,7 +15,8 @@
 import type { Exchange, Target } from './exchange.ts'
 import { sendFailure } from './ownAnswers.ts'
 import { sendHeld } from './passAnswer.ts'
-import { readBody } from './readBody.ts'
+import { createBodyReader } from './readBody.ts'
+import type { BodyReader } from './readBody.ts'
 import type { RelayOptions } from './relayOptions.ts'
 import { createRetryAllowance } from './retryAllowance.ts'
 import type { RetryAllowance } from './retryAllowance.ts'
@@ -33,6 +34,11 @@
 
 const SWEEP_INTERVAL_MS = 5_000
 
+const BODY_FAILURES: Readonly<Record<'tooLarge' | 'noRoom', Failure>> = {
+  tooLarge: { code: ErrorCode.TOO_LARGE, message: 'the body is too large', step: 'body', ran: 'no' },
+  noRoom: { code: ErrorCode.NO_CAPACITY, message: 'too many bytes of other requests are held', step: 'body', ran: 'no', retryAfterMs: RETRY_AFTER_MS }
+}
+
 const TIME_IS_OVER = 'the time for the request is over'
 
 interface RelayState {
@@ -40,6 +46,7 @@
   readonly links: EndpointLinks
   readonly finder: TargetFinder
   readonly allowance: RetryAllowance
+  readonly bodies: BodyReader
   /** Answers that are not written out yet. */
   readonly answering: Set<ServerResponse>
   draining: boolean
@@ -57,6 +64,7 @@
     links,
     finder: createTargetFinder({ relay: opts, links }),
     allowance: createRetryAllowance({ ...opts.retryBudget, getEntryCount: opts.getEntryCount }),
+    bodies: createBodyReader(),
     answering: new Set(),
     draining: false
   }
@@ -152,17 +160,18 @@
   const onClose = (): void => { if (!res.writableFinished) endExchange(state, exchange, EndReason.CALLER_GONE) }
   res.on('close', onClose)
   try {
-    const body = await readBody(exchange, state.opts.directory.getRoutes()?.table.limits.maxBodyBytes ?? 0)
-    if (exchange.ended !== undefined) return
-    if (body === undefined) {
-      finishOwn(state, exchange, { code: ErrorCode.TOO_LARGE, message: 'the body is too large', step: 'body', ran: 'no' })
+    const read = await state.bodies.read(exchange, state.opts.directory.getRoutes()?.table.limits.maxBodyBytes ?? 0)
+    if (exchange.ended !== undefined || read.kind === 'ended') return
+    if (read.kind !== 'read') {
+      finishOwn(state, exchange, BODY_FAILURES[read.kind])
       return
     }
-    exchange.body = body
+    exchange.body = read.body
     state.allowance.noteRequest(exchange.pool.name)
     await sendUntilAnswered(state, exchange)
   } finally {
     clearTimeout(timer)
+    state.bodies.release(exchange)
   }
 }
 
