--- a/core/logger/src/lineWriter.ts
+++ b/core/logger/src/lineWriter.ts
@@ -50,11 +50,11 @@
 
   function finishWrite (): void {
     writing = false
-    if (lines.length > 0) flush()
+    if (lines.length > 0) writeWaiting()
     else onIdle?.()
   }
 
-  function flush (): void {
+  function writeWaiting (): void {
     clearTimeout(timer)
     timer = undefined
     if (writing || lines.length === 0) return
@@ -70,7 +70,7 @@
       }
       lines.push(line)
       waitingBytes += line.length
-      timer ??= setTimeout(flush, opts.flushIntervalMs)
+      timer ??= setTimeout(writeWaiting, opts.flushIntervalMs)
     },
     getDropped: () => dropped,
     close: () => new Promise(resolve => {
@@ -79,7 +79,7 @@
         clearTimeout(limit)
         resolve()
       }
-      flush()
+      writeWaiting()
       if (!writing) onIdle()
     })
   }
--- a/daemon/fleet/src/entryHost.ts
+++ b/daemon/fleet/src/entryHost.ts
@@ -59,7 +59,7 @@
 }
 
 /** Joins the systems of an entry host. */
-function joinSystems (membership: FleetMembership, directory: Directory, onRun: () => void): NodeSystems {
+function buildSystems (membership: FleetMembership, directory: Directory, onRun: () => void): NodeSystems {
   const watchLeader = createLeaderWatch(membership)
   return {
     receive: (from, message, context) => {
@@ -95,7 +95,7 @@
   })
   const membership = createFleetMembership({ self: { host, zone, region }, role: FleetRole.ENTRY, getSeeds: opts.getSeeds, getHeld: directory.getHeld })
   const readiness = createReadiness({ directory, membership, logger, page })
-  const wake = (): void => node.shell.emit(() => undefined)
+  const runSoon = (): void => node.shell.emit(() => undefined)
   const relay = createRelay({
     place: { zone, region },
     dialect: opts.dialect,
@@ -103,11 +103,11 @@
       ...directory,
       askLoad: (question, onAnswer) => {
         directory.askLoad(question, onAnswer)
-        wake()
+        runSoon()
       },
       askCopy: question => {
         directory.askCopy(question)
-        wake()
+        runSoon()
       }
     },
     clock,
@@ -124,13 +124,13 @@
     res.statusCode = readiness.check() ? 200 : 503
     res.end()
   })
-  const systems = joinSystems(membership, directory, readiness.wakeWaiting)
+  const systems = buildSystems(membership, directory, readiness.wakeWaiting)
   const node = createFleetNode({ host, clock, logger, metrics, systems, onCrash: onFailed })
   await node.open()
   const pageTimer = setInterval(() => page.set('active_requests', relay.getActiveCount()), PAGE_INTERVAL_MS)
 
   /** Idle connections are closed at once: a caller that sends on one in that moment knows that its request was not read. */
-  async function drain (turnedAwayAt: number, until: number): Promise<void> {
+  async function waitUntilIdle (turnedAwayAt: number, until: number): Promise<void> {
     for (let now = clock.getMonotonicMs(); now < until; now = clock.getMonotonicMs()) {
       callers.closeIdle()
       if (now >= turnedAwayAt) callers.refuse()
@@ -145,7 +145,7 @@
       const now = clock.getMonotonicMs()
       readiness.stop()
       relay.drain()
-      await drain(now + TURN_AWAY_MS, now + settings.times.graceMs - CUT_BEFORE_MS)
+      await waitUntilIdle(now + TURN_AWAY_MS, now + settings.times.graceMs - CUT_BEFORE_MS)
       logger.info('requests have ended', { step: 'stop', left: relay.getActiveCount() })
       clearInterval(pageTimer)
       callers.refuse()
--- a/daemon/fleet/src/fleetNode.ts
+++ b/daemon/fleet/src/fleetNode.ts
@@ -55,7 +55,7 @@
 
   function run (now: MonotonicMs) {
     const { context, outputs, takeLoopback } = createOutbox({ self: host, now, wallNow: clock.getWallMs() })
-    const loopBack = (): void => {
+    const handleLoopback = (): void => {
       for (let message = takeLoopback(); message !== undefined; message = takeLoopback()) systems.receive(host, message, context)
     }
     if (now - lastRunAt > PAUSE_MS) systems.notePause(context, now - lastRunAt)
@@ -64,10 +64,10 @@
     tasks = []
     for (const task of taken) {
       task(context)
-      loopBack()
+      handleLoopback()
     }
     systems.run(context)
-    loopBack()
+    handleLoopback()
     nextAt = Math.min(systems.getNextAt(), now + MAX_RUN_INTERVAL_MS)
     onRun(now)
     return outputs
@@ -105,7 +105,7 @@
     links.send(to, message)
   }
 
-  function prune (now: MonotonicMs): void {
+  function dropPeers (now: MonotonicMs): void {
     if (now < pruneAt) return
     pruneAt = now + PRUNE_INTERVAL_MS
     const wanted = systems.listPeers()
@@ -118,7 +118,7 @@
     log: ({ level, message, fields }) => logger.log(level, message, fields),
     metric: ({ type, name, value, tags }) => metrics[type](name, value, tags)
   }
-  const shell = createShell<NodeTask>({ host: createRunnable(opts, prune), clock: opts.clock, logger, metrics, handlers, onTurnEnd: () => undefined, onCrash: opts.onCrash })
+  const shell = createShell<NodeTask>({ host: createRunnable(opts, dropPeers), clock: opts.clock, logger, metrics, handlers, onTurnEnd: () => undefined, onCrash: opts.onCrash })
   return {
     shell,
     open: async () => {
--- a/daemon/fleet/src/keptCoreHost.ts
+++ b/daemon/fleet/src/keptCoreHost.ts
@@ -13,22 +13,22 @@
   let onFailed: (error: unknown) => void = () => undefined
   const failed = new Promise<never>((_resolve, reject) => { onFailed = reject })
 
-  async function restartAfterDiskFailure (reason: string): Promise<void> {
+  async function handleDiskFailure (reason: string): Promise<void> {
     logger.error('the disk has failed; this voter waits until it takes writes again', { step: 'disk', reason })
     const isWritable = await waitUntilWritable(opts.settings.dataFolder ?? '', () => stopped)
     if (!isWritable) return
     await current.stop()
     current = await startCoreHost({ ...opts, settings: { ...opts.settings, bootstrap: false } })
     logger.info('the disk takes writes again and this voter has started anew', { step: 'disk' })
-    keep()
+    startWatch()
   }
 
-  function keep (): void {
+  function startWatch (): void {
     current.failed.catch(onFailed)
-    void current.diskFailed.then(restartAfterDiskFailure).catch(onFailed)
+    void current.diskFailed.then(handleDiskFailure).catch(onFailed)
   }
 
-  keep()
+  startWatch()
   return {
     submit: (command, deadlineMs) => current.submit(command, deadlineMs),
     ask: (query, deadlineMs) => current.ask(query, deadlineMs),
--- a/fleet/membership/src/fleetMembership.ts
+++ b/fleet/membership/src/fleetMembership.ts
@@ -128,7 +128,7 @@
   return now - leaderToldAt <= LEADER_KNOWN_MS ? leader : undefined
 }
 
-function forgetSilent (state: MembershipState, now: MonotonicMs): void {
+function dropSilent (state: MembershipState, now: MonotonicMs): void {
   const seeds = state.opts.getSeeds()
   for (const [host, { heardAt }] of state.core) {
     if (now - heardAt > FORGET_CORE_MS && !seeds.includes(host)) state.core.delete(host)
@@ -142,7 +142,7 @@
   const { opts, core } = state
   const { now } = context
   const { host: self, zone, region } = opts.self
-  forgetSilent(state, now)
+  dropSilent(state, now)
   for (const seed of opts.getSeeds()) if (seed !== self) addCore(state, seed, now)
   const leader = getLeader(state, now)
   for (const [host, row] of core) {
--- a/fleet/placement/src/chooseEngine.ts
+++ b/fleet/placement/src/chooseEngine.ts
@@ -68,7 +68,7 @@
   return opts.getRegion(zone) === ask.region ? OTHER_ZONE_COST_MS : OTHER_REGION_COST_MS
 }
 
-function weighEngine (engine: EngineState, opts: ChooseEngineOptions): { choice: EngineChoice, costMs: number } | undefined {
+function computeEngineCost (engine: EngineState, opts: ChooseEngineOptions): { choice: EngineChoice, costMs: number } | undefined {
   const { ask, pool, now } = opts
   const { listed, slots } = engine
   const usable = !listed.leaving && engine.models.has(ask.model) && now >= engine.quietUntil && !ask.isAvoided(listed.endpoint)
@@ -89,7 +89,7 @@
 export function chooseEngine (opts: ChooseEngineOptions): EngineChoice | undefined {
   let best: { choice: EngineChoice, costMs: number } | undefined
   for (const engine of opts.engines) {
-    const weighed = weighEngine(engine, opts)
+    const weighed = computeEngineCost(engine, opts)
     if (weighed !== undefined && (best === undefined || weighed.costMs < best.costMs)) best = weighed
   }
   return best?.choice
--- a/fleet/placement/src/engineState.ts
+++ b/fleet/placement/src/engineState.ts
@@ -94,7 +94,7 @@
 }
 
 /** Frees the place of an adapter that is gone. */
-export function freeSlot (engine: EngineState, slotKey: string, now: MonotonicMs): void {
+export function releaseSlot (engine: EngineState, slotKey: string, now: MonotonicMs): void {
   engine.slots.delete(slotKey)
   engine.freedAt.set(slotKey, now)
 }
--- a/fleet/placement/src/jobs.ts
+++ b/fleet/placement/src/jobs.ts
@@ -3,15 +3,20 @@
 import type { RunContext } from '@catkinferry/host.events'
 import type { EngineChoice } from './chooseEngine.ts'
 import { CACHED_LOAD_MS, LATE_ORDER_MS, LIST_LAG_MS, LOAD_LIMIT_MS, MODEL_RESEND_MS, RESEND_MS, STORE_LOAD_MS } from './constants.ts'
-import { createSlot, findListedVersion, formatSlotKey, freeSlot, noteHeld, SlotState } from './engineState.ts'
+import { createSlot, findListedVersion, formatSlotKey, releaseSlot, noteHeld, SlotState } from './engineState.ts'
 import type { EngineState, Slot } from './engineState.ts'
-import { logInfo } from './placementState.ts'
+import { reportInfo } from './placementState.ts'
 import type { Job, PlacementState, Wish } from './placementState.ts'
 
 /** An engine that refused or misunderstood an order gets none for this long. */
 const QUIET_MS = 1_000
 /** A base model may take this long before its load is given up. */
 const MODEL_LOAD_LIMIT_MS = 15_000
+/** An engine that carries out another order is not chosen for this long, and asked again after a part of it. */
+const BUSY_QUIET_MS = 250
+const BUSY_RESEND_MS = 50
+/** After this another engine is better asked. */
+const BUSY_LIMIT_MS = 150
 /** An engine that could not be reached gets no orders for this long. */
 const UNREACHABLE_MS = 400
 
@@ -19,8 +24,8 @@
   return `${endpoint}|${subject}`
 }
 
-function addJob (state: PlacementState, job: Omit<Job, 'nextAt' | 'sentAt' | 'accepted' | 'calling'>): void {
-  state.jobs.set(job.key, { ...job, nextAt: job.since, sentAt: job.since, accepted: false, calling: false })
+function addJob (state: PlacementState, job: Omit<Job, 'nextAt' | 'sentAt' | 'stepSince' | 'accepted' | 'calling'>): void {
+  state.jobs.set(job.key, { ...job, nextAt: job.since, sentAt: job.since, stepSince: job.since, accepted: false, calling: false })
 }
 
 /** Begins to load an adapter, after the eviction of the one that makes way. */
@@ -40,7 +45,7 @@
   if (former !== undefined) state.publisher.noteResidency(endpoint, former, false)
   engine.slots.set(slotKey, createSlot({ model, adapter, version, state: SlotState.LOADING, now: context.now }))
   addJob(state, { key: formatJobKey(endpoint, slotKey), endpoint, steps, isHeld, since: context.now })
-  logInfo(context, 'a load begins', { peer: endpoint, adapter: slotKey, version, pool: wish.pool, waiting: wish.waiters.length, evicts: victim === undefined ? undefined : formatSlotKey(victim.model, victim.adapter), held: isHeld, term: state.term })
+  reportInfo(context, 'a load begins', { peer: endpoint, adapter: slotKey, version, pool: wish.pool, waiting: wish.waiters.length, evicts: victim === undefined ? undefined : formatSlotKey(victim.model, victim.adapter), held: isHeld, term: state.term })
 }
 
 /** Begins to evict an adapter whose version is no longer in force. */
@@ -51,7 +56,7 @@
   slot.changedAt = context.now
   state.publisher.noteResidency(endpoint, slot, false)
   addJob(state, { key: formatJobKey(endpoint, slotKey), endpoint, steps: [{ kind: 'evict', model: slot.model, adapter: slot.adapter }], isHeld: true, since: context.now })
-  logInfo(context, 'an outdated adapter is evicted', { peer: endpoint, adapter: slotKey, version: slot.version, term: state.term })
+  reportInfo(context, 'an outdated adapter is evicted', { peer: endpoint, adapter: slotKey, version: slot.version, term: state.term })
 }
 
 /** Begins to load a base model. */
@@ -59,7 +64,7 @@
   const { endpoint } = engine.listed
   engine.modelLoad = { model, since: context.now }
   addJob(state, { key: formatJobKey(endpoint, model), endpoint, steps: [{ kind: 'load', model }], isHeld: false, since: context.now })
-  logInfo(context, 'the load of a base model begins', { peer: endpoint, model, term: state.term })
+  reportInfo(context, 'the load of a base model begins', { peer: endpoint, model, term: state.term })
 }
 
 function getLimitMs ({ steps }: Job): number {
@@ -74,11 +79,11 @@
     const [order] = job.steps
     if (engine === undefined || order === undefined) state.jobs.delete(job.key)
     else if (context.now - job.since > getLimitMs(job)) failJob(state, job, 'it took too long', context)
-    else callEngine(state, job, engine, order, context.now)
+    else sendJob(state, job, engine, order, context.now)
   }
 }
 
-function callEngine (state: PlacementState, job: Job, engine: EngineState, order: Job['steps'][number], now: MonotonicMs): void {
+function sendJob (state: PlacementState, job: Job, engine: EngineState, order: Job['steps'][number], now: MonotonicMs): void {
   const { listed: { endpoint, address } } = engine
   job.calling = true
   job.sentAt = now
@@ -98,6 +103,25 @@
 
 type OutcomeHandler = (state: PlacementState, job: Job, engine: EngineState, context: RunContext) => void
 
+/** Takes back what was to be done: the engine refused each order, so nothing of it can come. */
+function cancelBusyJob (state: PlacementState, job: Job, engine: EngineState, context: RunContext): void {
+  const { endpoint } = engine.listed
+  state.jobs.delete(job.key)
+  for (const { kind, model, adapter } of job.steps) {
+    const slot = adapter === undefined ? undefined : engine.slots.get(formatSlotKey(model, adapter))
+    if (slot === undefined || adapter === undefined) continue
+    if (kind === 'evict') {
+      slot.state = SlotState.RESIDENT
+      state.publisher.noteResidency(endpoint, slot, true)
+    } else if (context.now >= slot.unsettledUntil) {
+      engine.slots.delete(formatSlotKey(model, adapter))
+    } else {
+      slot.state = SlotState.EVICTING
+    }
+  }
+  reportInfo(context, 'an order is taken back from a busy engine', { peer: endpoint, orders: job.steps, afterMs: Math.round(context.now - job.since), term: state.term })
+}
+
 function getResendMs (job: Job): number {
   const [order] = job.steps
   return order?.adapter === undefined ? MODEL_RESEND_MS : RESEND_MS
@@ -116,7 +140,13 @@
     if (isFirst && order?.kind === 'load' && order.adapter !== undefined) job.nextAt = Math.max(now, job.sentAt + (job.isHeld ? CACHED_LOAD_MS : STORE_LOAD_MS))
     else sendLater(job, getResendMs(job), now)
   },
-  busy: (_state, job, _engine, { now }) => { sendLater(job, getResendMs(job), now) },
+  busy: (state, job, engine, context) => {
+    const { now } = context
+    engine.quietUntil = Math.max(engine.quietUntil, now + BUSY_QUIET_MS)
+    const mayLeave = !job.accepted && job.steps[0]?.adapter !== undefined && now - job.stepSince > BUSY_LIMIT_MS
+    if (mayLeave) cancelBusyJob(state, job, engine, context)
+    else sendLater(job, BUSY_RESEND_MS, now)
+  },
   fenced: (state, job, engine, context) => {
     // The term stays refused: a host that leads later has given a higher one.
     engine.quietUntil = Infinity
@@ -152,10 +182,11 @@
   else if (order.kind === 'evict') finishEvict(engine, formatSlotKey(order.model, order.adapter), context.now)
   else finishAdapterLoad(state, engine, formatSlotKey(order.model, order.adapter), context)
   job.accepted = false
+  job.stepSince = context.now
   job.nextAt = context.now
   if (job.steps.length === 0) {
     state.jobs.delete(job.key)
-    logInfo(context, 'an order is done', { peer: job.endpoint, order: order.kind, adapter: order.adapter ?? order.model, version: order.version, tookMs: Math.round(context.now - job.since), term: state.term })
+    reportInfo(context, 'an order is done', { peer: job.endpoint, order: order.kind, adapter: order.adapter ?? order.model, version: order.version, tookMs: Math.round(context.now - job.since), term: state.term })
   }
 }
 
@@ -169,7 +200,7 @@
   const slot = engine.slots.get(slotKey)
   if (slot === undefined) return
   noteHeld(engine, slot)
-  freeSlot(engine, slotKey, now)
+  releaseSlot(engine, slotKey, now)
 }
 
 function finishAdapterLoad (state: PlacementState, engine: EngineState, slotKey: string, context: RunContext): void {
@@ -211,7 +242,7 @@
 }
 
 /** Settles places of orders that were given up, once nothing can come of them any more: the list shows what became of them. */
-export function settleSlots (state: PlacementState, engine: EngineState, now: MonotonicMs): void {
+export function updateSlots (state: PlacementState, engine: EngineState, now: MonotonicMs): void {
   const { endpoint } = engine.listed
   const underWay = listUnderWay(state, endpoint)
   for (const [slotKey, slot] of engine.slots) {
--- a/fleet/placement/src/loadTotals.ts
+++ b/fleet/placement/src/loadTotals.ts
@@ -30,7 +30,7 @@
   let changesAt = 0
   let wholeAt = 0
 
-  function sum (now: MonotonicMs): void {
+  function updateTotals (now: MonotonicMs): void {
     totals = new Map()
     for (const [host, { at, running }] of reports) {
       if (now - at > USE_REPORT_MS) reports.delete(host)
@@ -54,7 +54,7 @@
     flush: (context, hosts) => {
       if (context.now < changesAt) return
       changesAt = context.now + CHANGES_INTERVAL_MS
-      sum(context.now)
+      updateTotals(context.now)
       const whole = context.now >= wholeAt
       if (whole) wholeAt = context.now + WHOLE_INTERVAL_MS
       const running = whole ? [...totals].filter(([, count]) => count > 0) : listChanges()
--- a/fleet/placement/src/placement.ts
+++ b/fleet/placement/src/placement.ts
@@ -9,9 +9,9 @@
 import { createEndpointPublisher } from './endpointPublisher.ts'
 import { applyListed, createEngineState, createRestartedEngine, formatSlotKey, SlotState } from './engineState.ts'
 import type { EngineState } from './engineState.ts'
-import { beginEvict, beginModelLoad, runJobs, settleSlots, takeOutcomes } from './jobs.ts'
+import { beginEvict, beginModelLoad, runJobs, updateSlots, takeOutcomes } from './jobs.ts'
 import { createLoadTotals } from './loadTotals.ts'
-import { findPool, isOutdated, listPoolEngines, logInfo } from './placementState.ts'
+import { findPool, isOutdated, listPoolEngines, reportInfo } from './placementState.ts'
 import type { PlacementOptions, PlacementState } from './placementState.ts'
 import { addWish, refuseWaiter, runWishes } from './wishes.ts'
 
@@ -105,7 +105,7 @@
     if (seen.has(endpoint)) continue
     state.engines.delete(endpoint)
     state.publisher.noteGone(endpoint)
-    logInfo(context, 'an endpoint is gone from the list', { peer: endpoint })
+    reportInfo(context, 'an endpoint is gone from the list', { peer: endpoint })
   }
 }
 
@@ -119,19 +119,19 @@
   const former = state.engines.get(endpoint)
   state.engines.set(endpoint, former === undefined ? createEngineState(row, context.now) : createRestartedEngine(former, row, context.now))
   state.publisher.noteRow(endpoint)
-  logInfo(context, 'an endpoint is listed', { peer: endpoint, pool, zone, address, leaving, bornAt, models: row.models?.length })
+  reportInfo(context, 'an endpoint is listed', { peer: endpoint, pool, zone, address, leaving, bornAt, models: row.models?.length })
 }
 
 function updateEngine (state: PlacementState, engine: EngineState, row: ListedEndpoint, context: RunContext): void {
   const { listed: { leaving }, models } = engine
   const modelsBefore = [...models].join()
   const { came, went } = applyListed(engine, row, context.now)
-  if (leaving !== row.leaving) logInfo(context, row.leaving ? 'an endpoint is leaving' : 'an endpoint no longer leaves', { peer: row.endpoint, pool: row.pool })
+  if (leaving !== row.leaving) reportInfo(context, row.leaving ? 'an endpoint is leaving' : 'an endpoint no longer leaves', { peer: row.endpoint, pool: row.pool })
   if (leaving !== row.leaving || modelsBefore !== [...models].join()) state.publisher.noteRow(row.endpoint)
   for (const slot of came) state.publisher.noteResidency(row.endpoint, slot, true)
   for (const slot of went) {
     state.publisher.noteResidency(row.endpoint, slot, false)
-    logInfo(context, 'an adapter is gone from an engine', { peer: row.endpoint, adapter: formatSlotKey(slot.model, slot.adapter), version: slot.version })
+    reportInfo(context, 'an adapter is gone from an engine', { peer: row.endpoint, adapter: formatSlotKey(slot.model, slot.adapter), version: slot.version })
   }
 }
 
@@ -146,17 +146,17 @@
   state.totals.clear()
   state.term = term
   if (term === undefined) {
-    logInfo(context, 'this host no longer places adapters', {})
+    reportInfo(context, 'this host no longer places adapters', {})
     return
   }
   state.ordersFrom = context.now + state.opts.handOverMs
   state.nextListAt = context.now
   state.publisher.begin(term)
-  logInfo(context, 'this host places adapters now', { term, ordersInMs: state.opts.handOverMs })
+  reportInfo(context, 'this host places adapters now', { term, ordersInMs: state.opts.handOverMs })
 }
 
 /** The new version is loaded elsewhere first; then the outdated copies go. */
-function replaceOutdated (state: PlacementState, context: RunContext): void {
+function dropOutdated (state: PlacementState, context: RunContext): void {
   for (const engine of state.engines.values()) {
     for (const slot of engine.slots.values()) {
       if (slot.state !== SlotState.RESIDENT || !isOutdated(state, slot) || context.now < slot.unsettledUntil) continue
@@ -207,12 +207,12 @@
   if (context.now >= state.nextListAt) {
     state.nextListAt = context.now + LIST_INTERVAL_MS
     state.opts.pollList()
-    for (const engine of state.engines.values()) settleSlots(state, engine, context.now)
+    for (const engine of state.engines.values()) updateSlots(state, engine, context.now)
   }
   takeOutcomes(state, context)
   runWishes(state, context)
   if (context.now >= state.ordersFrom) {
-    replaceOutdated(state, context)
+    dropOutdated(state, context)
     loadModels(state, context)
     runJobs(state, context)
   }
--- a/fleet/placement/src/placementState.ts
+++ b/fleet/placement/src/placementState.ts
@@ -65,6 +65,8 @@
   readonly since: MonotonicMs
   nextAt: MonotonicMs
   sentAt: MonotonicMs
+  /** When its present step began. */
+  stepSince: MonotonicMs
   accepted: boolean
   calling: boolean
 }
@@ -99,6 +101,6 @@
   return slot.version < state.opts.getVersion(slot.model, slot.adapter)
 }
 
-export function logInfo (context: RunContext, message: string, fields: Readonly<Record<string, unknown>>): void {
+export function reportInfo (context: RunContext, message: string, fields: Readonly<Record<string, unknown>>): void {
   context.emit({ kind: 'log', level: 'info', message, fields: { step: 'placement', ...fields } })
 }
--- a/fleet/placement/test/fakeEngines.ts
+++ b/fleet/placement/test/fakeEngines.ts
@@ -39,7 +39,7 @@
   readonly setTerm: (term: number | undefined) => void
   readonly setVersion: (adapter: string, version: number) => void
   /** Decides what becomes of an order: carried out, lost on its way, or carried out late without an answer. */
-  setFate: (fate: (order: EngineOrder) => 'now' | 'lost' | 'late' | 'unreachable') => void
+  setFate: (fate: (order: EngineOrder) => 'now' | 'lost' | 'late' | 'unreachable' | 'busy') => void
   readonly restart: (id: string) => void
   readonly getNow: () => number
 }
@@ -64,7 +64,7 @@
   let dues: Due[] = []
   let now = 0
   let term: number | undefined = 1
-  let fate: (order: EngineOrder) => 'now' | 'lost' | 'late' | 'unreachable' = () => 'now'
+  let fate: (order: EngineOrder) => 'now' | 'lost' | 'late' | 'unreachable' | 'busy' = () => 'now'
 
   const table: RouteTable = {
     version: 1,
@@ -110,6 +110,7 @@
     const what = fate(order)
     const answer = (outcome: EngineOrderOutcome): void => { dues.push({ at: now + ORDER_MS, act: () => onOutcome(outcome) }) }
     if (engine === undefined || what === 'unreachable') answer('notSent')
+    else if (what === 'busy') answer('busy')
     else if (what === 'now') answer(carryOut(engine, order, fencing))
     else {
       const { born } = engine
--- a/fleet/placement/test/placement.test.ts
+++ b/fleet/placement/test/placement.test.ts
@@ -101,6 +101,29 @@
     expect(answer?.kind === 'load.given' && answer.endpoint !== refused).toEqual(true)
   })
 
+  it('leaves an engine that is busy with another order, and takes back what it was to do there', () => {
+    const fleet = createFakeEngines({ ids: ['e1', 'e2'], places: 3 })
+    fleet.runFor(1_000)
+    for (const adapter of ['a', 'b', 'c', 'd']) {
+      fleet.receive(buildAsk(adapter))
+      fleet.runFor(900)
+    }
+    const before = fleet.orders.length
+    let busy: string | undefined
+    fleet.setFate(() => {
+      const { endpoint } = fleet.orders.at(-1) ?? {}
+      busy ??= endpoint
+      return endpoint === busy ? 'busy' : 'now'
+    })
+    const ask = buildAsk('x')
+    fleet.receive(ask)
+    fleet.runFor(700)
+    const answer = findAnswer(fleet, ask.askId)
+    expect(answer?.kind === 'load.given' && answer.endpoint !== busy).toEqual(true)
+    expect(fleet.orders.slice(before).filter(({ endpoint }) => endpoint === busy).length < 8).toEqual(true)
+    expect(fleet.engines.get(busy ?? '')?.resident.size).toEqual(2)
+  })
+
   it('keeps adapters in use and evicts the least recently used one', () => {
     const fleet = createFakeEngines({ ids: ['e1'], places: 3 })
     fleet.runFor(1_000)
@@ -130,6 +153,7 @@
       fleet.setFate(() => {
         const draw = random.nextFraction()
         if (draw < 0.1) return 'late'
+        if (draw > 0.9) return 'busy'
         return draw < 0.2 ? 'lost' : draw < 0.22 ? 'unreachable' : 'now'
       })
       fleet.runFor(1_000)
--- a/gateway/relay/src/attempt.ts
+++ b/gateway/relay/src/attempt.ts
@@ -8,7 +8,7 @@
 import type { AnswerFacts } from './dialect.ts'
 import type { Exchange, HeldAnswer, Target } from './exchange.ts'
 import { takeEndToEnd } from './headers.ts'
-import { passAnswer } from './passAnswer.ts'
+import { sendAnswer } from './sendAnswer.ts'
 import type { RelayOptions } from './relayOptions.ts'
 
 export type AttemptEnd =
@@ -144,5 +144,5 @@
     attempt.request.destroy()
     return
   }
-  passAnswer(attempt, answer, target.endpoint)
+  sendAnswer(attempt, answer, target.endpoint)
 }
--- a/gateway/relay/src/relay.ts
+++ b/gateway/relay/src/relay.ts
@@ -14,7 +14,7 @@
 import { EndReason, isRepeatable } from './exchange.ts'
 import type { Exchange, Target } from './exchange.ts'
 import { sendFailure } from './ownAnswers.ts'
-import { sendHeld } from './passAnswer.ts'
+import { sendHeld } from './sendAnswer.ts'
 import { createBodyReader } from './readBody.ts'
 import type { BodyReader } from './readBody.ts'
 import type { RelayOptions } from './relayOptions.ts'
@@ -75,7 +75,7 @@
     getActiveCount: () => state.answering.size,
     drain: () => {
       state.draining = true
-      for (const res of state.answering) endConnectionAfter(res)
+      for (const res of state.answering) closeConnectionAfter(res)
     },
     close: () => {
       clearInterval(sweep)
@@ -85,7 +85,7 @@
 }
 
 /** Ends the connection with this answer: by its head where that is not sent yet. */
-function endConnectionAfter (res: ServerResponse): void {
+function closeConnectionAfter (res: ServerResponse): void {
   const { socket } = res
   if (res.headersSent) res.once('finish', () => socket?.end())
   else res.shouldKeepAlive = false
@@ -99,7 +99,7 @@
   }
   state.answering.add(res)
   res.once('close', () => state.answering.delete(res))
-  if (state.draining) endConnectionAfter(res)
+  if (state.draining) closeConnectionAfter(res)
   res.on('error', () => undefined)
   try {
     const arrivedAt = state.opts.clock.getMonotonicMs()
@@ -107,7 +107,7 @@
     await state.opts.waitUntilKnown(Math.min(MAX_KNOWN_WAIT_MS, (facts.deadlineMs ?? Infinity) * KNOWN_WAIT_FRACTION))
     if (res.destroyed) return
     const exchange = beginExchange(state, { req, res, facts, arrivedAt })
-    if (exchange !== undefined) await serve(state, exchange)
+    if (exchange !== undefined) await runExchange(state, exchange)
   } catch (error) {
     state.opts.logger.error('a request failed inside the relay', { step: 'relay', cause: error })
     if (res.headersSent) res.destroy()
@@ -122,7 +122,7 @@
   const refuse = (failure: Failure): undefined => {
     const status = sendFailure(res, failure)
     req.resume()
-    logEnd(state, { requestId: facts.requestId, status, reason: failure.message })
+    reportEnd(state, { requestId: facts.requestId, status, reason: failure.message })
   }
   const routes = opts.directory.getRoutes()
   if (routes === undefined) return refuse({ code: ErrorCode.NOT_SERVING, message: 'no routes are known here yet', step: 'route', ran: 'no', retryAfterMs: RETRY_AFTER_MS })
@@ -154,10 +154,10 @@
   }
 }
 
-async function serve (state: RelayState, exchange: Exchange): Promise<void> {
+async function runExchange (state: RelayState, exchange: Exchange): Promise<void> {
   const { res, endAt } = exchange
-  const timer = setTimeout(() => endExchange(state, exchange, EndReason.TIMEOUT), Math.max(0, endAt - state.opts.clock.getMonotonicMs()))
-  const onClose = (): void => { if (!res.writableFinished) endExchange(state, exchange, EndReason.CALLER_GONE) }
+  const timer = setTimeout(() => finishExchange(state, exchange, EndReason.TIMEOUT), Math.max(0, endAt - state.opts.clock.getMonotonicMs()))
+  const onClose = (): void => { if (!res.writableFinished) finishExchange(state, exchange, EndReason.CALLER_GONE) }
   res.on('close', onClose)
   try {
     const read = await state.bodies.read(exchange, state.opts.directory.getRoutes()?.table.limits.maxBodyBytes ?? 0)
@@ -241,7 +241,7 @@
   const { requestId } = exchange.facts
   const mayTryAnother = isRepeatable(exchange) && exchange.tried.size < exchange.route.maxEndpoints
   if (end.kind === 'delivered') {
-    logEnd(state, { requestId, status: end.status, bytes: end.bytes, ...describeEnd(state, exchange) })
+    reportEnd(state, { requestId, status: end.status, bytes: end.bytes, ...describeEnd(state, exchange) })
     return false
   }
   if (end.kind === 'interrupted') return false
@@ -259,10 +259,10 @@
   const { failure, tried, res, headSent } = exchange
   if (headSent) {
     res.destroy()
-    logEnd(state, { requestId: exchange.facts.requestId, status: 'cut', reason, ...describeEnd(state, exchange) })
+    reportEnd(state, { requestId: exchange.facts.requestId, status: 'cut', reason, ...describeEnd(state, exchange) })
   } else if (failure !== undefined) {
     sendHeld(exchange, failure)
-    logEnd(state, { requestId: exchange.facts.requestId, status: failure.status, reason, ...describeEnd(state, exchange) })
+    reportEnd(state, { requestId: exchange.facts.requestId, status: failure.status, reason, ...describeEnd(state, exchange) })
   } else if (tried.size > 0) {
     finishOwn(state, exchange, { code: ErrorCode.ENDPOINT_FAILED, message: reason, step: 'attempt', ran: 'unknown' })
   } else {
@@ -272,22 +272,22 @@
 
 function finishOwn (state: RelayState, exchange: Exchange, failure: Failure): void {
   const status = sendFailure(exchange.res, failure)
-  logEnd(state, { requestId: exchange.facts.requestId, status, reason: failure.message, ran: failure.ran, retryAfterMs: failure.retryAfterMs, ...describeEnd(state, exchange) })
+  reportEnd(state, { requestId: exchange.facts.requestId, status, reason: failure.message, ran: failure.ran, retryAfterMs: failure.retryAfterMs, ...describeEnd(state, exchange) })
 }
 
 /** Ends an exchange at its timeout, or when its caller has gone. */
-function endExchange (state: RelayState, exchange: Exchange, reason: EndReason): void {
+function finishExchange (state: RelayState, exchange: Exchange, reason: EndReason): void {
   if (exchange.ended !== undefined || exchange.res.writableEnded) return
   exchange.ended = reason
   const { offered } = exchange
   exchange.interrupt?.()
   if (reason === EndReason.CALLER_GONE) {
-    logEnd(state, { requestId: exchange.facts.requestId, status: 'gone', offered, ...describeEnd(state, exchange) })
+    reportEnd(state, { requestId: exchange.facts.requestId, status: 'gone', offered, ...describeEnd(state, exchange) })
     return
   }
   if (exchange.headSent) {
     exchange.res.destroy()
-    logEnd(state, { requestId: exchange.facts.requestId, status: 'cut', reason: TIME_IS_OVER, ...describeEnd(state, exchange) })
+    reportEnd(state, { requestId: exchange.facts.requestId, status: 'cut', reason: TIME_IS_OVER, ...describeEnd(state, exchange) })
   } else {
     const failure: Failure = offered ? { code: ErrorCode.DEADLINE, message: TIME_IS_OVER, step: 'timeout', ran: 'unknown' } : { code: ErrorCode.NO_CAPACITY, message: TIME_IS_OVER, step: 'timeout', ran: 'no', retryAfterMs: RETRY_AFTER_MS }
     finishOwn(state, exchange, failure)
@@ -298,7 +298,7 @@
   return { route: route.name, firstByteMs, longestPauseMs: longestPauseMs === undefined ? undefined : Math.round(longestPauseMs), tookMs: Math.round(opts.clock.getMonotonicMs() - arrivedAt), tried: [...tried], refusedBy: refusedBy.size === 0 ? undefined : [...refusedBy] }
 }
 
-function logEnd ({ opts }: RelayState, fields: Logged): void {
+function reportEnd ({ opts }: RelayState, fields: Logged): void {
   const status = String(fields.status)
   opts.observer.count('answers', { status })
   if (typeof fields.tookMs === 'number') opts.observer.time('request_ms', fields.tookMs, { status: status.slice(0, 1) })
--- a/gateway/relay/src/passAnswer.ts
+++ b/gateway/relay/src/sendAnswer.ts
@@ -20,7 +20,7 @@
 }
 
 /** Passes the lack of a frame on: a body that may have been cut must not get the frame of a whole one. */
-function endWithConnection (res: ServerResponse): void {
+function setUnframed (res: ServerResponse): void {
   res.useChunkedEncodingByDefault = false
   res.shouldKeepAlive = false
 }
@@ -29,22 +29,22 @@
 export function sendHeld ({ res }: Exchange, { status, rawHeaders, body, framed }: HeldAnswer): void {
   const headers = takeEndToEnd(rawHeaders, new Set(['content-length']))
   const isBodiless = status === NO_CONTENT || status === NOT_MODIFIED
-  if (!framed) endWithConnection(res)
+  if (!framed) setUnframed(res)
   res.writeHead(status, isBodiless || !framed ? headers : [...headers, 'Content-Length', String(body.length)])
   res.end(isBodiless ? undefined : body)
 }
 
 /** Reads or passes an answer, by its kind and size. */
-export function passAnswer (attempt: Attempt, answer: IncomingMessage, endpoint: EndpointId): void {
+export function sendAnswer (attempt: Attempt, answer: IncomingMessage, endpoint: EndpointId): void {
   const { route } = attempt.exchange
   const status = answer.statusCode ?? 0
   const bytes = Number(answer.headers['content-length'] ?? 0)
   const isStream = route.kind === RouteKind.STREAM && status < FIRST_ERROR_STATUS
-  if (isStream || bytes > MAX_HELD_ANSWER_BYTES) streamAnswer(attempt, answer)
-  else holdAnswer(attempt, answer, endpoint)
+  if (isStream || bytes > MAX_HELD_ANSWER_BYTES) sendStream(attempt, answer)
+  else readAnswer(attempt, answer, endpoint)
 }
 
-function holdAnswer (attempt: Attempt, answer: IncomingMessage, endpoint: EndpointId): void {
+function readAnswer (attempt: Attempt, answer: IncomingMessage, endpoint: EndpointId): void {
   const { exchange, settle, request, isWhole } = attempt
   const status = answer.statusCode ?? 0
   const parts: Buffer[] = []
@@ -54,7 +54,7 @@
     bytes += chunk.length
     if (bytes <= MAX_HELD_ANSWER_BYTES) return
     answer.removeAllListeners('data').removeAllListeners('end')
-    streamAnswer(attempt, answer, Buffer.concat(parts))
+    sendStream(attempt, answer, Buffer.concat(parts))
   })
   answer.on('end', () => {
     if (!isWhole()) return
@@ -76,7 +76,7 @@
 
 function sendHead (exchange: Exchange, answer: IncomingMessage): void {
   exchange.headSent = true
-  if (!isFramed(answer)) endWithConnection(exchange.res)
+  if (!isFramed(answer)) setUnframed(exchange.res)
   exchange.res.writeHead(answer.statusCode ?? 0, takeEndToEnd(answer.rawHeaders, NONE))
 }
 
@@ -109,7 +109,7 @@
   }
 }
 
-function streamAnswer (attempt: Attempt, answer: IncomingMessage, begun: Buffer = Buffer.alloc(0)): void {
+function sendStream (attempt: Attempt, answer: IncomingMessage, begun: Buffer = Buffer.alloc(0)): void {
   const { exchange, settle, request, isWhole } = attempt
   const splitter = exchange.route.resumable ? createEventSplitter(exchange.lastEventId) : undefined
   const state: StreamState = { attempt, answer, splitter, bytes: 0 }
