Tell loads by region within 4 KB a second a host, and measure the control of a fleet

Cause: npm run measure -- fleet (new) showed the leader at 33.7 MB/s for totals at 560 entry hosts: every total to every host grows with their square. Change: a region's hosts get their own endpoints' totals, in rounds whose pause follows their size. Tests: fleet/placement loadTotals.

--- a/fleet/placement/src/loadTotals.ts
+++ b/fleet/placement/src/loadTotals.ts
@@ -1,18 +1,35 @@
-/** Requests under way at each endpoint, over all entry hosts, and their way back to these. */
-import type { EndpointId, HostId, MonotonicMs } from '@catkinferry/core.types'
+/** Requests under way at each endpoint, over all entry hosts, and their way back to the hosts of the endpoint's region. */
+import type { EndpointId, HostId, MonotonicMs, RegionId } from '@catkinferry/core.types'
 import type { RunContext } from '@catkinferry/host.events'
 import type { AdapterUse } from '@catkinferry/wire.messages'
 import { USE_REPORT_MS } from './constants.ts'
 
-/** How often changed totals are handed out, and how often all. */
-const CHANGES_INTERVAL_MS = 400
-const WHOLE_INTERVAL_MS = 4_000
+/** Shortest pause between two rounds. */
+const MIN_INTERVAL_MS = 400
+/** Bytes of one total, and of totals that a host may get in a second: under half of what it may spend on control. */
+const ROW_BYTES = 16
+const BYTES_PER_SECOND = 4_000
+const MS_PER_SECOND = 1_000
+/** Every so many rounds all totals are told, not only those that have changed. */
+const WHOLE_ROUNDS = 10
 
 interface Report {
   readonly at: MonotonicMs
   readonly running: ReadonlyMap<EndpointId, number>
 }
 
+/** The rounds of one region. */
+interface Round {
+  nextAt: MonotonicMs
+  count: number
+  told: ReadonlyMap<EndpointId, number>
+}
+
+export interface LoadTotalsOptions {
+  readonly getHostRegion: (host: HostId) => RegionId | undefined
+  readonly getEndpointRegion: (endpoint: EndpointId) => RegionId | undefined
+}
+
 export interface LoadTotals {
   /** Takes what a host runs now; it replaces the host's report before. */
   readonly receive: (from: HostId, uses: readonly AdapterUse[], now: MonotonicMs) => void
@@ -22,26 +39,53 @@
   readonly getNextAt: () => MonotonicMs
 }
 
+function groupHosts (hosts: readonly HostId[], getRegion: LoadTotalsOptions['getHostRegion']): Map<RegionId, HostId[]> {
+  const groups = new Map<RegionId, HostId[]>()
+  for (const host of hosts) {
+    const region = getRegion(host)
+    if (region === undefined) continue
+    const group = groups.get(region)
+    if (group === undefined) groups.set(region, [host])
+    else group.push(host)
+  }
+  return groups
+}
+
+function listChanges (totals: ReadonlyMap<EndpointId, number>, told: ReadonlyMap<EndpointId, number>): Array<readonly [EndpointId, number]> {
+  const changed = [...totals].filter(([endpoint, count]) => told.get(endpoint) !== count)
+  const ended = [...told].filter(([endpoint, count]) => count !== 0 && !totals.has(endpoint)).map(([endpoint]) => [endpoint, 0] as const)
+  return [...changed, ...ended]
+}
+
 /** Creates totals without reports. */
-export function createLoadTotals (): LoadTotals {
+export function createLoadTotals (opts: LoadTotalsOptions): LoadTotals {
   const reports = new Map<HostId, Report>()
+  const rounds = new Map<RegionId, Round>()
   let totals = new Map<EndpointId, number>()
-  let told = new Map<EndpointId, number>()
-  let changesAt = 0
-  let wholeAt = 0
+  let updateAt = 0
 
   function updateTotals (now: MonotonicMs): void {
+    updateAt = now + MIN_INTERVAL_MS
     totals = new Map()
     for (const [host, { at, running }] of reports) {
       if (now - at > USE_REPORT_MS) reports.delete(host)
-      else for (const [endpoint, count] of running) totals.set(endpoint, (totals.get(endpoint) ?? 0) + count)
+      else for (const [endpoint, count] of running) if (count > 0) totals.set(endpoint, (totals.get(endpoint) ?? 0) + count)
     }
   }
 
-  function listChanges (): Array<readonly [EndpointId, number]> {
-    const changed = [...totals].filter(([endpoint, count]) => told.get(endpoint) !== count)
-    const ended = [...told].filter(([endpoint, count]) => count !== 0 && !totals.has(endpoint)).map(([endpoint]) => [endpoint, 0] as const)
-    return [...changed, ...ended]
+  function sendRound (region: RegionId, hosts: readonly HostId[], context: RunContext): void {
+    const round = rounds.get(region) ?? { nextAt: 0, count: 0, told: new Map() }
+    rounds.set(region, round)
+    if (context.now < round.nextAt) return
+    const own = new Map([...totals].filter(([endpoint]) => opts.getEndpointRegion(endpoint) === region))
+    const whole = round.count % WHOLE_ROUNDS === 0
+    const running = whole ? [...own] : listChanges(own, round.told)
+    round.count += 1
+    round.told = own
+    round.nextAt = context.now + Math.max(MIN_INTERVAL_MS, running.length * ROW_BYTES * MS_PER_SECOND / BYTES_PER_SECOND)
+    if (running.length === 0 && !whole) return
+    const message = { kind: 'fleet.load', whole, running } as const
+    for (const host of hosts) context.send(host, message)
   }
 
   return {
@@ -52,23 +96,15 @@
     },
     get: endpoint => totals.get(endpoint) ?? 0,
     flush: (context, hosts) => {
-      if (context.now < changesAt) return
-      changesAt = context.now + CHANGES_INTERVAL_MS
+      if (context.now < updateAt) return
       updateTotals(context.now)
-      const whole = context.now >= wholeAt
-      if (whole) wholeAt = context.now + WHOLE_INTERVAL_MS
-      const running = whole ? [...totals].filter(([, count]) => count > 0) : listChanges()
-      told = new Map(totals)
-      if (running.length === 0 && !whole) return
-      const message = { kind: 'fleet.load', whole, running } as const
-      for (const host of hosts) context.send(host, message)
+      for (const [region, group] of groupHosts(hosts, opts.getHostRegion)) sendRound(region, group, context)
     },
     clear: () => {
       reports.clear()
+      rounds.clear()
       totals = new Map()
-      told = new Map()
-      wholeAt = 0
     },
-    getNextAt: () => changesAt
+    getNextAt: () => updateAt
   }
 }
--- a/fleet/placement/src/placement.ts
+++ b/fleet/placement/src/placement.ts
@@ -49,7 +49,13 @@
       getRegion: opts.getRegion,
       isEngine: pool => opts.getRoutes()?.pools.find(({ name }) => name === pool)?.engine !== undefined
     }),
-    totals: createLoadTotals(),
+    totals: createLoadTotals({
+      getHostRegion: host => opts.getPlace(host)?.region,
+      getEndpointRegion: endpoint => {
+        const engine = engines.get(endpoint)
+        return engine === undefined ? undefined : opts.getRegion(engine.listed.zone)
+      }
+    }),
     outcomes: []
   }
   return {
--- a/fleet/placement/test/loadTotals.test.ts
+++ b/fleet/placement/test/loadTotals.test.ts
@@ -7,13 +7,13 @@
 type Load = Extract<FleetMessage, { kind: 'fleet.load' }>
 
 function createStand () {
-  const totals = createLoadTotals()
+  const totals = createLoadTotals({ getHostRegion: host => host === 'far' ? 'r2' : 'r1', getEndpointRegion: endpoint => endpoint.startsWith('far') ? 'r2' : 'r1' })
   const sent: Load[] = []
   return {
     totals,
-    flush: (now: number): Load | undefined => {
+    flush: (now: number, hosts: readonly string[] = ['e1']): Load | undefined => {
       const context: RunContext = { now, wallNow: now, emit: () => undefined, send: (_to: string, message: PeerMessage) => { sent.push(message as Load) } }
-      totals.flush(context, ['e1'])
+      totals.flush(context, hosts)
       return sent.pop()
     }
   }
@@ -30,10 +30,27 @@
     totals.receive('h1', [use('a', 3)], 400)
     totals.receive('h2', [use('a', 4)], 400)
     expect(flush(400)).toEqual({ kind: 'fleet.load', whole: false, running: [['b', 0]] })
+    for (let now = 800; now < 4_000; now += 400) flush(now)
     totals.receive('h1', [use('a', 1)], 4_000)
     expect(flush(4_000)).toEqual({ kind: 'fleet.load', whole: true, running: [['a', 1]] })
   })
 
+  it('tells a region of its own endpoints', () => {
+    const { totals, flush } = createStand()
+    totals.receive('h1', [use('a', 2), use('far-1', 3)], 0)
+    expect(flush(0, ['far'])).toEqual({ kind: 'fleet.load', whole: true, running: [['far-1', 3]] })
+  })
+
+  it('tells no host more than 4 KB a second, however many endpoints there are', () => {
+    const { totals, flush } = createStand()
+    let rows = 0
+    for (let now = 0; now < 60_000; now += 400) {
+      totals.receive('h1', Array.from({ length: 2_000 }, (_, index) => use(`i-${index}`, 1 + now % 1_200)), now)
+      rows += flush(now)?.running.length ?? 0
+    }
+    expect(rows > 10_000 && rows * 16 / 60 <= 4_500).toEqual(true)
+  })
+
   it('forgets a host that fell silent', () => {
     const { totals, flush } = createStand()
     totals.receive('h1', [use('a', 2)], 0)
--- a/testing/measure/src/experiments/index.ts
+++ b/testing/measure/src/experiments/index.ts
@@ -4,6 +4,7 @@
 import { relay } from './relay.ts'
 import { core } from './core.ts'
 import { dissemination } from './dissemination.ts'
+import { fleet } from './fleet.ts'
 import { memory } from './memory.ts'
 import { policyExperiment } from './policy.ts'
 import { settings } from './settings.ts'
@@ -17,5 +18,6 @@
   policy: policyExperiment,
   settings,
   recovery,
-  capacity
+  capacity,
+  fleet
 }
