Keep a leader whose followers' disks stand still, and let the recovery measurement follow the leader

Cause, traced: npm run measure -- recovery ended in notLeader while 120,000 adapters were submitted. Ruled out: held loops (no gap over 0.2 s, no run over 0.12 s before it) and links. Change: a voter shows at once that it hears a heartbeat, claiming no entry and no read. The measurement's client follows the leader. Test: consensus/log-machine 'keeps its leader while the disks of all others stand still' (fails before at seed 1).

--- a/consensus/log-machine/src/followers.ts
+++ b/consensus/log-machine/src/followers.ts
@@ -3,7 +3,8 @@
 import type { ConsensusMessage, LogEntry } from '@catkinferry/wire.messages'
 import { addEntries, replaceEntries, sendAfterDisk } from './disk.ts'
 import { resetToFollower } from './elections.ts'
-import { computeElectionAt, Role } from './state.ts'
+import { findMember } from './membership.ts'
+import { computeElectionAt, getMembership, Role } from './state.ts'
 import type { MachineContext, MachineState } from './state.ts'
 
 type Append = Extract<ConsensusMessage, { kind: 'consensus.append' }>
@@ -29,6 +30,7 @@
     return
   }
   takeEntries(state, message, context)
+  if (message.entries.length === 0) sendLiveness(state, from, context)
   const matchIndex = message.previousIndex + message.entries.length
   state.commitIndex = Math.max(state.commitIndex, Math.min(message.commitIndex, matchIndex))
   if (holdsCommitted(state, message)) state.caughtUpAt = context.now
@@ -72,3 +74,15 @@
   const { group, incarnation, term } = state
   sendAfterDisk(state, to, { kind: 'consensus.appendAnswer', group, incarnation, term, ...answer }, context)
 }
+
+/**
+ * Shows a leader at once that this voter hears it, while the answer itself waits for a slow disk. It claims no entry and
+ * no read round, so nothing is committed or read by it; without it a disk that stands still looks like a lost voter.
+ */
+function sendLiveness (state: MachineState, to: HostId, context: MachineContext): void {
+  const { group, incarnation, term, host } = state
+  const isAnsweredAtOnce = state.durableWriteId >= state.lastLogWriteId
+  const isBound = findMember(getMembership(state), host)?.incarnation === incarnation
+  if (isAnsweredAtOnce || !isBound) return
+  context.send(to, { kind: 'consensus.appendAnswer', group, incarnation, term, success: true, matchIndex: 0, readRound: 0 })
+}
--- a/consensus/log-machine/test/logMachine.test.ts
+++ b/consensus/log-machine/test/logMachine.test.ts
@@ -93,6 +93,23 @@
     expect(group.getMember(leader).applied).toEqual(['x'])
   })
 
+  it('keeps its leader while the disks of all others stand still for longer than an election takes', () => {
+    for (let seed = 1; seed <= 20; seed++) {
+      const group = createGroup({ seed, hosts: HOSTS })
+      const leader = electLeader(group)
+      const { term } = group.getMachine(leader).getState()
+      group.diskHooks.slowMs = 3_000
+      for (let count = 0; count < 20; count++) {
+        group.propose(leader, `x${count}`)
+        group.runFor(200)
+      }
+      expect({ seed, leader: group.findLeader(), term: group.getMachine(leader).getState().term }).toEqual({ seed, leader, term })
+      delete group.diskHooks.slowMs
+      group.runFor(6_000)
+      expect(group.getMember(leader).applied.length).toEqual(20)
+    }
+  })
+
   it('commits nothing before a majority has synced', () => {
     const group = createGroup({ seed: 5, hosts: HOSTS })
     const leader = electLeader(group)
--- a/testing/measure/src/recovery/voterNodes.ts
+++ b/testing/measure/src/recovery/voterNodes.ts
@@ -7,6 +7,9 @@
 const POLL_MS = 2
 const ANSWER_TIMEOUT_MS = 60_000
 const MAX_UNDER_WAY = 256
+/** A client asks again after this, so often at most. */
+const REFUSED_PAUSE_MS = 50
+const MAX_TRIES = 100
 
 export interface VoterNodes {
   readonly start: (host: string) => Promise<VoterNode>
@@ -46,9 +49,17 @@
     return find() as VoterNode
   }
 
-  async function submitOne (leader: VoterNode, command: Command): Promise<void> {
-    const answer = await leader.submit(command, ANSWER_TIMEOUT_MS)
-    if (answer?.kind !== 'command.outcome' || answer.outcome.kind !== 'settings.accepted') throw new Error(`a change was not accepted: ${JSON.stringify(answer)}`)
+  /** Follows the leader as a client must: a refusal for want of it proves that nothing was committed, so the same change is sent again. */
+  async function submitOne (first: VoterNode, command: Command): Promise<void> {
+    let leader = first
+    for (let tries = 0; tries < MAX_TRIES; tries++) {
+      const answer = await leader.submit(command, ANSWER_TIMEOUT_MS)
+      if (answer?.kind === 'command.outcome' && answer.outcome.kind === 'settings.accepted') return
+      if (answer?.kind !== 'command.refused') throw new Error(`a change was not accepted: ${JSON.stringify(answer)}`)
+      await new Promise(resolve => setTimeout(resolve, REFUSED_PAUSE_MS))
+      leader = await waitForLeader()
+    }
+    throw new Error(`a change was refused ${MAX_TRIES} times for want of a leader`)
   }
 
   return {
