--- a/core/types/src/index.ts
+++ b/core/types/src/index.ts
@@ -1,4 +1,5 @@
 /** Types that all packages share. */
+export * from './addresses.ts'
 export * from './ids.ts'
 export * from './requests.ts'
 export * from './endpoints.ts'
--- a/daemon/fleet/src/callerServer.ts
+++ b/daemon/fleet/src/callerServer.ts
@@ -4,6 +4,7 @@
 import type { RequestListener, Server } from 'node:http'
 import { Server as NetServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
+import { parseAddress } from '@catkinferry/core.types'
 import type { CallerLimits } from '@catkinferry/core.types'
 
 /** Bounds until a configuration says otherwise. */
@@ -13,6 +14,8 @@
 /** A caller's body must have come whole by then. */
 const BODY_TIMEOUT_MS = 60_000
 const CHECK_INTERVAL_MS = 1_000
+/** Connections that wait to be taken, at most. */
+const BACKLOG = 1_024
 
 export interface CallerServer {
   readonly setLimits: (limits: CallerLimits) => void
@@ -34,7 +37,6 @@
 
 /** Opens the listener at `ip:port`. */
 export async function openCallerServer (address: string, handle: RequestListener): Promise<CallerServer> {
-  const colon = address.lastIndexOf(':')
   const server: Server = createServer({
     maxHeaderSize: MAX_HEADER_BYTES,
     noDelay: true,
@@ -56,7 +58,7 @@
     connection.answers += 1
     res.once('close', () => { connection.answers -= 1 })
   })
-  server.listen({ host: address.slice(0, colon), port: Number(address.slice(colon + 1)), backlog: 1024 })
+  server.listen({ ...parseAddress(address), backlog: BACKLOG })
   await once(server, 'listening')
   const bound = server.address() as AddressInfo
   return {
--- a/daemon/main/src/listeners.ts
+++ b/daemon/main/src/listeners.ts
@@ -4,6 +4,7 @@
 import type { RequestListener, Server } from 'node:http'
 import { Server as NetServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
+import { parseAddress } from '@catkinferry/core.types'
 
 export interface Listener {
   /** `http://ip:port` as bound. */
@@ -19,12 +20,6 @@
 const KEEP_ALIVE_TIMEOUT_MS = 30_000
 const MAX_CONNECTIONS = 16_384
 
-/** Splits `ip:port`, with brackets around an IP of version 6. */
-export function parseAddress (address: string): { readonly host: string, readonly port: number } {
-  const colon = address.lastIndexOf(':')
-  return { host: address.slice(0, colon).replace(/^\[|\]$/g, ''), port: Number(address.slice(colon + 1)) }
-}
-
 function getUrl (server: Server): string {
   const { address, family, port } = server.address() as AddressInfo
   return family === 'IPv6' ? `http://[${address}]:${port}` : `http://${address}:${port}`
--- a/daemon/main/src/startHost.ts
+++ b/daemon/main/src/startHost.ts
@@ -15,7 +15,7 @@
 import { startDaemon } from './daemon.ts'
 import type { Daemon, HostViews } from './daemon.ts'
 import type { Disk } from './disk.ts'
-import { parseAddress } from './listeners.ts'
+import { parseAddress } from '@catkinferry/core.types'
 import { openLinks } from './openLinks.ts'
 
 export interface StartHostOptions {
--- a/fleet/placement/src/jobs.ts
+++ b/fleet/placement/src/jobs.ts
@@ -90,7 +90,7 @@
   state.opts.sendOrder({ endpoint, address, order, fencing: state.term ?? 0, onOutcome: outcome => { state.outcomes.push({ job, outcome }) } })
 }
 
-/** Takes in the answers to orders. Gives the engines that have what was ordered now. */
+/** Takes in the answers to orders. */
 export function takeOutcomes (state: PlacementState, context: RunContext): void {
   for (const { job, outcome } of state.outcomes.splice(0)) {
     if (state.jobs.get(job.key) !== job) continue
--- a/gateway/relay/src/attempt.ts
+++ b/gateway/relay/src/attempt.ts
@@ -1,8 +1,8 @@
 /** Sends a request to one endpoint and says for certain what became of it there. */
 import { request } from 'node:http'
 import type { ClientRequest, IncomingMessage } from 'node:http'
-import { isIP } from 'node:net'
 import type { Socket } from 'node:net'
+import { parseAddress } from '@catkinferry/core.types'
 import type { MonotonicMs } from '@catkinferry/core.types'
 import { CONNECT_TIMEOUT_MS } from './constants.ts'
 import type { AnswerFacts } from './dialect.ts'
@@ -45,13 +45,6 @@
 /** HTTP status of an endpoint that lacks the adapter or is another one. */
 const MISDIRECTED = 421
 
-function splitAddress (address: string): { readonly host: string, readonly port: number } {
-  const colon = address.lastIndexOf(':')
-  const host = address.slice(0, colon)
-  if (isIP(host) === 0) throw new RangeError(`'${address}' is no IP and port`)
-  return { host, port: Number(address.slice(colon + 1)) }
-}
-
 function buildHeaders ({ relay, exchange, target }: SendOptions): string[] {
   const { dialect, clock } = relay
   const { req, route, facts, endAt, body, lastEventId } = exchange
@@ -80,7 +73,7 @@
     let socketFailed = false
     let socketInUse: Socket | undefined
     const onSocketError = (): void => { socketFailed = true }
-    const outgoing = request({ ...splitAddress(link.address), agent: link.agent, method: req.method, path: req.url, headers: buildHeaders(opts), setHost: false })
+    const outgoing = request({ ...parseAddress(link.address), agent: link.agent, method: req.method, path: req.url, headers: buildHeaders(opts), setHost: false })
     const connectTimer = setTimeout(() => { if (!connected) fail('no connection was established in time') }, CONNECT_TIMEOUT_MS)
 
     function settle (end: AttemptEnd): void {
--- a/gateway/relay/src/headers.ts
+++ b/gateway/relay/src/headers.ts
@@ -23,6 +23,16 @@
   return kept
 }
 
+/** Bytes of the header lines as a caller sent them. */
+export function countHeaderBytes (rawHeaders: readonly string[]): number {
+  let bytes = 0
+  for (const text of rawHeaders) bytes += text.length + LINE_EXTRA_BYTES
+  return bytes
+}
+
+/** Colon and space after a name, line end after a value. */
+const LINE_EXTRA_BYTES = 2
+
 const MS_PER_SECOND = 1_000
 
 /** Formats a pause for `Retry-After`, in seconds with fractions. */
--- a/gateway/relay/src/ownAnswers.ts
+++ b/gateway/relay/src/ownAnswers.ts
@@ -9,6 +9,7 @@
   [ErrorCode.BAD_REQUEST]: 400,
   [ErrorCode.NOT_FOUND]: 404,
   [ErrorCode.TOO_LARGE]: 413,
+  [ErrorCode.HEADERS_TOO_LARGE]: 431,
   [ErrorCode.NOT_SERVING]: 503,
   [ErrorCode.NO_CAPACITY]: 503,
   [ErrorCode.DEADLINE]: 504,
--- a/gateway/relay/src/relay.ts
+++ b/gateway/relay/src/relay.ts
@@ -13,6 +13,7 @@
 import type { EndpointLinks } from './endpointLinks.ts'
 import { EndReason, isRepeatable } from './exchange.ts'
 import type { Exchange, Target } from './exchange.ts'
+import { countHeaderBytes } from './headers.ts'
 import { sendFailure } from './ownAnswers.ts'
 import { sendHeld } from './sendAnswer.ts'
 import { createBodyReader } from './readBody.ts'
@@ -126,6 +127,7 @@
   }
   const routes = opts.directory.getRoutes()
   if (routes === undefined) return refuse({ code: ErrorCode.NOT_SERVING, message: 'no routes are known here yet', step: 'route', ran: 'no', retryAfterMs: RETRY_AFTER_MS })
+  if (countHeaderBytes(req.rawHeaders) > routes.table.limits.maxHeaderBytes) return refuse({ code: ErrorCode.HEADERS_TOO_LARGE, message: 'the headers are too large', step: 'route', ran: 'no' })
   const path = req.url ?? ''
   const query = path.indexOf('?')
   const route = routes.matcher.match(req.headers.host ?? '', query === -1 ? path : path.slice(0, query))
--- a/gateway/relay/test/relay.test.ts
+++ b/gateway/relay/test/relay.test.ts
@@ -37,11 +37,12 @@
     expect(left <= 700 && left > 500).toEqual(true)
   })
 
-  it('is nothing where no route matches or the body is too large', async () => {
+  it('is nothing where no route matches or body or headers are too large', async () => {
     const endpoint = await startEndpoint('e1', (req, res) => answerOk(req, res))
     const { call } = await start({ endpoints: [endpoint], maxBodyBytes: 10 })
     expect((await call({ path: '/other/' })).status).toEqual(404)
     expect((await call({ body: 'x'.repeat(11) })).status).toEqual(413)
+    expect((await call({ body: '', headers: { 'X-Long': 'x'.repeat(10_001) } })).status).toEqual(431)
     expect(endpoint.seen).toEqual([])
   })
 })
--- a/wire/peer-links/src/incomingLinks.ts
+++ b/wire/peer-links/src/incomingLinks.ts
@@ -4,6 +4,7 @@
 import { createServer as createTlsServer } from 'node:tls'
 import type { Server as TlsServer, TLSSocket } from 'node:tls'
 import type { Logger } from '@catkinferry/core.logger'
+import { parseAddress } from '@catkinferry/core.types'
 import type { HostId, MonotonicMs } from '@catkinferry/core.types'
 import { createFrameReader, encodeFrame } from '@catkinferry/wire.frames'
 import type { FrameReader } from '@catkinferry/wire.frames'
@@ -14,7 +15,6 @@
 import { MAX_HELLO_BYTES, MAX_INCOMING_LINKS, OPEN_TIMEOUT_MS } from './constants.ts'
 import { checkHello, createHello } from './hello.ts'
 import type { LinkMessage } from './hello.ts'
-import { parseAddress } from './outgoingLink.ts'
 
 export interface IncomingLinksOptions {
   readonly self: HostId
--- a/wire/peer-links/src/outgoingLink.ts
+++ b/wire/peer-links/src/outgoingLink.ts
@@ -4,6 +4,7 @@
 import { connect as connectTls } from 'node:tls'
 import type { TLSSocket } from 'node:tls'
 import type { Logger } from '@catkinferry/core.logger'
+import { parseAddress } from '@catkinferry/core.types'
 import type { HostId } from '@catkinferry/core.types'
 import { createFrameReader, encodeFrame } from '@catkinferry/wire.frames'
 import { isCertifiedFor } from './certificates.ts'
@@ -44,12 +45,6 @@
   readonly opened: number
 }
 
-/** Splits `ip:port`; an IPv6 address stands in brackets. */
-export function parseAddress (address: string): { host: string, port: number } {
-  const at = address.lastIndexOf(':')
-  return { host: address.slice(0, at).replace(/^\[|\]$/g, ''), port: Number(address.slice(at + 1)) }
-}
-
 function encodeLinkMessage (message: LinkMessage): Uint8Array {
   const frame = encodeFrame(message)
   if (!frame.ok) throw new Error(frame.failure.message)
