Load from the store in proportion to the rate that the configuration gives

Not ruled out: places. Change: 2.5 loads for each base model a second that the store allows, 8 at least. Test: fleet/placement 'has up to 20 adapters on their way' (16 before).

--- a/fleet/placement/src/constants.ts
+++ b/fleet/placement/src/constants.ts
@@ -27,8 +27,12 @@
 /** Adapters on their way to one engine at most; the engine refuses more. */
 export const MAX_LOADS_PER_ENDPOINT = 4
 
-/** Adapters on their way from the store to all engines at most; beyond that each takes longer. */
-export const MAX_STORE_LOADS = 16
+/**
+ * Adapters on their way from the store at once, for each base model a second that it allows, and at least. Beyond what the
+ * store carries each takes longer, so that more gain nothing.
+ */
+export const STORE_LOADS_PER_MODEL_RATE = 2.5
+export const MIN_STORE_LOADS = 8
 
 /** Places of an engine that stay empty, so that a load that was not known of does not overfill it. */
 export const SPARE_PLACES = 1
--- a/fleet/placement/src/wishes.ts
+++ b/fleet/placement/src/wishes.ts
@@ -1,10 +1,10 @@
 /** Adapters that are wanted: each is given where it is resident, or loaded. */
-import type { AdapterName, EndpointId, ModelId, MonotonicMs } from '@catkinferry/core.types'
+import type { AdapterName, EndpointId, EnginePool, ModelId, MonotonicMs } from '@catkinferry/core.types'
 import { formatPlacedKey } from '@catkinferry/core.types'
 import type { RunContext } from '@catkinferry/host.events'
 import { chooseEngine } from './chooseEngine.ts'
 import type { EngineChoice } from './chooseEngine.ts'
-import { COPY_EVICT_IDLE_MS, EVICT_IDLE_MS, MAX_STORE_LOADS, MIN_REMAINING_MS, REFUSED_RETRY_MS } from './constants.ts'
+import { COPY_EVICT_IDLE_MS, EVICT_IDLE_MS, MIN_REMAINING_MS, MIN_STORE_LOADS, REFUSED_RETRY_MS, STORE_LOADS_PER_MODEL_RATE } from './constants.ts'
 import { formatSlotKey, SlotState } from './engineState.ts'
 import type { EngineState } from './engineState.ts'
 import { beginLoad } from './jobs.ts'
@@ -108,6 +108,11 @@
   return count
 }
 
+/** Adapters that may be on their way from the store at once. */
+function computeStoreLimit ({ modelLoadsPerSecond }: EnginePool): number {
+  return Math.max(MIN_STORE_LOADS, Math.ceil(modelLoadsPerSecond * STORE_LOADS_PER_MODEL_RATE))
+}
+
 function tryWish (state: PlacementState, wish: Wish, context: RunContext): boolean {
   const engines = listPoolEngines(state, wish.pool)
   const [holder] = listHolders(wish, engines).toSorted((a, b) => state.totals.get(a.listed.endpoint) - state.totals.get(b.listed.endpoint))
@@ -125,7 +130,7 @@
     getRegion: state.opts.getRegion,
     getRunning: state.totals.get
   }) ?? chooseReplacement(state, wish, engines, context.now)
-  if (choice === undefined || (!choice.isHeld && countStoreLoads(state) >= MAX_STORE_LOADS)) return false
+  if (choice === undefined || (!choice.isHeld && countStoreLoads(state) >= computeStoreLimit(pool))) return false
   beginLoad(state, wish, choice, context)
   return false
 }
--- a/fleet/placement/test/fakeEngines.ts
+++ b/fleet/placement/test/fakeEngines.ts
@@ -51,10 +51,12 @@
   readonly lagMs?: number
   readonly lateMs?: number
   readonly handOverMs?: number
+  /** Loads of base models that the store allows a second. */
+  readonly modelLoadsPerSecond?: number
 }
 
 export function createFakeEngines (opts: FakeEnginesOptions): FakeEngines {
-  const { places, lagMs = 800, lateMs = 3_000, handOverMs = 0 } = opts
+  const { places, lagMs = 800, lateMs = 3_000, handOverMs = 0, modelLoadsPerSecond = 2 } = opts
   const engines = new Map<string, Engine>(opts.ids.map(id => [id, { id, born: 1, highestFence: 0, hasModel: true, resident: new Map(), loading: new Map(), busyWith: new Set() }]))
   const versions = new Map<string, number>()
   const lists: { at: number, listed: ListedEndpoint[] }[] = []
@@ -69,7 +71,7 @@
   const table: RouteTable = {
     version: 1,
     routes: [],
-    pools: [{ name: POOL, healthPath: '/', maxConnections: 10, engine: { batchLimit: 8, weightsMb: 100, adapterPlaces: places, modelLoadsPerSecond: 2, models: [{ model: MODEL, weightsMb: 50, loadMs: 500, adapterMb: 1 }] } }],
+    pools: [{ name: POOL, healthPath: '/', maxConnections: 10, engine: { batchLimit: 8, weightsMb: 100, adapterPlaces: places, modelLoadsPerSecond, models: [{ model: MODEL, weightsMb: 50, loadMs: 500, adapterMb: 1 }] } }],
     limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
   }
 
--- a/fleet/placement/test/placement.test.ts
+++ b/fleet/placement/test/placement.test.ts
@@ -124,6 +124,17 @@
     expect(fleet.engines.get(busy ?? '')?.resident.size).toEqual(2)
   })
 
+  for (const [rate, most] of [[2, 8], [8, 20]] as const) {
+    it(`has up to ${most} adapters on their way where the store allows ${rate} base models a second`, () => {
+      const fleet = createFakeEngines({ ids: ['e1', 'e2', 'e3', 'e4', 'e5', 'e6'], places: 10, modelLoadsPerSecond: rate })
+      fleet.runFor(1_000)
+      for (let index = 0; index < 24; index += 1) fleet.receive(buildAsk(`a${index}`))
+      fleet.runFor(150)
+      const onTheirWay = [...fleet.engines.values()].reduce((sum, { loading }) => sum + loading.size, 0)
+      expect(onTheirWay).toEqual(most)
+    })
+  }
+
   it('keeps adapters in use and evicts the least recently used one', () => {
     const fleet = createFakeEngines({ ids: ['e1'], places: 3 })
     fleet.runFor(1_000)
