--- a/fleet/directory/src/fleetLoads.ts
+++ b/fleet/directory/src/fleetLoads.ts
@@ -1,5 +1,5 @@
 /** Requests that other hosts run at each endpoint, as the leader last told. */
-import type { EndpointId, MonotonicMs } from '@catkinferry/core.types'
+import type { EndpointId, MonotonicMs, RegionId } from '@catkinferry/core.types'
 import type { FleetMessage } from '@catkinferry/wire.messages'
 
 /** Requests of other entry hosts at an endpoint. */
@@ -17,11 +17,11 @@
 
 /** Creates an empty table. */
 export function createFleetLoads (): FleetLoads {
-  const loads = new Map<EndpointId, OthersLoad>()
+  const loads = new Map<EndpointId, OthersLoad & { readonly region: RegionId }>()
   return {
-    receive: ({ whole, running }, now, getOwn) => {
-      if (whole) loads.clear()
-      for (const [endpoint, count] of running) loads.set(endpoint, { running: Math.max(0, count - getOwn(endpoint)), at: now })
+    receive: ({ region, whole, running }, now, getOwn) => {
+      if (whole) for (const [endpoint, load] of loads) if (load.region === region) loads.delete(endpoint)
+      for (const [endpoint, count] of running) loads.set(endpoint, { region, running: Math.max(0, count - getOwn(endpoint)), at: now })
     },
     get: endpoint => loads.get(endpoint)
   }
--- a/fleet/placement/src/constants.ts
+++ b/fleet/placement/src/constants.ts
@@ -37,6 +37,10 @@
 export const STORE_LOADS_PER_MODEL_RATE = 2.5
 export const MIN_STORE_LOADS = 8
 
+/** Callers that wait for one adapter for each engine beyond the first that loads it at once, and such engines at most. */
+export const WAITERS_PER_EXTRA_LOAD = 4
+export const MAX_EXTRA_LOADS = 3
+
 /** Places of an engine that stay empty, so that a load that was not known of does not overfill it. */
 export const SPARE_PLACES = 1
 
--- a/fleet/placement/src/loadTotals.ts
+++ b/fleet/placement/src/loadTotals.ts
@@ -1,14 +1,21 @@
-/** Requests under way at each endpoint, over all entry hosts, and their way back to the hosts of the endpoint's region. */
+/**
+ * Requests under way at each endpoint, over all entry hosts, and their way back to the hosts: those of the endpoint's region are
+ * told first and most often, the others as far as their share of bytes goes.
+ */
 import type { EndpointId, HostId, MonotonicMs, RegionId } from '@catkinferry/core.types'
 import type { RunContext } from '@catkinferry/host.events'
 import type { AdapterUse } from '@catkinferry/wire.messages'
 import { USE_REPORT_MS } from './constants.ts'
 
 /** Shortest pause between two rounds. */
-const MIN_INTERVAL_MS = 400
-/** Bytes of one total, and of totals that a host may get in a second: under half of what it may spend on control. */
+const MIN_INTERVAL_MS = 200
+/**
+ * Bytes of one total, and of totals that a host may get in a second, for its own region and for all others: together under half
+ * of what it may spend on control.
+ */
 const ROW_BYTES = 16
-const BYTES_PER_SECOND = 4_000
+const OWN_BYTES_PER_SECOND = 2_500
+const FAR_BYTES_PER_SECOND = 1_500
 const MS_PER_SECOND = 1_000
 /** Every so many rounds all totals are told, not only those that have changed. */
 const WHOLE_ROUNDS = 10
@@ -18,7 +25,7 @@
   readonly running: ReadonlyMap<EndpointId, number>
 }
 
-/** The rounds of one region. */
+/** The rounds to the hosts of one region about the endpoints of one. */
 interface Round {
   nextAt: MonotonicMs
   count: number
@@ -60,9 +67,11 @@
 /** Creates totals without reports. */
 export function createLoadTotals (opts: LoadTotalsOptions): LoadTotals {
   const reports = new Map<HostId, Report>()
-  const rounds = new Map<RegionId, Round>()
+  const rounds = new Map<string, Round>()
   let totals = new Map<EndpointId, number>()
   let updateAt = 0
+  /** Regions with endpoints that were told of, so that their last requests are told as ended. */
+  let toldRegions: ReadonlySet<RegionId> = new Set()
 
   function updateTotals (now: MonotonicMs): void {
     updateAt = now + MIN_INTERVAL_MS
@@ -73,19 +82,42 @@
     }
   }
 
-  function sendRound (region: RegionId, hosts: readonly HostId[], context: RunContext): void {
-    const round = rounds.get(region) ?? { nextAt: 0, count: 0, told: new Map() }
-    rounds.set(region, round)
+  function groupTotals (): Map<RegionId, Map<EndpointId, number>> {
+    const groups = new Map<RegionId, Map<EndpointId, number>>()
+    for (const [endpoint, count] of totals) {
+      const region = opts.getEndpointRegion(endpoint)
+      if (region === undefined) continue
+      const group = groups.get(region) ?? new Map<EndpointId, number>()
+      groups.set(region, group.set(endpoint, count))
+    }
+    return groups
+  }
+
+  /** Tells hosts of one region of the endpoints of another, or of their own. */
+  function sendRound (region: RegionId, own: ReadonlyMap<EndpointId, number>, to: { readonly key: string, readonly hosts: readonly HostId[], readonly bytesPerSecond: number }, context: RunContext): void {
+    const round = rounds.get(to.key) ?? { nextAt: 0, count: 0, told: new Map() }
+    rounds.set(to.key, round)
     if (context.now < round.nextAt) return
-    const own = new Map([...totals].filter(([endpoint]) => opts.getEndpointRegion(endpoint) === region))
     const whole = round.count % WHOLE_ROUNDS === 0
     const running = whole ? [...own] : listChanges(own, round.told)
     round.count += 1
     round.told = own
-    round.nextAt = context.now + Math.max(MIN_INTERVAL_MS, running.length * ROW_BYTES * MS_PER_SECOND / BYTES_PER_SECOND)
+    round.nextAt = context.now + Math.max(MIN_INTERVAL_MS, running.length * ROW_BYTES * MS_PER_SECOND / to.bytesPerSecond)
     if (running.length === 0 && !whole) return
-    const message = { kind: 'fleet.load', whole, running } as const
-    for (const host of hosts) context.send(host, message)
+    const message = { kind: 'fleet.load', region, whole, running } as const
+    for (const host of to.hosts) context.send(host, message)
+  }
+
+  function sendRounds (context: RunContext, hosts: readonly HostId[]): void {
+    const groups = groupTotals()
+    const regions = new Set([...groups.keys(), ...toldRegions])
+    toldRegions = regions
+    for (const [hostRegion, group] of groupHosts(hosts, opts.getHostRegion)) {
+      for (const region of regions) {
+        const bytesPerSecond = region === hostRegion ? OWN_BYTES_PER_SECOND : FAR_BYTES_PER_SECOND / Math.max(1, regions.size - 1)
+        sendRound(region, groups.get(region) ?? new Map(), { key: `${hostRegion}|${region}`, hosts: group, bytesPerSecond }, context)
+      }
+    }
   }
 
   return {
@@ -98,7 +130,7 @@
     flush: (context, hosts) => {
       if (context.now < updateAt) return
       updateTotals(context.now)
-      for (const [region, group] of groupHosts(hosts, opts.getHostRegion)) sendRound(region, group, context)
+      sendRounds(context, hosts)
     },
     clear: () => {
       reports.clear()
--- a/fleet/placement/src/wishes.ts
+++ b/fleet/placement/src/wishes.ts
@@ -4,7 +4,7 @@
 import type { RunContext } from '@catkinferry/host.events'
 import { chooseEngine } from './chooseEngine.ts'
 import type { EngineChoice } from './chooseEngine.ts'
-import { COPY_EVICT_IDLE_MS, EVICT_IDLE_MS, MIN_REMAINING_MS, MIN_STORE_LOADS, REFUSED_RETRY_MS, STORE_LOADS_PER_MODEL_RATE } from './constants.ts'
+import { COPY_EVICT_IDLE_MS, EVICT_IDLE_MS, MAX_EXTRA_LOADS, MIN_REMAINING_MS, MIN_STORE_LOADS, REFUSED_RETRY_MS, STORE_LOADS_PER_MODEL_RATE, WAITERS_PER_EXTRA_LOAD } from './constants.ts'
 import { formatSlotKey, SlotState } from './engineState.ts'
 import type { EngineState } from './engineState.ts'
 import { beginLoad } from './jobs.ts'
@@ -76,12 +76,17 @@
   })
 }
 
-function isLoading (wish: Wish, engines: readonly EngineState[]): boolean {
+function countLoadingFor (wish: Wish, engines: readonly EngineState[]): number {
   const slotKey = formatSlotKey(wish.model, wish.adapter)
-  return engines.some(({ slots }) => {
+  return engines.filter(({ slots }) => {
     const slot = slots.get(slotKey)
     return slot?.state === SlotState.LOADING && slot.version >= wish.version && !slot.isSuspect
-  })
+  }).length
+}
+
+/** Engines that are to load the adapter at once: many callers within one load will soon be more than one engine serves well. */
+function computeWantedLoads ({ waiters }: Wish): number {
+  return 1 + Math.min(MAX_EXTRA_LOADS, Math.floor(waiters.length / WAITERS_PER_EXTRA_LOAD))
 }
 
 function giveWish (wish: Wish, holder: EngineState, context: RunContext): void {
@@ -121,7 +126,7 @@
     return true
   }
   const pool = findPool(state, wish.pool)?.engine
-  if (pool === undefined || context.now < state.ordersFrom || isLoading(wish, engines)) return false
+  if (pool === undefined || context.now < state.ordersFrom || countLoadingFor(wish, engines) >= computeWantedLoads(wish)) return false
   const choice = chooseEngine({
     ask: { ...wish, minIdleMs: wish.waiters.length > 0 ? EVICT_IDLE_MS : COPY_EVICT_IDLE_MS, isAvoided: endpoint => wish.avoid.has(endpoint) || wish.beyond.has(endpoint) || state.health.isSuspect(endpoint) },
     engines,
--- a/fleet/placement/test/placement.test.ts
+++ b/fleet/placement/test/placement.test.ts
@@ -135,6 +135,16 @@
     })
   }
 
+  for (const [callers, engines] of [[3, 1], [4, 2], [40, 4]] as const) {
+    it(`loads an adapter on ${engines} engines at once where ${callers} callers wait for it`, () => {
+      const fleet = createFakeEngines({ ids: ['e1', 'e2', 'e3', 'e4', 'e5', 'e6'], places: 10 })
+      fleet.runFor(1_000)
+      for (let index = 0; index < callers; index += 1) fleet.receive(buildAsk('a'))
+      fleet.runFor(100)
+      expect([...fleet.engines.values()].filter(({ loading }) => loading.has('a')).length).toEqual(engines)
+    })
+  }
+
   it('keeps adapters in use and evicts the least recently used one', () => {
     const fleet = createFakeEngines({ ids: ['e1'], places: 3 })
     fleet.runFor(1_000)
--- a/gateway/relay/src/chooseEndpoint.ts
+++ b/gateway/relay/src/chooseEndpoint.ts
@@ -14,6 +14,8 @@
 const OTHER_REGION_COST_MS = 60
 /** Cost of opening a connection where none is idle. */
 const NEW_CONNECTION_COST_MS = 8
+/** Cost of an endpoint that owes bytes for too long, by what this host alone sees. */
+const SILENT_COST_MS = 300
 /** Cost of an endpoint whose breaker is open; it is used where there is no other. */
 const BROKEN_COST_MS = 100_000
 /** Part of the usual time to the first byte that counts, over the fastest candidate's. */
@@ -60,7 +62,7 @@
     const queued = Math.max(0, load + 1 - slots)
     const slowMs = link.firstByteMs === undefined || fastestMs === Infinity ? 0 : (link.firstByteMs - fastestMs) * SLOWNESS_WEIGHT
     const brokenMs = link.breaker.isAllowed(now) ? 0 : BROKEN_COST_MS
-    const costMs = FULL_COST_MS * Math.min(1, load / slots) + QUEUED_COST_MS * queued / slots + slowMs + brokenMs + computePlaceCost(endpoint, place) + (hasIdleConnection(link) ? 0 : NEW_CONNECTION_COST_MS)
+    const costMs = FULL_COST_MS * Math.min(1, load / slots) + QUEUED_COST_MS * queued / slots + slowMs + brokenMs + (link.silent ? SILENT_COST_MS : 0) + computePlaceCost(endpoint, place) + (hasIdleConnection(link) ? 0 : NEW_CONNECTION_COST_MS)
     if (best === undefined || costMs < best.costMs) best = { endpoint, link, others, costMs, load }
   }
   return best
--- a/gateway/relay/src/constants.ts
+++ b/gateway/relay/src/constants.ts
@@ -5,9 +5,10 @@
 
 /**
  * An endpoint is silent when requests wait there and no byte has come on any connection for this long, and for this many times
- * its usual time to the first byte; a full batch pauses its streams for up to 0.3 s.
+ * its usual time to the first byte; a full batch pauses its streams for up to 0.3 s. This host alone leaves it only after longer.
  */
-export const SILENCE_MS = 400
+export const SILENCE_MS = 600
+export const LONE_DOUBT_MS = 1_200
 export const SILENCE_FIRST_BYTES = 4
 export const SILENCE_CHECK_MS = 50
 
--- a/gateway/relay/src/target.ts
+++ b/gateway/relay/src/target.ts
@@ -4,7 +4,7 @@
 import type { DirectoryEndpoint, LoadAnswer } from '@catkinferry/fleet.directory'
 import { chooseEndpoint } from './chooseEndpoint.ts'
 import type { ChosenEndpoint } from './chooseEndpoint.ts'
-import { COPY_INTERVAL_MS, COPY_LOAD_FRACTION, FAR_REQUESTS_FOR_COPY, FIRST_VERSION, LOAD_WAIT_FRACTION, LOAD_WAIT_OBJECTIVES, OLD_VERSION_MS } from './constants.ts'
+import { COPY_INTERVAL_MS, COPY_LOAD_FRACTION, FAR_REQUESTS_FOR_COPY, FIRST_VERSION, LOAD_WAIT_FRACTION, LOAD_WAIT_OBJECTIVES, LONE_DOUBT_MS, OLD_VERSION_MS } from './constants.ts'
 import type { EndpointLink, EndpointLinks } from './endpointLinks.ts'
 import { getWantedAdapter } from './exchange.ts'
 import type { Exchange, Target, WantedAdapter } from './exchange.ts'
@@ -49,8 +49,10 @@
 
 /** Whether a request may wait there in vain: by what several hosts see, or this one. */
 function isDoubtful (state: FinderState, exchange: Exchange, endpoint: DirectoryEndpoint): boolean {
-  const { silent, unreachableUntil } = getLink(state, exchange, endpoint)
-  return endpoint.suspect || silent || state.relay.clock.getMonotonicMs() < unreachableUntil
+  const { silent, awaitingSince, unreachableUntil } = getLink(state, exchange, endpoint)
+  const now = state.relay.clock.getMonotonicMs()
+  const isLoneDoubt = silent && awaitingSince !== undefined && now - awaitingSince > LONE_DOUBT_MS
+  return endpoint.suspect || isLoneDoubt || now < unreachableUntil
 }
 
 function choose (state: FinderState, exchange: Exchange, endpoints: readonly DirectoryEndpoint[]): ChosenEndpoint | undefined {
--- a/wire/messages/src/fleet.ts
+++ b/wire/messages/src/fleet.ts
@@ -63,8 +63,8 @@
   | { readonly kind: 'fleet.announced', readonly after: number, readonly sequence: number, readonly versions: ReadonlyArray<readonly [ModelId, AdapterName, number]> }
   /** `whole`: replaces everything held; otherwise follows `sequence - 1` of the same term. */
   | { readonly kind: 'fleet.endpoints', readonly term: number, readonly sequence: number, readonly whole: boolean, readonly rows: readonly FleetEndpoint[], readonly gone: readonly EndpointId[], readonly residency: readonly ResidencyChange[] }
-  /** Requests that run at endpoints, over all entry hosts. `whole`: endpoints that are not named run none. */
-  | { readonly kind: 'fleet.load', readonly whole: boolean, readonly running: ReadonlyArray<readonly [EndpointId, number]> }
+  /** Requests that run at the endpoints of a region, over all entry hosts. `whole`: endpoints of it that are not named run none. */
+  | { readonly kind: 'fleet.load', readonly region: RegionId, readonly whole: boolean, readonly running: ReadonlyArray<readonly [EndpointId, number]> }
   /** All that the sender runs now; `adapterKey` is empty for requests without an adapter. `health`: endpoints with failures or silence. */
   | { readonly kind: 'fleet.use', readonly uses: readonly AdapterUse[], readonly health?: readonly EndpointHealth[] }
   /** Asks the leader for an endpoint that has the adapter; it is loaded where none has. `copyBeyond`: one more copy, besides these endpoints. */
