--- a/fleet/placement/src/constants.ts
+++ b/fleet/placement/src/constants.ts
@@ -3,8 +3,8 @@
 /** How often the holder reads the platform's list. */
 export const LIST_INTERVAL_MS = 400
 
-/** How often the health of endpoints is weighed over what entry hosts report. */
-export const HEALTH_INTERVAL_MS = 50
+/** How often the health of endpoints is weighed over what entry hosts report, and places are freed. */
+export const UPKEEP_INTERVAL_MS = 50
 
 /** What was ordered here goes before a list that may be older than this. */
 export const LIST_LAG_MS = 1_600
@@ -44,6 +44,10 @@
 /** Places of an engine that stay empty, so that a load that was not known of does not overfill it. */
 export const SPARE_PLACES = 1
 
+/** Share of an engine's places that is freed ahead of loads, by evicting what was not used for this long. */
+export const FREE_SHARE = 0.12
+export const FREE_PLACES_IDLE_MS = 2_500
+
 /** An adapter that was used or given out this recently is not evicted. */
 export const EVICT_IDLE_MS = 600
 
--- /dev/null
+++ b/fleet/placement/src/freePlaces.ts
@@ -0,0 +1,27 @@
+/** Keeps some places of each engine free ahead of loads, so that a caller waits for a load only and not for an eviction before it. */
+import type { RunContext } from '@catkinferry/host.events'
+import { findVictim } from './chooseEngine.ts'
+import { FREE_PLACES_IDLE_MS, FREE_SHARE, SPARE_PLACES } from './constants.ts'
+import { SlotState } from './engineState.ts'
+import type { EngineState } from './engineState.ts'
+import { beginEvict } from './jobs.ts'
+import { findPool } from './placementState.ts'
+import type { PlacementState } from './placementState.ts'
+
+function countEvicting ({ slots }: EngineState): number {
+  let count = 0
+  for (const { state } of slots.values()) if (state === SlotState.EVICTING) count += 1
+  return count
+}
+
+/** Evicts what has been idle for long from engines that are nearly full; a reload from their own memory is quick. */
+export function freePlaces (state: PlacementState, context: RunContext): void {
+  for (const engine of state.engines.values()) {
+    const pool = findPool(state, engine.listed.pool)?.engine
+    if (pool === undefined || engine.listed.leaving || context.now < engine.quietUntil || state.health.isSuspect(engine.listed.endpoint)) continue
+    const free = pool.adapterPlaces - SPARE_PLACES - engine.slots.size + countEvicting(engine)
+    if (free >= Math.floor(pool.adapterPlaces * FREE_SHARE)) continue
+    const victim = findVictim(engine, context.now, FREE_PLACES_IDLE_MS)
+    if (victim !== undefined) beginEvict(state, engine, victim, 'to free a place', context)
+  }
+}
--- a/fleet/placement/src/jobs.ts
+++ b/fleet/placement/src/jobs.ts
@@ -48,15 +48,15 @@
   reportInfo(context, 'a load begins', { peer: endpoint, adapter: slotKey, version, pool: wish.pool, waiting: wish.waiters.length, evicts: victim === undefined ? undefined : formatSlotKey(victim.model, victim.adapter), held: isHeld, term: state.term })
 }
 
-/** Begins to evict an adapter whose version is no longer in force. */
-export function beginEvict (state: PlacementState, engine: EngineState, slot: Slot, context: RunContext): void {
+/** Begins to evict an adapter that nobody waits for. */
+export function beginEvict (state: PlacementState, engine: EngineState, slot: Slot, why: string, context: RunContext): void {
   const { endpoint } = engine.listed
   const slotKey = formatSlotKey(slot.model, slot.adapter)
   slot.state = SlotState.EVICTING
   slot.changedAt = context.now
   state.publisher.noteResidency(endpoint, slot, false)
   addJob(state, { key: formatJobKey(endpoint, slotKey), endpoint, steps: [{ kind: 'evict', model: slot.model, adapter: slot.adapter }], isHeld: true, since: context.now })
-  reportInfo(context, 'an outdated adapter is evicted', { peer: endpoint, adapter: slotKey, version: slot.version, term: state.term })
+  reportInfo(context, 'an adapter is evicted', { why, peer: endpoint, adapter: slotKey, version: slot.version, term: state.term })
 }
 
 /** Begins to load a base model. */
--- a/fleet/placement/src/placement.ts
+++ b/fleet/placement/src/placement.ts
@@ -5,13 +5,14 @@
 import type { EndpointId, ListedEndpoint, ModelId } from '@catkinferry/core.types'
 import type { RunContext, System } from '@catkinferry/host.events'
 import type { FleetMessage, HeldState } from '@catkinferry/wire.messages'
-import { HEALTH_INTERVAL_MS, LIST_INTERVAL_MS, MIN_MODEL_LOADS, MODEL_LOAD_WINDOW_MS, MODEL_LOADS_PER_RATE, RESEND_MS } from './constants.ts'
+import { UPKEEP_INTERVAL_MS, LIST_INTERVAL_MS, MIN_MODEL_LOADS, MODEL_LOAD_WINDOW_MS, MODEL_LOADS_PER_RATE, RESEND_MS } from './constants.ts'
 import { createEndpointHealthBoard } from './endpointHealth.ts'
 import { createEndpointPublisher } from './endpointPublisher.ts'
 import { applyListed, createEngineState, createRestartedEngine, formatSlotKey, SlotState } from './engineState.ts'
 import type { EngineState } from './engineState.ts'
 import { beginEvict, beginModelLoad, runJobs, updateSlots, takeOutcomes } from './jobs.ts'
 import { createLoadTotals } from './loadTotals.ts'
+import { freePlaces } from './freePlaces.ts'
 import { findPool, isOutdated, listPoolEngines, reportInfo } from './placementState.ts'
 import type { PlacementOptions, PlacementState } from './placementState.ts'
 import { addWish, refuseWaiter, runWishes } from './wishes.ts'
@@ -60,7 +61,7 @@
       }
     }),
     health,
-    healthAt: 0,
+    upkeepAt: 0,
     outcomes: []
   }
   return {
@@ -172,8 +173,6 @@
 
 /** Tells entry hosts at once which endpoints have become suspect, and which no longer are. */
 function updateHealth (state: PlacementState, context: RunContext): void {
-  if (context.now < state.healthAt) return
-  state.healthAt = context.now + HEALTH_INTERVAL_MS
   const pools = new Map<string, EndpointId[]>()
   for (const [endpoint, { listed: { pool, leaving } }] of state.engines) if (!leaving) pools.set(pool, [...pools.get(pool) ?? [], endpoint])
   for (const { endpoint, suspect, ...figures } of state.health.update(pools.values(), context.now)) {
@@ -187,7 +186,7 @@
   for (const engine of state.engines.values()) {
     for (const slot of engine.slots.values()) {
       if (slot.state !== SlotState.RESIDENT || !isOutdated(state, slot) || context.now < slot.unsettledUntil) continue
-      if (hasNewVersion(state, engine.listed.pool, slot.model, slot.adapter)) beginEvict(state, engine, slot, context)
+      if (hasNewVersion(state, engine.listed.pool, slot.model, slot.adapter)) beginEvict(state, engine, slot, 'outdated', context)
       else addWish(state, { pool: engine.listed.pool, model: slot.model, adapter: slot.adapter, priority: BACKGROUND_PRIORITY, avoid: [] }, context.now)
     }
   }
@@ -237,7 +236,11 @@
     for (const engine of state.engines.values()) updateSlots(state, engine, context.now)
   }
   takeOutcomes(state, context)
-  updateHealth(state, context)
+  if (context.now >= state.upkeepAt) {
+    state.upkeepAt = context.now + UPKEEP_INTERVAL_MS
+    updateHealth(state, context)
+    if (context.now >= state.ordersFrom) freePlaces(state, context)
+  }
   runWishes(state, context)
   if (context.now >= state.ordersFrom) {
     dropOutdated(state, context)
@@ -252,7 +255,7 @@
 function getNextAt (state: PlacementState): number {
   if (state.term === undefined) return Infinity
   if (state.outcomes.length > 0) return Number.NEGATIVE_INFINITY
-  let nextAt = Math.min(state.nextListAt, state.healthAt, state.publisher.getNextAt(), state.totals.getNextAt())
+  let nextAt = Math.min(state.nextListAt, state.upkeepAt, state.publisher.getNextAt(), state.totals.getNextAt())
   for (const { calling, nextAt: jobAt } of state.jobs.values()) if (!calling) nextAt = Math.min(nextAt, Math.max(jobAt, state.ordersFrom))
   if (state.wishes.size > 0) nextAt = Math.min(nextAt, state.lastRunAt + RESEND_MS)
   return nextAt
--- a/fleet/placement/test/placement.test.ts
+++ b/fleet/placement/test/placement.test.ts
@@ -159,6 +159,19 @@
     expect([...fleet.engines.get('e1')?.resident.keys() ?? []].toSorted()).toEqual(['a', 'c'])
   })
 
+  it('frees places ahead of loads by evicting what is idle for long', () => {
+    const fleet = createFakeEngines({ ids: ['e1'], places: 10 })
+    fleet.runFor(1_000)
+    for (const adapter of ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h', 'i']) {
+      fleet.receive(buildAsk(adapter))
+      fleet.runFor(265)
+    }
+    const engine = fleet.engines.get('e1')
+    expect((engine?.resident.size ?? 0) + (engine?.loading.size ?? 0)).toEqual(9)
+    fleet.runFor(4_000)
+    expect([...engine?.resident.keys() ?? []].toSorted()).toEqual(['b', 'c', 'd', 'e', 'f', 'g', 'h', 'i'])
+  })
+
   it('gives an engine that restarted empty its base model again', () => {
     const fleet = createFakeEngines({ ids: ['e1', 'e2'], places: 3 })
     fleet.runFor(1_000)
--- a/gateway/relay/src/chooseEndpoint.ts
+++ b/gateway/relay/src/chooseEndpoint.ts
@@ -7,8 +7,6 @@
 
 /** Cost of a full batch or of all slots taken, over an idle endpoint. */
 const FULL_COST_MS = 120
-/** Cost of each request that must wait for a slot, as a share of the time that it takes. */
-const QUEUED_COST_MS = 400
 const OTHER_ZONE_COST_MS = 3
 /** Time and price of a request and its answer over the link between two regions. */
 const OTHER_REGION_COST_MS = 60
@@ -37,6 +35,8 @@
 export interface ChooseOptions {
   readonly candidates: readonly Candidate[]
   readonly place: RelayPlace
+  /** Time that a request of the pool usually runs: one that must wait for a slot waits for a share of it. */
+  readonly runMs: DurationMs
   /** Requests that one endpoint runs at once. */
   readonly getSlots: (link: EndpointLink) => number
   readonly now: MonotonicMs
@@ -53,7 +53,7 @@
 
 /** Chooses the cheapest; undefined where there is no candidate. */
 export function chooseEndpoint (opts: ChooseOptions): ChosenEndpoint | undefined {
-  const { candidates, place, now } = opts
+  const { candidates, place, now, runMs } = opts
   const fastestMs = findFastest(candidates)
   let best: ChosenEndpoint | undefined
   for (const { endpoint, link, others } of candidates) {
@@ -62,7 +62,7 @@
     const queued = Math.max(0, load + 1 - slots)
     const slowMs = link.firstByteMs === undefined || fastestMs === Infinity ? 0 : (link.firstByteMs - fastestMs) * SLOWNESS_WEIGHT
     const brokenMs = link.breaker.isAllowed(now) ? 0 : BROKEN_COST_MS
-    const costMs = FULL_COST_MS * Math.min(1, load / slots) + QUEUED_COST_MS * queued / slots + slowMs + brokenMs + (link.silent ? SILENT_COST_MS : 0) + computePlaceCost(endpoint, place) + (hasIdleConnection(link) ? 0 : NEW_CONNECTION_COST_MS)
+    const costMs = FULL_COST_MS * Math.min(1, load / slots) + runMs * queued / slots + slowMs + brokenMs + (link.silent ? SILENT_COST_MS : 0) + computePlaceCost(endpoint, place) + (hasIdleConnection(link) ? 0 : NEW_CONNECTION_COST_MS)
     if (best === undefined || costMs < best.costMs) best = { endpoint, link, others, costMs, load }
   }
   return best
--- a/gateway/relay/src/constants.ts
+++ b/gateway/relay/src/constants.ts
@@ -35,6 +35,9 @@
 /** Least time left for which a request is sent on. */
 export const MIN_REMAINING_MS = 10
 
+/** A load from the store with its way to the leader and back; a request that would wait longer at all that have the adapter has another engine load it. */
+export const LOAD_COST_MS = 350
+
 /** Longest wait for an engine to load an adapter: a share of the remaining time, and a multiple of the latency objective. */
 export const LOAD_WAIT_FRACTION = 0.4
 export const LOAD_WAIT_OBJECTIVES = 2
--- a/gateway/relay/src/exchange.ts
+++ b/gateway/relay/src/exchange.ts
@@ -57,6 +57,8 @@
   /** Undefined for plain services and requests for a base model. */
   readonly adapterKey?: AdapterKey
   readonly version?: number
+  /** Whether a slot was free there, by what was known; undefined where nothing was. */
+  readonly hasFreeSlot?: boolean
 }
 
 /** The adapter that a request names. */
--- a/gateway/relay/src/relay.ts
+++ b/gateway/relay/src/relay.ts
@@ -22,6 +22,8 @@
 import type { RelayOptions } from './relayOptions.ts'
 import { createRetryAllowance } from './retryAllowance.ts'
 import type { RetryAllowance } from './retryAllowance.ts'
+import { createRunTimes } from './runTimes.ts'
+import type { RunTimes } from './runTimes.ts'
 import { createTargetFinder } from './target.ts'
 import type { TargetFinder } from './target.ts'
 
@@ -47,6 +49,7 @@
   readonly opts: RelayOptions
   readonly links: EndpointLinks
   readonly finder: TargetFinder
+  readonly runTimes: RunTimes
   readonly allowance: RetryAllowance
   readonly bodies: BodyReader
   /** Answers that are not written out yet. */
@@ -61,10 +64,12 @@
 /** Creates a relay; the shell calls `handle` for each request. */
 export function createRelay (opts: RelayOptions): Relay {
   const links = createEndpointLinks(opts)
+  const runTimes = createRunTimes()
   const state: RelayState = {
     opts,
     links,
-    finder: createTargetFinder({ relay: opts, links }),
+    finder: createTargetFinder({ relay: opts, links, runTimes }),
+    runTimes,
     allowance: createRetryAllowance({ ...opts.retryBudget, getEntryCount: opts.getEntryCount, getNow: opts.clock.getMonotonicMs }),
     bodies: createBodyReader(),
     answering: new Set(),
@@ -234,6 +239,7 @@
     }
   })
   noteEnded(link)
+  if (end.kind === 'delivered' && target.hasFreeSlot === true) state.runTimes.note(exchange.pool.name, opts.clock.getMonotonicMs() - sentAt)
   opts.directory.noteEnded(endpoint, adapterKey ?? '')
   noteAttemptEnd(state, exchange, target, end)
   return end
--- a/gateway/relay/src/target.ts
+++ b/gateway/relay/src/target.ts
@@ -1,17 +1,18 @@
 /** Finds the endpoint of an exchange: one that has the adapter, or one that the leader has load it. */
-import type { EndpointId, MonotonicMs } from '@catkinferry/core.types'
+import type { DurationMs, EndpointId, MonotonicMs } from '@catkinferry/core.types'
 import { formatPlacedKey } from '@catkinferry/core.types'
 import type { DirectoryEndpoint, LoadAnswer } from '@catkinferry/fleet.directory'
 import { chooseEndpoint } from './chooseEndpoint.ts'
 import type { ChosenEndpoint } from './chooseEndpoint.ts'
-import { COPY_INTERVAL_MS, COPY_LOAD_FRACTION, FAR_REQUESTS_FOR_COPY, FIRST_VERSION, LOAD_WAIT_FRACTION, LOAD_WAIT_OBJECTIVES, LONE_DOUBT_MS, OLD_VERSION_MS } from './constants.ts'
+import { COPY_INTERVAL_MS, COPY_LOAD_FRACTION, FAR_REQUESTS_FOR_COPY, FIRST_VERSION, LOAD_COST_MS, LOAD_WAIT_FRACTION, LOAD_WAIT_OBJECTIVES, LONE_DOUBT_MS, OLD_VERSION_MS } from './constants.ts'
 import type { EndpointLink, EndpointLinks } from './endpointLinks.ts'
 import { getWantedAdapter } from './exchange.ts'
 import type { Exchange, Target, WantedAdapter } from './exchange.ts'
 import type { RelayOptions } from './relayOptions.ts'
+import type { RunTimes } from './runTimes.ts'
 
 export type FoundTarget =
-  | { readonly kind: 'target', readonly target: Target, readonly facts: Readonly<Record<string, unknown>> }
+  | { readonly kind: 'target', readonly target: Target, readonly facts: Readonly<Record<string, unknown>>, readonly costMs?: DurationMs }
   | { readonly kind: 'none', readonly reason: string, readonly retryAfterMs?: number }
 
 /** Slots of an endpoint that has not told its figures. */
@@ -24,6 +25,7 @@
 interface FinderState {
   readonly relay: RelayOptions
   readonly links: EndpointLinks
+  readonly runTimes: RunTimes
   /** When a copy of an adapter was last asked for. */
   readonly copiesAskedAt: Map<string, MonotonicMs>
   /** Requests sent to other regions since the last ask for a copy, by adapter. */
@@ -56,9 +58,9 @@
 }
 
 function choose (state: FinderState, exchange: Exchange, endpoints: readonly DirectoryEndpoint[]): ChosenEndpoint | undefined {
-  const { relay } = state
+  const { relay, runTimes } = state
   const candidates = endpoints.map(endpoint => ({ endpoint, link: getLink(state, exchange, endpoint), others: relay.directory.getOthersLoad(endpoint.endpoint) }))
-  return chooseEndpoint({ candidates, place: relay.place, now: relay.clock.getMonotonicMs(), getSlots: link => getSlots(exchange, link) })
+  return chooseEndpoint({ candidates, place: relay.place, runMs: runTimes.get(exchange.pool.name), now: relay.clock.getMonotonicMs(), getSlots: link => getSlots(exchange, link) })
 }
 
 function describeChoice ({ relay }: FinderState, { costMs, load, link, others }: ChosenEndpoint, weighed: number): Readonly<Record<string, unknown>> {
@@ -77,14 +79,15 @@
 }
 
 /** Finds an engine among some that has the adapter, in the best version that one of them has. */
-function findHolder (state: FinderState, exchange: Exchange, wanted: WantedAdapter, usable: readonly DirectoryEndpoint[]): FoundTarget | undefined {
+function findHolder (state: FinderState, exchange: Exchange, wanted: WantedAdapter, usable: readonly DirectoryEndpoint[]): Extract<FoundTarget, { kind: 'target' }> | undefined {
   for (const version of listVersions(state, wanted)) {
     const adapterKey = formatPlacedKey(wanted.model, wanted.adapter, version)
     const holders = usable.filter(({ resident }) => resident.has(adapterKey))
     const chosen = choose(state, exchange, holders)
     if (chosen === undefined) continue
     askCopyIfWorth(state, exchange, wanted, chosen, holders)
-    return { kind: 'target', target: { endpoint: chosen.endpoint.endpoint, link: chosen.link, adapterKey, version }, facts: describeChoice(state, chosen, holders.length) }
+    const hasFreeSlot = chosen.load < getSlots(exchange, chosen.link)
+    return { kind: 'target', target: { endpoint: chosen.endpoint.endpoint, link: chosen.link, adapterKey, version, hasFreeSlot }, facts: describeChoice(state, chosen, holders.length), costMs: chosen.costMs }
   }
   return undefined
 }
@@ -117,20 +120,27 @@
   state.relay.directory.askCopy({ pool: exchange.pool.name, ...wanted, priority: exchange.route.priority, beyond: holders.map(({ endpoint }) => endpoint) })
 }
 
-function waitForLoad (state: FinderState, exchange: Exchange, wanted: WantedAdapter, doubtful: readonly DirectoryEndpoint[]): Promise<LoadAnswer> {
+interface LoadWait {
+  /** Engines that are not to be given. */
+  readonly others: readonly DirectoryEndpoint[]
+  /** Time after which one of the others is better after all. */
+  readonly maxWaitMs: DurationMs
+}
+
+function waitForLoad (state: FinderState, exchange: Exchange, wanted: WantedAdapter, { others, maxWaitMs }: LoadWait): Promise<LoadAnswer> {
   const now = state.relay.clock.getMonotonicMs()
-  const waitMs = Math.min(exchange.route.objectiveMs * LOAD_WAIT_OBJECTIVES, (exchange.endAt - now) * LOAD_WAIT_FRACTION)
+  const waitMs = Math.min(maxWaitMs, exchange.route.objectiveMs * LOAD_WAIT_OBJECTIVES, (exchange.endAt - now) * LOAD_WAIT_FRACTION)
   return new Promise(resolve => {
     exchange.interrupt = () => resolve({ kind: 'refused', reason: 'the exchange has ended', retryAfterMs: 0 })
-    const avoid: EndpointId[] = [...exchange.tried, ...exchange.refusedBy, ...doubtful.map(({ endpoint }) => endpoint)]
-    state.relay.logger.info('no engine has the adapter, a load is asked for', { step: 'load', requestId: exchange.facts.requestId, adapter: `${wanted.model}/${wanted.adapter}`, versions: listVersions(state, wanted), avoid, waitMs: Math.round(waitMs) })
+    const avoid: EndpointId[] = [...exchange.tried, ...exchange.refusedBy, ...others.map(({ endpoint }) => endpoint)]
+    state.relay.logger.info('no engine has the adapter and room, a load is asked for', { step: 'load', requestId: exchange.facts.requestId, adapter: `${wanted.model}/${wanted.adapter}`, versions: listVersions(state, wanted), avoid, waitMs: Math.round(waitMs) })
     state.relay.directory.askLoad({ pool: exchange.pool.name, ...wanted, priority: exchange.route.priority, avoid, deadlineAt: now + waitMs }, resolve)
   })
 }
 
-async function findByLoad (state: FinderState, exchange: Exchange, wanted: WantedAdapter, doubtful: readonly DirectoryEndpoint[]): Promise<FoundTarget> {
+async function findByLoad (state: FinderState, exchange: Exchange, wanted: WantedAdapter, wait: LoadWait): Promise<FoundTarget> {
   const askedAt = state.relay.clock.getMonotonicMs()
-  const answer = await waitForLoad(state, exchange, wanted, doubtful)
+  const answer = await waitForLoad(state, exchange, wanted, wait)
   exchange.interrupt = undefined
   const waitedMs = Math.round(state.relay.clock.getMonotonicMs() - askedAt)
   if (answer.kind === 'refused') return { kind: 'none', reason: answer.reason, retryAfterMs: answer.retryAfterMs }
@@ -148,22 +158,31 @@
   const candidates = sound.length > 0 ? sound : usable
   const chosen = choose(state, exchange, candidates)
   if (chosen === undefined) return { kind: 'none', reason: 'no endpoint of the service is there' }
-  return { kind: 'target', target: { endpoint: chosen.endpoint.endpoint, link: chosen.link }, facts: describeChoice(state, chosen, candidates.length) }
+  const hasFreeSlot = chosen.load < getSlots(exchange, chosen.link)
+  return { kind: 'target', target: { endpoint: chosen.endpoint.endpoint, link: chosen.link, hasFreeSlot }, facts: describeChoice(state, chosen, candidates.length) }
+}
+
+/** Engines that have the adapter in a version that may be used. */
+function listHolders (state: FinderState, wanted: WantedAdapter, usable: readonly DirectoryEndpoint[]): DirectoryEndpoint[] {
+  const keys = listVersions(state, wanted).map(version => formatPlacedKey(wanted.model, wanted.adapter, version))
+  return usable.filter(({ resident }) => keys.some(key => resident.has(key)))
 }
 
-/** A sound engine that has the adapter, one that loads it, or else a doubtful one that has it. */
+/** A sound engine that has the adapter and takes the request soon, one that loads it, or else whichever has it. */
 async function findEngine (state: FinderState, exchange: Exchange, wanted: WantedAdapter): Promise<FoundTarget> {
   const usable = listUsable(state, exchange)
   const doubtful = usable.filter(endpoint => isDoubtful(state, exchange, endpoint))
-  const held = findHolder(state, exchange, wanted, usable.filter(endpoint => !doubtful.includes(endpoint)))
-  if (held !== undefined) return held
-  const loaded = await findByLoad(state, exchange, wanted, doubtful)
+  const sound = usable.filter(endpoint => !doubtful.includes(endpoint))
+  const held = findHolder(state, exchange, wanted, sound)
+  if (held !== undefined && (held.costMs ?? 0) <= LOAD_COST_MS) return held
+  const others = [...doubtful, ...listHolders(state, wanted, sound)]
+  const loaded = await findByLoad(state, exchange, wanted, { others, maxWaitMs: held?.costMs ?? Infinity })
   if (loaded.kind === 'target' || exchange.ended !== undefined) return loaded
-  return findHolder(state, exchange, wanted, doubtful) ?? loaded
+  return findHolder(state, exchange, wanted, sound) ?? findHolder(state, exchange, wanted, doubtful) ?? loaded
 }
 
 /** Creates a finder. */
-export function createTargetFinder (opts: { readonly relay: RelayOptions, readonly links: EndpointLinks }): TargetFinder {
+export function createTargetFinder (opts: Pick<FinderState, 'relay' | 'links' | 'runTimes'>): TargetFinder {
   const state: FinderState = { ...opts, copiesAskedAt: new Map(), farRequests: new Map() }
   return {
     find: async exchange => {
--- a/gateway/relay/test/chooseEndpoint.test.ts
+++ b/gateway/relay/test/chooseEndpoint.test.ts
@@ -19,7 +19,7 @@
 }
 
 function choose (candidates: readonly Candidate[]): string | undefined {
-  return chooseEndpoint({ candidates, place: { zone: 'z1', region: 'r1' }, getSlots: () => 10, now: 1_000 })?.endpoint.endpoint
+  return chooseEndpoint({ candidates, place: { zone: 'z1', region: 'r1' }, runMs: 400, getSlots: () => 10, now: 1_000 })?.endpoint.endpoint
 }
 
 describe('chooseEndpoint', () => {
--- a/gateway/relay/test/relay.test.ts
+++ b/gateway/relay/test/relay.test.ts
@@ -350,3 +350,37 @@
     expect(lines.filter(({ step, peer }) => step === 'offer' && peer === 'e1').length <= 1).toEqual(true)
   })
 })
+
+describe('an engine with the adapter and a long queue', () => {
+  const queue = { resident: { e1: ['a@1'] }, othersLoad: { e1: 12 }, route: { ...STREAM, objectiveMs: 500 } } as const
+  const withAdapter = { headers: { 'X-Model': 'a' } }
+
+  it('gives way to an engine that loads the adapter', async () => {
+    const queued = await startEndpoint('e1', (req, res) => answerOk(req, res))
+    const loaded = await startEndpoint('e2', (req, res) => answerOk(req, res))
+    let avoided: readonly string[] = []
+    const { call } = await start({
+      ...queue,
+      endpoints: [queued, loaded],
+      askLoad: async ({ avoid }) => {
+        avoided = avoid
+        return { kind: 'given', endpoint: 'e2', adapterKey: 'm/a@1' }
+      }
+    })
+    expect((await call(withAdapter)).status).toEqual(200)
+    expect([avoided, queued.seen.length, loaded.seen.length]).toEqual([['e1'], 0, 1])
+  })
+
+  it('is offered the request where no other engine can load it', async () => {
+    const queued = await startEndpoint('e1', (req, res) => answerOk(req, res))
+    const { call } = await start({ ...queue, endpoints: [queued] })
+    expect((await call(withAdapter)).status).toEqual(200)
+  })
+
+  it('is used as it is where the queue is shorter than a load', async () => {
+    const busy = await startEndpoint('e1', (req, res) => answerOk(req, res))
+    const { call, lines } = await start({ ...queue, othersLoad: { e1: 4 }, endpoints: [busy] })
+    expect((await call(withAdapter)).status).toEqual(200)
+    expect(lines.filter(({ step }) => step === 'load')).toEqual([])
+  })
+})
--- a/gateway/relay/test/stand.ts
+++ b/gateway/relay/test/stand.ts
@@ -99,6 +99,8 @@
   readonly resident?: Readonly<Record<string, readonly string[]>>
   readonly askLoad?: (question: LoadQuestion) => Promise<LoadAnswer>
   readonly retryBudget?: { readonly ratio: number, readonly slack: number }
+  /** Requests of other hosts at endpoints. */
+  readonly othersLoad?: Readonly<Record<string, number>>
   /** Endpoints that the leader calls suspect. */
   readonly suspects?: readonly string[]
   readonly announced?: { readonly version: number, readonly agoMs: number }
@@ -141,7 +143,10 @@
       getAnnounced: () => announced === undefined ? undefined : { version: announced.version, at: clock.getMonotonicMs() - announced.agoMs },
       askLoad: (question, onAnswer) => { void (opts.askLoad?.(question) ?? Promise.resolve({ kind: 'refused' as const, reason: 'none', retryAfterMs: 100 })).then(onAnswer) },
       askCopy: () => undefined,
-      getOthersLoad: () => undefined,
+      getOthersLoad: endpoint => {
+        const running = opts.othersLoad?.[endpoint]
+        return running === undefined ? undefined : { running, at: clock.getMonotonicMs() }
+      },
       noteBegun: () => undefined,
       noteEnded: () => undefined,
       dropResident: () => undefined,
