--- a/gateway/relay/src/chooseEndpoint.ts
+++ b/gateway/relay/src/chooseEndpoint.ts
@@ -19,6 +19,12 @@
 /** Part of the usual time to the first byte that counts, over the fastest candidate's. */
 const SLOWNESS_WEIGHT = 0.5
 
+/**
+ * Largest random cost that is added: hosts that know the same loads, all some time old, would otherwise send all that comes
+ * meanwhile to the same endpoint, where prompts that are read at once hold up the streams of others.
+ */
+const SPREAD_COST_MS = 20
+
 export interface Candidate {
   readonly endpoint: DirectoryEndpoint
   readonly link: EndpointLink
@@ -40,6 +46,8 @@
   /** Requests that one endpoint runs at once. */
   readonly getSlots: (link: EndpointLink) => number
   readonly now: MonotonicMs
+  /** From 0 to 1, drawn for each candidate. */
+  readonly nextFraction: () => number
 }
 
 function computePlaceCost ({ zone, region }: DirectoryEndpoint, place: RelayPlace): DurationMs {
@@ -53,7 +61,7 @@
 
 /** Chooses the cheapest; undefined where there is no candidate. */
 export function chooseEndpoint (opts: ChooseOptions): ChosenEndpoint | undefined {
-  const { candidates, place, now, runMs } = opts
+  const { candidates, place, now, runMs, nextFraction } = opts
   const fastestMs = findFastest(candidates)
   let best: ChosenEndpoint | undefined
   for (const { endpoint, link, others } of candidates) {
@@ -62,7 +70,7 @@
     const queued = Math.max(0, load + 1 - slots)
     const slowMs = link.firstByteMs === undefined || fastestMs === Infinity ? 0 : (link.firstByteMs - fastestMs) * SLOWNESS_WEIGHT
     const brokenMs = link.breaker.isAllowed(now) ? 0 : BROKEN_COST_MS
-    const costMs = FULL_COST_MS * Math.min(1, load / slots) + runMs * queued / slots + slowMs + brokenMs + (link.silent ? SILENT_COST_MS : 0) + computePlaceCost(endpoint, place) + (hasIdleConnection(link) ? 0 : NEW_CONNECTION_COST_MS)
+    const costMs = FULL_COST_MS * Math.min(1, load / slots) + runMs * queued / slots + slowMs + brokenMs + (link.silent ? SILENT_COST_MS : 0) + computePlaceCost(endpoint, place) + (hasIdleConnection(link) ? 0 : NEW_CONNECTION_COST_MS) + SPREAD_COST_MS * nextFraction()
     if (best === undefined || costMs < best.costMs) best = { endpoint, link, others, costMs, load }
   }
   return best
--- a/gateway/relay/src/target.ts
+++ b/gateway/relay/src/target.ts
@@ -60,7 +60,7 @@
 function choose (state: FinderState, exchange: Exchange, endpoints: readonly DirectoryEndpoint[]): ChosenEndpoint | undefined {
   const { relay, runTimes } = state
   const candidates = endpoints.map(endpoint => ({ endpoint, link: getLink(state, exchange, endpoint), others: relay.directory.getOthersLoad(endpoint.endpoint) }))
-  return chooseEndpoint({ candidates, place: relay.place, runMs: runTimes.get(exchange.pool.name), now: relay.clock.getMonotonicMs(), getSlots: link => getSlots(exchange, link) })
+  return chooseEndpoint({ candidates, place: relay.place, runMs: runTimes.get(exchange.pool.name), now: relay.clock.getMonotonicMs(), nextFraction: relay.random.nextFraction, getSlots: link => getSlots(exchange, link) })
 }
 
 function describeChoice ({ relay }: FinderState, { costMs, load, link, others }: ChosenEndpoint, weighed: number): Readonly<Record<string, unknown>> {
--- a/gateway/relay/test/chooseEndpoint.test.ts
+++ b/gateway/relay/test/chooseEndpoint.test.ts
@@ -1,5 +1,6 @@
 import type { DirectoryEndpoint } from '@catkinferry/fleet.directory'
 import { createSystemClock } from '@catkinferry/core.clock'
+import { createRandom } from '@catkinferry/core.random'
 import { expect } from 'earl'
 import { after, describe, it } from 'node:test'
 import { chooseEndpoint } from '../src/chooseEndpoint.ts'
@@ -18,8 +19,8 @@
   return { endpoint, link, others: changes.othersRunning === undefined ? undefined : { running: changes.othersRunning, at: 1_000 } }
 }
 
-function choose (candidates: readonly Candidate[]): string | undefined {
-  return chooseEndpoint({ candidates, place: { zone: 'z1', region: 'r1' }, runMs: 400, getSlots: () => 10, now: 1_000 })?.endpoint.endpoint
+function choose (candidates: readonly Candidate[], nextFraction = () => 0): string | undefined {
+  return chooseEndpoint({ candidates, place: { zone: 'z1', region: 'r1' }, runMs: 400, getSlots: () => 10, now: 1_000, nextFraction })?.endpoint.endpoint
 }
 
 describe('chooseEndpoint', () => {
@@ -39,6 +40,16 @@
     expect(choose([build('broken', { broken: true })])).toEqual('broken')
   })
 
+  it('spreads requests over endpoints that are about equally loaded, and keeps from those that are much busier', () => {
+    const random = createRandom(1)
+    const counts = new Map<string, number>()
+    for (let index = 0; index < 300; index += 1) {
+      const id = choose([build('a', { othersRunning: 2 }), build('b', { othersRunning: 3 }), build('c', { othersRunning: 9 })], random.nextFraction) ?? ''
+      counts.set(id, (counts.get(id) ?? 0) + 1)
+    }
+    expect([(counts.get('a') ?? 0) > 150, (counts.get('b') ?? 0) > 10, counts.get('c')]).toEqual([true, true, undefined])
+  })
+
   it('has no choice among none', () => { expect(choose([])).toEqual(undefined) })
 })
 
