--- a/fleet/placement/src/constants.ts
+++ b/fleet/placement/src/constants.ts
@@ -1,10 +1,10 @@
 /** Timing and bounds of placement. */
 
-/** How often the holder reads the platform's list. */
+/** How often the holder reads the platform's list, and frees places of engines. */
 export const LIST_INTERVAL_MS = 400
 
-/** How often the health of endpoints is weighed over what entry hosts report, and places are freed. */
-export const UPKEEP_INTERVAL_MS = 50
+/** How often the health of endpoints is weighed over what entry hosts report. */
+export const HEALTH_INTERVAL_MS = 50
 
 /** What was ordered here goes before a list that may be older than this. */
 export const LIST_LAG_MS = 1_600
--- a/fleet/placement/src/endpointHealth.ts
+++ b/fleet/placement/src/endpointHealth.ts
@@ -10,7 +10,7 @@
 const SILENT_HOSTS_SHARE = 0.6
 /** A report older than this is not counted. */
 const REPORT_MS = 1_200
-/** Span over which failures are counted. */
+/** Failures are counted over the last half to whole of this span. */
 const FAILURE_WINDOW_MS = 2_000
 /** Failures that make an endpoint suspect: at least, as a share of its requests, and beyond the share of the rest of its pool. */
 const MIN_FAILURES = 5
@@ -24,15 +24,18 @@
 /** Beyond this share of a pool no more of it become suspect: what is seen then is not the endpoints' fault. */
 const MAX_SUSPECT_SHARE = 0.5
 
-interface HostView {
-  readonly silent: boolean
-  readonly running: number
-  readonly at: MonotonicMs
+/** Requests and failures of one half of the window. */
+interface Counted {
+  from: MonotonicMs
+  begun: number
+  failed: number
 }
 
 interface HealthRow {
-  readonly views: Map<HostId, HostView>
-  outcomes: Array<{ readonly at: MonotonicMs, readonly begun: number, readonly failed: number }>
+  /** Hosts that find it silent, and when they last said so. */
+  readonly silentAt: Map<HostId, MonotonicMs>
+  present: Counted
+  former: Counted
   suspectUntil: MonotonicMs
   holdMs: DurationMs
 }
@@ -47,10 +50,19 @@
   readonly begun: number
 }
 
+/** Where endpoints stand. */
+export interface HealthPools {
+  /** Undefined for an endpoint that is gone or leaving. */
+  readonly getPool: (endpoint: EndpointId) => string | undefined
+  readonly listEndpoints: (pool: string) => readonly EndpointId[]
+  /** Entry hosts with requests at an endpoint. */
+  readonly countUsers: (endpoint: EndpointId) => number
+}
+
 export interface EndpointHealthBoard {
   readonly receive: (from: HostId, uses: readonly AdapterUse[], health: readonly EndpointHealth[], now: MonotonicMs) => void
-  /** Weighs the endpoints of each pool; gives those whose suspicion has changed. */
-  readonly update: (pools: Iterable<readonly EndpointId[]>, now: MonotonicMs) => readonly HealthChange[]
+  /** Weighs the endpoints that something is told against; gives those whose suspicion has changed. */
+  readonly update: (pools: HealthPools, now: MonotonicMs) => readonly HealthChange[]
   readonly isSuspect: (endpoint: EndpointId) => boolean
   readonly drop: (endpoint: EndpointId) => void
   readonly clear: () => void
@@ -63,21 +75,29 @@
   readonly begun: number
 }
 
-function countViews ({ views, outcomes }: HealthRow): Counts {
-  let silentHosts = 0
-  let usingHosts = 0
-  for (const { silent, running } of views.values()) {
-    if (silent) silentHosts += 1
-    if (silent || running > 0) usingHosts += 1
-  }
-  const failed = outcomes.reduce((sum, row) => sum + row.failed, 0)
-  const begun = outcomes.reduce((sum, row) => sum + row.begun, 0)
-  return { silentHosts, usingHosts, failed, begun: Math.max(begun, failed) }
+function turnWindow (row: HealthRow, now: MonotonicMs): void {
+  if (now - row.present.from <= FAILURE_WINDOW_MS / 2) return
+  const isOld = now - row.present.from > FAILURE_WINDOW_MS
+  row.former = isOld ? { from: now, begun: 0, failed: 0 } : row.present
+  row.present = { from: now, begun: 0, failed: 0 }
+}
+
+function countOutcomes (row: HealthRow, now: MonotonicMs): { readonly failed: number, readonly begun: number } {
+  turnWindow(row, now)
+  const { present, former } = row
+  const failed = present.failed + former.failed
+  return { failed, begun: Math.max(failed, present.begun + former.begun) }
+}
+
+function addCounts (row: HealthRow, { begun = 0, failed = 0 }: { begun?: number, failed?: number }, now: MonotonicMs): void {
+  turnWindow(row, now)
+  row.present.begun += begun
+  row.present.failed += failed
 }
 
-function dropOld (row: HealthRow, now: MonotonicMs): void {
-  for (const [host, { at }] of row.views) if (now - at > REPORT_MS) row.views.delete(host)
-  row.outcomes = row.outcomes.filter(({ at }) => now - at <= FAILURE_WINDOW_MS)
+function countSilentHosts ({ silentAt }: HealthRow, now: MonotonicMs): number {
+  for (const [host, at] of silentAt) if (now - at > REPORT_MS) silentAt.delete(host)
+  return silentAt.size
 }
 
 function isSilent ({ silentHosts, usingHosts }: Counts): boolean {
@@ -91,66 +111,60 @@
   return failed / begun >= othersShare + EXCESS_SHARE
 }
 
-interface Seen {
-  running: number
-  begun: number
-  failed: number
-  silent: boolean
+function countPool (rows: ReadonlyMap<EndpointId, HealthRow>, endpoints: readonly EndpointId[], now: MonotonicMs): { failed: number, begun: number } {
+  const all = { failed: 0, begun: 0 }
+  for (const endpoint of endpoints) {
+    const row = rows.get(endpoint)
+    if (row === undefined) continue
+    const { failed, begun } = countOutcomes(row, now)
+    all.failed += failed
+    all.begun += begun
+  }
+  return all
 }
 
-/** Joins the two parts of a report by endpoint. */
-function collectSeen (uses: readonly AdapterUse[], health: readonly EndpointHealth[]): Map<EndpointId, Seen> {
-  const seen = new Map<EndpointId, Seen>()
-  const getSeen = (endpoint: EndpointId): Seen => {
-    const facts = seen.get(endpoint) ?? { running: 0, begun: 0, failed: 0, silent: false }
-    seen.set(endpoint, facts)
-    return facts
-  }
-  for (const { endpoint, begun, running } of uses) {
-    const facts = getSeen(endpoint)
-    facts.begun += begun
-    facts.running += running
-  }
-  for (const { endpoint, failed, silent } of health) {
-    const facts = getSeen(endpoint)
-    facts.failed += failed
-    facts.silent = silent
-  }
-  return seen
+function createRow (now: MonotonicMs): HealthRow {
+  const counted = { from: now, begun: 0, failed: 0 }
+  return { silentAt: new Map(), present: { ...counted }, former: counted, suspectUntil: Number.NEGATIVE_INFINITY, holdMs: SUSPECT_MS }
 }
 
 /** Creates an empty board. */
 export function createEndpointHealthBoard (): EndpointHealthBoard {
   const rows = new Map<EndpointId, HealthRow>()
   const suspects = new Set<EndpointId>()
+  /** Endpoints that something was told against lately, and suspects. */
+  const watched = new Set<EndpointId>()
+  /** Endpoints that each host found silent in its last report. */
+  const silentBy = new Map<HostId, readonly EndpointId[]>()
 
-  function getRow (endpoint: EndpointId): HealthRow {
-    const known = rows.get(endpoint)
-    if (known !== undefined) return known
-    const row: HealthRow = { views: new Map(), outcomes: [], suspectUntil: Number.NEGATIVE_INFINITY, holdMs: SUSPECT_MS }
+  function getRow (endpoint: EndpointId, now: MonotonicMs): HealthRow {
+    const row = rows.get(endpoint) ?? createRow(now)
     rows.set(endpoint, row)
     return row
   }
 
   function receive (from: HostId, uses: readonly AdapterUse[], health: readonly EndpointHealth[], now: MonotonicMs): void {
-    const seen = collectSeen(uses, health)
-    // A report tells all that its host runs: where it names no endpoint, the host knows nothing of that one any more.
-    for (const [endpoint, { views }] of rows) if (!seen.has(endpoint)) views.delete(from)
-    for (const [endpoint, { running, begun, failed, silent }] of seen) {
-      const row = getRow(endpoint)
-      row.views.set(from, { silent, running, at: now })
-      if (begun + failed > 0) row.outcomes.push({ at: now, begun, failed })
+    for (const { endpoint, begun } of uses) if (begun > 0) addCounts(getRow(endpoint, now), { begun }, now)
+    for (const endpoint of silentBy.get(from) ?? []) rows.get(endpoint)?.silentAt.delete(from)
+    silentBy.delete(from)
+    const silent = health.filter(row => row.silent).map(({ endpoint }) => endpoint)
+    if (silent.length > 0) silentBy.set(from, silent)
+    for (const endpoint of silent) getRow(endpoint, now).silentAt.set(from, now)
+    for (const { endpoint, failed } of health) {
+      addCounts(getRow(endpoint, now), { failed }, now)
+      watched.add(endpoint)
     }
   }
 
   /** Gives the change; undefined where suspicion stays as it is. */
   function updateRow (endpoint: EndpointId, counts: Counts, isBad: boolean, now: MonotonicMs): HealthChange | undefined {
-    const row = getRow(endpoint)
+    const row = getRow(endpoint, now)
     const wasSuspect = suspects.has(endpoint)
     if (isBad && now >= row.suspectUntil) {
       row.holdMs = now - row.suspectUntil > FORGET_MS ? SUSPECT_MS : Math.min(MAX_SUSPECT_MS, row.holdMs * 2)
       row.suspectUntil = now + row.holdMs
-      row.outcomes = []
+      row.present = { from: now, begun: 0, failed: 0 }
+      row.former = row.present
     }
     const suspect = now < row.suspectUntil
     if (suspect === wasSuspect) return undefined
@@ -159,37 +173,43 @@
     return { endpoint, suspect, ...counts }
   }
 
-  function updatePool (endpoints: readonly EndpointId[], now: MonotonicMs): HealthChange[] {
-    const counted = endpoints.filter(endpoint => rows.has(endpoint)).map(endpoint => {
-      const row = getRow(endpoint)
-      dropOld(row, now)
-      return { endpoint, counts: countViews(row) }
-    })
-    const all = { failed: counted.reduce((sum, { counts }) => sum + counts.failed, 0), begun: counted.reduce((sum, { counts }) => sum + counts.begun, 0) }
-    const most = Math.floor(endpoints.length * MAX_SUSPECT_SHARE)
-    let count = endpoints.filter(endpoint => suspects.has(endpoint)).length
+  /** Whether an endpoint is bad now; the rest of its pool is looked at only where it may be. */
+  function isBad (endpoint: EndpointId, counts: Counts, pools: HealthPools, now: MonotonicMs): boolean {
+    const pool = pools.getPool(endpoint)
+    if (pool === undefined || (!isSilent(counts) && counts.failed < MIN_FAILURES)) return false
+    const endpoints = pools.listEndpoints(pool)
+    const others = endpoints.filter(other => other !== endpoint && suspects.has(other)).length
+    if (!suspects.has(endpoint) && others >= Math.floor(endpoints.length * MAX_SUSPECT_SHARE)) return false
+    return isSilent(counts) || isFailing(counts, countPool(rows, endpoints, now))
+  }
+
+  function update (pools: HealthPools, now: MonotonicMs): readonly HealthChange[] {
     const changes: HealthChange[] = []
-    for (const { endpoint, counts } of counted) {
-      const mayBe = suspects.has(endpoint) || count < most
-      const change = updateRow(endpoint, counts, mayBe && (isSilent(counts) || isFailing(counts, all)), now)
-      if (change === undefined) continue
-      count += change.suspect ? 1 : -1
-      changes.push(change)
+    for (const endpoint of watched) {
+      const row = getRow(endpoint, now)
+      const silentHosts = countSilentHosts(row, now)
+      const counts = { silentHosts, usingHosts: Math.max(silentHosts, pools.countUsers(endpoint)), ...countOutcomes(row, now) }
+      const change = updateRow(endpoint, counts, isBad(endpoint, counts, pools, now), now)
+      if (change !== undefined) changes.push(change)
+      if (counts.silentHosts + counts.failed === 0 && !suspects.has(endpoint)) watched.delete(endpoint)
     }
     return changes
   }
 
   return {
     receive,
-    update: (pools, now) => [...pools].flatMap(endpoints => updatePool(endpoints, now)),
+    update,
     isSuspect: endpoint => suspects.has(endpoint),
     drop: endpoint => {
       rows.delete(endpoint)
       suspects.delete(endpoint)
+      watched.delete(endpoint)
     },
     clear: () => {
       rows.clear()
       suspects.clear()
+      watched.clear()
+      silentBy.clear()
     }
   }
 }
--- a/fleet/placement/src/loadTotals.ts
+++ b/fleet/placement/src/loadTotals.ts
@@ -41,6 +41,8 @@
   /** Takes what a host runs now; it replaces the host's report before. */
   readonly receive: (from: HostId, uses: readonly AdapterUse[], now: MonotonicMs) => void
   readonly get: (endpoint: EndpointId) => number
+  /** Hosts that run requests at an endpoint. */
+  readonly countUsers: (endpoint: EndpointId) => number
   readonly flush: (context: RunContext, hosts: readonly HostId[]) => void
   readonly clear: () => void
   readonly getNextAt: () => MonotonicMs
@@ -127,6 +129,11 @@
       reports.set(from, { at: now, running })
     },
     get: endpoint => totals.get(endpoint) ?? 0,
+    countUsers: endpoint => {
+      let count = 0
+      for (const { running } of reports.values()) if ((running.get(endpoint) ?? 0) > 0) count += 1
+      return count
+    },
     flush: (context, hosts) => {
       if (context.now < updateAt) return
       updateTotals(context.now)
--- a/fleet/placement/src/placement.ts
+++ b/fleet/placement/src/placement.ts
@@ -5,8 +5,9 @@
 import type { EndpointId, ListedEndpoint, ModelId } from '@catkinferry/core.types'
 import type { RunContext, System } from '@catkinferry/host.events'
 import type { FleetMessage, HeldState } from '@catkinferry/wire.messages'
-import { UPKEEP_INTERVAL_MS, LIST_INTERVAL_MS, MIN_MODEL_LOADS, MODEL_LOAD_WINDOW_MS, MODEL_LOADS_PER_RATE, RESEND_MS } from './constants.ts'
+import { HEALTH_INTERVAL_MS, LIST_INTERVAL_MS, MIN_MODEL_LOADS, MODEL_LOAD_WINDOW_MS, MODEL_LOADS_PER_RATE, RESEND_MS } from './constants.ts'
 import { createEndpointHealthBoard } from './endpointHealth.ts'
+import type { HealthPools } from './endpointHealth.ts'
 import { createEndpointPublisher } from './endpointPublisher.ts'
 import { applyListed, createEngineState, createRestartedEngine, formatSlotKey, SlotState } from './engineState.ts'
 import type { EngineState } from './engineState.ts'
@@ -61,7 +62,7 @@
       }
     }),
     health,
-    upkeepAt: 0,
+    healthAt: 0,
     outcomes: []
   }
   return {
@@ -173,9 +174,15 @@
 
 /** Tells entry hosts at once which endpoints have become suspect, and which no longer are. */
 function updateHealth (state: PlacementState, context: RunContext): void {
-  const pools = new Map<string, EndpointId[]>()
-  for (const [endpoint, { listed: { pool, leaving } }] of state.engines) if (!leaving) pools.set(pool, [...pools.get(pool) ?? [], endpoint])
-  for (const { endpoint, suspect, ...figures } of state.health.update(pools.values(), context.now)) {
+  const pools: HealthPools = {
+    getPool: endpoint => {
+      const listed = state.engines.get(endpoint)?.listed
+      return listed === undefined || listed.leaving ? undefined : listed.pool
+    },
+    countUsers: state.totals.countUsers,
+    listEndpoints: pool => listPoolEngines(state, pool).filter(({ listed }) => !listed.leaving).map(({ listed }) => listed.endpoint)
+  }
+  for (const { endpoint, suspect, ...figures } of state.health.update(pools, context.now)) {
     state.publisher.noteUrgentRow(endpoint)
     reportInfo(context, suspect ? 'an endpoint is suspect' : 'an endpoint is suspect no longer', { peer: endpoint, ...figures, term: state.term })
   }
@@ -234,12 +241,12 @@
     state.nextListAt = context.now + LIST_INTERVAL_MS
     state.opts.pollList()
     for (const engine of state.engines.values()) updateSlots(state, engine, context.now)
+    if (context.now >= state.ordersFrom) evictIdle(state, context)
   }
   takeOutcomes(state, context)
-  if (context.now >= state.upkeepAt) {
-    state.upkeepAt = context.now + UPKEEP_INTERVAL_MS
+  if (context.now >= state.healthAt) {
+    state.healthAt = context.now + HEALTH_INTERVAL_MS
     updateHealth(state, context)
-    if (context.now >= state.ordersFrom) evictIdle(state, context)
   }
   runWishes(state, context)
   if (context.now >= state.ordersFrom) {
@@ -255,7 +262,7 @@
 function getNextAt (state: PlacementState): number {
   if (state.term === undefined) return Infinity
   if (state.outcomes.length > 0) return Number.NEGATIVE_INFINITY
-  let nextAt = Math.min(state.nextListAt, state.upkeepAt, state.publisher.getNextAt(), state.totals.getNextAt())
+  let nextAt = Math.min(state.nextListAt, state.healthAt, state.publisher.getNextAt(), state.totals.getNextAt())
   for (const { calling, nextAt: jobAt } of state.jobs.values()) if (!calling) nextAt = Math.min(nextAt, Math.max(jobAt, state.ordersFrom))
   if (state.wishes.size > 0) nextAt = Math.min(nextAt, state.lastRunAt + RESEND_MS)
   return nextAt
--- a/fleet/placement/src/placementState.ts
+++ b/fleet/placement/src/placementState.ts
@@ -86,8 +86,8 @@
   readonly publisher: EndpointPublisher
   readonly totals: LoadTotals
   readonly health: EndpointHealthBoard
-  /** When the health of endpoints is weighed and places are freed again. */
-  upkeepAt: MonotonicMs
+  /** When the health of endpoints is weighed again. */
+  healthAt: MonotonicMs
   /** Outcomes that came in since the last run. */
   readonly outcomes: Array<{ readonly job: Job, readonly outcome: EngineOrderOutcome }>
 }
--- a/fleet/placement/test/endpointHealth.test.ts
+++ b/fleet/placement/test/endpointHealth.test.ts
@@ -6,14 +6,17 @@
 
 function createStand () {
   const board = createEndpointHealthBoard()
+  /** Hosts with requests, by endpoint. */
+  const users = new Map<string, Set<string>>()
   return {
     board,
     /** A host with one request at an endpoint. */
     tell: (host: string, endpoint: string, changes: { silent?: boolean, failed?: number, begun?: number, running?: number }, now: number) => {
       const { silent = false, failed = 0, begun = 1, running = 1 } = changes
+      users.set(endpoint, (users.get(endpoint) ?? new Set()).add(host))
       board.receive(host, [{ endpoint, adapterKey: 'm/a@1', begun, running }], silent || failed > 0 ? [{ endpoint, failed, silent }] : [], now)
     },
-    update: (now: number) => board.update([POOL], now).map(({ endpoint, suspect }) => `${endpoint} ${suspect}`)
+    update: (now: number) => board.update({ getPool: () => 'p', listEndpoints: () => POOL, countUsers: endpoint => users.get(endpoint)?.size ?? 0 }, now).map(({ endpoint, suspect }) => `${endpoint} ${suspect}`)
   }
 }
 
