--- a/fleet/placement/src/endpointHealth.ts
+++ b/fleet/placement/src/endpointHealth.ts
@@ -164,7 +164,7 @@
       row.holdMs = now - row.suspectUntil > FORGET_MS ? SUSPECT_MS : Math.min(MAX_SUSPECT_MS, row.holdMs * 2)
       row.suspectUntil = now + row.holdMs
       row.present = { from: now, begun: 0, failed: 0 }
-      row.former = row.present
+      row.former = { from: now, begun: 0, failed: 0 }
     }
     const suspect = now < row.suspectUntil
     if (suspect === wasSuspect) return undefined
--- a/fleet/placement/test/endpointHealth.test.ts
+++ b/fleet/placement/test/endpointHealth.test.ts
@@ -60,6 +60,14 @@
     expect([update(3_600), update(3_710)]).toEqual([[], ['e1 false']])
   })
 
+  it('counts anew what fails after an endpoint was found bad', () => {
+    const { tell, update } = createStand()
+    for (const endpoint of POOL) tell('h1', endpoint, { begun: 20, failed: endpoint === 'e2' ? 8 : 0 }, 0)
+    expect(update(10)).toEqual(['e2 true'])
+    tell('h1', 'e2', { begun: 8, failed: 3 }, 500)
+    expect(update(1_020)).toEqual(['e2 false'])
+  })
+
   it('leaves half of a pool alone, whatever is told', () => {
     const { tell, update } = createStand()
     for (const endpoint of POOL) for (const host of ['h1', 'h2']) tell(`${host}${endpoint}`, endpoint, { silent: true }, 100)
