--- a/gateway/relay/src/dialect.ts
+++ b/gateway/relay/src/dialect.ts
@@ -13,6 +13,8 @@
   readonly deadlineMs?: DurationMs
   readonly model?: ModelId
   readonly adapter?: AdapterName
+  /** IDs of the parts of the prompt that other requests may share, in order; the last part, which belongs to the request, is left out. */
+  readonly promptParts: readonly string[]
   /** The same for each attempt of a caller at the same work, as far as its headers tell. */
   readonly workId?: string
   /** Last server-sent event that the caller received of a stream that it resumes. */
--- a/gateway/relay/src/relay.ts
+++ b/gateway/relay/src/relay.ts
@@ -231,7 +231,7 @@
   const { link, endpoint, adapterKey, version } = target
   const sentAt = opts.clock.getMonotonicMs()
   opts.logger.info('sending request to endpoint', {
-    step: 'offer', requestId: exchange.facts.requestId, peer: endpoint, route: exchange.route.name, routesVersion: exchange.routesVersion, adapter: adapterKey, version, ...logFields, waitedMs: Math.round(sentAt - exchange.arrivedAt), remainingMs: Math.round(exchange.deadlineAt - sentAt)
+    step: 'offer', requestId: exchange.facts.requestId, peer: endpoint, route: exchange.route.name, routesVersion: exchange.routesVersion, adapter: adapterKey, version, promptParts: exchange.facts.promptParts, ...logFields, waitedMs: Math.round(sentAt - exchange.arrivedAt), remainingMs: Math.round(exchange.deadlineAt - sentAt)
   })
   exchange.offered = true
   exchange.firstByteMs = undefined
@@ -323,7 +323,7 @@
   if (end.kind === 'interrupted') return false
   if (end.kind === 'withheld') return true
   const reason = end.kind === 'failed' ? `the endpoint answered ${end.response.status}` : end.reason
-  state.opts.logger.info('attempt ended without a usable response', { step: 'attempt', requestId, outcome: end.kind, reason, mayTryAnother })
+  state.opts.logger.info('attempt ended without a usable response', { step: 'attempt', requestId, outcome: end.kind, reason, hasBegun: exchange.firstByteMs !== undefined, mayTryAnother })
   const tryTakeRetry = (): boolean => state.allowance.tryTake(exchange.pool.name)
   // An attempt that failed to connect sent nothing, so it takes nothing from the retry allowance.
   if (end.kind === 'notRun' && exchange.refusedBy.size <= MAX_NOT_RUN_ATTEMPTS && (!end.isAnswered || tryTakeRetry())) return true
--- a/gateway/relay/test/testRelay.ts
+++ b/gateway/relay/test/testRelay.ts
@@ -20,6 +20,7 @@
     deadlineMs: headers['x-deadline'] === undefined ? undefined : Number(headers['x-deadline']),
     model: headers['x-model'] === undefined ? undefined : 'm',
     adapter: headers['x-model'] as string | undefined,
+    promptParts: headers['x-parts'] === undefined ? [] : String(headers['x-parts']).split(','),
     lastEventId: headers['x-resume'] as string | undefined
   }),
   buildHeaders: ({ endpoint, remainingMs, version, lastEventId }) => [
