--- a/core/types/src/ids.ts
+++ b/core/types/src/ids.ts
@@ -17,6 +17,8 @@
 export type ChangeId = string
 /** Idempotency key of a non-idempotent request. */
 export type ClaimKey = string
+/** ID of a part of a prompt that several requests may share. */
+export type PromptPart = string
 /** Path in a settings tree, segments joined with `/`. */
 export type NodePath = string
 
--- a/daemon/fleet/src/coreSystems.ts
+++ b/daemon/fleet/src/coreSystems.ts
@@ -9,11 +9,14 @@
 import type { FleetMembership } from '@catkinferry/fleet.membership'
 import { createPlacement } from '@catkinferry/fleet.placement'
 import type { Placement, PlacementOptions } from '@catkinferry/fleet.placement'
+import { createPromptQuarantine } from '@catkinferry/fleet.prompt-quarantine'
+import type { PromptQuarantine, PromptQuarantineMessage } from '@catkinferry/fleet.prompt-quarantine'
 import { createVoterKeeper } from '@catkinferry/fleet.voter-keeper'
 import type { RunContext } from '@catkinferry/host.events'
 import { createCommandClient } from '@catkinferry/settings.command-client'
 import type { CommandClient, CommandClientMessage } from '@catkinferry/settings.command-client'
 import { createReplicatedState } from '@catkinferry/settings.replicated-state'
+import type { ReplicatedState } from '@catkinferry/settings.replicated-state'
 import type { FleetSettings } from './fleetSettings.ts'
 import type { NodeSystems } from './fleetNode.ts'
 import { createStatePublisher } from './statePublisher.ts'
@@ -37,7 +40,7 @@
 }
 
 /** Core hosts report no published state: they have the replicated state itself. */
-const EMPTY_HELD_STATE: HeldState = { routesVersion: 0, announcedSequence: 0, endpointsTerm: 0, endpointsSequence: 0 }
+const EMPTY_HELD_STATE: HeldState = { routesVersion: 0, announcedSequence: 0, endpointsTerm: 0, endpointsSequence: 0, quarantineRevision: 0 }
 
 /** Version of adapters for which none was announced. */
 const FIRST_VERSION = 1
@@ -48,7 +51,7 @@
 /** A leader that no majority has answered for longer gives no orders. Voters elect another one after twice this silence at the earliest. */
 const MAX_QUORUM_AGE_MS = 400
 
-type MessageFamily = 'consensus' | 'voter' | 'client' | 'membership' | 'placement'
+type MessageFamily = 'consensus' | 'voter' | 'client' | 'membership' | 'placement' | 'quarantine'
 
 const FAMILY_BY_KIND: Readonly<Record<string, MessageFamily>> = {
   'command.submit': 'voter',
@@ -61,24 +64,28 @@
   'load.ask': 'placement',
   'fleet.slots': 'placement',
   'fleet.use': 'placement',
-  'fleet.slotUse': 'placement'
+  'fleet.slotUse': 'placement',
+  'fleet.crashes': 'quarantine',
+  'fleet.soundParts': 'quarantine'
 }
 
 interface Receivers {
   readonly voter: Voter
   readonly commands: CommandClient
   readonly placement: Placement
+  readonly quarantine: PromptQuarantine
   readonly receiveMembership: (from: HostId, message: Extract<FleetMessage, { kind: 'fleet.hello' | 'fleet.welcome' }>, context: RunContext) => void
 }
 
 /** Dispatches each peer message to the system that handles its kind. */
-function createDispatcher ({ voter, commands, placement, receiveMembership }: Receivers): NodeSystems['receive'] {
+function createDispatcher ({ voter, commands, placement, quarantine, receiveMembership }: Receivers): NodeSystems['receive'] {
   const byFamily: Readonly<Record<MessageFamily, (from: HostId, message: never, context: RunContext) => void>> = {
     consensus: (from, message: VoterMessage, context) => voter.receive(from, message, context),
     voter: (from, message: VoterMessage, context) => voter.receive(from, message, context),
     client: (from, message: CommandClientMessage, context) => commands.receive(from, message, context),
     membership: receiveMembership,
-    placement: (from, message: Extract<FleetMessage, { kind: 'load.ask' | 'fleet.use' | 'fleet.slots' | 'fleet.slotUse' }>, context) => placement.receive(from, message, context)
+    placement: (from, message: Extract<FleetMessage, { kind: 'load.ask' | 'fleet.use' | 'fleet.slots' | 'fleet.slotUse' }>, context) => placement.receive(from, message, context),
+    quarantine: (from, message: PromptQuarantineMessage, context) => quarantine.receive(from, message, context)
   }
   return (from, message: PeerMessage, context) => {
     const family = message.kind.startsWith('consensus.') ? 'consensus' : FAMILY_BY_KIND[message.kind]
@@ -87,6 +94,29 @@
   }
 }
 
+interface QuarantineParts {
+  readonly placement: Placement
+  readonly membership: FleetMembership
+  readonly commands: CommandClient
+  readonly listQuarantined: ReplicatedState['listQuarantined']
+}
+
+function createQuarantine ({ placement, membership, commands, listQuarantined }: QuarantineParts): PromptQuarantine {
+  return createPromptQuarantine({
+    getLeaderTerm: placement.getLeaderTerm,
+    listEntryHosts: now => membership.listLiveEntryHosts(now).map(({ host }) => host),
+    listQuarantined,
+    propose: (command, timeoutMs, onSettled, context) => commands.submit({
+      command,
+      deadlineAt: context.now + timeoutMs,
+      onOutcome: ({ kind }, { emit }) => {
+        if (kind !== 'outcome') emit({ kind: 'log', level: 'warn', message: 'quarantine command was not acknowledged', fields: { step: 'quarantine', command: command.kind, part: command.part, result: kind } })
+        onSettled()
+      }
+    }, context)
+  })
+}
+
 /** Creates the systems from the state stored on disk. */
 export function createCoreSystems (opts: CoreSystemsOptions): CoreSystems {
   const { settings, stored, seed, startedAt, getSeeds } = opts
@@ -124,6 +154,8 @@
     pollList: opts.pollList
   })
 
+  const quarantine = createQuarantine({ placement, membership, commands, listQuarantined: state.listQuarantined })
+
   function getRoutesVersion (): number {
     return state.getRoutes()?.table.version ?? 0
   }
@@ -140,7 +172,7 @@
     placement.update(from, message.held, context)
   }
 
-  const receive = createDispatcher({ voter, commands, placement, receiveMembership })
+  const receive = createDispatcher({ voter, commands, placement, quarantine, receiveMembership })
 
   return {
     voter,
@@ -158,9 +190,10 @@
       if (voter.isLeader()) publisher.sendChanges(context, membership.listLiveEntryHosts(now))
       const termBefore = placement.getLeaderTerm()
       placement.run(context)
+      quarantine.run(context)
       if (placement.getLeaderTerm() !== termBefore && placement.getLeaderTerm() !== undefined) membership.announceLeader(context)
     },
-    getNextAt: () => Math.min(voter.getNextAt() ?? Infinity, commands.getNextAt() ?? Infinity, membership.getNextAt() ?? Infinity, voterKeeper.getNextAt(), placement.getNextAt() ?? Infinity),
+    getNextAt: () => Math.min(voter.getNextAt() ?? Infinity, commands.getNextAt() ?? Infinity, membership.getNextAt() ?? Infinity, voterKeeper.getNextAt(), placement.getNextAt() ?? Infinity, quarantine.getNextAt()),
     listPeers: membership.listPeers,
     handlePause: (context, gapMs) => {
       leadershipPausedUntil = context.now + LEADERSHIP_RECHECK_MS
--- a/daemon/fleet/src/entryHost.ts
+++ b/daemon/fleet/src/entryHost.ts
@@ -98,6 +98,10 @@
     recordLeaving: (endpoint, bornAt) => {
       directory.recordLeaving(endpoint, bornAt)
       scheduleRun()
+    },
+    recordBroken: (request, now) => {
+      directory.recordBroken(request, now)
+      scheduleRun()
     }
   }
 }
@@ -116,7 +120,8 @@
     onRoutes: ({ table }) => {
       callers.setLimits(table.limits)
       page.set('routes_version', table.version)
-    }
+    },
+    onQuarantine: () => relay.endQuarantined()
   })
   const membership = createFleetMembership({ self: { host, zone, region }, role: FleetRole.ENTRY, getSeeds: opts.getSeeds, getHeld: directory.getHeld })
   const readiness = createReadiness({ directory, membership, logger, page })
--- a/daemon/fleet/src/statePublisher.ts
+++ b/daemon/fleet/src/statePublisher.ts
@@ -1,4 +1,4 @@
-/** Publishes routes and announced adapter versions to entry hosts. The leader sends changes immediately; any core host sends what is missing when an entry host says hello. */
+/** Publishes routes, announced adapter versions and quarantined prompt parts to entry hosts. The leader sends changes immediately; any core host sends what is missing when an entry host says hello. */
 import type { HostId, MonotonicMs, ZoneId } from '@catkinferry/core.types'
 import type { FleetPeer } from '@catkinferry/fleet.membership'
 import type { RunContext } from '@catkinferry/host.events'
@@ -22,11 +22,12 @@
 }
 
 /** Creates a publisher of one core host's state. */
-export function createStatePublisher (opts: { readonly state: Pick<ReplicatedState, 'getRoutes' | 'listAnnouncedAfter' | 'getAnnouncedSequence'>, readonly zone: ZoneId }): StatePublisher {
+export function createStatePublisher (opts: { readonly state: Pick<ReplicatedState, 'getRoutes' | 'listAnnouncedAfter' | 'getAnnouncedSequence' | 'listQuarantined' | 'getQuarantineRevision'>, readonly zone: ZoneId }): StatePublisher {
   const { state, zone } = opts
   const routeMessages = createRouteMessages()
   let flushedVersion = 0
   let flushedSequence = 0
+  let flushedQuarantine = 0
   const lackingHosts = new Map<HostId, LackingHost>()
 
   function sendAnnounced (context: RunContext, host: HostId, after: number): void {
@@ -34,6 +35,11 @@
     context.send(host, { kind: 'fleet.announced', after, sequence: state.getAnnouncedSequence(), versions })
   }
 
+  function sendQuarantine (context: RunContext, hosts: readonly HostId[]): void {
+    const message = { kind: 'fleet.quarantine', revision: state.getQuarantineRevision(), parts: state.listQuarantined().map(({ part }) => part) } as const
+    for (const host of hosts) context.send(host, message)
+  }
+
   function getRouteMessages (): typeof routeMessages {
     const table = state.getRoutes()?.table
     if (table !== undefined) routeMessages.setTable(table)
@@ -59,6 +65,9 @@
         for (const { host, held } of entries) if (changes !== undefined || held.routesVersion < version) context.send(host, changes ?? messages.findChanges(held.routesVersion) ?? messages.getWhole())
       }
       if (sequence > flushedSequence) for (const { host, held } of entries) sendAnnounced(context, host, Math.min(flushedSequence, held.announcedSequence))
+      const quarantineRevision = state.getQuarantineRevision()
+      if (quarantineRevision > flushedQuarantine) sendQuarantine(context, entries.filter(({ held }) => (held.quarantineRevision ?? 0) < quarantineRevision).map(({ host }) => host))
+      flushedQuarantine = Math.max(flushedQuarantine, quarantineRevision)
       flushedVersion = Math.max(flushedVersion, version)
       flushedSequence = Math.max(flushedSequence, sequence)
     },
@@ -67,7 +76,8 @@
       const { now } = context
       const lacksRoutes = held.routesVersion < (state.getRoutes()?.table.version ?? 0)
       const lacksVersions = held.announcedSequence < state.getAnnouncedSequence()
-      if (!lacksRoutes && !lacksVersions) {
+      const lacksQuarantine = (held.quarantineRevision ?? 0) < state.getQuarantineRevision()
+      if (!lacksRoutes && !lacksVersions && !lacksQuarantine) {
         lackingHosts.delete(host)
         return
       }
@@ -76,6 +86,7 @@
       if (now - lacking.sentAt < RESEND_DELAY_MS) return
       lacking.sentAt = now
       if (lacksRoutes) sendRoutes(context, peer, now - lacking.since)
+      if (lacksQuarantine) sendQuarantine(context, [host])
       if (lacksVersions) sendAnnounced(context, host, held.announcedSequence)
     }
   }
--- a/daemon/fleet/test/statePublisher.test.ts
+++ b/daemon/fleet/test/statePublisher.test.ts
@@ -19,8 +19,9 @@
 function createFixture (entryCount: number) {
   let table = buildTable(1, 1_400)
   let now = 0
+  const quarantined: string[] = []
   const sent: Array<{ readonly from: string, readonly to: string, readonly message: FleetMessage }> = []
-  const state = { getRoutes: () => ({ table, document: '' }), listAnnouncedAfter: () => [], getAnnouncedSequence: () => 0 }
+  const state = { getRoutes: () => ({ table, document: '' }), listAnnouncedAfter: () => [], getAnnouncedSequence: () => 0, listQuarantined: () => quarantined.map(part => ({ part, at: 0 })), getQuarantineRevision: () => quarantined.length }
   const entries = Array.from({ length: entryCount }, (_, index) => ({ host: `e${index}`, zone: `z${index % 2}`, directory: createDirectory({ getEntryCount: () => 1, getLeader: () => undefined, onRoutes: () => undefined }) }))
   const cores = ['z0', 'z1', 'z2'].map(zone => ({ zone, publisher: createStatePublisher({ state: state as never, zone }) }))
   const createContext = (from: string): RunContext => ({
@@ -35,6 +36,8 @@
   const listPeers = () => entries.map(({ host, zone, directory }) => ({ host, zone, region: 'r', role: 'entry', heardAt: now, held: directory.getHeld() } as const))
   return {
     sent,
+    quarantine: (part: string) => { quarantined.push(part) },
+    listQuarantined: () => entries.map(({ directory }) => directory.findQuarantined(quarantined)),
     replaceTable: (next: RouteTable) => { table = next },
     flush: (zone: string) => cores.find(core => core.zone === zone)?.publisher.sendChanges(createContext(zone), listPeers()),
     sayHello: () => {
@@ -76,4 +79,20 @@
     for (let count = 0; count < 3; count += 1) fixture.sayHello()
     expect(fixture.listVersions()).toEqual([2])
   })
+
+  // Guards against an entry host that serves requests with a part that crashes engines because it missed the message about it.
+  it('sends quarantined prompt parts to all hosts once, and again to those that missed them', () => {
+    const fixture = createFixture(3)
+    fixture.sayHello()
+    fixture.quarantine('bad')
+    fixture.flush('z0')
+    expect(fixture.listQuarantined()).toEqual(['bad', 'bad', 'bad'])
+    fixture.quarantine('worse')
+    const before = fixture.sent.length
+    for (let count = 0; count < 3; count += 1) fixture.sayHello()
+    expect(fixture.sent.slice(before).filter(({ message }) => message.kind === 'fleet.quarantine' && message.parts.length === 2).length >= 3).toEqual(true)
+    const after = fixture.sent.length
+    fixture.sayHello()
+    expect(fixture.sent.length).toEqual(after)
+  })
 })
--- a/fleet/directory/src/directory.ts
+++ b/fleet/directory/src/directory.ts
@@ -2,12 +2,14 @@
  * Directory of an entry host, for its relay: routes, adapter versions and endpoints as published by the core hosts. The relay
  * reads it for each request. On runs of the host's loop, it sends load requests and usage reports to the leader.
  */
-import type { AdapterKey, AdapterName, EndpointId, HostId, ModelId, MonotonicMs, RouteChanges, RouteTable } from '@catkinferry/core.types'
+import type { AdapterKey, AdapterName, EndpointId, HostId, ModelId, MonotonicMs, PromptPart, RouteChanges, RouteTable } from '@catkinferry/core.types'
 import type { RunContext, System } from '@catkinferry/host.events'
 import { applyRouteChanges, unpackRouteTable } from '@catkinferry/routes.table'
 import type { FleetMessage, HeldState } from '@catkinferry/wire.messages'
 import { createEndpointTable } from './endpointTable.ts'
-import type { DirectoryEndpoint } from './endpointTable.ts'
+import type { DirectoryEndpoint, EndpointTable, EndpointUpdate } from './endpointTable.ts'
+import { createPromptReports } from './promptReports.ts'
+import type { BrokenRequest } from './crashReports.ts'
 import { createFleetLoads } from './fleetLoads.ts'
 import type { OthersLoad } from './fleetLoads.ts'
 import { createLeaderReports } from './leaderReports.ts'
@@ -21,7 +23,7 @@
 
 export type { DirectoryEndpoint } from './endpointTable.ts'
 
-export type DirectoryMessage = Extract<FleetMessage, { kind: 'fleet.routes' | 'fleet.packedRoutes' | 'fleet.routeChanges' | 'fleet.announced' | 'fleet.endpoints' | 'fleet.load' | 'load.given' | 'load.refused' }>
+export type DirectoryMessage = Extract<FleetMessage, { kind: 'fleet.routes' | 'fleet.packedRoutes' | 'fleet.routeChanges' | 'fleet.announced' | 'fleet.endpoints' | 'fleet.load' | 'fleet.watchedParts' | 'fleet.quarantine' | 'load.given' | 'load.refused' }>
 
 /** Maximum replica requests queued while no leader is known. */
 const MAX_PENDING_REPLICA_REQUESTS = 64
@@ -53,6 +55,14 @@
   readonly setSilent: (endpoint: EndpointId, silent: boolean) => void
   /** Reports to the leader that an instance of an endpoint announced its departure. */
   readonly recordLeaving: (endpoint: EndpointId, bornAt: number | undefined) => void
+  /** Reports to the leader that the connection of a request broke before its response was complete. */
+  readonly recordBroken: (request: BrokenRequest, now: MonotonicMs) => void
+  /** Records that no connection to an endpoint could be opened. */
+  readonly recordUnreachable: (instance: Pick<BrokenRequest, 'endpoint' | 'bornAt'>, now: MonotonicMs) => void
+  /** Records that an endpoint answered a request with these shared prompt parts and went on working. */
+  readonly recordSound: (parts: readonly PromptPart[], now: MonotonicMs) => void
+  /** The first of these prompt parts whose requests are refused; undefined if there is none. */
+  readonly findQuarantined: (parts: readonly PromptPart[]) => PromptPart | undefined
 }
 
 export interface DirectoryOptions {
@@ -61,6 +71,17 @@
   readonly getLeader: (now: MonotonicMs) => HostId | undefined
   /** Called with each newer route table that is received. */
   readonly onRoutes: (routes: ActiveRoutes) => void
+  /** Called when more prompt parts are quarantined. */
+  readonly onQuarantine?: () => void
+}
+
+/** Applies an update and logs what it changed. */
+function applyEndpoints (endpoints: EndpointTable, update: EndpointUpdate, context: RunContext): void {
+  const { endpointsTerm } = endpoints.getHeld()
+  if (!endpoints.apply(update)) return
+  if (endpointsTerm !== update.term) context.emit({ kind: 'log', level: 'info', message: 'endpoints received from a new leader', fields: { step: 'endpoints', term: update.term, sequence: update.sequence, endpoints: update.rows.length } })
+  for (const row of update.whole ? [] : update.rows) context.emit({ kind: 'log', level: 'info', message: 'endpoint changed', fields: { step: 'endpoints', peer: row.endpoint, leaving: row.leaving, models: row.models.length, term: update.term, sequence: update.sequence } })
+  for (const endpoint of update.gone) context.emit({ kind: 'log', level: 'info', message: 'endpoint removed', fields: { step: 'endpoints', peer: endpoint, term: update.term, sequence: update.sequence } })
 }
 
 /** Creates an empty directory. */
@@ -75,6 +96,7 @@
   const loads = createFleetLoads()
   const slotUses = createSlotUses(opts.getEntryCount)
   const announced = createAnnouncedVersions()
+  const prompts = createPromptReports({ onQuarantine: () => opts.onQuarantine?.() })
   let replicaRequests: FleetMessage[] = []
 
   function receiveRoutes (table: RouteTable, context: RunContext): void {
@@ -89,21 +111,15 @@
     if (held?.version === changes.from) receiveRoutes(applyRouteChanges(held, changes), context)
   }
 
-  function receiveEndpoints (update: Extract<DirectoryMessage, { kind: 'fleet.endpoints' }>, context: RunContext): void {
-    const { endpointsTerm } = endpoints.getHeld()
-    if (!endpoints.apply(update)) return
-    if (endpointsTerm !== update.term) context.emit({ kind: 'log', level: 'info', message: 'endpoints received from a new leader', fields: { step: 'endpoints', term: update.term, sequence: update.sequence, endpoints: update.rows.length } })
-    for (const row of update.whole ? [] : update.rows) context.emit({ kind: 'log', level: 'info', message: 'endpoint changed', fields: { step: 'endpoints', peer: row.endpoint, leaving: row.leaving, models: row.models.length, term: update.term, sequence: update.sequence } })
-    for (const endpoint of update.gone) context.emit({ kind: 'log', level: 'info', message: 'endpoint removed', fields: { step: 'endpoints', peer: endpoint, term: update.term, sequence: update.sequence } })
-  }
-
   const handlers: { readonly [Kind in DirectoryMessage['kind']]: (message: Extract<DirectoryMessage, { kind: Kind }>, context: RunContext) => void } = {
     'fleet.routes': ({ table }, context) => receiveRoutes(table, context),
     'fleet.packedRoutes': ({ version, packed }, context) => { if (version > routes.getVersion()) receiveRoutes(unpackRouteTable(packed), context) },
     'fleet.routeChanges': ({ changes }, context) => receiveRouteChanges(changes, context),
     'fleet.announced': announced.receive,
-    'fleet.endpoints': receiveEndpoints,
+    'fleet.endpoints': (update, context) => applyEndpoints(endpoints, update, context),
     'fleet.load': (message, { now }) => { loads.receive(message, now, reports.getReported) },
+    'fleet.watchedParts': ({ parts }, { now }) => { prompts.watch(parts, now) },
+    'fleet.quarantine': prompts.receiveQuarantine,
     'load.given': (message, { now }) => {
       if (message.adapterKey !== undefined) endpoints.addResident(message.endpoint, message.adapterKey)
       if (!loadRequests.receive(message, now) && message.adapterKey !== undefined) slotUses.recordUnused(message.endpoint, message.adapterKey)
@@ -118,13 +134,14 @@
     if (leader !== undefined) for (const request of pending) context.send(leader, request)
     slotUses.run(context, leader)
     reports.run(context, leader)
+    prompts.run(context, leader)
   }
 
   return {
     receive: (_from, message, context) => { handlers[message.kind](message as never, context) },
     run,
-    getNextAt: () => replicaRequests.length > 0 ? Number.NEGATIVE_INFINITY : Math.min(reports.getNextAt(), slotUses.getNextAt(), loadRequests.getNextAt() ?? Infinity),
-    getHeld: () => ({ routesVersion: routes.getVersion(), announcedSequence: announced.getSequence(), ...endpoints.getHeld() }),
+    getNextAt: () => replicaRequests.length > 0 ? Number.NEGATIVE_INFINITY : Math.min(reports.getNextAt(), slotUses.getNextAt(), prompts.getNextAt(), loadRequests.getNextAt() ?? Infinity),
+    getHeld: () => ({ routesVersion: routes.getVersion(), announcedSequence: announced.getSequence(), quarantineRevision: prompts.getRevision(), ...endpoints.getHeld() }),
     getRoutes: routes.get,
     listEndpoints: endpoints.list,
     getEndpoint: endpoints.get,
@@ -145,6 +162,10 @@
     dropResident: endpoints.dropResident,
     recordFailed: reports.recordFailed,
     setSilent: reports.setSilent,
-    recordLeaving: reports.recordLeaving
+    recordLeaving: reports.recordLeaving,
+    recordBroken: prompts.recordBroken,
+    recordUnreachable: prompts.recordUnreachable,
+    recordSound: prompts.recordSound,
+    findQuarantined: prompts.findQuarantined
   }
 }
--- /dev/null
+++ b/fleet/prompt-quarantine/test/promptQuarantine.test.ts
@@ -0,0 +1,223 @@
+import { createDirectory } from '@catkinferry/fleet.directory'
+import type { Directory, DirectoryMessage } from '@catkinferry/fleet.directory'
+import { createPromptQuarantine } from '@catkinferry/fleet.prompt-quarantine'
+import type { PromptQuarantineMessage } from '@catkinferry/fleet.prompt-quarantine'
+import type { RunContext } from '@catkinferry/host.events'
+import type { PeerMessage } from '@catkinferry/wire.messages'
+import { createRandom } from '@catkinferry/core.random'
+import { expect } from 'earl'
+import { describe, it } from 'node:test'
+
+const FIRST = 'f'
+const BAD = 'bad'
+const STEP_MS = 10
+const HOURS_MS = 3_600_000
+
+interface LoadOptions {
+  readonly badPerSecond?: number
+  /** Mean time from the send of a request to its end on an engine that does not crash. */
+  readonly runMs?: number
+  /** Share of the requests whose connections break although the engine goes on working. */
+  readonly cutShare?: number
+  readonly soundPerSecond?: number
+  /** Parts besides the first that requests without the bad one have. */
+  readonly subjects?: number
+  /** The subject that comes with the bad part in each request, by its index; by default each has the bad part only. */
+  readonly companion?: number
+}
+
+interface Running {
+  readonly host: number
+  readonly engine: number
+  readonly parts: readonly string[]
+  readonly begunAt: number
+  readonly endsAt: number
+  isSound: boolean
+}
+
+/** Entry hosts, engines and a leader on virtual time, without a network. Engines restart at once under a new instance. */
+function createFleet (opts: { readonly hosts?: number, readonly engines?: number, readonly seed?: number } = {}) {
+  const { hosts: hostCount = 6, engines: engineCount = 8, seed = 1 } = opts
+  const random = createRandom(seed)
+  let now = 0
+  let term: number | undefined = 1
+  let leader = 'leader'
+  let quarantined: Array<{ readonly part: string, readonly at: number }> = []
+  let revision = 0
+  let lossShare = 0
+  const history: string[] = []
+  const born = Array.from({ length: engineCount }, () => 1)
+  let running: Running[] = []
+  let sends = 0
+  const directories: Directory[] = Array.from({ length: hostCount }, () => createDirectory({ getEntryCount: () => hostCount, getLeader: () => leader, onRoutes: () => undefined }))
+  const createContext = (send: (to: string, message: PeerMessage) => void): RunContext => ({ now, wallNow: now, emit: () => undefined, send })
+  const quarantine = createPromptQuarantine({
+    getLeaderTerm: () => term,
+    listEntryHosts: () => directories.map((_, index) => String(index)),
+    listQuarantined: () => quarantined,
+    propose: ({ kind, part }, _timeoutMs, onSettled) => {
+      quarantined = quarantined.filter(row => row.part !== part)
+      if (kind === 'prompt.quarantine') quarantined.push({ part, at: now })
+      history.push(`${kind === 'prompt.quarantine' ? '+' : '-'}${part}`)
+      revision += 1
+      for (const directory of directories) directory.receive('leader', { kind: 'fleet.quarantine', revision, parts: quarantined.map(row => row.part) }, createContext(() => undefined))
+      onSettled()
+    }
+  })
+  const sendToHost = (to: string, message: PeerMessage): void => directories[Number(to)]?.receive('leader', message as DirectoryMessage, createContext(() => undefined))
+
+  function tick (): void {
+    now += STEP_MS
+    for (const [index, directory] of directories.entries()) {
+      directory.run(createContext((_to, message) => {
+        if ((message.kind === 'fleet.crashes' || message.kind === 'fleet.soundParts') && random.nextFraction() >= lossShare) quarantine.receive(String(index), message as PromptQuarantineMessage, createContext(sendToHost))
+      }))
+    }
+    quarantine.run(createContext(sendToHost))
+  }
+
+  function breakConnection (request: Running): void {
+    const { host, engine, parts, begunAt, isSound } = request
+    const progress = isSound ? 'sound' : now >= begunAt ? 'begun' : 'waiting'
+    directories[host]?.recordBroken({ endpoint: `e${engine}`, bornAt: born[engine], promptParts: parts, progress }, now)
+  }
+
+  function crash (engine: number): void {
+    for (const request of running.filter(row => row.engine === engine)) breakConnection(request)
+    running = running.filter(row => row.engine !== engine)
+    born[engine] = (born[engine] ?? 0) + 1
+  }
+
+  function send (parts: readonly string[], runMs: number): void {
+    const host = random.nextInt(0, hostCount - 1)
+    if (directories[host]?.findQuarantined(parts) !== undefined) return
+    if (parts.includes(BAD)) sends += 1
+    const begunAt = now + runMs * 0.2 * random.nextFraction()
+    running.push({ host, engine: random.nextInt(0, engineCount - 1), parts, begunAt, endsAt: parts.includes(BAD) ? begunAt + 60 : begunAt + runMs, isSound: false })
+  }
+
+  function endDue (cutShare: number): void {
+    for (const request of running.filter(({ endsAt }) => endsAt <= now)) {
+      if (!running.includes(request)) continue
+      if (request.parts.includes(BAD)) crash(request.engine)
+      else {
+        running = running.filter(row => row !== request)
+        if (random.nextFraction() < cutShare) breakConnection(request)
+        else directories[request.host]?.recordSound(request.parts, now)
+      }
+    }
+    for (const request of running) {
+      if (request.isSound || request.parts.includes(BAD) || now - request.begunAt < 300) continue
+      request.isSound = true
+      directories[request.host]?.recordSound(request.parts, now)
+    }
+  }
+
+  function run (ms: number, { badPerSecond = 0, soundPerSecond = 60, runMs = 800, subjects = 20, cutShare = 0, companion }: LoadOptions = {}): void {
+    for (const end = now + ms; now < end;) {
+      if (random.nextFraction() < soundPerSecond * STEP_MS / 1_000) send([FIRST, `s${random.nextInt(0, subjects - 1)}`], runMs)
+      if (random.nextFraction() < badPerSecond * STEP_MS / 1_000) send([FIRST, BAD, ...(companion === undefined ? [] : [`s${companion}`])], runMs)
+      endDue(cutShare)
+      tick()
+    }
+  }
+
+  return {
+    run,
+    crash,
+    history,
+    list: () => quarantined.map(({ part }) => part),
+    countSends: () => sends,
+    setLoss: (share: number) => { lossShare = share },
+    changeLeader: () => {
+      term = (term ?? 0) + 1
+      leader = `leader-${term}`
+    }
+  }
+}
+
+/** Requests that share one part of their prompts end each engine that begins to answer them: one crash interrupts the requests of many callers. */
+describe('the quarantine of prompt parts', () => {
+  for (const seed of [1, 2, 3, 4, 5, 6, 7, 8]) {
+    // Guards against the incident BUDGET of aqx-ops: crashes were not related to what the interrupted requests had in common.
+    it(`finds the part that crashes engines, and no other, within five crashes and two seconds (seed ${seed})`, () => {
+      const fleet = createFleet({ seed })
+      fleet.run(3_000)
+      fleet.run(12_000, { badPerSecond: 4 })
+      expect(fleet.history).toEqual([`+${BAD}`])
+      expect(fleet.countSends()).toBeLessThanOrEqual(5 + 2 * 4)
+    })
+
+    // Guards against taking the first part, which all interrupted requests share, for the cause when nearly no request is answered.
+    it(`finds it where engines end so fast that few requests are answered (seed ${seed})`, () => {
+      const fleet = createFleet({ seed, engines: 3 })
+      fleet.run(3_000)
+      fleet.run(12_000, { badPerSecond: 8, subjects: 200 })
+      expect(fleet.history[0]).toEqual(`+${BAD}`)
+      expect(fleet.list()).toEqual([BAD])
+    })
+
+    // Guards against refusing sound requests because engines fail by themselves.
+    it(`quarantines nothing when engines crash by themselves, together and in turn, and responses are cut (seed ${seed})`, () => {
+      const fleet = createFleet({ seed })
+      fleet.run(2_000)
+      for (const engine of [0, 1, 2, 3]) fleet.crash(engine)
+      fleet.run(1_000)
+      for (const engine of [4, 5, 6, 7, 0, 1, 2, 3]) {
+        fleet.crash(engine)
+        fleet.run(400, { subjects: 200 })
+      }
+      fleet.run(8_000, { cutShare: 0.1, subjects: 200 })
+      expect(fleet.history).toEqual([])
+    })
+  }
+
+  it('finds a part from the first requests of a fleet, before any request was answered', () => {
+    const fleet = createFleet()
+    fleet.run(6_000, { badPerSecond: 3 })
+    expect(fleet.list()).toEqual([BAD])
+  })
+
+  it('finds a part whose requests come rarely', () => {
+    const fleet = createFleet()
+    fleet.run(60_000, { badPerSecond: 0.2 })
+    expect(fleet.list()).toEqual([BAD])
+    expect(fleet.countSends()).toBeLessThanOrEqual(5)
+  })
+
+  it('finds it over messages that are lost and changes of the leader', () => {
+    const fleet = createFleet()
+    fleet.setLoss(0.5)
+    fleet.run(1_000, { badPerSecond: 4 })
+    fleet.changeLeader()
+    fleet.run(400, { badPerSecond: 4 })
+    fleet.changeLeader()
+    fleet.run(5_000, { badPerSecond: 4 })
+    expect(fleet.list()).toEqual([BAD])
+  })
+
+  it('spares a part that comes with the bad one in each request, if others with it are answered', () => {
+    const fleet = createFleet()
+    fleet.run(3_000)
+    fleet.run(8_000, { badPerSecond: 4, companion: 3 })
+    expect(fleet.list()).toEqual([BAD])
+  })
+
+  it('releases a part that was taken for the cause once the cause explains its crashes', () => {
+    const fleet = createFleet()
+    fleet.run(4_000, { badPerSecond: 4, companion: 3, soundPerSecond: 0 })
+    expect(fleet.list()).toEqual(['s3'])
+    fleet.run(10_000, { badPerSecond: 4 })
+    expect(fleet.history).toEqual(['+s3', `+${BAD}`, '-s3'])
+  })
+
+  it('serves the part again after a while, and refuses it again if it still crashes engines', () => {
+    const fleet = createFleet()
+    fleet.run(5_000, { badPerSecond: 4 })
+    fleet.run(HOURS_MS / 6, { soundPerSecond: 0 })
+    fleet.run(3_000, { soundPerSecond: 10 })
+    expect(fleet.history).toEqual([`+${BAD}`, `-${BAD}`])
+    fleet.run(5_000, { badPerSecond: 4 })
+    expect(fleet.list()).toEqual([BAD])
+  })
+})
--- a/gateway/relay/src/attempt.ts
+++ b/gateway/relay/src/attempt.ts
@@ -21,8 +21,8 @@
   | { readonly kind: 'notRun', readonly reason: string, readonly isAnswered: boolean, readonly isMisdirected: boolean }
   /** The endpoint answered with an error status, after running it. */
   | { readonly kind: 'failed', readonly response: BufferedResponse }
-  /** It was sent but no complete response arrived: it may have run. */
-  | { readonly kind: 'lost', readonly reason: string }
+  /** It was sent but no complete response arrived: it may have run. `isBroken`: the endpoint ended the connection. */
+  | { readonly kind: 'lost', readonly reason: string, readonly isBroken?: boolean }
   /** Nothing was sent, because the endpoint wants no more requests. */
   | { readonly kind: 'withheld', readonly reason: string }
   /** The exchange ended first: its deadline passed or its caller disconnected. */
@@ -56,6 +56,9 @@
 /** HTTP status of an endpoint that does not have the adapter or is not the expected instance. */
 export const MISDIRECTED = 421
 
+/** Error codes of the HTTP parser: the endpoint sent bytes that are no response. */
+const PARSER_ERROR_PREFIX = 'HPE_'
+
 function buildHeaders ({ relay, exchange, target }: SendOptions): string[] {
   const { dialect, clock } = relay
   const { req, route, facts, deadlineAt, body, lastEventId } = exchange
@@ -85,7 +88,7 @@
     let socketInUse: Socket | undefined
     const onSocketError = (): void => { socketFailed = true }
     const outgoing = request({ ...parseAddress(link.address), agent: link.agent, method: req.method, path: req.url, headers: buildHeaders(opts), setHost: false })
-    const connectTimer = setTimeout(() => { if (!connected) fail('connection timed out') }, CONNECT_TIMEOUT_MS)
+    const connectTimer = setTimeout(() => { if (!connected) fail('connection timed out', false) }, CONNECT_TIMEOUT_MS)
 
     function settle (end: AttemptEnd): void {
       if (settled) return
@@ -96,8 +99,8 @@
       resolve(end)
     }
 
-    function fail (reason: string): void {
-      settle(connected ? { kind: 'lost', reason } : { kind: 'notRun', reason, isAnswered: false, isMisdirected: false })
+    function fail (reason: string, isBroken: boolean): void {
+      settle(connected ? { kind: 'lost', reason, isBroken } : { kind: 'notRun', reason, isAnswered: false, isMisdirected: false })
       outgoing.destroy()
     }
 
@@ -123,8 +126,8 @@
       if (socket.connecting) socket.once('connect', onConnected)
       else onConnected()
     })
-    outgoing.on('error', error => fail(error.message))
-    outgoing.on('close', () => fail('connection closed before the response was complete'))
+    outgoing.on('error', (error: NodeJS.ErrnoException) => fail(error.message, error.code?.startsWith(PARSER_ERROR_PREFIX) !== true))
+    outgoing.on('close', () => fail('connection closed before the response was complete', true))
     outgoing.on('response', response => {
       receiveResponse({ exchange, target: opts.target, request: outgoing, settle, onHead: opts.onHead, getNow: opts.relay.clock.getMonotonicMs, isComplete: () => response.complete && !socketFailed }, response, opts)
     })
--- a/gateway/relay/src/constants.ts
+++ b/gateway/relay/src/constants.ts
@@ -29,6 +29,12 @@
 /** Default `Retry-After` of refused requests. */
 export const RETRY_AFTER_MS = 250
 
+/** `Retry-After` of requests with a quarantined prompt part, which is not served before an operator or the leader releases it. */
+export const QUARANTINE_RETRY_AFTER_MS = 60_000
+
+/** A response that still sends chunks after this time from its head shows that its prompt does not crash the endpoint. */
+export const SOUND_RESPONSE_MS = 300
+
 /** Longest wait for routes and endpoints on a host that has just started: a fraction of the caller's deadline, and an absolute limit. */
 export const STARTUP_WAIT_FRACTION = 0.3
 export const MAX_STARTUP_WAIT_MS = 2_000
--- a/gateway/relay/src/exchange.ts
+++ b/gateway/relay/src/exchange.ts
@@ -7,7 +7,7 @@
 import type { DeliveredEvents } from './eventSplitter.ts'
 
 /** Why an exchange ended before its response was complete. */
-export const EndReason = { CALLER_GONE: 'callerGone', TIMEOUT: 'timeout' } as const
+export const EndReason = { CALLER_GONE: 'callerGone', TIMEOUT: 'timeout', QUARANTINED: 'quarantined' } as const
 export type EndReason = typeof EndReason[keyof typeof EndReason]
 
 /** A complete response of an endpoint, buffered. */
--- a/gateway/relay/src/relay.ts
+++ b/gateway/relay/src/relay.ts
@@ -5,13 +5,14 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { ErrorCode } from '@catkinferry/core.errors'
 import type { Failure } from '@catkinferry/core.errors'
-import type { MonotonicMs } from '@catkinferry/core.types'
+import type { MonotonicMs, PromptPart } from '@catkinferry/core.types'
+import { ResponseProgress } from '@catkinferry/fleet.directory'
 import { choosePool } from '@catkinferry/routes.table'
 import { createEndpointNotices, parseRetryAfter } from '@catkinferry/routing.endpoint-notices'
 import type { EndpointNotices } from '@catkinferry/routing.endpoint-notices'
 import { MISDIRECTED, sendAttempt } from './attempt.ts'
 import type { AttemptEnd } from './attempt.ts'
-import { MAX_NOT_RUN_ATTEMPTS, MAX_STARTUP_WAIT_MS, MIN_REMAINING_MS, RETRY_AFTER_MS, SILENCE_CHECK_MS, STARTUP_WAIT_FRACTION, UNREACHABLE_MS } from './constants.ts'
+import { MAX_NOT_RUN_ATTEMPTS, MAX_STARTUP_WAIT_MS, MIN_REMAINING_MS, QUARANTINE_RETRY_AFTER_MS, RETRY_AFTER_MS, SILENCE_CHECK_MS, SOUND_RESPONSE_MS, STARTUP_WAIT_FRACTION, UNREACHABLE_MS } from './constants.ts'
 import { BREAKER_LIMITS, createEndpointLinks, recordBytes, recordEnded, recordFirstByte, recordSent, setIdleTimeout } from './endpointLinks.ts'
 import type { EndpointLink, EndpointLinks } from './endpointLinks.ts'
 import type { AnswerFacts } from './dialect.ts'
@@ -37,6 +38,8 @@
   readonly getActiveCount: () => number
   /** From now on closes each caller's connection after its current or next response. */
   readonly drain: () => void
+  /** Ends the requests in progress whose prompts have a part that is quarantined by now. */
+  readonly endQuarantined: () => void
   readonly close: () => void
 }
 
@@ -48,9 +51,24 @@
 }
 
 const UNAVAILABLE = 503
+const FIRST_ERROR_STATUS = 300
+/** A response with fewer chunks is not taken for sound before it is complete. */
+const MIN_SOUND_CHUNKS = 2
 
 const DEADLINE_EXCEEDED = 'request deadline exceeded'
 
+/** Failures of requests that the relay ends: of those that no endpoint has, and of those that may have run. */
+const END_FAILURES: Readonly<Record<Exclude<EndReason, typeof EndReason.CALLER_GONE>, { readonly notRun: Failure, readonly offered: Failure }>> = {
+  [EndReason.TIMEOUT]: {
+    notRun: { code: ErrorCode.NO_CAPACITY, message: DEADLINE_EXCEEDED, step: 'timeout', ran: 'no', retryAfterMs: RETRY_AFTER_MS },
+    offered: { code: ErrorCode.DEADLINE, message: DEADLINE_EXCEEDED, step: 'timeout', ran: 'unknown' }
+  },
+  [EndReason.QUARANTINED]: {
+    notRun: { code: ErrorCode.PROMPT_QUARANTINED, message: 'requests with a part of this prompt have crashed engines', step: 'quarantine', ran: 'no', retryAfterMs: QUARANTINE_RETRY_AFTER_MS },
+    offered: { code: ErrorCode.ENDPOINT_FAILED, message: 'requests with a part of this prompt have crashed engines', step: 'quarantine', ran: 'unknown' }
+  }
+}
+
 interface RelayState {
   readonly opts: RelayOptions
   readonly links: EndpointLinks
@@ -62,6 +80,8 @@
   readonly bodies: BodyReader
   /** Responses that are not written out yet. */
   readonly answering: Set<ServerResponse>
+  /** Requests in progress. */
+  readonly exchanges: Set<Exchange>
   draining: boolean
 }
 
@@ -85,6 +105,7 @@
     allowance: createRetryAllowance({ ...opts.retryBudget, getEntryCount: opts.getEntryCount, getNow: opts.clock.getMonotonicMs }),
     bodies: createBodyReader(),
     answering: new Set(),
+    exchanges: new Set(),
     draining: false
   }
   const sweep = setInterval(links.sweep, SWEEP_INTERVAL_MS)
@@ -98,6 +119,9 @@
       state.draining = true
       for (const res of state.answering) closeConnectionAfter(res)
     },
+    endQuarantined: () => {
+      for (const exchange of state.exchanges) if (opts.directory.findQuarantined(exchange.facts.promptParts) !== undefined) finishExchange(state, exchange, EndReason.QUARANTINED)
+    },
     close: () => {
       clearInterval(sweep)
       clearInterval(silenceCheck)
@@ -159,6 +183,7 @@
   const routes = opts.directory.getRoutes()
   if (routes === undefined) return refuse({ code: ErrorCode.NOT_SERVING, message: 'this host has not received a route table yet', step: 'route', ran: 'no', retryAfterMs: RETRY_AFTER_MS })
   if (countHeaderBytes(req.rawHeaders) > routes.table.limits.maxHeaderBytes) return refuse({ code: ErrorCode.HEADERS_TOO_LARGE, message: 'request headers exceed the size limit', step: 'route', ran: 'no' })
+  if (opts.directory.findQuarantined(facts.promptParts) !== undefined) return refuse(END_FAILURES[EndReason.QUARANTINED].notRun)
   const path = req.url ?? ''
   const query = path.indexOf('?')
   const route = routes.matcher.match(req.headers.host ?? '', query === -1 ? path : path.slice(0, query))
@@ -190,6 +215,7 @@
 
 async function runExchange (state: RelayState, exchange: Exchange): Promise<void> {
   const { res, deadlineAt } = exchange
+  state.exchanges.add(exchange)
   const timer = setTimeout(() => finishExchange(state, exchange, EndReason.TIMEOUT), Math.max(0, deadlineAt - state.opts.clock.getMonotonicMs()))
   const onClose = (): void => { if (!res.writableFinished) finishExchange(state, exchange, EndReason.CALLER_GONE) }
   res.on('close', onClose)
@@ -205,6 +231,7 @@
     await attemptUntilAnswered(state, exchange)
   } finally {
     clearTimeout(timer)
+    state.exchanges.delete(exchange)
     state.bodies.release(exchange)
   }
 }
@@ -238,15 +265,21 @@
   recordSent(link, sentAt)
   const isProbe = link.breaker.recordSent(sentAt)
   opts.directory.recordBegun(endpoint, adapterKey ?? '')
+  const progress = createResponseProgress(opts.directory, exchange.facts.promptParts)
   const end = await sendAttempt({
     relay: opts,
     exchange,
     target,
-    onBytes: () => recordBytes(link, opts.clock.getMonotonicMs()),
+    onBytes: () => {
+      const now = opts.clock.getMonotonicMs()
+      recordBytes(link, now)
+      progress.recordChunk(now)
+    },
     onResponse: (facts, response) => recordNotices(state, target, facts, response),
     mayStillSend: () => state.notices.isOpen(target, opts.clock.getMonotonicMs()),
     onHead: ({ load, keepAliveMs }) => {
       const now = opts.clock.getMonotonicMs()
+      progress.recordHead(now)
       recordFirstByte(link, now - sentAt)
       if (target.hasFreeSlot !== false) state.firstByteTimes.record(exchange.pool.name, now - sentAt)
       exchange.firstByteMs = Math.round(now - exchange.arrivedAt)
@@ -258,10 +291,47 @@
   recordEnded(link)
   if (end.kind === 'delivered' && target.hasFreeSlot === true) state.runTimes.record(exchange.pool.name, opts.clock.getMonotonicMs() - sentAt)
   opts.directory.recordEnded(endpoint, adapterKey ?? '')
+  recordCrashSigns(opts, target, exchange.facts.promptParts, progress.get(), end)
   recordAttemptEnd(state, exchange, { ...target, isProbe }, end)
   return end
 }
 
+interface ProgressWatch {
+  readonly recordHead: (now: MonotonicMs) => void
+  /** Called for the head too, before `recordHead`. */
+  readonly recordChunk: (now: MonotonicMs) => void
+  readonly get: () => ResponseProgress
+}
+
+/** Watches how far a response gets. Reports its prompt parts as sound once it has gone on for a while. */
+function createResponseProgress (directory: RelayOptions['directory'], promptParts: readonly PromptPart[]): ProgressWatch {
+  let headAt: MonotonicMs | undefined
+  let chunks = 0
+  let progress: ResponseProgress = ResponseProgress.WAITING
+  return {
+    recordHead: now => {
+      headAt = now
+      progress = ResponseProgress.BEGUN
+    },
+    recordChunk: now => {
+      if (headAt === undefined || progress === ResponseProgress.SOUND) return
+      chunks += 1
+      if (chunks < MIN_SOUND_CHUNKS || now - headAt < SOUND_RESPONSE_MS) return
+      progress = ResponseProgress.SOUND
+      directory.recordSound(promptParts, now)
+    },
+    get: () => progress
+  }
+}
+
+/** Records whether the endpoint seems to have crashed on the request, or has answered it. */
+function recordCrashSigns ({ directory, clock }: RelayOptions, { endpoint, bornAt }: Target, promptParts: readonly PromptPart[], progress: ResponseProgress, end: AttemptEnd): void {
+  const now = clock.getMonotonicMs()
+  if (end.kind === 'delivered' && end.status < FIRST_ERROR_STATUS) directory.recordSound(promptParts, now)
+  else if (end.kind === 'lost' && end.isBroken === true) directory.recordBroken({ endpoint, bornAt, promptParts, progress }, now)
+  else if (end.kind === 'notRun' && !end.isAnswered) directory.recordUnreachable({ endpoint, bornAt }, now)
+}
+
 /** Records what an endpoint announces in a response. A misdirected request was answered by another endpoint at the address. */
 function recordNotices ({ opts, notices }: RelayState, target: Target, facts: AnswerFacts, response: IncomingMessage): void {
   const { endpoint, bornAt } = target
@@ -364,13 +434,11 @@
     reportEnd(state, { requestId: exchange.facts.requestId, status: 'gone', offered, ...describeEnd(state, exchange) })
     return
   }
+  const failure = END_FAILURES[reason][offered ? 'offered' : 'notRun']
   if (exchange.headSent) {
     exchange.res.destroy()
-    reportEnd(state, { requestId: exchange.facts.requestId, status: 'cut', reason: DEADLINE_EXCEEDED, ...describeEnd(state, exchange) })
-  } else {
-    const failure: Failure = offered ? { code: ErrorCode.DEADLINE, message: DEADLINE_EXCEEDED, step: 'timeout', ran: 'unknown' } : { code: ErrorCode.NO_CAPACITY, message: DEADLINE_EXCEEDED, step: 'timeout', ran: 'no', retryAfterMs: RETRY_AFTER_MS }
-    finishWithFailure(state, exchange, failure)
-  }
+    reportEnd(state, { requestId: exchange.facts.requestId, status: 'cut', reason: failure.message, ...describeEnd(state, exchange) })
+  } else finishWithFailure(state, exchange, failure)
 }
 
 function describeEnd ({ opts }: RelayState, { arrivedAt, route, tried, refusedBy, firstByteMs, longestPauseMs }: Exchange): LogFields {
--- a/gateway/relay/src/sendAnswer.ts
+++ b/gateway/relay/src/sendAnswer.ts
@@ -75,7 +75,7 @@
   response.on('data', collect)
   response.on('end', finish)
   response.on('close', () => {
-    settle({ kind: 'lost', reason: 'response truncated' })
+    settle({ kind: 'lost', reason: 'response truncated', isBroken: true })
     if (!isComplete()) request.destroy()
   })
 }
@@ -144,7 +144,7 @@
     settle({ kind: 'delivered', status: response.statusCode ?? 0, bytes: state.bytes })
   })
   response.on('close', () => {
-    settle({ kind: 'lost', reason: 'stream truncated' })
+    settle({ kind: 'lost', reason: 'stream truncated', isBroken: true })
     if (!isComplete()) request.destroy()
   })
 }
--- a/gateway/relay/test/testRelay.ts
+++ b/gateway/relay/test/testRelay.ts
@@ -107,6 +107,8 @@
   readonly suspects?: readonly string[]
   readonly announced?: { readonly version: number, readonly agoMs: number }
   readonly maxBodyBytes?: number
+  /** Quarantined prompt parts; may change while the relay runs. */
+  readonly quarantined?: ReadonlySet<string>
   readonly hasRoutes?: () => boolean
   readonly waitUntilReady?: (maxMs: number) => Promise<void>
 }
@@ -155,6 +157,10 @@
       dropResident: () => undefined,
       recordFailed: endpoint => { health.push(`${endpoint} failed`) },
       setSilent: (endpoint, isSilent) => { health.push(`${endpoint} ${isSilent ? 'silent' : 'heard'}`) },
+      recordBroken: ({ endpoint, promptParts, progress }) => { health.push(`${endpoint} broken ${promptParts.join()} ${progress}`.replace('  ', ' ')) },
+      recordUnreachable: () => undefined,
+      recordSound: promptParts => { if (promptParts.length > 0) health.push(`${promptParts.join()} sound`) },
+      findQuarantined: promptParts => promptParts.find(part => opts.quarantined?.has(part)),
       recordLeaving: endpoint => { health.push(`${endpoint} leaving`) }
     },
     clock,
--- a/settings/replicated-state/src/checkCommand.ts
+++ b/settings/replicated-state/src/checkCommand.ts
@@ -6,6 +6,9 @@
 import { z } from 'zod'
 import { unpackRoutes } from './packedRoutes.ts'
 
+/** Longest ID of a prompt part, in characters. */
+const MAX_PART_LENGTH = 64
+
 const operator = z.object({ name: z.string(), role: z.string(), from: z.string() })
 const change = z.object({ path: z.string(), expectedRevision: z.number(), values: z.record(z.string(), z.unknown()).optional() })
 const failure = z.object({ code: z.string(), message: z.string(), step: z.string() })
@@ -26,6 +29,8 @@
   z.object({ kind: z.literal('routes.replace'), table, document: z.string() }),
   z.object({ kind: z.literal('routes.replacePacked'), version: z.number(), packed: z.instanceof(Uint8Array) }),
   z.object({ kind: z.literal('adapter.announce'), model: z.string(), adapter: z.string(), version: z.number() }),
+  z.object({ kind: z.literal('prompt.quarantine'), part: z.string().min(1).max(MAX_PART_LENGTH) }),
+  z.object({ kind: z.literal('prompt.release'), part: z.string().min(1).max(MAX_PART_LENGTH) }),
   z.object({ kind: z.literal('endpoint.fact'), endpoint: z.string(), checksFencing: z.boolean() })
 ])
 
--- a/settings/replicated-state/src/index.ts
+++ b/settings/replicated-state/src/index.ts
@@ -1,6 +1,7 @@
 /** The replicated state machine: settings, adapter and route versions, audit trail, change ids, claims, endpoint facts. */
 export type { AuditEntry, AuditPage, AuditedNode } from './auditTrail.ts'
 export * from './replicatedState.ts'
+export type { QuarantinedPart } from './quarantinedParts.ts'
 export type { StoredRoutes } from './routeVersions.ts'
 export { SNAPSHOT_FORMAT } from './stateSnapshot.ts'
 export { packCommand } from './packedRoutes.ts'
--- a/settings/replicated-state/src/replicatedState.ts
+++ b/settings/replicated-state/src/replicatedState.ts
@@ -9,6 +9,7 @@
 import { checkCommand } from './checkCommand.ts'
 import { unpackRoutes } from './packedRoutes.ts'
 import { applyRefusedChange, applyResolveClaim, applySettingsChange } from './applyChange.ts'
+import type { QuarantinedPart } from './quarantinedParts.ts'
 import type { StoredRoutes } from './routeVersions.ts'
 import { decodeSnapshot, encodeSnapshot } from './stateSnapshot.ts'
 import { createStateTables, expireTables, readClaimLimits } from './stateTables.ts'
@@ -32,6 +33,9 @@
   readonly getAnnouncedSequence: () => number
   /** Undefined for an adapter of which no version was announced. */
   readonly getAnnouncedVersion: (model: ModelId, adapter: AdapterName) => number | undefined
+  /** Prompt parts whose requests are refused. */
+  readonly listQuarantined: () => readonly QuarantinedPart[]
+  readonly getQuarantineRevision: () => number
   /** Registers a listener that is called after each accepted change, but not for changes that a snapshot contains. */
   readonly onRevision: (listener: (delta: RevisionDelta) => void) => void
 }
@@ -49,6 +53,14 @@
   'routes.replace': ({ routes }, { table, document }) => routes.replace({ table, document }),
   'routes.replacePacked': ({ routes }, command) => routes.replace(unpackRoutes(command)),
   'adapter.announce': ({ announced }, { model, adapter, version }) => ({ kind: 'adapter.announced', version: announced.announce(model, adapter, version) }),
+  'prompt.quarantine': ({ quarantined, clock }, { part }) => {
+    quarantined.add(part, clock.now)
+    return { kind: 'recorded' }
+  },
+  'prompt.release': ({ quarantined }, { part }) => {
+    quarantined.remove(part)
+    return { kind: 'recorded' }
+  },
   'endpoint.fact': ({ endpointFacts }, { endpoint, checksFencing }) => {
     endpointFacts.set(endpoint, checksFencing)
     return { kind: 'recorded' }
@@ -105,6 +117,8 @@
     listAnnouncedAfter: sequence => tables.announced.listAfter(sequence),
     getAnnouncedSequence: () => tables.announced.getSequence(),
     getAnnouncedVersion: (model, adapter) => tables.announced.get(model, adapter),
+    listQuarantined: () => tables.quarantined.list(),
+    getQuarantineRevision: () => tables.quarantined.getRevision(),
     listNodes: () => listTreeNodes(tables.tree),
     onRevision: listener => { listeners.push(listener) }
   }
--- a/settings/replicated-state/src/stateSnapshot.ts
+++ b/settings/replicated-state/src/stateSnapshot.ts
@@ -7,6 +7,7 @@
 import type { AnnouncedVersion } from '@catkinferry/core.types'
 import type { SavedAudit } from './auditTrail.ts'
 import type { SavedAnswers } from './changeAnswers.ts'
+import type { SavedQuarantine } from './quarantinedParts.ts'
 import type { StoredRoutes } from './routeVersions.ts'
 import { createStateTables } from './stateTables.ts'
 import type { StateTables } from './stateTables.ts'
@@ -29,6 +30,8 @@
   readonly endpointFacts: readonly (readonly [string, boolean])[]
   readonly routes?: StoredRoutes
   readonly announced?: readonly AnnouncedVersion[]
+  /** Snapshots of releases without quarantine have none. */
+  readonly quarantined?: SavedQuarantine
 }
 
 /** Encodes the whole state. */
@@ -42,7 +45,8 @@
     claims: tables.claims.save(),
     endpointFacts: [...tables.endpointFacts],
     routes: tables.routes.get(),
-    announced: tables.announced.listAfter(0)
+    announced: tables.announced.listAfter(0),
+    quarantined: tables.quarantined.save()
   }
   return encoder.encode(state)
 }
@@ -60,6 +64,7 @@
   for (const [endpoint, checksFencing] of state.endpointFacts) tables.endpointFacts.set(endpoint, checksFencing)
   if (state.routes !== undefined && state.routes !== null) tables.routes.load(state.routes)
   tables.announced.load(state.announced ?? [])
+  if (state.quarantined !== undefined) tables.quarantined.load(state.quarantined)
   tables.clock.now = state.now
   return tables
 }
--- a/settings/replicated-state/src/stateTables.ts
+++ b/settings/replicated-state/src/stateTables.ts
@@ -9,6 +9,8 @@
 import type { AnnouncedVersions } from './announcedVersions.ts'
 import { createChangeAnswers } from './changeAnswers.ts'
 import type { ChangeAnswers } from './changeAnswers.ts'
+import { createQuarantinedParts } from './quarantinedParts.ts'
+import type { QuarantinedParts } from './quarantinedParts.ts'
 import { createRouteVersions } from './routeVersions.ts'
 import type { RouteVersions } from './routeVersions.ts'
 
@@ -21,6 +23,7 @@
   readonly endpointFacts: Map<EndpointId, boolean>
   readonly routes: RouteVersions
   readonly announced: AnnouncedVersions
+  readonly quarantined: QuarantinedParts
   /** Highest time seen in the log. It does not go back when a leader with a slower clock takes over. */
   readonly clock: { now: WallMs }
 }
@@ -35,6 +38,7 @@
     endpointFacts: new Map(),
     routes: createRouteVersions(),
     announced: createAnnouncedVersions(),
+    quarantined: createQuarantinedParts(),
     clock: { now: 0 }
   }
 }
--- a/wire/messages/src/fleet.ts
+++ b/wire/messages/src/fleet.ts
@@ -1,5 +1,5 @@
 /** Messages between the hosts of a fleet that forms from seed nodes: presence, route versions, adapter versions, endpoints and loads. */
-import type { AdapterKey, AdapterName, DurationMs, EndpointId, EndpointKind, HostId, ModelId, RegionId, RouteChanges, RouteTable, ZoneId } from '@catkinferry/core.types'
+import type { AdapterKey, AdapterName, DurationMs, EndpointId, EndpointKind, HostId, ModelId, PromptPart, RegionId, RouteChanges, RouteTable, ZoneId } from '@catkinferry/core.types'
 
 export const FleetRole = { ENTRY: 'entry', CORE: 'core' } as const
 export type FleetRole = typeof FleetRole[keyof typeof FleetRole]
@@ -12,6 +12,8 @@
   /** Term of the leader that distributed the endpoints, and sequence number of the last change received from it. */
   readonly endpointsTerm: number
   readonly endpointsSequence: number
+  /** Revision of the quarantined prompt parts; hosts of earlier releases send none. */
+  readonly quarantineRevision?: number
 }
 
 /** An endpoint as the leader distributes it to entry hosts. */
@@ -67,6 +69,19 @@
   readonly slots: ReadonlyArray<readonly [ModelId, AdapterName, number, boolean, DurationMs]>
 }
 
+/** Requests whose connections to an endpoint broke within a short time, as one entry host saw it. */
+export interface CrashReport {
+  readonly endpoint: EndpointId
+  readonly bornAt?: number
+  /** Time since the first connection broke, in ms. */
+  readonly agoMs: DurationMs
+  /** Number of broken connections. */
+  readonly broken: number
+  /** Shared prompt parts, in order, of requests whose response had just begun, and of those whose response had not begun. */
+  readonly begun: ReadonlyArray<readonly PromptPart[]>
+  readonly waiting: ReadonlyArray<readonly PromptPart[]>
+}
+
 export type FleetMessage =
   | { readonly kind: 'fleet.hello', readonly role: FleetRole, readonly zone: ZoneId, readonly region: RegionId, readonly held: HeldState }
   /** Sent by a core host. `core` lists the core hosts that it has recently heard from; `entries` is the number of entry hosts. */
@@ -86,6 +101,14 @@
   | { readonly kind: 'fleet.use', readonly uses: readonly AdapterUse[], readonly health?: readonly EndpointHealth[] }
   /** Sent by the leader to the other core hosts: slots of the engines that have changed. */
   | { readonly kind: 'fleet.slots', readonly term: number, readonly rows: readonly MirroredSlots[] }
+  /** Sent by an entry host to the leader, and repeated for a while. A report replaces an earlier one on the same instance of an endpoint. */
+  | { readonly kind: 'fleet.crashes', readonly crashes: readonly CrashReport[] }
+  /** Prompt parts of which the leader wants to know whether they are answered. Repeated as long as that is so. */
+  | { readonly kind: 'fleet.watchedParts', readonly parts: readonly PromptPart[] }
+  /** Watched prompt parts, and the time in ms since the latest request with each was answered by an endpoint that went on working. */
+  | { readonly kind: 'fleet.soundParts', readonly parts: ReadonlyArray<readonly [PromptPart, DurationMs]> }
+  /** All prompt parts whose requests are refused. */
+  | { readonly kind: 'fleet.quarantine', readonly revision: number, readonly parts: readonly PromptPart[] }
   /** Adapters that the sender has begun to use, and those that it no longer uses, since its last such message. */
   | { readonly kind: 'fleet.slotUse', readonly begun: ReadonlyArray<readonly [EndpointId, AdapterKey]>, readonly ended: ReadonlyArray<readonly [EndpointId, AdapterKey]> }
   /** Requests an endpoint that has the adapter from the leader; the leader has the adapter loaded if there is none. `onTimeMs`: until then the adapter must be loaded for the answer to be on time. `workId`: the same for each attempt of a caller at the same work. `copyBeyond`: requests one more replica besides those at these endpoints. */
