Keep the request limits that endpoints name

Cause: no code read the limit. The class: what an endpoint says about itself for all hosts together, which each host would have to keep in part. Notices (leaving, pauses) bind each host fully, so they needed no such thing.

The latest response by the time of its request decides. Hosts tell the leader, which publishes limits and their ends with the endpoints; the bound holds without it.

--- a/fleet/directory/src/directory.ts
+++ b/fleet/directory/src/directory.ts
@@ -10,6 +10,7 @@
 import type { DirectoryEndpoint, EndpointTable, EndpointUpdate } from './endpointTable.ts'
 import { createPromptReports } from './promptReports.ts'
 import type { BrokenRequest } from './crashReports.ts'
+import type { EndpointLimit } from './healthReports.ts'
 import { createFleetLoads } from './fleetLoads.ts'
 import type { OthersLoad } from './fleetLoads.ts'
 import { createLeaderReports } from './leaderReports.ts'
@@ -55,6 +56,8 @@
   readonly setSilent: (endpoint: EndpointId, silent: boolean) => void
   /** Reports to the leader that an instance of an endpoint announced its departure. */
   readonly recordLeaving: (endpoint: EndpointId, bornAt: number | undefined) => void
+  /** Reports to the leader what an instance of an endpoint said of its request limit. */
+  readonly recordLimit: (endpoint: EndpointId, bornAt: number | undefined, limit: EndpointLimit) => void
   /** Reports to the leader that the connection of a request broke before its response was complete. */
   readonly recordBroken: (request: BrokenRequest, now: MonotonicMs) => void
   /** Records that no connection to an endpoint could be opened. */
@@ -78,7 +81,7 @@
 /** Applies an update and logs what it changed. */
 function applyEndpoints (endpoints: EndpointTable, update: EndpointUpdate, context: RunContext): void {
   const { endpointsTerm } = endpoints.getHeld()
-  if (!endpoints.apply(update)) return
+  if (!endpoints.apply(update, context.now)) return
   if (endpointsTerm !== update.term) context.emit({ kind: 'log', level: 'info', message: 'endpoints received from a new leader', fields: { step: 'endpoints', term: update.term, sequence: update.sequence, endpoints: update.rows.length } })
   for (const row of update.whole ? [] : update.rows) context.emit({ kind: 'log', level: 'info', message: 'endpoint changed', fields: { step: 'endpoints', peer: row.endpoint, leaving: row.leaving, models: row.models.length, term: update.term, sequence: update.sequence } })
   for (const endpoint of update.gone) context.emit({ kind: 'log', level: 'info', message: 'endpoint removed', fields: { step: 'endpoints', peer: endpoint, term: update.term, sequence: update.sequence } })
@@ -163,6 +166,7 @@
     recordFailed: reports.recordFailed,
     setSilent: reports.setSilent,
     recordLeaving: reports.recordLeaving,
+    recordLimit: reports.recordLimit,
     recordBroken: prompts.recordBroken,
     recordUnreachable: prompts.recordUnreachable,
     recordSound: prompts.recordSound,
--- a/fleet/directory/src/endpointTable.ts
+++ b/fleet/directory/src/endpointTable.ts
@@ -2,11 +2,14 @@
  * Endpoints of the fleet and the adapters resident on them, as an entry host knows them. Kept up to date from the leader's
  * updates; the relay chooses endpoints from it.
  */
-import type { AdapterKey, EndpointId } from '@catkinferry/core.types'
+import type { AdapterKey, EndpointId, MonotonicMs } from '@catkinferry/core.types'
+import type { EndpointLimit } from './healthReports.ts'
 import type { FleetEndpoint, FleetMessage, HeldState, ResidencyChange } from '@catkinferry/wire.messages'
 
 /** An endpoint with the adapters known to be resident on it. */
-export interface DirectoryEndpoint extends Omit<FleetEndpoint, 'resident'> {
+export interface DirectoryEndpoint extends Omit<FleetEndpoint, 'resident' | 'limit'> {
+  /** What it last said of its request limit, by the clock of this host; undefined if the leader knows of nothing. */
+  readonly limit?: EndpointLimit
   readonly resident: ReadonlySet<AdapterKey>
 }
 
@@ -18,7 +21,7 @@
 
 export interface EndpointTable {
   /** Applies an update. False if earlier changes are missing; those of a former leader are ignored. */
-  readonly apply: (update: EndpointUpdate) => boolean
+  readonly apply: (update: EndpointUpdate, now: MonotonicMs) => boolean
   readonly list: (pool: string) => readonly DirectoryEndpoint[]
   readonly get: (endpoint: EndpointId) => DirectoryEndpoint | undefined
   readonly getHeld: () => Pick<HeldState, 'endpointsTerm' | 'endpointsSequence'>
@@ -29,8 +32,8 @@
   readonly dropResident: (endpoint: EndpointId, adapterKey: AdapterKey) => void
 }
 
-function createRow ({ resident, ...facts }: FleetEndpoint): Row {
-  return { ...facts, resident: new Set(resident) }
+function createRow ({ resident, limit, ...facts }: FleetEndpoint, now: MonotonicMs): Row {
+  return { ...facts, resident: new Set(resident), ...(limit === undefined ? {} : { limit: { perSecond: limit.perSecond, at: now - limit.agoMs } }) }
 }
 
 /** Creates an empty table. */
@@ -51,13 +54,13 @@
     else row?.resident.delete(adapterKey)
   }
 
-  function apply (update: EndpointUpdate): boolean {
+  function apply (update: EndpointUpdate, now: MonotonicMs): boolean {
     if (update.term < term) return true
-    if (update.whole) rows = new Map(update.rows.map(row => [row.endpoint, createRow(row)]))
+    if (update.whole) rows = new Map(update.rows.map(row => [row.endpoint, createRow(row, now)]))
     else if (update.term !== term || update.sequence !== sequence + 1) return false
     term = update.term
     sequence = update.sequence
-    if (!update.whole) for (const row of update.rows) rows.set(row.endpoint, createRow(row))
+    if (!update.whole) for (const row of update.rows) rows.set(row.endpoint, createRow(row, now))
     for (const endpoint of update.gone) rows.delete(endpoint)
     if (update.whole || update.rows.length + update.gone.length > 0) buildPools()
     for (const change of update.residency) applyResidency(change)
--- a/fleet/directory/src/healthReports.ts
+++ b/fleet/directory/src/healthReports.ts
@@ -1,19 +1,27 @@
-/** Collects failures, silence and announced departures of endpoints as the relay of this entry host records them, for its next report to the leader. */
-import type { EndpointId } from '@catkinferry/core.types'
+/** Collects failures, silence, announced departures and request limits of endpoints as the relay of this entry host records them, for its next report to the leader. */
+import type { EndpointId, MonotonicMs } from '@catkinferry/core.types'
 import type { EndpointHealth } from '@catkinferry/wire.messages'
 
 /** Limit on the departures remembered; the oldest is dropped first. */
 const MAX_LEAVING = 1_000
 
+/** Requests a second that an endpoint takes from all hosts, and when the request was sent whose response said so. */
+export interface EndpointLimit {
+  readonly perSecond?: number
+  readonly at: MonotonicMs
+}
+
 export interface HealthReports {
   readonly recordFailed: (endpoint: EndpointId) => void
   readonly setSilent: (endpoint: EndpointId, silent: boolean) => void
   /** Reports an instance as leaving until `isListedServing` no longer lists it as serving. */
   readonly recordLeaving: (endpoint: EndpointId, bornAt: number | undefined) => void
+  /** Reports what an instance said of its request limit in the response to a request sent at `at`. */
+  readonly recordLimit: (endpoint: EndpointId, bornAt: number | undefined, limit: EndpointLimit) => void
   /** Whether an endpoint fell silent, responded again or announced its departure since the last report. */
   readonly isUrgent: () => boolean
   /** Returns endpoints with failures since the last report, silent endpoints and leaving ones. Resets the failure counts. */
-  readonly take: () => readonly EndpointHealth[]
+  readonly take: (now: MonotonicMs) => readonly EndpointHealth[]
 }
 
 /** Creates empty reports. `isListedServing`: whether the leader lists this instance of an endpoint as serving. */
@@ -21,8 +29,14 @@
   const failures = new Map<EndpointId, number>()
   const silent = new Set<EndpointId>()
   const leaving = new Map<EndpointId, number | undefined>()
+  const limits = new Map<EndpointId, { readonly bornAt: number | undefined, readonly limit: EndpointLimit }>()
   let urgent = false
 
+  function buildLimit (endpoint: EndpointId, now: MonotonicMs): Pick<EndpointHealth, 'limit' | 'limitBornAt'> {
+    const known = limits.get(endpoint)
+    return known === undefined ? {} : { limit: { perSecond: known.limit.perSecond, agoMs: now - known.limit.at }, limitBornAt: known.bornAt }
+  }
+
   return {
     recordFailed: endpoint => { failures.set(endpoint, (failures.get(endpoint) ?? 0) + 1) },
     setSilent: (endpoint, isSilent) => {
@@ -38,13 +52,18 @@
       if (oldest !== undefined) leaving.delete(oldest)
       urgent = true
     },
+    recordLimit: (endpoint, bornAt, limit) => {
+      const known = limits.get(endpoint)
+      if (known === undefined || known.limit.at <= limit.at) limits.set(endpoint, { bornAt, limit })
+    },
     isUrgent: () => urgent,
-    take: () => {
+    take: now => {
       urgent = false
       const reportedLeaving = new Set([...leaving].filter(([endpoint, bornAt]) => isListedServing(endpoint, bornAt)).map(([endpoint]) => endpoint))
-      const endpoints = new Set([...failures.keys(), ...silent, ...reportedLeaving])
-      const rows = [...endpoints].map(endpoint => ({ endpoint, failed: failures.get(endpoint) ?? 0, silent: silent.has(endpoint), ...(reportedLeaving.has(endpoint) ? { leaving: true, bornAt: leaving.get(endpoint) } : {}) }))
+      const endpoints = new Set([...failures.keys(), ...silent, ...reportedLeaving, ...limits.keys()])
+      const rows = [...endpoints].map(endpoint => ({ endpoint, failed: failures.get(endpoint) ?? 0, silent: silent.has(endpoint), ...(reportedLeaving.has(endpoint) ? { leaving: true, bornAt: leaving.get(endpoint) } : {}), ...buildLimit(endpoint, now) }))
       failures.clear()
+      limits.clear()
       return rows
     }
   }
--- a/fleet/directory/src/leaderReports.ts
+++ b/fleet/directory/src/leaderReports.ts
@@ -5,6 +5,7 @@
 import type { AdapterKey, EndpointId, HostId, MonotonicMs } from '@catkinferry/core.types'
 import type { RunContext } from '@catkinferry/host.events'
 import { createHealthReports } from './healthReports.ts'
+import type { HealthReports } from './healthReports.ts'
 import { createUseReports } from './useReports.ts'
 
 /** Interval of reports without urgent changes. */
@@ -21,6 +22,7 @@
   readonly recordFailed: (endpoint: EndpointId) => void
   readonly setSilent: (endpoint: EndpointId, silent: boolean) => void
   readonly recordLeaving: (endpoint: EndpointId, bornAt: number | undefined) => void
+  readonly recordLimit: HealthReports['recordLimit']
   /** Running requests at an endpoint in the last report. */
   readonly getReported: (endpoint: EndpointId) => number
 }
@@ -42,9 +44,9 @@
     dueAt = context.now + REPORT_INTERVAL_MS
     if (leader === undefined) return
     const report = uses.take()
-    const seen = health.take()
+    const seen = health.take(context.now)
     if (report.length + seen.length > 0) context.send(leader, { kind: 'fleet.use', uses: report, ...(seen.length > 0 ? { health: seen } : {}) })
   }
 
-  return { run, getNextAt, recordBegun: uses.recordBegun, recordEnded: uses.recordEnded, recordFailed: health.recordFailed, setSilent: health.setSilent, recordLeaving: health.recordLeaving, getReported: uses.getReported }
+  return { run, getNextAt, recordBegun: uses.recordBegun, recordEnded: uses.recordEnded, recordFailed: health.recordFailed, setSilent: health.setSilent, recordLeaving: health.recordLeaving, recordLimit: health.recordLimit, getReported: uses.getReported }
 }
--- a/fleet/directory/test/directory.test.ts
+++ b/fleet/directory/test/directory.test.ts
@@ -128,6 +128,20 @@
   })
 })
 
+describe('request limits that endpoints name', () => {
+  it('are reported to the leader, the latest of each endpoint, and received from it by the clock of this host', () => {
+    const { receive, directory, runFor, sent, getNow } = createFixture()
+    directory.recordLimit('e1', 7, { perSecond: 2, at: getNow() - 100 })
+    directory.recordLimit('e1', 7, { perSecond: 3, at: getNow() })
+    directory.recordLimit('e1', 7, { at: getNow() - 50 })
+    runFor(1_000)
+    const rows = sent.flatMap(({ message }) => message.kind === 'fleet.use' ? message.health ?? [] : [])
+    expect(rows.map(({ endpoint, limit, limitBornAt }) => [endpoint, limit?.perSecond, limitBornAt])).toEqual([['e1', 3, 7]])
+    receive(buildUpdate({ whole: true, rows: [{ ...buildRow('e1'), bornAt: 7, limit: { perSecond: 3, agoMs: 400 } }] }))
+    expect(directory.getEndpoint('e1')?.limit).toEqual({ perSecond: 3, at: getNow() - 400 })
+  })
+})
+
 describe('usage reports', () => {
   it('count begun and running requests, and include each ended request once', () => {
     const fixture = createFixture()
--- a/fleet/placement/src/endpointPublisher.ts
+++ b/fleet/placement/src/endpointPublisher.ts
@@ -56,10 +56,10 @@
   let deliveredCheckpoint = { sequence: 0, at: Number.NEGATIVE_INFINITY }
   let latestCheckpoint = { sequence: 0, at: Number.NEGATIVE_INFINITY }
 
-  function buildRow (engine: EngineState): FleetEndpoint {
+  function buildRow (engine: EngineState, now: MonotonicMs): FleetEndpoint {
     const { endpoint, pool, zone, address, leaving, bornAt }: ListedEndpoint = engine.listed
     const kind = opts.isEngine(pool) ? EndpointKind.ENGINE : EndpointKind.SERVICE
-    return { endpoint, kind, pool, zone, region: opts.getRegion(zone), address, leaving, bornAt, suspect: opts.isSuspect(endpoint), models: [...engine.models], resident: listResident(engine) }
+    return { endpoint, kind, pool, zone, region: opts.getRegion(zone), address, leaving, bornAt, suspect: opts.isSuspect(endpoint), ...(engine.limit === undefined ? {} : { limit: { perSecond: engine.limit.perSecond, agoMs: now - engine.limit.at } }), models: [...engine.models], resident: listResident(engine) }
   }
 
   function updateCheckpoints (now: MonotonicMs): void {
@@ -82,7 +82,7 @@
       flushAt = context.now + Math.min(MAX_FLUSH_INTERVAL_MS, hosts.length * FLUSH_INTERVAL_PER_HOST_MS)
       sequence += 1
       const changed = isFirstFlush ? [...opts.engines.values()] : [...rows].map(endpoint => opts.engines.get(endpoint)).filter(engine => engine !== undefined)
-      const message = { kind: 'fleet.endpoints', term, sequence, whole: isFirstFlush, rows: changed.map(buildRow), gone: [...gone], residency } as const
+      const message = { kind: 'fleet.endpoints', term, sequence, whole: isFirstFlush, rows: changed.map(engine => buildRow(engine, context.now)), gone: [...gone], residency } as const
       isFirstFlush = false
       for (const host of hosts) context.send(host, message)
       rows.clear()
@@ -91,7 +91,7 @@
     },
     update: (context, host, held) => {
       if (held.endpointsTerm === term && held.endpointsSequence >= deliveredCheckpoint.sequence) return
-      context.send(host, { kind: 'fleet.endpoints', term, sequence, whole: true, rows: [...opts.engines.values()].map(buildRow), gone: [], residency: [] })
+      context.send(host, { kind: 'fleet.endpoints', term, sequence, whole: true, rows: [...opts.engines.values()].map(engine => buildRow(engine, context.now)), gone: [], residency: [] })
     },
     getNextAt: () => rows.size + gone.size + residency.length === 0 ? Infinity : flushAt,
     begin: next => {
--- a/fleet/placement/src/engineState.ts
+++ b/fleet/placement/src/engineState.ts
@@ -31,6 +31,8 @@
   listed: ListedEndpoint
   /** It announced to an entry host that it is leaving, which takes precedence over the lagging list. */
   hasAnnouncedLeaving: boolean
+  /** What it last said of its request limit. */
+  limit?: { readonly perSecond?: number, readonly at: MonotonicMs }
   /** Base models loaded. */
   readonly models: Set<ModelId>
   modelLoad: { readonly model: ModelId, readonly since: MonotonicMs } | undefined
--- a/fleet/placement/src/placement.ts
+++ b/fleet/placement/src/placement.ts
@@ -111,7 +111,10 @@
   const { now } = context
   state.totals.receive(from, uses, now)
   state.health.receive(from, uses, health, now)
-  for (const row of health) if (row.leaving === true) recordLeaving(state, row, context)
+  for (const row of health) {
+    if (row.leaving === true) recordLeaving(state, row, context)
+    recordLimit(state, row, context)
+  }
   for (const { endpoint, adapterKey, begun, running } of uses) {
     const engine = state.engines.get(endpoint)
     const slotKey = adapterKey.slice(0, adapterKey.lastIndexOf('@'))
@@ -146,6 +149,19 @@
   reportInfo(context, 'endpoint announced that it is leaving', { peer: endpoint, pool: engine.listed.pool })
 }
 
+/** Publishes the request limit that an endpoint names, or that it names none any more. The latest response decides. */
+function recordLimit (state: PlacementState, { endpoint, limit, limitBornAt }: EndpointHealth, context: RunContext): void {
+  const engine = state.engines.get(endpoint)
+  if (limit === undefined || engine === undefined || engine.listed.bornAt !== limitBornAt) return
+  const known = engine.limit
+  const at = context.now - limit.agoMs
+  if (known !== undefined && known.at > at) return
+  engine.limit = { perSecond: limit.perSecond, at }
+  if (known?.perSecond === limit.perSecond) return
+  state.publisher.enqueueEndpoint(endpoint)
+  reportInfo(context, 'request limit of endpoint changed', { peer: endpoint, pool: engine.listed.pool, perSecond: limit.perSecond })
+}
+
 function receiveList (state: PlacementState, listed: readonly ListedEndpoint[], context: RunContext): void {
   if (state.term === undefined) return
   allowOrders(state, context)
--- a/fleet/placement/test/placement.test.ts
+++ b/fleet/placement/test/placement.test.ts
@@ -286,3 +286,28 @@
     expect(updates.map(({ term, whole, rows }) => [term, whole, rows.length])).toEqual([[2, true, 2]])
   })
 })
+
+describe('request limits that endpoints name', () => {
+  /** Publishes to all hosts what the ones said that had an answer; a host sends few requests to each endpoint. */
+  it('are published by the latest response, until one names none, and forgotten with the instance', () => {
+    const fleet = createFakeEngines({ ids: ['e1', 'e2'], slots: 4 })
+    fleet.runFor(1_000)
+    const report = (perSecond: number | undefined, agoMs: number, limitBornAt: number): void => {
+      fleet.receive({ kind: 'fleet.use', uses: [], health: [{ endpoint: 'e1', failed: 0, silent: false, limit: { perSecond, agoMs }, limitBornAt }] })
+      fleet.runFor(300)
+    }
+    const listPublished = (): unknown[] => fleet.sent.flatMap(({ message }) => message.kind === 'fleet.endpoints' ? message.rows.flatMap(({ endpoint, limit }) => limit === undefined ? [] : [`${endpoint} ${limit.perSecond ?? 'none'}`]) : [])
+    const bornAt = 1
+    report(2, 50, bornAt + 1)
+    expect(listPublished()).toEqual([])
+    report(2, 50, bornAt)
+    report(2, 0, bornAt)
+    report(undefined, 2_000, bornAt)
+    report(undefined, 0, bornAt)
+    expect([...new Set(listPublished())]).toEqual(['e1 2', 'e1 none'])
+    fleet.restart('e1')
+    const before = listPublished().length
+    fleet.runFor(4_000)
+    expect(listPublished().slice(before)).toEqual([])
+  })
+})
--- a/gateway/relay/src/dialect.ts
+++ b/gateway/relay/src/dialect.ts
@@ -50,6 +50,8 @@
   readonly load?: EndpointLoad
   /** How long the endpoint keeps the connection open while idle. */
   readonly keepAliveMs?: DurationMs
+  /** What it says of the requests a second that it takes from all hosts: without `perSecond`, it names no limit. Undefined if that cannot be read. */
+  readonly limit?: { readonly perSecond?: number }
   /** The endpoint announces that it is leaving. */
   readonly isLeaving?: boolean
   /** Names of headers with invalid values, which were ignored. */
--- a/gateway/relay/src/relay.ts
+++ b/gateway/relay/src/relay.ts
@@ -8,14 +8,14 @@
 import type { MonotonicMs, PromptPart } from '@catkinferry/core.types'
 import { ResponseProgress } from '@catkinferry/fleet.directory'
 import { choosePool } from '@catkinferry/routes.table'
-import { createEndpointNotices, parseRetryAfter } from '@catkinferry/routing.endpoint-notices'
-import type { EndpointNotices } from '@catkinferry/routing.endpoint-notices'
+import { createEndpointNotices, createRequestLimits } from '@catkinferry/routing.endpoint-notices'
+import type { EndpointNotices, RequestLimits } from '@catkinferry/routing.endpoint-notices'
+import { recordLimit, recordNotices } from './announcements.ts'
 import { MISDIRECTED, sendAttempt } from './attempt.ts'
 import type { AttemptEnd } from './attempt.ts'
 import { MAX_NOT_RUN_ATTEMPTS, MAX_STARTUP_WAIT_MS, MIN_REMAINING_MS, QUARANTINE_RETRY_AFTER_MS, RETRY_AFTER_MS, SILENCE_CHECK_MS, SOUND_RESPONSE_MS, STARTUP_WAIT_FRACTION, UNREACHABLE_MS } from './constants.ts'
 import { BREAKER_LIMITS, createEndpointLinks, recordBytes, recordEnded, recordFirstByte, recordSent, setIdleTimeout } from './endpointLinks.ts'
 import type { EndpointLink, EndpointLinks } from './endpointLinks.ts'
-import type { AnswerFacts } from './dialect.ts'
 import { EndReason, isRetryable } from './exchange.ts'
 import type { Exchange, Target } from './exchange.ts'
 import { createDeliveredEvents } from './eventSplitter.ts'
@@ -50,7 +50,6 @@
   noRoom: { code: ErrorCode.NO_CAPACITY, message: 'request body buffer is full', step: 'body', ran: 'no', retryAfterMs: RETRY_AFTER_MS }
 }
 
-const UNAVAILABLE = 503
 const FIRST_ERROR_STATUS = 300
 /** A response with fewer chunks is not taken for sound before it is complete. */
 const MIN_SOUND_CHUNKS = 2
@@ -76,6 +75,7 @@
   readonly runTimes: RunTimes
   readonly firstByteTimes: RunTimes
   readonly notices: EndpointNotices
+  readonly limits: RequestLimits
   readonly allowance: RetryAllowance
   readonly bodies: BodyReader
   /** Responses that are not written out yet. */
@@ -95,13 +95,15 @@
   const runTimes = createRunTimes(DEFAULT_RUN_MS)
   const firstByteTimes = createRunTimes(DEFAULT_FIRST_BYTE_MS)
   const notices = createEndpointNotices()
+  const limits = createRequestLimits({ getHostCount: opts.getEntryCount, nextFraction: opts.random.nextFraction })
   const state: RelayState = {
     opts,
     links,
-    finder: createTargetFinder({ relay: opts, links, runTimes, firstByteTimes, notices }),
+    finder: createTargetFinder({ relay: opts, links, runTimes, firstByteTimes, notices, limits }),
     runTimes,
     firstByteTimes,
     notices,
+    limits,
     allowance: createRetryAllowance({ ...opts.retryBudget, getEntryCount: opts.getEntryCount, getNow: opts.clock.getMonotonicMs }),
     bodies: createBodyReader(),
     answering: new Set(),
@@ -263,6 +265,7 @@
   exchange.offered = true
   exchange.firstByteMs = undefined
   recordSent(link, sentAt)
+  state.limits.recordSent(target, sentAt)
   const isProbe = link.breaker.recordSent(sentAt)
   opts.directory.recordBegun(endpoint, adapterKey ?? '')
   const progress = createResponseProgress(opts.directory, exchange.facts.promptParts)
@@ -275,7 +278,10 @@
       recordBytes(link, now)
       progress.recordChunk(now)
     },
-    onResponse: (facts, response) => recordNotices(state, target, facts, response),
+    onResponse: (facts, response) => {
+      recordNotices({ ...state, relay: opts }, target, facts, response)
+      if (facts.requestId === exchange.facts.requestId && response.statusCode !== MISDIRECTED) recordLimit({ ...state, relay: opts }, target, facts, sentAt)
+    },
     mayStillSend: () => state.notices.isOpen(target, opts.clock.getMonotonicMs()),
     onHead: ({ load, keepAliveMs }) => {
       const now = opts.clock.getMonotonicMs()
@@ -332,27 +338,6 @@
   else if (end.kind === 'notRun' && !end.isAnswered) directory.recordUnreachable({ endpoint, bornAt }, now)
 }
 
-/** Records what an endpoint announces in a response. A misdirected request was answered by another endpoint at the address. */
-function recordNotices ({ opts, notices }: RelayState, target: Target, facts: AnswerFacts, response: IncomingMessage): void {
-  const { endpoint, bornAt } = target
-  const status = response.statusCode ?? 0
-  for (const header of facts.invalidHeaders ?? []) opts.logger.warn('ignored an invalid response header', { step: 'answer', peer: endpoint, header })
-  if (status === MISDIRECTED) return
-  if (facts.isLeaving === true && notices.recordLeaving(target)) {
-    opts.logger.info('endpoint announced that it is leaving', { step: 'health', peer: endpoint, bornAt })
-    opts.directory.recordLeaving(endpoint, bornAt)
-  }
-  const retryAfter = response.headers['retry-after']
-  if (status !== UNAVAILABLE || retryAfter === undefined) return
-  const delayMs = parseRetryAfter(retryAfter)
-  if (delayMs === undefined) {
-    opts.logger.warn('ignored an invalid response header', { step: 'answer', peer: endpoint, header: 'retry-after' })
-    return
-  }
-  notices.recordQuiet(target, delayMs, opts.clock.getMonotonicMs())
-  opts.logger.info('endpoint asked for a pause', { step: 'health', peer: endpoint, delayMs })
-}
-
 /** `isProbe`: the attempt is the one that decides on the endpoint's open breaker. */
 function recordAttemptEnd (state: RelayState, exchange: Exchange, { link, endpoint, adapterKey, isProbe }: Target & { readonly isProbe: boolean }, end: AttemptEnd): void {
   const { opts } = state
--- a/gateway/relay/src/target.ts
+++ b/gateway/relay/src/target.ts
@@ -8,7 +8,7 @@
 import { chooseEndpoint } from './chooseEndpoint.ts'
 import type { ChosenEndpoint } from './chooseEndpoint.ts'
 import { ADAPTER_LOAD_COST_MS, ADAPTER_LOAD_WAIT_FRACTION, ADAPTER_LOAD_WAIT_OBJECTIVES, FIRST_VERSION, LOCAL_SILENCE_MS, MAX_FIRST_BYTE_FRACTION, MIN_REMAINING_MS, OLD_VERSION_GRACE_MS, REMOTE_REQUESTS_FOR_REPLICA, REPLICA_LOAD_FRACTION, REPLICA_REQUEST_INTERVAL_MS } from './constants.ts'
-import type { EndpointInstance, EndpointNotices } from '@catkinferry/routing.endpoint-notices'
+import type { EndpointInstance, EndpointNotices, RequestLimits } from '@catkinferry/routing.endpoint-notices'
 import type { EndpointLink, EndpointLinks } from './endpointLinks.ts'
 import { getRequestedAdapter } from './exchange.ts'
 import type { Exchange, RequestedAdapter, Target } from './exchange.ts'
@@ -29,6 +29,7 @@
 
 interface FinderState {
   readonly notices: EndpointNotices
+  readonly limits: RequestLimits
   readonly relay: RelayOptions
   readonly links: EndpointLinks
   readonly runTimes: RunTimes
@@ -56,14 +57,24 @@
   readonly refusal?: Extract<FoundTarget, { kind: 'none' }>
 }
 
-/** Leaves out the endpoints that asked for a pause. */
+/** How long until an endpoint that is not leaving takes a request of this host, by the pause and the request limit that it announced. */
+function getDelayMs ({ notices, limits }: FinderState, row: DirectoryEndpoint, now: MonotonicMs): DurationMs {
+  if (row.limit !== undefined) limits.record(row, row.limit, now)
+  return Math.max(notices.getQuietMs(row, now), limits.getDelayMs(row, now))
+}
+
+function isOpen (state: FinderState, row: DirectoryEndpoint): boolean {
+  return !state.notices.isLeaving(row) && getDelayMs(state, row, state.relay.clock.getMonotonicMs()) === 0
+}
+
+/** Leaves out the endpoints that want no request of this host now. */
 function listUsable (state: FinderState, exchange: Exchange): UsableEndpoints {
   const now = state.relay.clock.getMonotonicMs()
   const serving = listServing(state, exchange)
-  const usable = serving.filter(row => state.notices.isOpen(row, now))
+  const usable = serving.filter(row => isOpen(state, row))
   if (serving.length === 0 || usable.length > 0) return { usable }
-  const retryAfterMs = Math.ceil(Math.min(...serving.map(row => state.notices.getQuietMs(row, now))))
-  return { usable, refusal: { kind: 'none', reason: 'every endpoint of the service asked for a pause', retryAfterMs } }
+  const retryAfterMs = Math.ceil(Math.min(...serving.map(row => getDelayMs(state, row, now))))
+  return { usable, refusal: { kind: 'none', reason: 'every endpoint of the service asked for a pause or for fewer requests', retryAfterMs } }
 }
 
 function getInstance ({ endpoint, bornAt }: DirectoryEndpoint): EndpointInstance {
@@ -188,8 +199,8 @@
   const waitedMs = Math.round(state.relay.clock.getMonotonicMs() - requestedAt)
   if (answer.kind === 'refused') return { kind: 'none', reason: answer.reason, retryAfterMs: answer.retryAfterMs }
   const endpoint = state.relay.directory.getEndpoint(answer.endpoint)
-  // The engine left, or announced its departure or a pause, while the request waited.
-  if (endpoint === undefined || !state.notices.isOpen(endpoint, state.relay.clock.getMonotonicMs())) {
+  // The engine left, or announced its departure, a pause or a limit, while the request waited.
+  if (endpoint === undefined || !isOpen(state, endpoint)) {
     state.relay.directory.recordUnused(answer.endpoint, answer.adapterKey)
     return await findByLoading(state, exchange, requested, { ...wait, avoided: [...wait.avoided, answer.endpoint] })
   }
@@ -227,14 +238,14 @@
   const healthy = usable.filter(endpoint => !unresponsive.includes(endpoint))
   const resident = findResidentEngine(state, exchange, requested, healthy)
   if (resident !== undefined && (resident.costMs ?? 0) <= ADAPTER_LOAD_COST_MS) return resident
-  const withheld = state.relay.directory.listEndpoints(exchange.pool.name).filter(row => !state.notices.isOpen(row, state.relay.clock.getMonotonicMs()))
+  const withheld = state.relay.directory.listEndpoints(exchange.pool.name).filter(row => !isOpen(state, row))
   const avoided = [...unresponsive, ...withheld, ...listResidentEngines(state, requested, healthy)].map(({ endpoint }) => endpoint)
   const loadResult = await findByLoading(state, exchange, requested, { avoided, maxWaitMs: resident?.costMs ?? Infinity })
   if (loadResult.kind === 'target' || exchange.ended !== undefined) return loadResult
   return findResidentEngine(state, exchange, requested, healthy) ?? findResidentEngine(state, exchange, requested, unresponsive) ?? loadResult
 }
 
-export function createTargetFinder (opts: Pick<FinderState, 'relay' | 'links' | 'runTimes' | 'firstByteTimes' | 'notices'>): TargetFinder {
+export function createTargetFinder (opts: Pick<FinderState, 'relay' | 'links' | 'runTimes' | 'firstByteTimes' | 'notices' | 'limits'>): TargetFinder {
   const state: FinderState = { ...opts, replicasRequestedAt: new Map(), remoteRequests: new Map() }
   return {
     find: async exchange => {
--- a/gateway/relay/test/notices.test.ts
+++ b/gateway/relay/test/notices.test.ts
@@ -129,3 +129,31 @@
     expect([answer.status, answer.body, answer.headers['retry-after']]).toEqual([503, 'ran', undefined])
   })
 })
+
+describe('an endpoint that names a request limit', () => {
+  // Guards against the incident LIMIT of aqx-ops: entry hosts did not read the limit.
+  it('gets no more requests than it takes; callers get the time until it takes the next', async () => {
+    const limited = await startEndpoint('e1', (req, res) => answerOk(req, res, 'done', { 'X-Limit': '1' }))
+    const { call, health } = await start({ endpoints: [limited] })
+    expect((await call()).status).toEqual(200)
+    const refused = await call()
+    const waitS = Number(refused.headers['retry-after'])
+    expect([refused.status, (JSON.parse(refused.body) as { ran: string }).ran, waitS > 0 && waitS <= 1.25, limited.seen.length]).toEqual([503, 'no', true, 1])
+    expect(health.filter(line => line.includes('limit'))).toEqual(['e1 limit 1'])
+    await sleep(waitS * 1_000 + 20)
+    expect([(await call()).status, (await call()).status, limited.seen.length]).toEqual([200, 503, 2])
+  })
+
+  it('leaves the rest of the requests to others, and gets its share again once it names none', async () => {
+    let extra: Record<string, string> = { 'X-Limit': '0.5' }
+    const limited = await startEndpoint('e1', (req, res) => answerOk(req, res, 'done', extra))
+    const other = await startEndpoint('e2', (req, res) => answerOk(req, res))
+    const { call, health } = await start({ endpoints: [limited, other], othersLoad: { e1: 0, e2: 3 } })
+    for (let count = 0; count < 10; count += 1) expect((await call()).status).toEqual(200)
+    expect(limited.seen.length).toEqual(1)
+    extra = {}
+    for (const end = Date.now() + 2_600; Date.now() < end && limited.seen.length < 5;) await call()
+    expect(limited.seen.length >= 5).toEqual(true)
+    expect(health.at(-1)).toEqual('e1 limit none')
+  })
+})
--- a/gateway/relay/test/testRelay.ts
+++ b/gateway/relay/test/testRelay.ts
@@ -28,7 +28,7 @@
     ...(version === undefined ? [] : ['X-Version', String(version)]),
     ...(lastEventId === undefined ? [] : ['X-Resume', lastEventId])
   ],
-  readAnswer: (headers, status) => ({ requestId: headers['x-id'] as string | undefined, isStamped: headers['x-stamp'] !== undefined, notRun: headers['x-not-run'] !== undefined || status === 421, isLeaving: headers['x-leaving'] !== undefined })
+  readAnswer: (headers, status) => ({ requestId: headers['x-id'] as string | undefined, isStamped: headers['x-stamp'] !== undefined, notRun: headers['x-not-run'] !== undefined || status === 421, isLeaving: headers['x-leaving'] !== undefined, limit: headers['x-limit'] === undefined ? {} : { perSecond: Number(headers['x-limit']) } })
 }
 
 export interface Call {
@@ -157,6 +157,7 @@
       dropResident: () => undefined,
       recordFailed: endpoint => { health.push(`${endpoint} failed`) },
       setSilent: (endpoint, isSilent) => { health.push(`${endpoint} ${isSilent ? 'silent' : 'heard'}`) },
+      recordLimit: (endpoint, _bornAt, { perSecond }) => { health.push(`${endpoint} limit ${perSecond ?? 'none'}`) },
       recordBroken: ({ endpoint, promptParts, progress }) => { health.push(`${endpoint} broken ${promptParts.join()} ${progress}`.replace('  ', ' ')) },
       recordUnreachable: () => undefined,
       recordSound: promptParts => { if (promptParts.length > 0) health.push(`${promptParts.join()} sound`) },
--- a/wire/messages/src/fleet.ts
+++ b/wire/messages/src/fleet.ts
@@ -16,6 +16,14 @@
   readonly quarantineRevision?: number
 }
 
+/** What an endpoint last said of the requests that it takes from all hosts together. */
+export interface NamedLimit {
+  /** Requests a second; undefined if it names no limit any more. */
+  readonly perSecond?: number
+  /** Time in ms since the request was sent whose response said so. */
+  readonly agoMs: DurationMs
+}
+
 /** An endpoint as the leader distributes it to entry hosts. */
 export interface FleetEndpoint {
   readonly endpoint: EndpointId
@@ -30,6 +38,8 @@
   readonly bornAt?: number
   /** Several entry hosts have waiting requests there but receive no bytes, or its failure rate is higher than that of other endpoints. */
   readonly suspect: boolean
+  /** Undefined if the leader knows of none. */
+  readonly limit?: NamedLimit
   readonly models: readonly ModelId[]
   readonly resident: readonly AdapterKey[]
 }
@@ -59,6 +69,9 @@
   /** It announced that it is leaving, while the leader still lists it as serving. `bornAt` names the instance that said so. */
   readonly leaving?: boolean
   readonly bornAt?: number
+  /** What the instance `limitBornAt` last said of its limit, if it did since the last report. */
+  readonly limit?: NamedLimit
+  readonly limitBornAt?: number
 }
 
 /** Adapter slots of an engine as the leader knows them. */
