Do not pass off streams that end inside an event as complete

What callers got: of a stream without length or chunks, an orderly end whatever had happened at the endpoint (a crash, a reset, the deadline); of one with a length or chunks, a whole response with half an event; of a resumable one with a length, the continuation under the length of the first part, which no client can read.

Change: streams are split into events on all routes and only whole events are forwarded; one that ends inside an event, or without length, chunks and events, is lost like a broken connection. A response that the caller gets without length or chunks is aborted by a reset, since closing would complete it. Streams of resumable routes lose their Content-Length.

Ruled out: holding back nothing and comparing only at the end; the last bytes of a response with a length cannot be taken back.

--- a/gateway/relay/src/eventSplitter.ts
+++ b/gateway/relay/src/eventSplitter.ts
@@ -1,6 +1,6 @@
 /**
- * Splits a stream of server-sent events into complete events, so that an interrupted stream can be resumed after the last
- * one. The relay creates one for each streamed response of a resumable route.
+ * Splits a stream of server-sent events into complete events, so that a stream that is broken off inside an event does not look
+ * complete, and can be resumed after the last one. The relay creates one for each stream that it forwards.
  */
 
 const LINE_FEED = 10
@@ -12,6 +12,11 @@
   readonly add: (chunk: Buffer) => Buffer
   /** Returns and clears the bytes after the last complete event. */
   readonly takeRest: () => Buffer
+  /** Bytes after the last complete event. */
+  readonly getOpenBytes: () => number
+  /** Whether the bytes so far end inside an event. */
+  readonly isInsideEvent: () => boolean
+  readonly hasEvents: () => boolean
   /** ID of the last complete event that has one; before the first, the ID that the splitter was created with. */
   readonly getLastEventId: () => string | undefined
 }
@@ -19,6 +24,7 @@
 /** Index after the last blank line; 0 if there is none. */
 function findEndOfEvents (bytes: Buffer): number {
   for (let index = bytes.length - 1; index > 0; index -= 1) {
+    if (bytes[index] === CARRIAGE_RETURN && bytes[index - 1] === CARRIAGE_RETURN) return index + 1
     if (bytes[index] !== LINE_FEED) continue
     const before = bytes[index - 1] === CARRIAGE_RETURN ? index - 2 : index - 1
     if (bytes[before] === LINE_FEED) return index + 1
@@ -52,12 +58,17 @@
   return events.split(/\r?\n\r?\n/).map(event => ID_FIELD.exec(event)?.[1]?.trim()).filter(id => id !== undefined)
 }
 
-/** Creates a splitter for the response of one endpoint. Events in `delivered` at its start, which the caller already has, are dropped. */
-export function createEventSplitter (delivered: DeliveredEvents, lastEventId?: string): EventSplitter {
+function isLineEnd (byte: number): boolean {
+  return byte === LINE_FEED || byte === CARRIAGE_RETURN
+}
+
+/** Creates a splitter for the response of one endpoint. Events in `delivered` at its start, which the caller already has, are dropped; undefined where a stream is not resumed. */
+export function createEventSplitter (delivered: DeliveredEvents | undefined, lastEventId?: string): EventSplitter {
   let rest: Buffer = Buffer.alloc(0)
   let lastId = lastEventId
+  let hasEvents = false
 
-  function dropDelivered (events: Buffer): Buffer {
+  function dropDelivered (events: Buffer, delivered: DeliveredEvents): Buffer {
     const text = events.toString('latin1')
     const kept = text.split(/(?<=\n\r?\n)/).filter(event => {
       const id = ID_FIELD.exec(event)?.[1]?.trim()
@@ -72,7 +83,9 @@
       const end = findEndOfEvents(bytes)
       rest = bytes.subarray(end)
       if (end === 0) return Buffer.alloc(0)
-      const events = dropDelivered(bytes.subarray(0, end))
+      hasEvents = true
+      if (delivered === undefined) return bytes.subarray(0, end)
+      const events = dropDelivered(bytes.subarray(0, end), delivered)
       const ids = listIds(events.toString('latin1'))
       for (const id of ids) delivered.add(id)
       lastId = ids.at(-1) ?? lastId
@@ -83,6 +96,9 @@
       rest = Buffer.alloc(0)
       return left
     },
+    getOpenBytes: () => rest.length,
+    isInsideEvent: () => !rest.every(isLineEnd),
+    hasEvents: () => hasEvents,
     getLastEventId: () => lastId
   }
 }
--- a/gateway/relay/src/exchange.ts
+++ b/gateway/relay/src/exchange.ts
@@ -42,6 +42,8 @@
   /** Events that the caller has, of a resumable stream. */
   readonly delivered: DeliveredEvents
   headSent: boolean
+  /** The response to the caller has neither a length nor chunks, so it ends with its connection. */
+  isUnframed: boolean
   /** Time in ms from arrival to the head of the latest response. */
   firstByteMs: number | undefined
   /** When the latest chunk of a stream arrived, and the longest pause in ms between two chunks. */
--- a/gateway/relay/src/relay.ts
+++ b/gateway/relay/src/relay.ts
@@ -21,7 +21,7 @@
 import { createDeliveredEvents } from './eventSplitter.ts'
 import { countHeaderBytes } from './headers.ts'
 import { sendFailure } from './ownAnswers.ts'
-import { sendBufferedResponse } from './sendAnswer.ts'
+import { abortResponse, sendBufferedResponse } from './sendAnswer.ts'
 import { createBodyReader } from './readBody.ts'
 import type { BodyReader } from './readBody.ts'
 import type { RelayOptions } from './relayOptions.ts'
@@ -206,6 +206,7 @@
     lastEventId: facts.lastEventId,
     delivered: createDeliveredEvents(facts.lastEventId),
     headSent: false,
+    isUnframed: false,
     offered: false,
     firstByteMs: undefined,
     lastChunkAt: undefined,
@@ -390,9 +391,9 @@
 
 /** Answers an exchange for which no further attempt is made. */
 function finishWithoutRetry (state: RelayState, exchange: Exchange, reason: string, retryAfterMs = RETRY_AFTER_MS): void {
-  const { errorResponse, tried, res, headSent } = exchange
+  const { errorResponse, tried, headSent } = exchange
   if (headSent) {
-    res.destroy()
+    abortResponse(exchange)
     reportEnd(state, { requestId: exchange.facts.requestId, status: 'cut', reason, ...describeEnd(state, exchange) })
   } else if (errorResponse !== undefined) {
     sendBufferedResponse(exchange, errorResponse)
@@ -421,7 +422,7 @@
   }
   const failure = END_FAILURES[reason][offered ? 'offered' : 'notRun']
   if (exchange.headSent) {
-    exchange.res.destroy()
+    abortResponse(exchange)
     reportEnd(state, { requestId: exchange.facts.requestId, status: 'cut', reason: failure.message, ...describeEnd(state, exchange) })
   } else finishWithFailure(state, exchange, failure)
 }
--- a/gateway/relay/src/sendAnswer.ts
+++ b/gateway/relay/src/sendAnswer.ts
@@ -13,16 +13,30 @@
 import { selectEndToEnd } from './headers.ts'
 
 const NO_HEADERS: ReadonlySet<string> = new Set()
+const CONTENT_LENGTH: ReadonlySet<string> = new Set(['content-length'])
 const FIRST_ERROR_STATUS = 400
 const NO_CONTENT = 204
 const NOT_MODIFIED = 304
 const UNAVAILABLE = 503
+const EVENT_STREAM = 'text/event-stream'
 
 /** Whether a response has a length or chunked encoding. Any other ends with its connection, so truncation cannot be detected. */
 function isFramed ({ headers, statusCode }: IncomingMessage): boolean {
   return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined || statusCode === NO_CONTENT || statusCode === NOT_MODIFIED
 }
 
+/** Whether a response is a stream of server-sent events. Endpoints of resumable routes send nothing else. */
+function isEventStream ({ route }: Exchange, { headers, statusCode = 0 }: IncomingMessage): boolean {
+  if (route.kind !== RouteKind.STREAM || statusCode >= FIRST_ERROR_STATUS) return false
+  return route.resumable || headers['content-type']?.startsWith(EVENT_STREAM) === true
+}
+
+/** Ends a response that has begun so that it does not look complete: one without a length or chunks ends with its connection, so that must be reset. */
+export function abortResponse ({ res, isUnframed }: Exchange): void {
+  if (isUnframed && res.socket !== null) res.socket.resetAndDestroy()
+  else res.destroy()
+}
+
 /** Keeps the response to the caller unframed too: a body that may be truncated must not look complete. */
 function disableFraming (res: ServerResponse): void {
   res.useChunkedEncodingByDefault = false
@@ -82,14 +96,16 @@
 
 function sendHead (exchange: Exchange, response: IncomingMessage): void {
   exchange.headSent = true
-  if (!isFramed(response)) disableFraming(exchange.res)
-  exchange.res.writeHead(response.statusCode ?? 0, selectEndToEnd(response.rawHeaders, NO_HEADERS))
+  exchange.isUnframed = !isFramed(response)
+  if (exchange.isUnframed) disableFraming(exchange.res)
+  // A stream that another endpoint continues has another length.
+  exchange.res.writeHead(response.statusCode ?? 0, selectEndToEnd(response.rawHeaders, exchange.route.resumable ? CONTENT_LENGTH : NO_HEADERS))
 }
 
 interface StreamState {
   readonly attempt: Attempt
   readonly response: IncomingMessage
-  /** Undefined if the stream cannot be resumed at another endpoint. */
+  /** Undefined if the response is not a stream of events. */
   readonly splitter: EventSplitter | undefined
   bytes: number
 }
@@ -130,14 +146,24 @@
   response.once('close', release)
 }
 
+/** Whether a response that has ended was broken off: inside an event, or, if it has no length or chunks, before its first one. */
+function isBrokenOff ({ splitter, response }: StreamState): boolean {
+  if (splitter === undefined) return false
+  return splitter.isInsideEvent() || (!isFramed(response) && !splitter.hasEvents())
+}
+
 function streamResponse (attempt: Attempt, response: IncomingMessage, firstBytes: Buffer = Buffer.alloc(0)): void {
   const { exchange, settle, request, isComplete } = attempt
-  const splitter = exchange.route.resumable ? createEventSplitter(exchange.delivered, exchange.lastEventId) : undefined
+  const splitter = isEventStream(exchange, response) ? createEventSplitter(exchange.route.resumable ? exchange.delivered : undefined, exchange.lastEventId) : undefined
   const state: StreamState = { attempt, response, splitter, bytes: 0 }
   writeChunk(state, firstBytes)
   response.on('data', (chunk: Buffer) => writeChunk(state, splitter === undefined ? chunk : splitter.add(chunk)))
   response.on('end', () => {
     if (!isComplete() || exchange.ended !== undefined) return
+    if (isBrokenOff(state)) {
+      settle({ kind: 'lost', reason: 'the stream ended inside an event', isBroken: !isFramed(response) })
+      return
+    }
     if (splitter !== undefined) writeChunk(state, splitter.takeRest())
     if (!exchange.headSent) sendHead(exchange, response)
     exchange.res.end()
--- /dev/null
+++ b/gateway/relay/test/unframed.test.ts
@@ -0,0 +1,121 @@
+import { expect } from 'earl'
+import { afterEach, describe, it } from 'node:test'
+import type { Socket } from 'node:net'
+import { startEndpoint, startRawEndpoint, startTestRelay } from './testRelay.ts'
+import type { CallResult, TestRelay, TestRelayOptions } from './testRelay.ts'
+
+let testRelay: TestRelay | undefined
+
+afterEach(() => {
+  testRelay?.close()
+  testRelay = undefined
+})
+
+const HEAD = 'HTTP/1.1 200 OK\r\nX-Id: id1\r\nX-Stamp: s\r\nContent-Type: text/event-stream\r\n'
+const buildEvent = (id: number): string => `id: ${id}\ndata: ${id}\n\n`
+const STREAM = { kind: 'stream' } as const
+const RESUMABLE = { kind: 'stream', resumable: true, maxEndpoints: 2 } as const
+
+type End = (socket: Socket, text: string) => void
+
+interface Sending {
+  readonly headers: string
+  readonly end: End
+}
+
+const UNFRAMED: Sending = { headers: 'Connection: close\r\n\r\n', end: (socket, text) => { socket.end(text) } }
+
+/** How an endpoint may send a body and end it. */
+const ENDS: Readonly<Record<string, Sending>> = {
+  'without length or chunks and closes': UNFRAMED,
+  'in chunks and ends them': { headers: 'Transfer-Encoding: chunked\r\n\r\n', end: (socket, text) => { socket.write(`${text.length.toString(16)}\r\n${text}\r\n0\r\n\r\n`) } },
+  'with a length': { headers: '', end: (socket, text) => { socket.write(`Content-Length: ${text.length}\r\n\r\n${text}`) } }
+}
+
+async function callOnce (text: string, { headers, end }: Sending, opts: Omit<TestRelayOptions, 'endpoints'>): Promise<CallResult | undefined> {
+  const endpoint = await startRawEndpoint('e1', socket => {
+    socket.write(HEAD + headers)
+    end(socket, text)
+  })
+  testRelay = await startTestRelay({ ...opts, endpoints: [endpoint] })
+  return await testRelay.call().catch(() => undefined)
+}
+
+describe('a stream', () => {
+  for (const [name, sending] of Object.entries(ENDS)) {
+    it(`that an endpoint sends ${name} is complete if it ends between two events`, async () => {
+      for (const text of [buildEvent(1) + buildEvent(2), `${buildEvent(1)}\n`, 'data: 1\r\n\r\n']) {
+        expect(await callOnce(text, sending, { route: STREAM })).toEqual(expect.subset({ status: 200, body: text, broken: false }))
+        testRelay?.close()
+      }
+    })
+
+    // Guards against a stream that an endpoint broke off inside an event and that looks complete to the caller.
+    it(`that an endpoint sends ${name} does not look complete if it ends inside an event`, async () => {
+      for (const text of [`${buildEvent(1)}id: 2\nda`, `${buildEvent(1)}id: 2\ndata: 2\n`, 'id: 1']) {
+        const answer = await callOnce(text, sending, { route: STREAM })
+        expect(answer === undefined || answer.broken || answer.status === 502).toEqual(true)
+        expect(buildEvent(1).startsWith(answer?.status === 200 ? answer.body : '')).toEqual(true)
+        testRelay?.close()
+      }
+    })
+
+    it(`that an endpoint sends ${name} continues at another after its last whole event if it ends inside one`, async () => {
+      const first = await startRawEndpoint('e1', socket => {
+        socket.write(HEAD + sending.headers)
+        sending.end(socket, `${buildEvent(1)}id: 2\nda`)
+      })
+      const second = await startEndpoint('e2', (req, res) => {
+        res.writeHead(200, { 'X-Id': String(req.headers['x-id']), 'X-Stamp': 's', 'Content-Type': 'text/event-stream' })
+        res.end(buildEvent(2) + buildEvent(3))
+      })
+      testRelay = await startTestRelay({ endpoints: [first, second], route: RESUMABLE, othersLoad: { e1: 0, e2: 3 } })
+      expect(await testRelay.call()).toEqual(expect.subset({ status: 200, body: buildEvent(1) + buildEvent(2) + buildEvent(3), broken: false }))
+      expect(second.seen[0]?.headers['x-resume']).toEqual('1')
+    })
+  }
+
+  // Guards against an endpoint that crashes before its first event, whose closed connection is the only sign of it.
+  it('without length, chunks and events does not look complete', async () => {
+    expect((await callOnce('', UNFRAMED, { route: STREAM }))?.status).toEqual(502)
+  })
+
+  /** Returns what a caller gets, and whether its connection was reset. An HTTP client may take a reset for the end of such a body. */
+  async function readRaw (route: TestRelayOptions['route'], end: End): Promise<{ readonly text: string, readonly isReset: boolean }> {
+    const endpoint = await startRawEndpoint('e1', socket => {
+      socket.write(`${HEAD}\r\n`)
+      end(socket, buildEvent(1))
+    })
+    testRelay = await startTestRelay({ endpoints: [endpoint], route })
+    const socket = testRelay.dial()
+    let text = ''
+    let isReset = false
+    socket.on('data', chunk => { text += String(chunk) })
+    socket.on('error', (error: NodeJS.ErrnoException) => { isReset = error.code === 'ECONNRESET' })
+    socket.write('POST /p/x HTTP/1.1\r\nHost: h.example\r\nX-Id: id1\r\nContent-Length: 0\r\n\r\n')
+    await new Promise(resolve => { socket.on('close', resolve) })
+    return { text, isReset }
+  }
+
+  it('without length or chunks that ends between two events closes the connection in order', async () => {
+    const { text, isReset } = await readRaw(STREAM, UNFRAMED.end)
+    expect([text.endsWith(buildEvent(1)), isReset]).toEqual([true, false])
+  })
+
+  // Guards against a connection that is closed in order although the endpoint reset its own in the middle of the body.
+  it('without length or chunks whose endpoint resets the connection resets the caller\'s', async () => {
+    const { isReset } = await readRaw(STREAM, (socket, text) => { socket.write(text, () => setTimeout(() => socket.resetAndDestroy(), 40)) })
+    expect(isReset).toEqual(true)
+  })
+
+  it('without length or chunks resets the caller\'s connection at the deadline', async () => {
+    const { isReset } = await readRaw({ ...STREAM, timeoutMs: 200 }, (socket, text) => { socket.write(text) })
+    expect(isReset).toEqual(true)
+  })
+})
+
+describe('another response without length or chunks', () => {
+  it('is complete when its connection closes', async () => {
+    expect(await callOnce('all of it', UNFRAMED, {})).toEqual(expect.subset({ status: 200, body: 'all of it', broken: false }))
+  })
+})
