Deliver a complete response that is followed by other bytes

A test of endless bytes found it: an endpoint that writes on after a complete response, in the same segment, made the HTTP client end the request with a parse error before the body was read. The body was discarded, its end still came, and the caller got 200 with Content-Length 0, a success with another body than the endpoint's.

Change: errors and the end of a connection no longer fail an attempt whose response is complete, and a response is sent on only while its attempt is open. surplusResponses.test.ts failed before in the case of bytes that are no response and passes.

--- a/gateway/relay/src/attempt.ts
+++ b/gateway/relay/src/attempt.ts
@@ -33,6 +33,7 @@
   readonly target: Target
   readonly request: ClientRequest
   readonly settle: (end: AttemptEnd) => void
+  readonly isSettled: () => boolean
   readonly getNow: () => MonotonicMs
   /** Whether the response that has ended is complete. */
   readonly isComplete: () => boolean
@@ -86,6 +87,7 @@
     let connected = false
     let socketFailed = false
     let socketInUse: Socket | undefined
+    let response: IncomingMessage | undefined
     const onSocketError = (): void => { socketFailed = true }
     const outgoing = request({ ...parseAddress(link.address), agent: link.agent, method: req.method, path: req.url, headers: buildHeaders(opts), setHost: false })
     const connectTimer = setTimeout(() => { if (!connected) fail('connection timed out', false) }, CONNECT_TIMEOUT_MS)
@@ -126,10 +128,12 @@
       if (socket.connecting) socket.once('connect', onConnected)
       else onConnected()
     })
-    outgoing.on('error', (error: NodeJS.ErrnoException) => fail(error.message, error.code?.startsWith(PARSER_ERROR_PREFIX) !== true))
-    outgoing.on('close', () => fail('connection closed before the response was complete', true))
-    outgoing.on('response', response => {
-      receiveResponse({ exchange, target: opts.target, request: outgoing, settle, onHead: opts.onHead, getNow: opts.relay.clock.getMonotonicMs, isComplete: () => response.complete && !socketFailed }, response, opts)
+    // What follows a complete response belongs to no request and does not spoil it.
+    outgoing.on('error', (error: NodeJS.ErrnoException) => { if (response?.complete !== true) fail(error.message, error.code?.startsWith(PARSER_ERROR_PREFIX) !== true) })
+    outgoing.on('close', () => { if (response?.complete !== true) fail('connection closed before the response was complete', true) })
+    outgoing.on('response', incoming => {
+      response = incoming
+      receiveResponse({ exchange, target: opts.target, request: outgoing, settle, isSettled: () => settled, onHead: opts.onHead, getNow: opts.relay.clock.getMonotonicMs, isComplete: () => incoming.complete && !socketFailed }, incoming, opts)
     })
   })
 }
--- a/gateway/relay/src/sendAnswer.ts
+++ b/gateway/relay/src/sendAnswer.ts
@@ -63,7 +63,7 @@
 }
 
 function bufferResponse (attempt: Attempt, response: IncomingMessage, endpoint: EndpointId): void {
-  const { exchange, settle, request, isComplete } = attempt
+  const { exchange, settle, isSettled, request, isComplete } = attempt
   const status = response.statusCode ?? 0
   const chunks: Buffer[] = []
   let bytes = 0
@@ -75,7 +75,7 @@
     streamResponse(attempt, response, Buffer.concat(chunks))
   }
   const finish = (): void => {
-    if (!isComplete()) return
+    if (!isComplete() || isSettled()) return
     const buffered: BufferedResponse = { status, rawHeaders: response.rawHeaders, body: Buffer.concat(chunks), framed: isFramed(response), endpoint }
     if (status >= FIRST_ERROR_STATUS) {
       settle({ kind: 'failed', response: buffered })
@@ -153,13 +153,13 @@
 }
 
 function streamResponse (attempt: Attempt, response: IncomingMessage, firstBytes: Buffer = Buffer.alloc(0)): void {
-  const { exchange, settle, request, isComplete } = attempt
+  const { exchange, settle, isSettled, request, isComplete } = attempt
   const splitter = isEventStream(exchange, response) ? createEventSplitter(exchange.route.resumable ? exchange.delivered : undefined, exchange.lastEventId) : undefined
   const state: StreamState = { attempt, response, splitter, bytes: 0 }
   writeChunk(state, firstBytes)
   response.on('data', (chunk: Buffer) => writeChunk(state, splitter === undefined ? chunk : splitter.add(chunk)))
   response.on('end', () => {
-    if (!isComplete() || exchange.ended !== undefined) return
+    if (!isComplete() || isSettled() || exchange.ended !== undefined) return
     if (isBrokenOff(state)) {
       settle({ kind: 'lost', reason: 'the stream ended inside an event', isBroken: !isFramed(response) })
       return
--- a/gateway/relay/test/surplusResponses.test.ts
+++ b/gateway/relay/test/surplusResponses.test.ts
@@ -41,6 +41,26 @@
   }
 })
 
+describe('a complete response that is followed by other bytes', () => {
+  // Guards against a caller that gets the head of such a response with an empty body: the surplus bytes ended the connection before the body was read.
+  for (const [name, surplus] of [['that are no response', 'x'.repeat(5_000)], ['of another response', buildSurplus()]] as const) {
+    it(`${name} is delivered whole`, async () => {
+      const endpoint = await startRawEndpoint('e1', (socket, text) => {
+        const id = /X-Id: (\w+)/i.exec(text)?.[1] ?? ''
+        socket.write(`HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nX-Stamp: s\r\nContent-Length: 4\r\n\r\ndone${surplus}`)
+      })
+      const { call, close } = await startTestRelay({ endpoints: [endpoint] })
+      const answer = await call().catch(() => undefined)
+      close()
+      expect(answer).toEqual(expect.subset({ status: 200, body: 'done', broken: false }))
+    })
+  }
+
+  function buildSurplus (): string {
+    return 'HTTP/1.1 200 OK\r\nX-Id: id1\r\nX-Stamp: s\r\nContent-Length: 2\r\n\r\nno'
+  }
+})
+
 describe('an endpoint that sends any bytes', () => {
   it('costs its own caller the request and nothing else', async () => {
     const random = createRandom(5)
