Cut off endpoints that send bytes without end

Blank lines and informational responses before a head, endless digits of a chunk size and a single endless event held the caller to the deadline (504 after 5 s in the test), and the event was kept in memory as it grew. The rest of a refusal was read on for ever, after its request had ended.

A body without length or chunks on other routes is still read to the deadline, since nothing tells it from a long answer; the caller's pace bounds it.

--- a/gateway/relay/src/attempt.ts
+++ b/gateway/relay/src/attempt.ts
@@ -7,11 +7,11 @@
 import type { Socket } from 'node:net'
 import { parseAddress } from '@catkinferry/core.types'
 import type { MonotonicMs } from '@catkinferry/core.types'
-import { CONNECT_TIMEOUT_MS } from './constants.ts'
+import { CONNECT_TIMEOUT_MS, MAX_FRAMING_BYTES, MAX_HEAD_BYTES } from './constants.ts'
 import type { AnswerFacts } from './dialect.ts'
 import type { BufferedResponse, Exchange, Target } from './exchange.ts'
 import { selectEndToEnd } from './headers.ts'
-import { forwardResponse } from './sendAnswer.ts'
+import { discardResponse, forwardResponse } from './sendAnswer.ts'
 import type { RelayOptions } from './relayOptions.ts'
 
 export type AttemptEnd =
@@ -88,6 +88,13 @@
     let socketFailed = false
     let socketInUse: Socket | undefined
     let response: IncomingMessage | undefined
+    /** Bytes that arrived since the latest progress of the response: its head, or a piece of its body. */
+    let idleBytes = 0
+    const countIdleBytes = (chunk: Buffer): void => {
+      idleBytes += chunk.length
+      const hasProgress = response !== undefined && (response.complete || response.readableLength > 0)
+      if (!hasProgress && idleBytes > (response === undefined ? MAX_HEAD_BYTES : MAX_FRAMING_BYTES)) fail('the endpoint sends bytes that are no response', false)
+    }
     const onSocketError = (): void => { socketFailed = true }
     const outgoing = request({ ...parseAddress(link.address), agent: link.agent, method: req.method, path: req.url, headers: buildHeaders(opts), setHost: false })
     const connectTimer = setTimeout(() => { if (!connected) fail('connection timed out', false) }, CONNECT_TIMEOUT_MS)
@@ -96,7 +103,7 @@
       if (settled) return
       settled = true
       clearTimeout(connectTimer)
-      socketInUse?.off('error', onSocketError)
+      socketInUse?.off('error', onSocketError).off('data', countIdleBytes)
       exchange.interrupt = undefined
       resolve(end)
     }
@@ -118,6 +125,7 @@
         connected = true
         clearTimeout(connectTimer)
         socket.setNoDelay(true)
+        socket.on('data', countIdleBytes)
         // The body is written only after connecting, so that a failure before that proves that nothing was sent.
         if (!settled && !opts.mayStillSend()) {
           settle({ kind: 'withheld', reason: 'the endpoint wants no more requests' })
@@ -133,6 +141,8 @@
     outgoing.on('close', () => { if (response?.complete !== true) fail('connection closed before the response was complete', true) })
     outgoing.on('response', incoming => {
       response = incoming
+      idleBytes = 0
+      incoming.on('data', () => { idleBytes = 0 })
       receiveResponse({ exchange, target: opts.target, request: outgoing, settle, isSettled: () => settled, onHead: opts.onHead, getNow: opts.relay.clock.getMonotonicMs, isComplete: () => incoming.complete && !socketFailed }, incoming, opts)
     })
   })
@@ -152,7 +162,7 @@
   }
   attempt.onHead(facts)
   if (facts.notRun) {
-    response.resume()
+    discardResponse(attempt.request, response)
     settle({ kind: 'notRun', reason: `the endpoint answered ${status}`, isAnswered: true, isMisdirected: status === MISDIRECTED })
     return
   }
--- a/gateway/relay/src/constants.ts
+++ b/gateway/relay/src/constants.ts
@@ -20,6 +20,14 @@
 /** Responses up to this size are buffered before anything is sent to the caller, so that the request can be retried if one is truncated. */
 export const MAX_BUFFERED_RESPONSE_BYTES = 256 * 1024
 
+/** Bytes that may arrive before the head of a response, between two pieces of its body, and after the head of one that is not forwarded. */
+export const MAX_HEAD_BYTES = 64 * 1024
+export const MAX_FRAMING_BYTES = 256 * 1024
+export const MAX_DISCARDED_BYTES = 64 * 1024
+
+/** Size limit of one server-sent event. */
+export const MAX_EVENT_BYTES = 1024 * 1024
+
 /** How long this host avoids an endpoint after failing to connect to it. */
 export const UNREACHABLE_MS = 1_000
 
--- a/gateway/relay/src/sendAnswer.ts
+++ b/gateway/relay/src/sendAnswer.ts
@@ -2,11 +2,11 @@
  * Forwards an endpoint's response to the caller: short responses once they are complete, streams and long ones chunk by
  * chunk. Called by `attempt.ts` for each response that it accepts as one to the request.
  */
-import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { ClientRequest, IncomingMessage, ServerResponse } from 'node:http'
 import type { EndpointId, MonotonicMs } from '@catkinferry/core.types'
 import { RouteKind } from '@catkinferry/core.types'
 import type { Attempt } from './attempt.ts'
-import { MAX_BUFFERED_RESPONSE_BYTES } from './constants.ts'
+import { MAX_BUFFERED_RESPONSE_BYTES, MAX_DISCARDED_BYTES, MAX_EVENT_BYTES } from './constants.ts'
 import { createEventSplitter } from './eventSplitter.ts'
 import type { EventSplitter } from './eventSplitter.ts'
 import type { BufferedResponse, Exchange } from './exchange.ts'
@@ -37,6 +37,15 @@
   else res.destroy()
 }
 
+/** Reads the rest of a response that is not forwarded, so that its connection can be used again, unless there is too much of it. */
+export function discardResponse (request: ClientRequest, response: IncomingMessage): void {
+  let bytes = 0
+  response.on('data', (chunk: Buffer) => {
+    bytes += chunk.length
+    if (bytes > MAX_DISCARDED_BYTES) request.destroy()
+  })
+}
+
 /** Keeps the response to the caller unframed too: a body that may be truncated must not look complete. */
 function disableFraming (res: ServerResponse): void {
   res.useChunkedEncodingByDefault = false
@@ -152,12 +161,20 @@
   return splitter.isInsideEvent() || (!isFramed(response) && !splitter.hasEvents())
 }
 
+function receiveChunk (state: StreamState, chunk: Buffer): void {
+  const { attempt: { settle, request }, splitter } = state
+  writeChunk(state, splitter === undefined ? chunk : splitter.add(chunk))
+  if ((splitter?.getOpenBytes() ?? 0) <= MAX_EVENT_BYTES) return
+  settle({ kind: 'lost', reason: 'an event exceeds the size limit' })
+  request.destroy()
+}
+
 function streamResponse (attempt: Attempt, response: IncomingMessage, firstBytes: Buffer = Buffer.alloc(0)): void {
   const { exchange, settle, isSettled, request, isComplete } = attempt
   const splitter = isEventStream(exchange, response) ? createEventSplitter(exchange.route.resumable ? exchange.delivered : undefined, exchange.lastEventId) : undefined
   const state: StreamState = { attempt, response, splitter, bytes: 0 }
   writeChunk(state, firstBytes)
-  response.on('data', (chunk: Buffer) => writeChunk(state, splitter === undefined ? chunk : splitter.add(chunk)))
+  response.on('data', (chunk: Buffer) => receiveChunk(state, chunk))
   response.on('end', () => {
     if (!isComplete() || isSettled() || exchange.ended !== undefined) return
     if (isBrokenOff(state)) {
--- /dev/null
+++ b/gateway/relay/test/endlessResponses.test.ts
@@ -0,0 +1,98 @@
+import { once } from 'node:events'
+import { createServer } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
+import { expect } from 'earl'
+import { describe, it } from 'node:test'
+import { startTestRelay } from './testRelay.ts'
+import type { CallResult, TestRelayOptions } from './testRelay.ts'
+
+const TIMEOUT_MS = 5_000
+/** An endless response must be given up long before the deadline. */
+const MAX_MS = 2_000
+const HEAD = 'HTTP/1.1 200 OK\r\nX-Id: id1\r\nX-Stamp: s\r\n'
+const EVENTS = `${HEAD}Content-Type: text/event-stream\r\n`
+const CHUNK = 'x'.repeat(0x4000)
+
+interface EndlessResult {
+  readonly answer: CallResult | undefined
+  readonly tookMs: number
+  /** The relay closed the connection to the endpoint. */
+  readonly closed: boolean
+}
+
+/** Calls an endpoint that writes `first` and then `repeated` until its connection is closed. */
+async function callEndless (first: string, repeated: string, opts: Omit<TestRelayOptions, 'endpoints'> = {}): Promise<EndlessResult> {
+  const sockets: Socket[] = []
+  const server = createServer(socket => {
+    sockets.push(socket)
+    socket.on('error', () => undefined)
+    const write = (): void => {
+      while (!socket.destroyed && socket.write(repeated));
+    }
+    socket.once('data', () => {
+      socket.on('drain', write)
+      socket.write(first)
+      write()
+    })
+  })
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const endpoint = { id: 'e1', address: `127.0.0.1:${(server.address() as AddressInfo).port}`, seen: [], close: () => { for (const socket of sockets) socket.destroy(); server.close() } }
+  const { call, close } = await startTestRelay({ ...opts, endpoints: [endpoint], route: { timeoutMs: TIMEOUT_MS, ...opts.route } })
+  const startedAt = performance.now()
+  const answer = await call({ headers: { 'X-Deadline': String(TIMEOUT_MS) } }).catch(() => undefined)
+  const tookMs = performance.now() - startedAt
+  for (let count = 0; count < 40 && sockets.some(socket => !socket.destroyed); count += 1) await new Promise(resolve => setTimeout(resolve, 25))
+  const closed = sockets.every(socket => socket.destroyed)
+  close()
+  return { answer, tookMs, closed }
+}
+
+/** Faulty endpoints send bytes that are no response until the caller closes. Guards against relays that read them until the deadline, or without end. */
+describe('bytes without end', () => {
+  const heads: Readonly<Record<string, readonly [string, string]>> = {
+    'that are no response': ['', 'no response '],
+    'of blank lines before a response': ['', '\r\n'.repeat(512)],
+    'of informational responses': ['', 'HTTP/1.1 103 Early Hints\r\n\r\n'.repeat(64)],
+    'in a status line': ['HTTP/1.1 200 ', CHUNK],
+    'in the name of a header': ['HTTP/1.1 200 OK\r\n', CHUNK],
+    'of headers': ['HTTP/1.1 200 OK\r\n', 'X-More: y\r\n'.repeat(64)],
+    'in the size of a chunk': [`${HEAD}Transfer-Encoding: chunked\r\n\r\n`, '0'.repeat(1_024)],
+    'in the extension of a chunk': [`${HEAD}Transfer-Encoding: chunked\r\n\r\n5;a=`, CHUNK],
+    'of trailers': [`${HEAD}Transfer-Encoding: chunked\r\n\r\n0\r\n`, 'X-More: y\r\n'.repeat(64)]
+  }
+  for (const [name, [first, repeated]] of Object.entries(heads)) {
+    it(`${name} end the attempt and the connection`, async () => {
+      const { answer, tookMs, closed } = await callEndless(first, repeated)
+      expect([answer?.status, tookMs < MAX_MS, closed]).toEqual([502, true, true])
+    })
+  }
+
+  for (const [name, first, repeated] of [
+    ['in an event of a stream in chunks', `${EVENTS}Transfer-Encoding: chunked\r\n\r\n`, `4000\r\n${CHUNK}\r\n`],
+    ['in an event of a stream without chunks', `${EVENTS}\r\n`, CHUNK],
+    ['in an event of a stream with a length', `${EVENTS}Content-Length: 999999999\r\n\r\n`, CHUNK]
+  ] as const) {
+    for (const resumable of [false, true]) {
+      it(`${name} ${resumable ? 'that is resumable ' : ''}end the stream and the connection`, async () => {
+        const { answer, tookMs, closed } = await callEndless(first, repeated, { route: { kind: 'stream', resumable } })
+        expect([answer === undefined || answer.broken || answer.status === 502, tookMs < MAX_MS, closed]).toEqual([true, true, true])
+      })
+    }
+  }
+
+  it('after a refusal are not read on', async () => {
+    const { answer, tookMs, closed } = await callEndless('HTTP/1.1 503 Full\r\nX-Id: id1\r\nX-Not-Run: 1\r\n\r\n', CHUNK)
+    expect([answer?.status, tookMs < MAX_MS, closed]).toEqual([503, true, true])
+  })
+
+  it('after a complete response do not reach the caller', async () => {
+    const { answer, closed } = await callEndless(`${HEAD}Content-Length: 4\r\n\r\ndone`, CHUNK)
+    expect([answer?.status, answer?.body, closed]).toEqual([200, 'done', true])
+  })
+
+  it('in a body without a length end at the deadline', async () => {
+    const { tookMs, closed } = await callEndless(`${HEAD}\r\n`, CHUNK, { route: { timeoutMs: 400 } })
+    expect([tookMs < MAX_MS, closed]).toEqual([true, true])
+  })
+})
