--- a/gateway/relay/src/target.ts
+++ b/gateway/relay/src/target.ts
@@ -221,13 +221,6 @@
   return { kind: 'target', target: { ...getInstance(chosen.endpoint), link: chosen.link, hasFreeSlot }, logFields: describeChoice(state, chosen, candidates.length) }
 }
 
-/** Engines that want no request of this host now, and those with a request limit, whose next slot may be over when the adapter is loaded, unless all have one. */
-function listUnsuitableForLoads (state: FinderState, { pool }: Exchange): DirectoryEndpoint[] {
-  const rows = state.relay.directory.listEndpoints(pool.name)
-  const unsuitable = rows.filter(row => !isOpen(state, row) || state.limits.isLimited(row))
-  return unsuitable.length < rows.length ? unsuitable : rows.filter(row => !isOpen(state, row))
-}
-
 /** Engines that have the adapter in a version that may be served. */
 function listResidentEngines (state: FinderState, requested: RequestedAdapter, usable: readonly DirectoryEndpoint[]): DirectoryEndpoint[] {
   const keys = listVersions(state, requested).map(version => formatPlacedKey(requested.model, requested.adapter, version))
@@ -245,7 +238,8 @@
   const healthy = usable.filter(endpoint => !unresponsive.includes(endpoint))
   const resident = findResidentEngine(state, exchange, requested, healthy)
   if (resident !== undefined && (resident.costMs ?? 0) <= ADAPTER_LOAD_COST_MS) return resident
-  const avoided = [...unresponsive, ...listUnsuitableForLoads(state, exchange), ...listResidentEngines(state, requested, healthy)].map(({ endpoint }) => endpoint)
+  const withheld = state.relay.directory.listEndpoints(exchange.pool.name).filter(row => !isOpen(state, row))
+  const avoided = [...unresponsive, ...withheld, ...listResidentEngines(state, requested, healthy)].map(({ endpoint }) => endpoint)
   const loadResult = await findByLoading(state, exchange, requested, { avoided, maxWaitMs: resident?.costMs ?? Infinity })
   if (loadResult.kind === 'target' || exchange.ended !== undefined) return loadResult
   return findResidentEngine(state, exchange, requested, healthy) ?? findResidentEngine(state, exchange, requested, unresponsive) ?? loadResult
--- a/routing/endpoint-notices/src/requestLimits.ts
+++ b/routing/endpoint-notices/src/requestLimits.ts
@@ -28,7 +28,6 @@
 export interface RequestLimits {
   /** Records what a response says. False if it changes nothing, or if something later is known. */
   readonly record: (instance: EndpointInstance, limit: RequestLimit, now: MonotonicMs) => boolean
-  readonly isLimited: (instance: EndpointInstance) => boolean
   /** How long until this host may send a request to an instance; 0 if it may now. */
   readonly getDelayMs: (instance: EndpointInstance, now: MonotonicMs) => DurationMs
   /** Uses the slot of a request that is sent now. */
@@ -85,7 +84,6 @@
       if (oldest !== undefined) rows.delete(oldest)
       return known?.limit.perSecond !== limit.perSecond
     },
-    isLimited: instance => rows.get(formatKey(instance))?.limit.perSecond !== undefined,
     getDelayMs: (instance, now) => Math.max(0, (findLimited(instance, now)?.row.nextSlotAt ?? now) - now),
     recordSent: (instance, now) => {
       const found = findLimited(instance, now)
