--- a/gateway/relay/src/relay.ts
+++ b/gateway/relay/src/relay.ts
@@ -5,15 +5,14 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { ErrorCode } from '@catkinferry/core.errors'
 import type { Failure } from '@catkinferry/core.errors'
-import type { MonotonicMs, PromptPart } from '@catkinferry/core.types'
-import { ResponseProgress } from '@catkinferry/fleet.directory'
+import type { MonotonicMs } from '@catkinferry/core.types'
 import { choosePool } from '@catkinferry/routes.table'
 import { createEndpointNotices, createRequestLimits } from '@catkinferry/routing.endpoint-notices'
 import type { EndpointNotices, RequestLimits } from '@catkinferry/routing.endpoint-notices'
 import { recordLimit, recordNotices } from './announcements.ts'
 import { MISDIRECTED, sendAttempt } from './attempt.ts'
 import type { AttemptEnd } from './attempt.ts'
-import { MAX_NOT_RUN_ATTEMPTS, MAX_STARTUP_WAIT_MS, MIN_REMAINING_MS, QUARANTINE_RETRY_AFTER_MS, RETRY_AFTER_MS, SILENCE_CHECK_MS, SOUND_RESPONSE_MS, STARTUP_WAIT_FRACTION, UNREACHABLE_MS } from './constants.ts'
+import { MAX_NOT_RUN_ATTEMPTS, MAX_STARTUP_WAIT_MS, MIN_REMAINING_MS, QUARANTINE_RETRY_AFTER_MS, RETRY_AFTER_MS, SILENCE_CHECK_MS, STARTUP_WAIT_FRACTION, UNREACHABLE_MS } from './constants.ts'
 import { BREAKER_LIMITS, createEndpointLinks, recordBytes, recordEnded, recordFirstByte, recordSent, setIdleTimeout } from './endpointLinks.ts'
 import type { EndpointLink, EndpointLinks } from './endpointLinks.ts'
 import { EndReason, isRetryable } from './exchange.ts'
@@ -25,6 +24,7 @@
 import { createBodyReader } from './readBody.ts'
 import type { BodyReader } from './readBody.ts'
 import type { RelayOptions } from './relayOptions.ts'
+import { createResponseProgress, recordCrashSigns } from './responseProgress.ts'
 import { createRetryAllowance } from './retryAllowance.ts'
 import type { RetryAllowance } from './retryAllowance.ts'
 import { createRunTimes, DEFAULT_FIRST_BYTE_MS, DEFAULT_RUN_MS } from './runTimes.ts'
@@ -50,10 +50,6 @@
   noRoom: { code: ErrorCode.NO_CAPACITY, message: 'request body buffer is full', step: 'body', ran: 'no', retryAfterMs: RETRY_AFTER_MS }
 }
 
-const FIRST_ERROR_STATUS = 300
-/** A response with fewer chunks is not taken for sound before it is complete. */
-const MIN_SOUND_CHUNKS = 2
-
 const DEADLINE_EXCEEDED = 'request deadline exceeded'
 
 /** Failures of requests that the relay ends: of those that no endpoint has, and of those that may have run. */
@@ -303,42 +299,6 @@
   return end
 }
 
-interface ProgressWatch {
-  readonly recordHead: (now: MonotonicMs) => void
-  /** Called for the head too, before `recordHead`. */
-  readonly recordChunk: (now: MonotonicMs) => void
-  readonly get: () => ResponseProgress
-}
-
-/** Watches how far a response gets. Reports its prompt parts as sound once it has gone on for a while. */
-function createResponseProgress (directory: RelayOptions['directory'], promptParts: readonly PromptPart[]): ProgressWatch {
-  let headAt: MonotonicMs | undefined
-  let chunks = 0
-  let progress: ResponseProgress = ResponseProgress.WAITING
-  return {
-    recordHead: now => {
-      headAt = now
-      progress = ResponseProgress.BEGUN
-    },
-    recordChunk: now => {
-      if (headAt === undefined || progress === ResponseProgress.SOUND) return
-      chunks += 1
-      if (chunks < MIN_SOUND_CHUNKS || now - headAt < SOUND_RESPONSE_MS) return
-      progress = ResponseProgress.SOUND
-      directory.recordSound(promptParts, now)
-    },
-    get: () => progress
-  }
-}
-
-/** Records whether the endpoint seems to have crashed on the request, or has answered it. */
-function recordCrashSigns ({ directory, clock }: RelayOptions, { endpoint, bornAt }: Target, promptParts: readonly PromptPart[], progress: ResponseProgress, end: AttemptEnd): void {
-  const now = clock.getMonotonicMs()
-  if (end.kind === 'delivered' && end.status < FIRST_ERROR_STATUS) directory.recordSound(promptParts, now)
-  else if (end.kind === 'lost' && end.isBroken === true) directory.recordBroken({ endpoint, bornAt, promptParts, progress }, now)
-  else if (end.kind === 'notRun' && !end.isAnswered) directory.recordUnreachable({ endpoint, bornAt }, now)
-}
-
 /** `isProbe`: the attempt is the one that decides on the endpoint's open breaker. */
 function recordAttemptEnd (state: RelayState, exchange: Exchange, { link, endpoint, adapterKey, isProbe }: Target & { readonly isProbe: boolean }, end: AttemptEnd): void {
   const { opts } = state
--- /dev/null
+++ b/gateway/relay/src/responseProgress.ts
@@ -0,0 +1,50 @@
+/**
+ * Watches how far each response gets, and reports to the directory which prompts were in flight as an endpoint broke its
+ * connections and which were answered. From these reports the leader finds prompt parts that crash engines.
+ */
+import type { MonotonicMs, PromptPart } from '@catkinferry/core.types'
+import { ResponseProgress } from '@catkinferry/fleet.directory'
+import type { AttemptEnd } from './attempt.ts'
+import { SOUND_RESPONSE_MS } from './constants.ts'
+import type { Target } from './exchange.ts'
+import type { RelayOptions } from './relayOptions.ts'
+
+const FIRST_ERROR_STATUS = 300
+/** A response with fewer chunks is not taken for sound before it is complete. */
+const MIN_SOUND_CHUNKS = 2
+
+export interface ProgressWatch {
+  readonly recordHead: (now: MonotonicMs) => void
+  /** Called for the head too, before `recordHead`. */
+  readonly recordChunk: (now: MonotonicMs) => void
+  readonly get: () => ResponseProgress
+}
+
+/** Watches how far a response gets. Reports its prompt parts as sound once it has gone on for a while. */
+export function createResponseProgress (directory: RelayOptions['directory'], promptParts: readonly PromptPart[]): ProgressWatch {
+  let headAt: MonotonicMs | undefined
+  let chunks = 0
+  let progress: ResponseProgress = ResponseProgress.WAITING
+  return {
+    recordHead: now => {
+      headAt = now
+      progress = ResponseProgress.BEGUN
+    },
+    recordChunk: now => {
+      if (headAt === undefined || progress === ResponseProgress.SOUND) return
+      chunks += 1
+      if (chunks < MIN_SOUND_CHUNKS || now - headAt < SOUND_RESPONSE_MS) return
+      progress = ResponseProgress.SOUND
+      directory.recordSound(promptParts, now)
+    },
+    get: () => progress
+  }
+}
+
+/** Records whether the endpoint seems to have crashed on the request, or has answered it. */
+export function recordCrashSigns ({ directory, clock }: RelayOptions, { endpoint, bornAt }: Target, promptParts: readonly PromptPart[], progress: ResponseProgress, end: AttemptEnd): void {
+  const now = clock.getMonotonicMs()
+  if (end.kind === 'delivered' && end.status < FIRST_ERROR_STATUS) directory.recordSound(promptParts, now)
+  else if (end.kind === 'lost' && end.isBroken === true) directory.recordBroken({ endpoint, bornAt, promptParts, progress }, now)
+  else if (end.kind === 'notRun' && !end.isAnswered) directory.recordUnreachable({ endpoint, bornAt }, now)
+}
