Tell two prompt parts apart that crash engines at the same time

Where requests with two such parts are in flight, a crash counted as explained by either, also by one that only waited at the engine. One cause could hide the other, or release it as explained. A part now explains a crash only if its response had begun, or if none had.

--- a/fleet/prompt-quarantine/src/crashEvidence.ts
+++ b/fleet/prompt-quarantine/src/crashEvidence.ts
@@ -38,7 +38,7 @@
   readonly wasSound: (part: PromptPart) => boolean
   /** Parts with any weight, the most suspect first. */
   readonly rank: (quarantined: ReadonlySet<PromptPart>, now: MonotonicMs) => readonly Suspect[]
-  /** Number of remembered crashes in which a part was involved, and in how many of these `other` was too. */
+  /** Number of remembered crashes that a part can have caused, and how many of these `other` can have caused too. */
   readonly countShared: (part: PromptPart, other: PromptPart) => { readonly crashes: number, readonly shared: number }
   readonly isEmpty: () => boolean
   readonly clear: () => void
@@ -48,8 +48,10 @@
   return [...reports.values()].flatMap(report => report[sort])
 }
 
-function isInvolved (crash: Crash, part: PromptPart): boolean {
-  return [...listPrompts(crash, 'begun'), ...listPrompts(crash, 'waiting')].some(parts => parts.includes(part))
+/** Whether a part can have caused a crash: its response had begun, or none had and a request with it waited. */
+function isPossibleCause (crash: Crash, part: PromptPart): boolean {
+  const begun = listPrompts(crash, 'begun')
+  return (begun.length > 0 ? begun : listPrompts(crash, 'waiting')).some(parts => parts.includes(part))
 }
 
 /** Creates evidence without crashes. */
@@ -92,12 +94,12 @@
     rank: (quarantined, now) => {
       dropOld(now)
       const suspects = new Map<PromptPart, Suspect>()
-      for (const crash of crashes.values()) if (![...quarantined].some(part => isInvolved(crash, part))) addWeights(crash, suspects)
+      for (const crash of crashes.values()) if (![...quarantined].some(part => isPossibleCause(crash, part))) addWeights(crash, suspects)
       return [...suspects.values()].toSorted((left, right) => right.weight - left.weight || Number(soundAt.has(left.part)) - Number(soundAt.has(right.part)) || right.position - left.position)
     },
     countShared: (part, other) => {
-      const involved = [...crashes.values()].filter(crash => isInvolved(crash, part))
-      return { crashes: involved.length, shared: involved.filter(crash => isInvolved(crash, other)).length }
+      const caused = [...crashes.values()].filter(crash => isPossibleCause(crash, part))
+      return { crashes: caused.length, shared: caused.filter(crash => isPossibleCause(crash, other)).length }
     },
     isEmpty: () => crashes.size === 0,
     clear: () => {
--- a/fleet/prompt-quarantine/src/promptQuarantine.ts
+++ b/fleet/prompt-quarantine/src/promptQuarantine.ts
@@ -92,7 +92,7 @@
   reportChange(context, 'prompt part quarantined', { ...worst, term: state.term })
 }
 
-/** Whether another quarantined part was involved in all crashes of this one and in more besides. */
+/** Whether another quarantined part can have caused all crashes of this one, and more besides. */
 function isExplained ({ evidence, opts }: QuarantineState, part: PromptPart): boolean {
   return opts.listQuarantined().some(other => {
     if (other.part === part) return false
--- a/fleet/prompt-quarantine/test/promptQuarantine.test.ts
+++ b/fleet/prompt-quarantine/test/promptQuarantine.test.ts
@@ -10,11 +10,15 @@
 
 const FIRST = 'f'
 const BAD = 'bad'
+const WORSE = 'worse'
+const CRASHING: ReadonlySet<string> = new Set([BAD, WORSE])
 const STEP_MS = 10
 const HOURS_MS = 3_600_000
 
 interface LoadOptions {
   readonly badPerSecond?: number
+  /** Requests a second with another part that crashes engines. */
+  readonly worsePerSecond?: number
   /** Mean time from the send of a request to its end on an engine that does not crash. */
   readonly runMs?: number
   /** Share of the requests whose connections break although the engine goes on working. */
@@ -26,6 +30,8 @@
   readonly companion?: number
 }
 
+const isCrashing = (parts: readonly string[]): boolean => parts.some(part => CRASHING.has(part))
+
 interface Running {
   readonly host: number
   readonly engine: number
@@ -91,15 +97,15 @@
   function send (parts: readonly string[], runMs: number): void {
     const host = random.nextInt(0, hostCount - 1)
     if (directories[host]?.findQuarantined(parts) !== undefined) return
-    if (parts.includes(BAD)) sends += 1
+    if (isCrashing(parts)) sends += 1
     const begunAt = now + runMs * 0.2 * random.nextFraction()
-    running.push({ host, engine: random.nextInt(0, engineCount - 1), parts, begunAt, endsAt: parts.includes(BAD) ? begunAt + 60 : begunAt + runMs, isSound: false })
+    running.push({ host, engine: random.nextInt(0, engineCount - 1), parts, begunAt, endsAt: isCrashing(parts) ? begunAt + 60 : begunAt + runMs, isSound: false })
   }
 
   function endDue (cutShare: number): void {
     for (const request of running.filter(({ endsAt }) => endsAt <= now)) {
       if (!running.includes(request)) continue
-      if (request.parts.includes(BAD)) crash(request.engine)
+      if (isCrashing(request.parts)) crash(request.engine)
       else {
         running = running.filter(row => row !== request)
         if (random.nextFraction() < cutShare) breakConnection(request)
@@ -107,16 +113,17 @@
       }
     }
     for (const request of running) {
-      if (request.isSound || request.parts.includes(BAD) || now - request.begunAt < 300) continue
+      if (request.isSound || isCrashing(request.parts) || now - request.begunAt < 300) continue
       request.isSound = true
       directories[request.host]?.recordSound(request.parts, now)
     }
   }
 
-  function run (ms: number, { badPerSecond = 0, soundPerSecond = 60, runMs = 800, subjects = 20, cutShare = 0, companion }: LoadOptions = {}): void {
+  function run (ms: number, { badPerSecond = 0, worsePerSecond = 0, soundPerSecond = 60, runMs = 800, subjects = 20, cutShare = 0, companion }: LoadOptions = {}): void {
     for (const end = now + ms; now < end;) {
       if (random.nextFraction() < soundPerSecond * STEP_MS / 1_000) send([FIRST, `s${random.nextInt(0, subjects - 1)}`], runMs)
       if (random.nextFraction() < badPerSecond * STEP_MS / 1_000) send([FIRST, BAD, ...(companion === undefined ? [] : [`s${companion}`])], runMs)
+      if (random.nextFraction() < worsePerSecond * STEP_MS / 1_000) send([FIRST, WORSE], runMs)
       endDue(cutShare)
       tick()
     }
@@ -185,6 +192,16 @@
     expect(fleet.countSends()).toBeLessThanOrEqual(5)
   })
 
+  // Guards against one cause that hides another, or takes its place, where requests with both are in flight as an engine ends.
+  it('finds two parts whose requests come at the same time, and keeps both', () => {
+    for (const seed of [1, 2, 3, 4, 5, 6]) {
+      const fleet = createFleet({ seed, engines: 2 })
+      fleet.run(3_000)
+      fleet.run(15_000, { badPerSecond: 6, worsePerSecond: 6, runMs: 8_000 })
+      expect([seed, fleet.history.toSorted()]).toEqual([seed, [`+${BAD}`, `+${WORSE}`]])
+    }
+  })
+
   it('finds it over messages that are lost and changes of the leader', () => {
     const fleet = createFleet()
     fleet.setLoss(0.5)
