Share one type of request limits, and say only what the quarantine can do

The limit stood in three places under two names and moves to core/types. Two texts said that an operator can lift a quarantine; no command does. A constant for the first status that is no success was named like another of another value.

--- a/core/types/src/endpoints.ts
+++ b/core/types/src/endpoints.ts
@@ -1,5 +1,5 @@
 /** Endpoints: how they are listed, what engines report, and the orders to engines. */
-import type { AdapterKey, AdapterName, DurationMs, EndpointId, ModelId, RegionId, WallMs, ZoneId } from './ids.ts'
+import type { AdapterKey, AdapterName, DurationMs, EndpointId, ModelId, MonotonicMs, RegionId, WallMs, ZoneId } from './ids.ts'
 
 export const EndpointKind = { ENGINE: 'engine', SERVICE: 'service' } as const
 export type EndpointKind = typeof EndpointKind[keyof typeof EndpointKind]
@@ -102,3 +102,11 @@
   NOT_SENT: 'notSent'
 } as const
 export type EngineOrderOutcome = typeof EngineOrderOutcome[keyof typeof EngineOrderOutcome]
+
+/** What an endpoint last said of the requests that it takes from all entry hosts together. */
+export interface RequestLimit {
+  /** Requests per second; undefined if it names no limit any more. */
+  readonly perSecond?: number
+  /** When the request was sent whose response said so, on the clock of this host. */
+  readonly at: MonotonicMs
+}
--- a/fleet/directory/src/directory.ts
+++ b/fleet/directory/src/directory.ts
@@ -2,7 +2,7 @@
  * Directory of an entry host, for its relay: routes, adapter versions and endpoints as published by the core hosts. The relay
  * reads it for each request. On runs of the host's loop, it sends load requests and usage reports to the leader.
  */
-import type { AdapterKey, AdapterName, EndpointId, HostId, ModelId, MonotonicMs, PromptPart, RouteChanges, RouteTable } from '@catkinferry/core.types'
+import type { AdapterKey, AdapterName, EndpointId, HostId, ModelId, MonotonicMs, PromptPart, RequestLimit, RouteChanges, RouteTable } from '@catkinferry/core.types'
 import type { RunContext, System } from '@catkinferry/host.events'
 import { applyRouteChanges, unpackRouteTable } from '@catkinferry/routes.table'
 import type { FleetMessage, HeldState } from '@catkinferry/wire.messages'
@@ -10,7 +10,6 @@
 import type { DirectoryEndpoint, EndpointTable, EndpointUpdate } from './endpointTable.ts'
 import { createPromptReports } from './promptReports.ts'
 import type { BrokenRequest } from './crashReports.ts'
-import type { EndpointLimit } from './healthReports.ts'
 import { createFleetLoads } from './fleetLoads.ts'
 import type { OthersLoad } from './fleetLoads.ts'
 import { createLeaderReports } from './leaderReports.ts'
@@ -57,7 +56,7 @@
   /** Reports to the leader that an instance of an endpoint announced its departure. */
   readonly recordLeaving: (endpoint: EndpointId, bornAt: number | undefined) => void
   /** Reports to the leader what an instance of an endpoint said of its request limit. */
-  readonly recordLimit: (endpoint: EndpointId, bornAt: number | undefined, limit: EndpointLimit) => void
+  readonly recordLimit: (endpoint: EndpointId, bornAt: number | undefined, limit: RequestLimit) => void
   /** Reports to the leader that the connection of a request broke before its response was complete. */
   readonly recordBroken: (request: BrokenRequest, now: MonotonicMs) => void
   /** Records that no connection to an endpoint could be opened. */
@@ -74,7 +73,7 @@
   readonly getLeader: (now: MonotonicMs) => HostId | undefined
   /** Called with each newer route table that is received. */
   readonly onRoutes: (routes: ActiveRoutes) => void
-  /** Called when more prompt parts are quarantined. */
+  /** Called when other prompt parts are quarantined than before. */
   readonly onQuarantine?: () => void
 }
 
--- a/fleet/directory/src/endpointTable.ts
+++ b/fleet/directory/src/endpointTable.ts
@@ -2,14 +2,13 @@
  * Endpoints of the fleet and the adapters resident on them, as an entry host knows them. Kept up to date from the leader's
  * updates; the relay chooses endpoints from it.
  */
-import type { AdapterKey, EndpointId, MonotonicMs } from '@catkinferry/core.types'
-import type { EndpointLimit } from './healthReports.ts'
+import type { AdapterKey, EndpointId, MonotonicMs, RequestLimit } from '@catkinferry/core.types'
 import type { FleetEndpoint, FleetMessage, HeldState, ResidencyChange } from '@catkinferry/wire.messages'
 
 /** An endpoint with the adapters known to be resident on it. */
 export interface DirectoryEndpoint extends Omit<FleetEndpoint, 'resident' | 'limit'> {
   /** What it last said of its request limit, by the clock of this host; undefined if the leader knows of nothing. */
-  readonly limit?: EndpointLimit
+  readonly limit?: RequestLimit
   readonly resident: ReadonlySet<AdapterKey>
 }
 
--- a/fleet/directory/src/healthReports.ts
+++ b/fleet/directory/src/healthReports.ts
@@ -1,23 +1,17 @@
 /** Collects failures, silence, announced departures and request limits of endpoints as the relay of this entry host records them, for its next report to the leader. */
-import type { EndpointId, MonotonicMs } from '@catkinferry/core.types'
+import type { EndpointId, MonotonicMs, RequestLimit } from '@catkinferry/core.types'
 import type { EndpointHealth } from '@catkinferry/wire.messages'
 
 /** Limit on the departures remembered; the oldest is dropped first. */
 const MAX_LEAVING = 1_000
 
-/** Requests a second that an endpoint takes from all hosts, and when the request was sent whose response said so. */
-export interface EndpointLimit {
-  readonly perSecond?: number
-  readonly at: MonotonicMs
-}
-
 export interface HealthReports {
   readonly recordFailed: (endpoint: EndpointId) => void
   readonly setSilent: (endpoint: EndpointId, silent: boolean) => void
   /** Reports an instance as leaving until `isListedServing` no longer lists it as serving. */
   readonly recordLeaving: (endpoint: EndpointId, bornAt: number | undefined) => void
-  /** Reports what an instance said of its request limit in the response to a request sent at `at`. */
-  readonly recordLimit: (endpoint: EndpointId, bornAt: number | undefined, limit: EndpointLimit) => void
+  /** Reports what an instance said of its request limit in a response. */
+  readonly recordLimit: (endpoint: EndpointId, bornAt: number | undefined, limit: RequestLimit) => void
   /** Whether an endpoint fell silent, responded again or announced its departure since the last report. */
   readonly isUrgent: () => boolean
   /** Returns endpoints with failures since the last report, silent endpoints and leaving ones. Resets the failure counts. */
@@ -29,7 +23,7 @@
   const failures = new Map<EndpointId, number>()
   const silent = new Set<EndpointId>()
   const leaving = new Map<EndpointId, number | undefined>()
-  const limits = new Map<EndpointId, { readonly bornAt: number | undefined, readonly limit: EndpointLimit }>()
+  const limits = new Map<EndpointId, { readonly bornAt: number | undefined, readonly limit: RequestLimit }>()
   let urgent = false
 
   function buildLimit (endpoint: EndpointId, now: MonotonicMs): Pick<EndpointHealth, 'limit' | 'limitBornAt'> {
--- a/fleet/placement/src/engineState.ts
+++ b/fleet/placement/src/engineState.ts
@@ -2,7 +2,7 @@
  * State of one engine as the leader knows it, by which it places adapters. Updated on each of its orders and on each read of
  * the endpoint list, which lags.
  */
-import type { AdapterName, HostId, ListedEndpoint, ListedModel, ModelId, MonotonicMs } from '@catkinferry/core.types'
+import type { AdapterName, HostId, ListedEndpoint, ListedModel, ModelId, MonotonicMs, RequestLimit } from '@catkinferry/core.types'
 import { formatPlacedKey } from '@catkinferry/core.types'
 import { MAX_CACHED_ADAPTERS, MAX_LIST_LAG_MS, MAX_ORDER_DELAY_MS, RESERVED_SLOTS, USE_REPORT_TTL_MS } from './constants.ts'
 
@@ -32,7 +32,7 @@
   /** It announced to an entry host that it is leaving, which takes precedence over the lagging list. */
   hasAnnouncedLeaving: boolean
   /** What it last said of its request limit. */
-  limit?: { readonly perSecond?: number, readonly at: MonotonicMs }
+  limit?: RequestLimit
   /** Base models loaded. */
   readonly models: Set<ModelId>
   modelLoad: { readonly model: ModelId, readonly since: MonotonicMs } | undefined
--- a/gateway/relay/src/constants.ts
+++ b/gateway/relay/src/constants.ts
@@ -37,7 +37,7 @@
 /** Default `Retry-After` of refused requests. */
 export const RETRY_AFTER_MS = 250
 
-/** `Retry-After` of requests with a quarantined prompt part, which is not served before an operator or the leader releases it. */
+/** `Retry-After` of requests with a quarantined prompt part, which is not served before the leader releases it. */
 export const QUARANTINE_RETRY_AFTER_MS = 60_000
 
 /** A response that still sends chunks after this time from its head shows that its prompt does not crash the endpoint. */
--- a/gateway/relay/src/responseProgress.ts
+++ b/gateway/relay/src/responseProgress.ts
@@ -9,7 +9,7 @@
 import type { Target } from './exchange.ts'
 import type { RelayOptions } from './relayOptions.ts'
 
-const FIRST_ERROR_STATUS = 300
+const FIRST_UNSUCCESSFUL_STATUS = 300
 /** A response with fewer chunks is not taken for sound before it is complete. */
 const MIN_SOUND_CHUNKS = 2
 
@@ -44,7 +44,7 @@
 /** Records whether the endpoint seems to have crashed on the request, or has answered it. */
 export function recordCrashSigns ({ directory, clock }: RelayOptions, { endpoint, bornAt }: Target, promptParts: readonly PromptPart[], progress: ResponseProgress, end: AttemptEnd): void {
   const now = clock.getMonotonicMs()
-  if (end.kind === 'delivered' && end.status < FIRST_ERROR_STATUS) directory.recordSound(promptParts, now)
+  if (end.kind === 'delivered' && end.status < FIRST_UNSUCCESSFUL_STATUS) directory.recordSound(promptParts, now)
   else if (end.kind === 'lost' && end.isBroken === true) directory.recordBroken({ endpoint, bornAt, promptParts, progress }, now)
   else if (end.kind === 'notRun' && !end.isAnswered) directory.recordUnreachable({ endpoint, bornAt }, now)
 }
--- a/routing/endpoint-notices/src/requestLimits.ts
+++ b/routing/endpoint-notices/src/requestLimits.ts
@@ -3,7 +3,7 @@
  * equal share by itself, so that the limit holds without a round trip: it sends in slots at equal intervals with a random phase.
  * A slot that is not used lapses; otherwise idle hosts would save one up each and send them all in the same moment.
  */
-import type { DurationMs, MonotonicMs } from '@catkinferry/core.types'
+import type { DurationMs, MonotonicMs, RequestLimit } from '@catkinferry/core.types'
 import type { EndpointInstance } from './endpointNotices.ts'
 
 /** Limit on the instances remembered; the one that was heard of longest ago is dropped first. */
@@ -17,14 +17,6 @@
 const MIN_PER_SECOND = 0.2
 const MS_PER_SECOND = 1_000
 
-/** What an endpoint last said of its limit. */
-export interface RequestLimit {
-  /** Requests a second from all hosts; undefined if it names no limit any more. */
-  readonly perSecond?: number
-  /** When the request was sent whose response said so. */
-  readonly at: MonotonicMs
-}
-
 export interface RequestLimits {
   /** Records what a response says. False if it changes nothing, or if something later is known. */
   readonly record: (instance: EndpointInstance, limit: RequestLimit, now: MonotonicMs) => boolean
