--- a/fleet/placement/test/fakeEngines.ts
+++ b/fleet/placement/test/fakeEngines.ts
@@ -9,6 +9,9 @@
 export const POOL = 'llm'
 const LOAD_MS = 250
 const ORDER_MS = 2
+/** When an order counts as unanswered, and when the response of one that is answered late arrives. */
+const ORDER_TIMEOUT_MS = 120
+const LATE_ANSWER_MS = 300
 /** How long an entry host uses an adapter that it was granted. */
 const USE_MS = 40
 
@@ -26,6 +29,9 @@
   readonly busyWith: Set<string>
 }
 
+/** Executed, lost, executed late without a response, not sent, refused as busy, or executed with a response that comes after the time limit. */
+type OrderHandling = 'now' | 'lost' | 'late' | 'unreachable' | 'busy' | 'answeredLate'
+
 interface ScheduledAction {
   readonly at: number
   readonly run: () => void
@@ -44,8 +50,8 @@
   /** Sets whether a majority of the voters has answered the leader recently. */
   readonly setQuorum: (hasQuorum: boolean) => void
   readonly setVersion: (adapter: string, version: number) => void
-  /** Sets what happens to each order: executed, lost, executed late without a response, not sent, or refused as busy. */
-  setOrderHandling: (chooseHandling: (order: EngineOrder) => 'now' | 'lost' | 'late' | 'unreachable' | 'busy') => void
+  /** Sets what happens to each order. */
+  setOrderHandling: (chooseHandling: (order: EngineOrder, endpoint: string) => OrderHandling) => void
   readonly restart: (id: string) => void
   readonly getNow: () => number
 }
@@ -79,7 +85,7 @@
   let now = 0
   let term: number | undefined = 1
   let hasQuorum = true
-  let chooseHandling: (order: EngineOrder) => 'now' | 'lost' | 'late' | 'unreachable' | 'busy' = () => 'now'
+  let chooseHandling: (order: EngineOrder, endpoint: string) => OrderHandling = () => 'now'
 
   const table: RouteTable = {
     version: 1,
@@ -123,12 +129,16 @@
   function sendOrder ({ endpoint, order, fencing, onOutcome }: OrderCall): void {
     orders.push({ at: now, endpoint, order, fencing })
     const engine = engines.get(endpoint)
-    const handling = chooseHandling(order)
+    const handling = chooseHandling(order, endpoint)
     const answer = (outcome: EngineOrderOutcome): void => { scheduled.push({ at: now + ORDER_MS, run: () => onOutcome(outcome) }) }
     if (engine === undefined || handling === 'unreachable') answer('notSent')
     else if (handling === 'busy') answer('busy')
     else if (handling === 'now') answer(executeOrder(engine, order, fencing))
-    else {
+    else if (handling === 'answeredLate') {
+      const outcome = executeOrder(engine, order, fencing)
+      scheduled.push({ at: now + ORDER_TIMEOUT_MS, run: () => onOutcome('unanswered') })
+      scheduled.push({ at: now + LATE_ANSWER_MS, run: () => onOutcome(outcome) })
+    } else {
       const { born } = engine
       if (handling === 'late') scheduled.push({ at: now + lateMs, run: () => { if (engine.born === born) executeOrder(engine, order, fencing) } })
       scheduled.push({ at: now + 700, run: () => onOutcome('unanswered') })
--- /dev/null
+++ b/fleet/placement/test/lateLeader.test.ts
@@ -0,0 +1,59 @@
+/**
+ * Guards against an overload of the leader that outlives its cause. While its event loop turns late, responses of engines come after
+ * the time limits of their orders. Each such order kept its slot from use for as long as an order without a response may be executed,
+ * also when the engine had confirmed it; so few slots were left that loads did not come back.
+ */
+import { createRandom } from '@catkinferry/core.random'
+import { expect } from 'earl'
+import { describe, it } from 'node:test'
+import { buildLoadRequest, createFakeEngines } from './fakeEngines.ts'
+import type { FakeEngines } from './fakeEngines.ts'
+
+const REQUEST_INTERVAL_MS = 30
+/** Share of orders whose responses come too late. */
+const LATE_SHARE = 0.5
+
+let nextAdapter = 0
+
+/** Asks for another adapter at each interval, and counts the requests that are granted meanwhile. */
+function countGranted (fleet: FakeEngines, ms: number): number {
+  const countSent = (): number => fleet.sent.filter(({ message }) => message.kind === 'load.given').length
+  const before = countSent()
+  for (const end = fleet.getNow() + ms; fleet.getNow() < end;) {
+    fleet.receive(buildLoadRequest(`a${nextAdapter++}`, { remainingMs: 1_500 }))
+    fleet.runFor(REQUEST_INTERVAL_MS)
+  }
+  return countSent() - before
+}
+
+describe('adapter loads of a leader that was late', () => {
+  it('come back to their rate as soon as responses are read in time again', () => {
+    const fleet = createFakeEngines({ ids: ['e1', 'e2', 'e3', 'e4'], slots: 6 })
+    fleet.runFor(1_000)
+    countGranted(fleet, 1_500)
+    const before = countGranted(fleet, 1_500)
+    const random = createRandom(1)
+    fleet.setOrderHandling(() => random.nextFraction() < LATE_SHARE ? 'answeredLate' : 'now')
+    countGranted(fleet, 3_000)
+    fleet.setOrderHandling(() => 'now')
+    countGranted(fleet, 1_000)
+    const after = countGranted(fleet, 1_500)
+    // Nine in ten of the rate of before: a request more or less falls into the window.
+    expect([after >= 0.9 * before, fleet.overfilled]).toEqual([true, []])
+  })
+
+  it('are not begun on a second engine once the first has accepted the repeated order', () => {
+    const fleet = createFakeEngines({ ids: ['e1', 'e2'], slots: 4, loadMs: 2_000 })
+    fleet.runFor(1_000)
+    let isLost = true
+    fleet.setOrderHandling((_order, endpoint) => {
+      if (endpoint === 'e2') return fleet.getNow() < 2_000 ? 'busy' : 'now'
+      const handling = isLost ? 'lost' : 'now'
+      isLost = false
+      return handling
+    })
+    fleet.receive(buildLoadRequest('a', { remainingMs: 5_000 }))
+    fleet.runFor(4_000)
+    expect([...fleet.engines.values()].map(({ resident }) => [...resident.keys()])).toEqual([['a'], []])
+  })
+})
