Pass on only what goes on with a stream that broke off

What callers saw: after the beginning of a stream, an error of more than 256 KB, a redirect, a 206, a text, a JSON document or compressed bytes, or an end as if the stream were complete (204, 304, empty responses); and events of a second endpoint after the beginning of a long error or of a document.

Cause: forwardResponse judged each response by its own status and length, as if it were the first. Whether it was buffered, streamed or ended the response to the caller did not depend on what the caller had. isRetryable took every response on a resumable route for a stream of events that may go on elsewhere.

Fix: one decision, findResponseRole, takes what the caller has and the head of the response and says whether it is the answer, a continuation or a failure. Only a 200 of the media type of the stream that was begun, without content encoding, is a continuation; anything else is a failed attempt, after which the next endpoint is tried or the caller's response is cut. What the caller has is kept as resumableHead, which only a stream of events sets, so that errors, documents and encoded responses that break off are not repeated.

Endpoints need not state the type on resumable routes. A stream that was begun without one goes on with a response without one, if its first events consist of lines of events; ids of a response that is not passed on are not recorded as delivered.

A continuation without events, also one with Content-Length: 0, is complete if its head fits and the endpoint was told the last event id: it is the word of an endpoint that has nothing left to send, and only framing ever says that a stream is whole. Cutting would leave a stream whose endpoint broke after its last event that no endpoint could ever complete. Without a last event id the endpoint was asked for the whole stream, so that an empty one contradicts what the caller has, and fails.

Ruled out by tests that passed before too: responses that a peer gives itself, buffered errors, and errors too long to be buffered that come first, which are passed on as they are.

--- a/gateway/relay/src/arrival.ts
+++ b/gateway/relay/src/arrival.ts
@@ -149,6 +149,7 @@
     softwareVersion: forwarded?.softwareVersion,
     delivered: createDeliveredEvents(progress.lastEventId),
     headSent: false,
+    resumableHead: undefined,
     isUnframed: false,
     offered: false,
     firstByteMs: undefined,
--- a/gateway/relay/src/eventSplitter.ts
+++ b/gateway/relay/src/eventSplitter.ts
@@ -6,6 +6,8 @@
 const LINE_FEED = 10
 const CARRIAGE_RETURN = 13
 const ID_FIELD = /^id:[ ]?(.*)$/m
+/** A line of an event stream: a field, a comment, or the blank line after an event. */
+const EVENT_LINE = /^(?:id|data|event|retry)?(?::|$)/
 
 export interface EventSplitter {
   /** Returns the bytes of the events that `chunk` completes. */
@@ -17,6 +19,8 @@
   /** Whether the bytes so far end inside an event. */
   readonly isInsideEvent: () => boolean
   readonly hasEvents: () => boolean
+  /** Whether the first bytes with the end of an event have lines that no event has. Always false if the type of the stream is known. */
+  readonly hasOtherLines: () => boolean
   /** ID of the last complete event that has one; before the first, the ID that the splitter was created with. */
   readonly getLastEventId: () => string | undefined
 }
@@ -58,15 +62,20 @@
   return events.split(/\r?\n\r?\n/).map(event => ID_FIELD.exec(event)?.[1]?.trim()).filter(id => id !== undefined)
 }
 
+function hasOnlyEventLines (text: string): boolean {
+  return text.split(/\r\n|\n|\r/).every(line => EVENT_LINE.test(line))
+}
+
 function isLineEnd (byte: number): boolean {
   return byte === LINE_FEED || byte === CARRIAGE_RETURN
 }
 
-/** Creates a splitter for the response of one endpoint. Events in `delivered` at its start, which the caller already has, are dropped; undefined where a stream is not resumed. */
-export function createEventSplitter (delivered: DeliveredEvents | undefined, lastEventId?: string): EventSplitter {
+/** Creates a splitter for the response of one endpoint. Events in `delivered` at its start, which the caller already has, are dropped; undefined where a stream is not resumed. `isTypeKnown`: the response states that it is a stream of events. */
+export function createEventSplitter (delivered: DeliveredEvents | undefined, lastEventId?: string, isTypeKnown = true): EventSplitter {
   let rest: Buffer = Buffer.alloc(0)
   let lastId = lastEventId
   let hasEvents = false
+  let hasOtherLines = false
 
   function dropDelivered (events: Buffer, delivered: DeliveredEvents): Buffer {
     const text = events.toString('latin1')
@@ -83,8 +92,9 @@
       const end = findEndOfEvents(bytes)
       rest = bytes.subarray(end)
       if (end === 0) return Buffer.alloc(0)
+      if (!hasEvents && !isTypeKnown) hasOtherLines = !hasOnlyEventLines(bytes.toString('latin1', 0, end))
       hasEvents = true
-      if (delivered === undefined) return bytes.subarray(0, end)
+      if (delivered === undefined || hasOtherLines) return bytes.subarray(0, end)
       const events = dropDelivered(bytes.subarray(0, end), delivered)
       const ids = listIds(events.toString('latin1'))
       for (const id of ids) delivered.add(id)
@@ -99,6 +109,7 @@
     getOpenBytes: () => rest.length,
     isInsideEvent: () => !rest.every(isLineEnd),
     hasEvents: () => hasEvents,
+    hasOtherLines: () => hasOtherLines,
     getLastEventId: () => lastId
   }
 }
--- a/gateway/relay/src/exchange.ts
+++ b/gateway/relay/src/exchange.ts
@@ -6,6 +6,7 @@
 import type { EndpointLink } from './endpointLinks.ts'
 import type { DeliveredEvents } from './eventSplitter.ts'
 import type { ForwardedFacts } from './forwardedRequest.ts'
+import type { ResponseHead } from './responseRole.ts'
 
 /** Why an exchange ended before its response was complete. `STOPPED`: the host stops; `CUT`: no attempt was left after the response had begun. */
 export const EndReason = { CALLER_GONE: 'callerGone', TIMEOUT: 'timeout', PROMPT_QUARANTINED: 'promptQuarantined', REQUEST_QUARANTINED: 'requestQuarantined', STOPPED: 'stopped', CUT: 'cut' } as const
@@ -77,6 +78,8 @@
   /** Events that the caller has, of a resumable stream. */
   readonly delivered: DeliveredEvents
   headSent: boolean
+  /** Head of a stream of which the caller has the beginning, and that another endpoint may go on with. */
+  resumableHead: ResponseHead | undefined
   /** The response to the caller has neither a length nor chunks, so it ends with its connection. */
   isUnframed: boolean
   /** Time in ms from arrival to the head of the latest response. */
@@ -157,8 +160,9 @@
 }
 
 /** Whether the request may be retried after an attempt that may have run. */
-export function isRetryable ({ route, headSent, isQuarantined }: Exchange): boolean {
+export function isRetryable ({ route, headSent, resumableHead, isQuarantined }: Exchange): boolean {
   if (isQuarantined) return false
   // Only a stream of events can be continued with the response of another endpoint.
-  return route.kind === RouteKind.IDEMPOTENT ? !headSent : route.kind === RouteKind.STREAM && route.resumable
+  if (headSent) return resumableHead !== undefined
+  return route.kind === RouteKind.IDEMPOTENT || (route.kind === RouteKind.STREAM && route.resumable)
 }
--- a/gateway/relay/src/sendAnswer.ts
+++ b/gateway/relay/src/sendAnswer.ts
@@ -5,7 +5,7 @@
 import type { ClientRequest, IncomingMessage, ServerResponse } from 'node:http'
 import type { EndpointId, MonotonicMs } from '@catkinferry/core.types'
 import { RouteKind } from '@catkinferry/core.types'
-import type { Attempt } from './attempt.ts'
+import type { Attempt, AttemptEnd } from './attempt.ts'
 import { MAX_BUFFERED_RESPONSE_BYTES, MAX_DISCARDED_BYTES, MAX_EVENT_BYTES } from './constants.ts'
 import { createEventSplitter } from './eventSplitter.ts'
 import type { EventSplitter } from './eventSplitter.ts'
@@ -14,6 +14,8 @@
 import { OUTCOME_HEADER } from './forwardedRequest.ts'
 import type { PeerOutcome } from './forwardedRequest.ts'
 import { selectEndToEnd } from './headers.ts'
+import { findResponseRole, isEventStream, readResponseHead, ResponseRole } from './responseRole.ts'
+import type { ResponseHead } from './responseRole.ts'
 
 const NO_HEADERS: ReadonlySet<string> = new Set()
 const PEER_HEADERS: ReadonlySet<string> = new Set(['content-length', OUTCOME_HEADER])
@@ -22,19 +24,12 @@
 const NO_CONTENT = 204
 const NOT_MODIFIED = 304
 const UNAVAILABLE = 503
-const EVENT_STREAM = 'text/event-stream'
 
 /** Whether a response has a length or chunked encoding. Any other ends with its connection, so truncation cannot be detected. */
 function isFramed ({ headers, statusCode }: IncomingMessage): boolean {
   return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined || statusCode === NO_CONTENT || statusCode === NOT_MODIFIED
 }
 
-/** Whether a response is a stream of server-sent events. Endpoints of resumable routes send nothing else. */
-function isEventStream ({ route }: Exchange, { headers, statusCode = 0 }: IncomingMessage): boolean {
-  if (route.kind !== RouteKind.STREAM || statusCode >= FIRST_ERROR_STATUS) return false
-  return route.resumable || headers['content-type']?.startsWith(EVENT_STREAM) === true
-}
-
 /** Ends a response that has begun so that it does not look complete: one without a length or chunks ends with its connection, so that must be reset. */
 export function abortResponse ({ res, isUnframed }: Exchange): void {
   if (isUnframed && res.socket !== null) res.socket.resetAndDestroy()
@@ -86,8 +81,10 @@
   res.end(body)
 }
 
+type ResponseHandler = (attempt: Attempt, response: IncomingMessage, endpoint: EndpointId) => void
+
 /** Buffers or streams a response, by the kind of the route and the size of the body. */
-export function forwardResponse (attempt: Attempt, response: IncomingMessage, endpoint: EndpointId): void {
+function forwardAnswer (attempt: Attempt, response: IncomingMessage, endpoint: EndpointId): void {
   const { route } = attempt.exchange
   const status = response.statusCode ?? 0
   const bytes = Number(response.headers['content-length'] ?? 0)
@@ -96,6 +93,29 @@
   else bufferResponse(attempt, response, endpoint)
 }
 
+/** Ends an attempt whose response may not follow what the caller has. */
+function rejectResponse ({ settle, request }: Attempt, response: IncomingMessage, endpoint: EndpointId): void {
+  const { status, mediaType = 'no stated type' } = readResponseHead(response)
+  if (status >= FIRST_ERROR_STATUS) {
+    discardResponse(request, response)
+    settle({ kind: 'failed', response: { status, rawHeaders: response.rawHeaders, body: Buffer.alloc(0), framed: isFramed(response), endpoint } })
+    return
+  }
+  settle({ kind: 'lost', reason: `response with status ${status} and ${mediaType} in the middle of a stream`, hostReason: HostEndReason.WRONG_RESPONSE })
+  request.destroy()
+}
+
+const RESPONSE_HANDLERS: Readonly<Record<ResponseRole, ResponseHandler>> = {
+  [ResponseRole.ANSWER]: forwardAnswer,
+  [ResponseRole.CONTINUATION]: (attempt, response) => streamResponse(attempt, response),
+  [ResponseRole.FAILURE]: rejectResponse
+}
+
+/** Forwards a response as far as the caller, who may have the beginning of an earlier one, can get it. */
+export const forwardResponse: ResponseHandler = (attempt, response, endpoint) => {
+  RESPONSE_HANDLERS[findResponseRole(attempt.exchange, readResponseHead(response))](attempt, response, endpoint)
+}
+
 function bufferResponse (attempt: Attempt, response: IncomingMessage, endpoint: EndpointId): void {
   const { exchange, settle, isSettled, request, isComplete } = attempt
   const status = response.statusCode ?? 0
@@ -129,17 +149,21 @@
   })
 }
 
-function sendHead (exchange: Exchange, response: IncomingMessage): void {
+function sendHead ({ attempt: { exchange }, response, head }: StreamState): void {
+  const { route } = exchange
   exchange.headSent = true
+  exchange.resumableHead = route.resumable && isEventStream(route, head) ? head : undefined
   exchange.isUnframed = !isFramed(response)
   if (exchange.isUnframed) disableFraming(exchange.res)
   // A stream that another endpoint continues has another length.
-  exchange.res.writeHead(response.statusCode ?? 0, selectEndToEnd(response.rawHeaders, exchange.route.resumable ? CONTENT_LENGTH : NO_HEADERS))
+  exchange.res.writeHead(response.statusCode ?? 0, selectEndToEnd(response.rawHeaders, route.resumable ? CONTENT_LENGTH : NO_HEADERS))
 }
 
 interface StreamState {
   readonly attempt: Attempt
   readonly response: IncomingMessage
+  readonly head: ResponseHead
+  readonly isContinuation: boolean
   /** Undefined if the response is not a stream of events. */
   readonly splitter: EventSplitter | undefined
   bytes: number
@@ -151,15 +175,21 @@
   exchange.lastChunkAt = now
 }
 
+function loseStream ({ attempt: { settle, request } }: StreamState, end: Pick<Extract<AttemptEnd, { kind: 'lost' }>, 'reason' | 'hostReason'>): void {
+  settle({ kind: 'lost', ...end })
+  request.destroy()
+}
+
 function writeChunk (state: StreamState, chunk: Buffer): void {
-  const { attempt, response, splitter } = state
+  const { attempt, splitter } = state
   const { exchange } = attempt
   const { res } = exchange
   if (chunk.length === 0 || exchange.ended !== undefined) return
   attempt.select()
   recordPause(exchange, attempt.getNow())
   if (splitter !== undefined) attempt.onEvent()
-  if (!exchange.headSent) sendHead(exchange, response)
+  if (!exchange.headSent) sendHead(state)
+  if (splitter?.hasOtherLines() === true) exchange.resumableHead = undefined
   state.bytes += chunk.length
   if (splitter !== undefined) exchange.lastEventId = splitter.getLastEventId()
   if (!res.write(chunk)) waitForCaller(state, res)
@@ -183,36 +213,47 @@
   response.once('close', release)
 }
 
-/** Whether a response that has ended was broken off: inside an event, or, if it has no length or chunks, before its first one. */
-function isBrokenOff ({ splitter, response }: StreamState): boolean {
-  if (splitter === undefined) return false
-  return splitter.isInsideEvent() || (!isFramed(response) && !splitter.hasEvents())
+/** Why a response that has ended is not complete; undefined if it is. One that has no length or chunks may have ended at any point. */
+function findBreak ({ attempt: { exchange }, splitter, response, isContinuation }: StreamState): string | undefined {
+  if (splitter === undefined) return undefined
+  if (splitter.isInsideEvent()) return 'the stream ended inside an event'
+  if (splitter.hasEvents()) return undefined
+  if (!isFramed(response)) return 'the stream ended before its first event'
+  // An endpoint that has nothing left to send must have been told what the caller has.
+  return isContinuation && exchange.lastEventId === undefined ? 'the stream that the caller has begins anew without events' : undefined
 }
 
 function receiveChunk (state: StreamState, chunk: Buffer): void {
-  const { attempt: { settle, request, isSettled }, splitter } = state
+  const { attempt: { isSettled }, splitter, isContinuation } = state
   if (isSettled()) return
-  writeChunk(state, splitter === undefined ? chunk : splitter.add(chunk))
+  const bytes = splitter === undefined ? chunk : splitter.add(chunk)
+  if (isContinuation && splitter?.hasOtherLines() === true) {
+    loseStream(state, { reason: 'a response of no stated type in the middle of a stream has no events', hostReason: HostEndReason.WRONG_RESPONSE })
+    return
+  }
+  writeChunk(state, bytes)
   if ((splitter?.getOpenBytes() ?? 0) <= MAX_EVENT_BYTES) return
-  settle({ kind: 'lost', reason: 'an event exceeds the size limit', hostReason: HostEndReason.EVENT_SIZE })
-  request.destroy()
+  loseStream(state, { reason: 'an event exceeds the size limit', hostReason: HostEndReason.EVENT_SIZE })
 }
 
 function streamResponse (attempt: Attempt, response: IncomingMessage, firstBytes: Buffer = Buffer.alloc(0)): void {
   const { exchange, settle, isSettled, request, isComplete } = attempt
-  const splitter = isEventStream(exchange, response) ? createEventSplitter(exchange.route.resumable ? exchange.delivered : undefined, exchange.lastEventId) : undefined
-  const state: StreamState = { attempt, response, splitter, bytes: 0 }
+  const { route, delivered, lastEventId, headSent } = exchange
+  const head = readResponseHead(response)
+  const splitter = isEventStream(route, head) ? createEventSplitter(route.resumable ? delivered : undefined, lastEventId, head.mediaType !== undefined) : undefined
+  const state: StreamState = { attempt, response, head, isContinuation: headSent, splitter, bytes: 0 }
   writeChunk(state, firstBytes)
   response.on('data', (chunk: Buffer) => receiveChunk(state, chunk))
   response.on('end', () => {
     if (!isComplete() || isSettled() || exchange.ended !== undefined) return
-    if (isBrokenOff(state)) {
-      settle({ kind: 'lost', reason: 'the stream ended inside an event', isBroken: !isFramed(response) })
+    const reason = findBreak(state)
+    if (reason !== undefined) {
+      settle({ kind: 'lost', reason, isBroken: !isFramed(response) })
       return
     }
     attempt.select()
     if (splitter !== undefined) writeChunk(state, splitter.takeRest())
-    if (!exchange.headSent) sendHead(exchange, response)
+    if (!exchange.headSent) sendHead(state)
     exchange.res.end()
     settle({ kind: 'delivered', status: response.statusCode ?? 0, bytes: state.bytes })
   })
--- a/gateway/relay/test/continuedStreams.test.ts
+++ b/gateway/relay/test/continuedStreams.test.ts
@@ -159,6 +159,25 @@
       expect([body, broken]).toEqual([BEGINNING, true])
     })
   }
+
+  // Guards against an event that is missing because a response that was not passed on counted as delivered.
+  it('gets the events that a response with other lines had too from the next endpoint', async t => {
+    const first = await startBeginning('')
+    const second = await startAnswering('e2', `200 OK\r\n${IDENTITY}${frameInChunks(`${formatEvent(2)}${ERROR_TEXT}`)}`)
+    const third = await startAnswering('e3', `200 OK\r\n${IDENTITY}${frameInChunks(REST)}`)
+    const relay = await start(t, { endpoints: [first.endpoint, second, third] })
+    const { body, broken } = await callBroken(relay, first)
+    expect([body, broken, second.requests.length]).toEqual([BEGINNING + REST, false, 1])
+  })
+
+  it('does not go on elsewhere if it begins with other lines', async t => {
+    const text = `an error\n\n${BEGINNING}`
+    const first = await startBeginning('', text)
+    const second = await startAnswering('e2', CONTINUATIONS['in chunks'] ?? '')
+    const relay = await start(t, { endpoints: [first.endpoint, second] })
+    const { body, broken } = await callBroken(relay, first)
+    expect([body, broken, second.requests.length]).toEqual([text, true, 0])
+  })
 })
 
 describe('a response on the route of a stream', () => {
