Decline forwarded requests whose route or service a newer table lacks

What callers saw: beside a change of the configuration, a resumable stream that had begun was cut. Its host no longer reached an endpoint of the service and forwarded it to a peer that already had the change. If the change had removed the service, beginExchange threw ('refers to unknown service') and the peer answered 500 with the outcome 'lost'; if it had removed the route, the peer answered 404 with 'refused'. The host that asked took neither for 'another host may serve it', asked no other peer and cut the response.

Cause: the peer judges a request that has begun under an older version of the route table as if it began now. Both answers are true only of its own table; hosts with the older one can go on with the request.

Fix: for a request that has begun elsewhere (it names endpoints that were tried, or the last event), a missing route or service is a refusal with the outcome 'declined', so that the next peer is asked. A request that has not begun still gets 404 by the newest table.

Ruled out: serving it from the peer's endpoints of the removed service, as the peer no longer knows the service's limits and engine.

--- a/gateway/relay/src/arrival.ts
+++ b/gateway/relay/src/arrival.ts
@@ -26,6 +26,9 @@
 /** The parser of Node.js lets other characters pass, but throws if they are sent on. */
 const REQUEST_TARGET = /^[\u0021-\u00ff]+$/
 
+/** Hosts with another version of the route table may still go on with the request. */
+const ROUTE_CHANGED: Failure = { code: ErrorCode.NOT_SERVING, message: 'the route table of this host no longer has the route or service by which the request began', step: 'route', ran: 'no', retryAfterMs: RETRY_AFTER_MS }
+
 export type Arrival = Pick<Exchange, 'req' | 'res' | 'facts' | 'arrivedAt' | 'forwarded'>
 
 /** Why a request with these traits is refused or ended; undefined if none of them is quarantined. */
@@ -56,10 +59,15 @@
   return { route, poolName: choosePool(route.shares, opts.random.nextFraction()), deadlineAt: arrivedAt + Math.min(route.timeoutMs, facts.deadlineMs ?? Infinity, MAX_TIMER_MS), lastEventId: facts.lastEventId, mayForward: peers.hasAny() }
 }
 
+/** Whether an endpoint may have run part of a forwarded request, so that it can go on only in its pool. */
+function hasBegun ({ tried, lastEventId }: ForwardedFacts): boolean {
+  return tried.length > 0 || lastEventId !== undefined
+}
+
 /** The sender may have chosen the pool by an older route table; as long as nothing has begun there, only this host's table counts. */
-function choosePoolAgain ({ opts }: RelayState, { shares }: Route, { pool, tried, lastEventId }: ForwardedFacts): string {
-  const hasBegun = tried.length > 0 || lastEventId !== undefined
-  return hasBegun || shares.some(share => share.pool === pool && share.weight > 0) ? pool : choosePool(shares, opts.random.nextFraction())
+function choosePoolAgain ({ opts }: RelayState, { shares }: Route, forwarded: ForwardedFacts): string {
+  const { pool } = forwarded
+  return hasBegun(forwarded) || shares.some(share => share.pool === pool && share.weight > 0) ? pool : choosePool(shares, opts.random.nextFraction())
 }
 
 function restoreProgress (state: RelayState, route: Route, forwarded: ForwardedFacts): RequestProgress {
@@ -106,6 +114,13 @@
   return REQUEST_TARGET.test(url) ? undefined : { code: ErrorCode.BAD_REQUEST, message: 'the path of the request has invalid characters', step: 'route', ran: 'no' }
 }
 
+/** Refuses a request that matches no route. One that has begun elsewhere did match there. */
+function refuseUnmatched (state: RelayState, arrival: Arrival, version: number): undefined {
+  const { forwarded } = arrival
+  if (forwarded !== undefined && hasBegun(forwarded)) return refuse(state, arrival, ROUTE_CHANGED, { ran: 'no' }, PeerOutcome.DECLINED)
+  return refuse(state, arrival, { code: ErrorCode.NOT_FOUND, message: `no route matches in version ${version} of the route table`, step: 'route', ran: 'no' })
+}
+
 /** Matches the request to a route and an account. Answers it and returns undefined if that fails. */
 export function beginExchange (state: RelayState, arrival: Arrival): Exchange | undefined {
   const { opts } = state
@@ -120,10 +135,10 @@
   // Without a key, a caller learns nothing of what is quarantined.
   if (check.kind !== 'unauthenticated' && findQuarantine(state, facts.promptParts) !== undefined) return refuse(state, arrival, END_FAILURES[EndReason.PROMPT_QUARANTINED].notRun)
   if (check.kind === 'unchecked' && (route === undefined || forwarded !== undefined)) return refuse(state, arrival, UNCHECKED, { ran: 'no' }, PeerOutcome.DECLINED)
-  if (route === undefined) return refuse(state, arrival, { code: ErrorCode.NOT_FOUND, message: `no route matches in version ${table.version} of the route table`, step: 'route', ran: 'no' })
+  if (route === undefined) return refuseUnmatched(state, arrival, table.version)
   const progress = forwarded === undefined ? beginProgress(state, route, arrival) : restoreProgress(state, route, forwarded)
   const pool = table.pools.find(({ name }) => name === progress.poolName)
-  if (pool === undefined) throw new Error(`route '${route.name}' refers to unknown service '${progress.poolName}'`)
+  if (pool === undefined) return refuse(state, arrival, ROUTE_CHANGED, { route: route.name, ran: 'no' }, PeerOutcome.DECLINED)
   const admission = acceptChecked(state, arrival, route, check)
   if (admission === undefined) return undefined
   const { account, chargedUnits, isUnchecked = false } = admission
--- a/gateway/relay/test/forwarding.test.ts
+++ b/gateway/relay/test/forwarding.test.ts
@@ -132,6 +132,34 @@
     expect(endpoint.seen.length).toEqual(2)
   })
 
+  /** A stream whose first endpoint breaks off after an event, at a host that reaches no other; the first of its peers has a newer route table. */
+  async function callAtNewerPeer (newer: Pick<TestRelayOptions, 'pool' | 'route'>): Promise<readonly [string, boolean]> {
+    const broken = await startRawEndpoint('e1', (socket, text) => {
+      const id = /x-id: (\S+)/i.exec(text)?.[1] ?? ''
+      socket.write(`HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nX-Stamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n`, () => socket.resetAndDestroy())
+    })
+    const endpoint = await startEndpoint('e4', (req, res) => {
+      res.writeHead(200, { 'X-Id': String(req.headers['x-id']), 'X-Stamp': 's', 'Content-Type': 'text/event-stream' })
+      res.end('id: 2\ndata: b\n\n')
+    })
+    const route = { kind: 'stream', resumable: true, maxEndpoints: 3 } as const
+    const first = await start({ endpoints: [endpoint], route: { ...route, ...newer.route }, pool: newer.pool, routesVersion: 2 })
+    const second = await start({ endpoints: [endpoint], route })
+    const { call } = await start({ endpoints: [broken, ...await startLost(['e2', 'e3'])], othersLoad: { e1: 0, e2: 3, e3: 3 }, route, peers: [first.peer, { ...second.peer, region: 'far' }] })
+    const { body, broken: isBroken } = await call()
+    return [body, isBroken]
+  }
+
+  // Guards against streams that are cut beside a change of the configuration: a peer that had the change, and no longer the service that began the stream, answered 500.
+  it('goes on at another peer if the first no longer has the service that began it', async () => {
+    expect(await callAtNewerPeer({ pool: 'other' })).toEqual(['id: 1\ndata: a\n\nid: 2\ndata: b\n\n', false])
+  })
+
+  // Guards against streams that are cut beside a change of the configuration: a peer that had the change answered 404, and no other was asked.
+  it('goes on at another peer if the first no longer has the route that it came by', async () => {
+    expect(await callAtNewerPeer({ route: { pathPrefix: '/other/' } })).toEqual(['id: 1\ndata: a\n\nid: 2\ndata: b\n\n', false])
+  })
+
   it('gets the refusal of a peer that serves, with its time to come back', async () => {
     const endpoint = await startEndpoint('e1', (req, res) => answerOk(req, res))
     const peer = await start({ endpoints: [endpoint], resident: { e1: [] } })
