--- a/fleet/placement/test/fakeEngines.ts
+++ b/fleet/placement/test/fakeEngines.ts
@@ -65,6 +65,8 @@
   readonly modelLoadMs?: number
   /** Time an engine takes to load an adapter. */
   readonly loadMs?: number
+  /** Receives the messages to entry hosts, in place of a host that uses each granted adapter for a moment. */
+  readonly onMessage?: (message: FleetMessage) => void
 }
 
 export function createFakeEngines (opts: FakeEnginesOptions): FakeEngines {
@@ -163,8 +165,12 @@
   }))
   const getPlacement = (): Placement => placements[term === undefined || term % 2 === 1 ? 0 : 1] as Placement
 
-  /** Uses each granted adapter for a moment. */
+  /** Uses each granted adapter for a moment, unless a test receives the messages. */
   function receiveAsEntryHost (host: string, message: FleetMessage): void {
+    if (opts.onMessage !== undefined) {
+      opts.onMessage(message)
+      return
+    }
     sent.push({ to: host, message })
     if (message.kind !== 'load.given' || message.adapterKey === undefined) return
     const use = [message.endpoint, message.adapterKey] as const
