Count the responses that a late leader reads late

Cause: an order has 120 ms, and the client counted the time in which its own event loop stood still, and that in which the request waited for one of two connections. The leader called such orders unanswered (30 to 94 a second) and closed the connections with the responses in them. Each one kept its slot from being evicted for 13 s, also when the engine confirmed the repeated order and the load ended well. At 50 a second that is 650 slots, about as many as the 46 engines have, so nothing could be loaded, callers came again, and the leader stayed late.

An order that the engine has answered is not executed later (PROTOCOL: only an order without a response may be), so it blocks its slot no longer. Each unanswered order of a slot is kept by itself: the slot is free when all are answered, or 13 s after the last of them. The slot of an abandoned job still waits for the list; - a load whose repeated order the engine has accepted counts as in progress again, so no second engine loads the adapter; - repeats of an order without an answer are spread from 15 up to 250 ms.

--- a/core/types/src/endpoints.ts
+++ b/core/types/src/endpoints.ts
@@ -100,8 +100,10 @@
   REFUSED: 'refused',
   /** No answer: the order may have been accepted, or may be executed later. */
   UNANSWERED: 'unanswered',
-  /** The order never left this host. */
-  NOT_SENT: 'notSent'
+  /** The order never left this host: the engine cannot be reached. */
+  NOT_SENT: 'notSent',
+  /** The order never left this host, which was late. */
+  POSTPONED: 'postponed'
 } as const
 export type EngineOrderOutcome = typeof EngineOrderOutcome[keyof typeof EngineOrderOutcome]
 
--- a/daemon/fleet/src/coreHost.ts
+++ b/daemon/fleet/src/coreHost.ts
@@ -20,7 +20,8 @@
 export interface FleetPlatform {
   /** Reads the platform's list of endpoints; undefined if it cannot be read. */
   readonly readList: () => Promise<readonly ListedEndpoint[] | undefined>
-  readonly sendOrder: (call: Omit<OrderCall, 'onOutcome'>) => Promise<EngineOrderOutcome>
+  /** `onLateOutcome` is called if a response arrives after the order counted as unanswered. */
+  readonly sendOrder: (call: Omit<OrderCall, 'onOutcome'> & { readonly onLateOutcome?: OrderCall['onOutcome'] }) => Promise<EngineOrderOutcome>
 }
 
 export interface CoreHostOptions {
@@ -80,7 +81,13 @@
 
   function sendOrder ({ onOutcome, ...call }: OrderCall): void {
     const { endpoint, order, fencing } = call
-    void platform.sendOrder(call).catch((error: unknown) => {
+    const startedAt = clock.getMonotonicMs()
+    const onLateOutcome = (outcome: EngineOrderOutcome): void => {
+      page.count('late_order_responses', { outcome })
+      logger.info('order was answered after its time limit', { step: 'order', peer: endpoint, ...order, order: order.kind, fencing, outcome, afterMs: Math.round(clock.getMonotonicMs() - startedAt) })
+      node.shell.emit(() => onOutcome(outcome))
+    }
+    void platform.sendOrder({ ...call, onLateOutcome }).catch((error: unknown) => {
       logger.warn('failed to send an order', { step: 'order', peer: endpoint, cause: error })
       return EngineOrderOutcome.UNANSWERED
     }).then(outcome => {
--- a/daemon/fleet/src/fleetMetrics.ts
+++ b/daemon/fleet/src/fleetMetrics.ts
@@ -16,6 +16,7 @@
   first_byte_ms: { type: 'histogram', help: 'Time from a send to the head of the answer in milliseconds' },
   load_wait_ms: { type: 'histogram', help: 'Time that requests waited for an engine to load their adapter, in milliseconds' },
   orders: { type: 'counter', help: 'Orders to engines, by outcome', labels: ['outcome'] },
+  late_order_responses: { type: 'counter', help: 'Responses to orders that came after the time limit, by outcome', labels: ['outcome'] },
   list_reads: { type: 'counter', help: 'Reads of the platform\'s list, by outcome', labels: ['outcome'] },
   commands: { type: 'counter', help: 'Commands of operators, by outcome', labels: ['outcome'] },
   account_units_asked: { type: 'counter', help: 'Units of their quota that accounts have asked for, less those given back; on the leader', labels: ['account'] },
--- a/fleet/placement/src/chooseEngine.ts
+++ b/fleet/placement/src/chooseEngine.ts
@@ -3,7 +3,7 @@
 import type { AdapterName, DurationMs, EndpointId, EnginePool, ListedEndpoint, ModelId, MonotonicMs, RegionId, ZoneId } from '@catkinferry/core.types'
 import { formatPlacedKey } from '@catkinferry/core.types'
 import { MAX_LOADS_PER_ENDPOINT } from './constants.ts'
-import { countReserved, countRunning, formatSlotKey, SlotState } from './engineState.ts'
+import { countReserved, countRunning, formatSlotKey, getOutcomeUnknownUntil, SlotState } from './engineState.ts'
 import type { EngineState, Slot } from './engineState.ts'
 
 /** Cost of a load from the weight store compared to one from the engine's own memory. */
@@ -74,7 +74,7 @@
   const { now, minIdleMs, getRate } = opts
   let victim: { slot: Slot, rate: number } | undefined
   for (const [slotKey, slot] of engine.slots) {
-    const isEvictable = slot.state === SlotState.RESIDENT && now - slot.usedAt > minIdleMs && now >= slot.outcomeUnknownUntil && countRunning(slot, now) === 0
+    const isEvictable = slot.state === SlotState.RESIDENT && now - slot.usedAt > minIdleMs && now >= getOutcomeUnknownUntil(slot) && countRunning(slot, now) === 0
     if (!isEvictable) continue
     const rate = getRate(slotKey)
     if (victim === undefined || rate < victim.rate || (rate === victim.rate && slot.usedAt < victim.slot.usedAt)) victim = { slot, rate }
--- a/fleet/placement/src/engineState.ts
+++ b/fleet/placement/src/engineState.ts
@@ -9,6 +9,9 @@
 export const SlotState = { LOADING: 'loading', RESIDENT: 'resident', EVICTING: 'evicting' } as const
 export type SlotState = typeof SlotState[keyof typeof SlotState]
 
+/** Identifies an order among those of this host. */
+export type OrderId = number
+
 /** An adapter that occupies a slot of an engine, or will when its load completes. */
 export interface Slot {
   readonly model: ModelId
@@ -17,8 +20,10 @@
   state: SlotState
   /** When an order of this host last changed the state. */
   changedAt: MonotonicMs
-  /** A load without a response may still be executed until then, so the slot stays taken. */
+  /** The endpoint list may not show what became of its orders until then, so the slot stays taken; see also `unansweredOrders`. */
   outcomeUnknownUntil: MonotonicMs
+  /** Loads whose response has not come, and until when each may still be executed. */
+  readonly unansweredOrders: Map<OrderId, MonotonicMs>
   /** Its load was not answered in time, so it does not count as in progress and another engine may load the adapter. */
   isUnanswered: boolean
   /** When it was last loaded, granted or reported in use by an entry host; `-Infinity` if unknown. */
@@ -69,16 +74,22 @@
   const engine = createEngineState(listed, now)
   engine.adapterLoadsPausedUntil = now + MAX_LIST_LAG_MS
   for (const [slotKey, slot] of previous.slots) {
-    const mayBeLoaded = slot.state === SlotState.LOADING || slot.outcomeUnknownUntil > now || !isListNewer(slot.changedAt, now)
+    const unknownUntil = getOutcomeUnknownUntil(slot)
+    const mayBeLoaded = slot.state === SlotState.LOADING || unknownUntil > now || !isListNewer(slot.changedAt, now)
     if (!mayBeLoaded || engine.slots.has(slotKey)) continue
-    engine.slots.set(slotKey, { ...slot, state: SlotState.EVICTING, changedAt: now, outcomeUnknownUntil: Math.max(slot.outcomeUnknownUntil, now + (unansweredSlots.has(slotKey) ? MAX_ORDER_DELAY_MS : MAX_LIST_LAG_MS)) })
+    engine.slots.set(slotKey, { ...slot, state: SlotState.EVICTING, changedAt: now, unansweredOrders: new Map(), outcomeUnknownUntil: Math.max(unknownUntil, now + (unansweredSlots.has(slotKey) ? MAX_ORDER_DELAY_MS : MAX_LIST_LAG_MS)) })
   }
   return engine
 }
 
 export function createSlot (opts: { model: ModelId, adapter: AdapterName, version: number, state: SlotState, now: MonotonicMs }): Slot {
   const { model, adapter, version, state, now } = opts
-  return { model, adapter, version, state, changedAt: now, outcomeUnknownUntil: Number.NEGATIVE_INFINITY, isUnanswered: false, usedAt: Number.NEGATIVE_INFINITY, running: new Map() }
+  return { model, adapter, version, state, changedAt: now, outcomeUnknownUntil: Number.NEGATIVE_INFINITY, unansweredOrders: new Map(), isUnanswered: false, usedAt: Number.NEGATIVE_INFINITY, running: new Map() }
+}
+
+/** Until when an order for the slot may be executed without this host knowing of it; `-Infinity` if all are known. */
+export function getOutcomeUnknownUntil ({ outcomeUnknownUntil, unansweredOrders }: Slot): MonotonicMs {
+  return unansweredOrders.size === 0 ? outcomeUnknownUntil : Math.max(outcomeUnknownUntil, ...unansweredOrders.values())
 }
 
 /** The version of an adapter in the last list; undefined if it is not listed. */
@@ -161,7 +172,7 @@
   const updated = models.flatMap(({ model, adapters }) => adapters.map(adapter => applyListedAdapter(engine, model, adapter, now))).filter(slot => slot !== undefined)
   const removed: Slot[] = []
   for (const [slotKey, slot] of engine.slots) {
-    if (seen.has(slotKey) || slot.state !== SlotState.RESIDENT || !isListNewer(slot.changedAt, now) || now < slot.outcomeUnknownUntil) continue
+    if (seen.has(slotKey) || slot.state !== SlotState.RESIDENT || !isListNewer(slot.changedAt, now) || now < getOutcomeUnknownUntil(slot)) continue
     engine.slots.delete(slotKey)
     removed.push(slot)
   }
--- a/fleet/placement/src/jobs.ts
+++ b/fleet/placement/src/jobs.ts
@@ -7,11 +7,11 @@
 import type { RunContext } from '@catkinferry/host.events'
 import type { EngineChoice } from './chooseEngine.ts'
 import { ADAPTER_LOAD_TIMEOUT_MS, CACHED_LOAD_POLL_MS, MAX_LIST_LAG_MS, MAX_ORDER_DELAY_MS, MODEL_LOAD_RESEND_MS, ORDER_RESEND_MS } from './constants.ts'
-import { createSlot, findListedVersion, formatSlotKey, releaseSlot, recordCached, SlotState } from './engineState.ts'
+import { createSlot, findListedVersion, formatSlotKey, getOutcomeUnknownUntil, releaseSlot, recordCached, SlotState } from './engineState.ts'
 import type { EngineState, Slot } from './engineState.ts'
 import { computePollPauseMs } from './loadPolls.ts'
 import { reportInfo } from './placementState.ts'
-import type { Job, PlacementState, PlacementRequest } from './placementState.ts'
+import type { Job, PlacementState, PlacementRequest, SentOrder } from './placementState.ts'
 
 /** An engine that refused an order or was addressed wrongly gets no orders for this long. */
 const REFUSAL_PAUSE_MS = 1_000
@@ -20,6 +20,8 @@
 /** An engine that refuses an order as busy is not chosen for new loads for `BUSY_PAUSE_MS`; the order is sent again after `BUSY_RESEND_MS`. */
 const BUSY_PAUSE_MS = 250
 const BUSY_RESEND_MS = 50
+/** Longest pause before an order that is not answered is sent again; the pause doubles up to it. */
+const MAX_UNANSWERED_RESEND_MS = 250
 /** After this long on a busy engine a job is cancelled, so that another engine can be chosen. */
 const BUSY_TIMEOUT_MS = 150
 /** An unreachable engine gets no orders for this long. */
@@ -29,9 +31,9 @@
   return `${endpoint}|${subject}`
 }
 
-function addJob (state: PlacementState, job: Omit<Job, 'nextAt' | 'sentAt' | 'stepStartedAt' | 'accepted' | 'isAwaitingOutcome'>): void {
+function addJob (state: PlacementState, job: Omit<Job, 'nextAt' | 'sentAt' | 'stepStartedAt' | 'accepted' | 'unanswered' | 'isAwaitingOutcome'>): void {
   state.mirror.mark(job.endpoint)
-  state.jobs.set(job.key, { ...job, nextAt: job.startedAt, sentAt: job.startedAt, stepStartedAt: job.startedAt, accepted: false, isAwaitingOutcome: false })
+  state.jobs.set(job.key, { ...job, nextAt: job.startedAt, sentAt: job.startedAt, stepStartedAt: job.startedAt, accepted: false, unanswered: 0, isAwaitingOutcome: false })
 }
 
 /** Begins to load an adapter, after the eviction of the victim if there is one. */
@@ -50,8 +52,11 @@
   const previous = engine.slots.get(slotKey)
   if (previous !== undefined) state.publisher.enqueueResidency(endpoint, previous, false)
   const slot = createSlot({ model, adapter, version, state: SlotState.LOADING, now: context.now })
-  // An order for the previous version without an answer may still be executed.
-  slot.outcomeUnknownUntil = previous?.outcomeUnknownUntil ?? slot.outcomeUnknownUntil
+  // Orders for the previous version without an answer may still be executed.
+  if (previous !== undefined) {
+    slot.outcomeUnknownUntil = previous.outcomeUnknownUntil
+    for (const [orderId, until] of previous.unansweredOrders) slot.unansweredOrders.set(orderId, until)
+  }
   engine.slots.set(slotKey, slot)
   addJob(state, { key: formatJobKey(endpoint, slotKey), endpoint, steps, isCached, startedAt: context.now })
   reportInfo(context, 'adapter load started', { peer: endpoint, adapter: slotKey, version, pool: request.pool, waiting: request.waiters.length, onTime: standing.onTime, slackMs: Number.isFinite(standing.slackMs) ? Math.round(standing.slackMs) : undefined, evicts: victim === undefined ? undefined : formatSlotKey(victim.model, victim.adapter), held: isCached, term: state.term })
@@ -94,15 +99,19 @@
 
 function sendJob (state: PlacementState, job: Job, engine: EngineState, order: Job['steps'][number], now: MonotonicMs): void {
   const { listed: { endpoint, address } } = engine
+  const orderId = ++state.lastOrderId
   job.isAwaitingOutcome = true
+  job.lastOrderId = orderId
   job.sentAt = now
-  state.opts.sendOrder({ endpoint, address, order, fencing: state.term ?? 0, onOutcome: outcome => { state.outcomes.push({ job, outcome }) } })
+  state.opts.sendOrder({ endpoint, address, order, fencing: state.term ?? 0, onOutcome: outcome => { state.outcomes.push({ orderId, job, order, outcome }) } })
 }
 
-/** Processes the outcomes of orders. */
+/** Processes the outcomes of orders. The response to an order that was sent again is of use for what it says about that order only. */
 export function processOutcomes (state: PlacementState, context: RunContext): void {
-  for (const { job, outcome } of state.outcomes.splice(0)) {
-    if (state.jobs.get(job.key) !== job) continue
+  for (const sent of state.outcomes.splice(0)) {
+    const { job, outcome } = sent
+    settleOrder(state, sent, context)
+    if (state.jobs.get(job.key) !== job || job.lastOrderId !== sent.orderId || job.steps[0] !== sent.order) continue
     job.isAwaitingOutcome = false
     const engine = state.engines.get(job.endpoint)
     if (engine !== undefined && state.opts.enginesCheckFencing && CONFIRMING_OUTCOMES.has(outcome)) engine.fencedAt ??= context.now
@@ -112,6 +121,15 @@
   }
 }
 
+/** An order that the engine has answered is not executed later, so its slot no longer waits for that. */
+function settleOrder (state: PlacementState, { orderId, job: { endpoint }, order, outcome }: SentOrder, { now }: RunContext): void {
+  const slot = order.adapter === undefined ? undefined : state.engines.get(endpoint)?.slots.get(formatSlotKey(order.model, order.adapter))
+  if (slot === undefined || outcome === 'unanswered' || !slot.unansweredOrders.delete(orderId)) return
+  state.mirror.mark(endpoint)
+  // The load of an abandoned job may be in progress; the endpoint list shows how it ends.
+  if (slot.state === SlotState.EVICTING) slot.outcomeUnknownUntil = Math.max(slot.outcomeUnknownUntil, now + MAX_LIST_LAG_MS)
+}
+
 /** Outcomes by which an engine shows that it has taken note of the fencing token. */
 const CONFIRMING_OUTCOMES: ReadonlySet<EngineOrderOutcome> = new Set(['holds', 'accepted'])
 
@@ -127,7 +145,7 @@
     if (kind === 'evict') {
       slot.state = SlotState.RESIDENT
       state.publisher.enqueueResidency(endpoint, slot, true)
-    } else if (context.now >= slot.outcomeUnknownUntil) {
+    } else if (context.now >= getOutcomeUnknownUntil(slot)) {
       engine.slots.delete(formatSlotKey(model, adapter))
     } else {
       slot.state = SlotState.EVICTING
@@ -147,10 +165,13 @@
 
 const outcomeHandlers: { readonly [Kind in EngineOrderOutcome]: OutcomeHandler } = {
   holds: finishStep,
-  accepted: (state, job, { listed: { pool } }, { now }) => {
+  accepted: (state, job, { listed: { pool }, slots }, { now }) => {
     const [order] = job.steps
     const isFirst = !job.accepted
     job.accepted = true
+    job.unanswered = 0
+    const slot = order?.adapter === undefined ? undefined : slots.get(formatSlotKey(order.model, order.adapter))
+    if (slot !== undefined) slot.isUnanswered = false
     const isAdapterLoad = order?.kind === 'load' && order.adapter !== undefined
     if (isFirst && isAdapterLoad) {
       job.acceptedAt = job.sentAt
@@ -180,12 +201,14 @@
   unanswered: (_state, job, engine, { now }) => {
     const [order] = job.steps
     const slot = order?.adapter === undefined ? undefined : engine.slots.get(formatSlotKey(order.model, order.adapter))
-    if (slot !== undefined && order?.kind === 'load') {
-      slot.outcomeUnknownUntil = now + MAX_ORDER_DELAY_MS
+    if (slot !== undefined && order?.kind === 'load' && job.lastOrderId !== undefined) {
+      slot.unansweredOrders.set(job.lastOrderId, now + MAX_ORDER_DELAY_MS)
       slot.isUnanswered = true
     }
-    scheduleResend(job, getResendMs(job), now)
+    scheduleResend(job, Math.min(getResendMs(job) * 2 ** job.unanswered, MAX_UNANSWERED_RESEND_MS), now)
+    job.unanswered += 1
   },
+  postponed: (_state, job, _engine, { now }) => scheduleResend(job, getResendMs(job), now),
   notSent: (state, job, engine, context) => {
     engine.ordersPausedUntil = context.now + UNREACHABLE_PAUSE_MS
     failJob(state, job, 'the engine is unreachable', context)
@@ -202,6 +225,7 @@
     if (!job.isCached && job.acceptedAt !== undefined) state.loadPolls.recordLoad(engine.listed.pool, context.now - job.acceptedAt)
   }
   job.accepted = false
+  job.unanswered = 0
   job.stepStartedAt = context.now
   job.nextAt = context.now
   if (job.steps.length === 0) {
@@ -267,7 +291,7 @@
   const { endpoint } = engine.listed
   const inProgress = listSlotsInProgress(state, endpoint)
   for (const [slotKey, slot] of engine.slots) {
-    if (slot.state === SlotState.RESIDENT || inProgress.has(slotKey) || now < slot.outcomeUnknownUntil) continue
+    if (slot.state === SlotState.RESIDENT || inProgress.has(slotKey) || now < getOutcomeUnknownUntil(slot)) continue
     state.mirror.mark(endpoint)
     const version = findListedVersion(engine, slot)
     if (version === undefined) {
--- a/fleet/placement/src/placement.ts
+++ b/fleet/placement/src/placement.ts
@@ -11,7 +11,7 @@
 import { createEndpointHealthTracker } from './endpointHealth.ts'
 import type { HealthPools } from './endpointHealth.ts'
 import { createEndpointPublisher } from './endpointPublisher.ts'
-import { applyListed, createEngineState, createRestartedEngine, formatSlotKey, SlotState } from './engineState.ts'
+import { applyListed, createEngineState, createRestartedEngine, formatSlotKey, getOutcomeUnknownUntil, SlotState } from './engineState.ts'
 import type { EngineState, Slot } from './engineState.ts'
 import { beginEvict, beginModelLoad, runJobs, resolveAbandonedSlots, processOutcomes } from './jobs.ts'
 import { createSlotMirror } from './slotMirror.ts'
@@ -59,6 +59,7 @@
     loadPolls: createLoadPolls(),
     mirror: createSlotMirror(),
     jobs: new Map(),
+    lastOrderId: 0,
     modelLoadStarts: [],
     publisher: createEndpointPublisher({
       engines,
@@ -281,7 +282,7 @@
 function dropOutdated (state: PlacementState, context: RunContext): void {
   for (const engine of state.engines.values()) {
     for (const slot of engine.slots.values()) {
-      if (slot.state !== SlotState.RESIDENT || !isOutdated(state, slot) || context.now < slot.outcomeUnknownUntil) continue
+      if (slot.state !== SlotState.RESIDENT || !isOutdated(state, slot) || context.now < getOutcomeUnknownUntil(slot)) continue
       if (hasNewVersion(state, engine.listed.pool, slot.model, slot.adapter)) beginEvict(state, engine, slot, 'outdated', context)
       else addRequest(state, { pool: engine.listed.pool, model: slot.model, adapter: slot.adapter, avoid: [] }, context.now)
     }
--- a/fleet/placement/src/placementState.ts
+++ b/fleet/placement/src/placementState.ts
@@ -3,7 +3,7 @@
 import type { AdapterName, DurationMs, EndpointId, EngineOrder, EngineOrderOutcome, HostId, HostLocation, ModelId, MonotonicMs, Pool, RegionId, RouteTable, ZoneId } from '@catkinferry/core.types'
 import type { RunContext } from '@catkinferry/host.events'
 import type { EndpointHealthTracker } from './endpointHealth.ts'
-import type { EngineState, Slot } from './engineState.ts'
+import type { EngineState, OrderId, Slot } from './engineState.ts'
 import type { SlotMirror } from './slotMirror.ts'
 import type { EndpointPublisher } from './endpointPublisher.ts'
 import type { LoadHistory } from './loadHistory.ts'
@@ -17,6 +17,7 @@
   readonly address: string
   readonly order: EngineOrder
   readonly fencing: number
+  /** Called once more if a response arrives after the order counted as unanswered. */
   readonly onOutcome: (outcome: EngineOrderOutcome) => void
 }
 
@@ -102,11 +103,23 @@
   /** When the current step began. */
   stepStartedAt: MonotonicMs
   accepted: boolean
+  /** The order that was sent last. */
+  lastOrderId?: OrderId
+  /** Orders of the current step in a row that were not answered in time. */
+  unanswered: number
   /** When the order was sent that the engine accepted; undefined before. */
   acceptedAt?: MonotonicMs
   isAwaitingOutcome: boolean
 }
 
+/** An order that was sent, with its outcome. */
+export interface SentOrder {
+  readonly orderId: OrderId
+  readonly job: Job
+  readonly order: EngineOrder
+  readonly outcome: EngineOrderOutcome
+}
+
 export interface PlacementState {
   readonly opts: PlacementOptions
   /** Term in which this host leads; undefined while it does not. */
@@ -127,6 +140,7 @@
   readonly history: LoadHistory
   readonly loadPolls: LoadPolls
   readonly jobs: Map<string, Job>
+  lastOrderId: OrderId
   /** Start times of base model loads, oldest first. */
   modelLoadStarts: MonotonicMs[]
   readonly publisher: EndpointPublisher
@@ -136,7 +150,7 @@
   /** When endpoint health is evaluated next. */
   nextHealthAt: MonotonicMs
   /** Outcomes received since the last run. */
-  readonly outcomes: Array<{ readonly job: Job, readonly outcome: EngineOrderOutcome }>
+  readonly outcomes: SentOrder[]
 }
 
 export function findPool (state: PlacementState, name: string): Pool | undefined {
--- a/fleet/placement/src/slotMirror.ts
+++ b/fleet/placement/src/slotMirror.ts
@@ -6,7 +6,7 @@
 import type { RunContext } from '@catkinferry/host.events'
 import type { FleetMessage, MirroredSlots } from '@catkinferry/wire.messages'
 import { MAX_LIST_LAG_MS, MAX_ORDER_DELAY_MS } from './constants.ts'
-import { createSlot, formatSlotKey, SlotState } from './engineState.ts'
+import { createSlot, formatSlotKey, getOutcomeUnknownUntil, SlotState } from './engineState.ts'
 import type { EngineState } from './engineState.ts'
 
 /** Copies are kept for as long as an order in them may be executed late. */
@@ -33,7 +33,7 @@
 
 function buildRow ({ listed, slots }: EngineState, now: MonotonicMs): MirroredSlots {
   const { endpoint, bornAt } = listed
-  return { endpoint, bornAt, slots: [...slots.values()].map(({ model, adapter, version, state, outcomeUnknownUntil }) => [model, adapter, version, state === SlotState.RESIDENT, Math.max(0, Math.round(outcomeUnknownUntil - now))] as const) }
+  return { endpoint, bornAt, slots: [...slots.values()].map(slot => [slot.model, slot.adapter, slot.version, slot.state === SlotState.RESIDENT, Math.max(0, Math.round(getOutcomeUnknownUntil(slot) - now))] as const) }
 }
 
 /** Adds what the former leader knew to the slots of an engine that the list shows; where the two differ, both count as taken. */
--- a/fleet/placement/test/lateLeader.test.ts
+++ b/fleet/placement/test/lateLeader.test.ts
@@ -28,7 +28,7 @@
 
 describe('adapter loads of a leader that was late', () => {
   it('come back to their rate as soon as responses are read in time again', () => {
-    const fleet = createFakeEngines({ ids: ['e1', 'e2', 'e3', 'e4'], slots: 6 })
+    const fleet = createFakeEngines({ ids: ['e1', 'e2', 'e3', 'e4'], slots: 6, modelLoadsPerSecond: 8 })
     fleet.runFor(1_000)
     countGranted(fleet, 1_500)
     const before = countGranted(fleet, 1_500)
@@ -56,4 +56,27 @@
     fleet.runFor(4_000)
     expect([...fleet.engines.values()].map(({ resident }) => [...resident.keys()])).toEqual([['a'], []])
   })
+
+  for (const seed of Array.from({ length: 20 }, (_, index) => index + 1)) {
+    it(`never overfill an engine while some orders are answered late, and others are lost or executed late (seed ${seed})`, () => {
+      const random = createRandom(seed)
+      const fleet = createFakeEngines({ ids: ['e1', 'e2', 'e3'], slots: 4, lateMs: 1_500 + random.nextInt(0, 8_000), takeoverDelayMs: 500 })
+      fleet.setOrderHandling(() => {
+        const draw = random.nextFraction()
+        if (draw < 0.1) return 'late'
+        if (draw < 0.15) return 'lost'
+        return draw < 0.5 ? 'answeredLate' : 'now'
+      })
+      fleet.runFor(1_000)
+      let term = 1
+      for (let step = 0; step < 100; step += 1) {
+        for (let count = 0; count < 2; count += 1) fleet.receive(buildLoadRequest(`a${random.nextInt(0, 25)}`))
+        if (random.nextFraction() < 0.02) fleet.restart(`e${random.nextInt(1, 3)}`)
+        if (random.nextFraction() < 0.03) fleet.setVersion(`a${random.nextInt(0, 25)}`, 2 + step)
+        if (random.nextFraction() < 0.02) fleet.setTerm(++term)
+        fleet.runFor(random.nextInt(20, 200))
+      }
+      expect(fleet.overfilled).toEqual([])
+    })
+  }
 })
