Let a leader with commands to apply go on placing adapters

Cause: a host counted as leader only while it had applied all committed entries. One run applies 128 KB. A frozen core host had come back and sent on the calls that had piled up there, some of them whole route documents; three of those committed at once are more than one run applies. For that run the host held itself to be no leader: placement dropped engines, slots, jobs and requests, and waited for the takeover delay and a new read of the list. That the backlog was the reason is by reading: of the three conditions, the others leave log lines (a pause) or change the term.

The condition is for a new leader, which must know what its predecessors committed. It now holds for the beginning of a term only; a pause of the process still ends the leader's work, and it begins anew.

Class: a leader that takes its own lateness for a loss.

--- a/daemon/fleet/src/coreSystems.ts
+++ b/daemon/fleet/src/coreSystems.ts
@@ -59,6 +59,27 @@
 /** A leader that no majority has answered for longer gives no orders. Voters elect another one after twice this silence at the earliest. */
 const MAX_QUORUM_AGE_MS = 400
 
+interface Leadership {
+  /** The term in which this host may act as leader; undefined if it may not. */
+  readonly getTerm: (now: MonotonicMs) => number | undefined
+  /** Records a pause of the process. */
+  readonly pause: (now: MonotonicMs) => void
+}
+
+/** A leader begins once it has applied all that its predecessors committed. A backlog that builds up later does not end its work. */
+function createLeadership (voter: Voter): Leadership {
+  let pausedUntil = Number.NEGATIVE_INFINITY
+  let begunTerm: number | undefined
+  return {
+    getTerm: now => {
+      const term = voter.isLeader() && now >= pausedUntil ? voter.getStatus().term : undefined
+      if (term === undefined || begunTerm !== term) begunTerm = term !== undefined && voter.isInContact() ? term : undefined
+      return begunTerm
+    },
+    pause: now => { pausedUntil = now + LEADERSHIP_RECHECK_MS }
+  }
+}
+
 type MessageFamily = 'consensus' | 'voter' | 'client' | 'membership' | 'placement' | 'use' | 'quarantine' | 'origins'
 
 const FAMILY_BY_KIND: Readonly<Record<string, MessageFamily>> = {
@@ -216,13 +237,13 @@
   const commands = createCommandClient({ host, voters: () => listVoters(), random: createRandom(seed + 1) })
   const voterKeeper = createVoterKeeper({ self: host, voter, targetVoterCount: voterCount })
   const publisher = createStatePublisher({ state, zone })
-  let leadershipPausedUntil = Number.NEGATIVE_INFINITY
+  const leadership = createLeadership(voter)
   let now = startedAt
   const versions = buildVersionRecord({ self: host, voter, state, commands, getLeaderTerm: () => placement.getLeaderTerm() })
   const placement: Placement = createPlacement({
     self: host,
     isPublishable: versions.isPublishable,
-    getLeaderTerm: () => voter.isLeader() && voter.isInContact() && now >= leadershipPausedUntil ? voter.getStatus().term : undefined,
+    getLeaderTerm: () => leadership.getTerm(now),
     takeoverDelayMs: settings.times.handOverMs,
     enginesCheckFencing: settings.enginesCheckFencing,
     getRoutes: () => state.getRoutes()?.table,
@@ -275,7 +296,7 @@
     getNextAt: () => Math.min(voter.getNextAt() ?? Infinity, commands.getNextAt() ?? Infinity, membership.getNextAt() ?? Infinity, voterKeeper.getNextAt(), placement.getNextAt() ?? Infinity, quarantine.getNextAt(), versions.getNextAt(), confirmer.getNextAt(), quotas.getNextAt()),
     listPeers: membership.listPeers,
     handlePause: (context, gapMs) => {
-      leadershipPausedUntil = context.now + LEADERSHIP_RECHECK_MS
+      leadership.pause(context.now)
       context.emit({ kind: 'log', level: 'warn', message: 'the host was paused', fields: { step: 'run', gapMs: Math.round(gapMs), leads: voter.isLeader() } })
     }
   }
