Compare engines for a pending load once in a run

Cause: the leader was late by its own work. For each load that it began or passed over, it compared all open engines anew for the first 12 pending ones: 64 loads x 12 x 46 engines in a run, and again in each round. With the store at its limit nearly all of it was passed over, and the leader runs on each turn of its event loop.

A load that begins on one engine does not change the costs of the others. The cheapest engine of each load is now kept for the run, and looked for again only if it is taken.

--- a/fleet/placement/src/chooseEngine.ts
+++ b/fleet/placement/src/chooseEngine.ts
@@ -112,8 +112,13 @@
   return chooseEviction({ candidates: [{ adapterKey, ratePerSecond: victimRate }], expectedLoadMs: EXPECTED_LOAD_MS, loadValue, hysteresis: EVICT_HYSTERESIS }) !== undefined
 }
 
+interface CostedChoice {
+  readonly choice: EngineChoice
+  readonly costMs: number
+}
+
 /** Estimates what a load on an engine costs, in milliseconds; undefined if the engine cannot or should not load the adapter. */
-function computeEngineCost ({ engine, victim, victimRate, loading }: OpenEngine, opts: EngineCostOptions): { choice: EngineChoice, costMs: number } | undefined {
+function computeEngineCost ({ engine, victim, victimRate, loading }: OpenEngine, opts: EngineCostOptions): CostedChoice | undefined {
   const { requirements, pool } = opts
   const { endpoint } = engine.listed
   const slotKey = formatSlotKey(requirements.model, requirements.adapter)
@@ -126,11 +131,37 @@
 }
 
 /** Chooses the cheapest of the open engines; undefined if none can load the adapter now. */
-export function chooseEngine (open: readonly OpenEngine[], opts: EngineCostOptions): { choice: EngineChoice, costMs: number } | undefined {
-  let best: { choice: EngineChoice, costMs: number } | undefined
+export function chooseEngine (open: readonly OpenEngine[], opts: EngineCostOptions): CostedChoice | undefined {
+  let best: CostedChoice | undefined
   for (const candidate of open) {
     const cost = computeEngineCost(candidate, opts)
     if (cost !== undefined && (best === undefined || cost.costMs < best.costMs)) best = cost
   }
   return best
 }
+
+/** The open engines of a run, of which each begins one load at most. */
+export interface CheapestEngines<Load> {
+  readonly isEmpty: () => boolean
+  /** Finds what `chooseEngine` chooses of the engines that are left. */
+  readonly find: (load: Load) => CostedChoice | undefined
+  /** Removes an engine that begins a load. */
+  readonly remove: (engine: EngineState) => void
+}
+
+/** A load that begins on one engine does not change the costs of the others, so the cheapest for a load is looked for again only once it is removed. */
+export function createCheapestEngines<Load> (open: readonly OpenEngine[], getOptions: (load: Load) => EngineCostOptions): CheapestEngines<Load> {
+  const found = new Map<Load, CostedChoice | undefined>()
+  let left = open
+  return {
+    isEmpty: () => left.length === 0,
+    find: load => {
+      if (!found.has(load)) found.set(load, chooseEngine(left, getOptions(load)))
+      return found.get(load)
+    },
+    remove: engine => {
+      left = left.filter(other => other.engine !== engine)
+      for (const [load, chosen] of found) if (chosen?.choice.engine === engine) found.delete(load)
+    }
+  }
+}
--- a/fleet/placement/src/placementRequests.ts
+++ b/fleet/placement/src/placementRequests.ts
@@ -8,8 +8,8 @@
 import type { AdapterName, EndpointId, EnginePool, ListedEndpoint, ModelId, MonotonicMs } from '@catkinferry/core.types'
 import { formatPlacedKey } from '@catkinferry/core.types'
 import type { RunContext } from '@catkinferry/host.events'
-import { chooseEngine, EXPECTED_LOAD_MS, listOpenEngines } from './chooseEngine.ts'
-import type { EngineChoice, OpenEngine } from './chooseEngine.ts'
+import { createCheapestEngines, EXPECTED_LOAD_MS, listOpenEngines } from './chooseEngine.ts'
+import type { CheapestEngines, EngineChoice, OpenEngine } from './chooseEngine.ts'
 import { CONCURRENT_STORE_LOADS_PER_RATE, EVICT_IDLE_MS, EXTRA_LOAD_BATCH_SHARE, MAX_EXTRA_LOADS, MIN_CONCURRENT_STORE_LOADS, MIN_REMAINING_MS, MIN_WAITERS_PER_EXTRA_LOAD, REFUSED_RETRY_MS, REPLICA_EVICT_IDLE_MS } from './constants.ts'
 import { formatSlotKey, recordGrant, SlotState } from './engineState.ts'
 import type { EngineState } from './engineState.ts'
@@ -202,30 +202,30 @@
   return pending.sort(comparePending)
 }
 
+function createOpenEngines (state: PlacementState, open: readonly OpenEngine[], pool: EnginePool, now: MonotonicMs): CheapestEngines<PendingLoad> {
+  const shared = { pool, getRate: (slotKey: string) => state.popularity.getFastRate(slotKey, now), getRegion: state.opts.getRegion, getRunning: state.totals.get }
+  return createCheapestEngines(open, ({ request }: PendingLoad) => {
+    const isAvoided = (listed: ListedEndpoint): boolean => !isOfVersion(request, listed) || request.avoid.has(listed.endpoint) || request.existingReplicas.has(listed.endpoint) || state.health.isSuspect(listed.endpoint)
+    return { ...shared, requirements: { ...request, waiting: request.waiters.length, isAvoided } }
+  })
+}
+
 /** Chooses the next load among the first pending ones: the cheapest, with turns counting as costs. */
-function chooseNextLoad (state: PlacementState, pending: readonly PendingLoad[], open: readonly OpenEngine[], pool: EnginePool, now: MonotonicMs): { readonly load: PendingLoad, readonly choice: EngineChoice } | undefined {
+function chooseNextLoad (pending: readonly PendingLoad[], open: CheapestEngines<PendingLoad>): { readonly load: PendingLoad, readonly choice: EngineChoice } | undefined {
   let best: { load: PendingLoad, choice: EngineChoice, costMs: number } | undefined
   const [first] = pending
   for (const [turn, load] of pending.slice(0, MATCHED_LOADS).entries()) {
-    const { request, standing } = load
-    if (first === undefined || standing.priority !== first.standing.priority) break
-    const isAvoided = (listed: ListedEndpoint): boolean => !isOfVersion(request, listed) || request.avoid.has(listed.endpoint) || request.existingReplicas.has(listed.endpoint) || state.health.isSuspect(listed.endpoint)
-    const chosen = chooseEngine(open, {
-      requirements: { ...request, waiting: request.waiters.length, isAvoided },
-      pool,
-      getRate: slotKey => state.popularity.getFastRate(slotKey, now),
-      getRegion: state.opts.getRegion,
-      getRunning: state.totals.get
-    })
-    const costMs = (chosen?.costMs ?? Infinity) + turn * TURN_COST_MS
-    if (chosen !== undefined && (best === undefined || costMs < best.costMs)) best = { load, choice: chosen.choice, costMs }
+    if (first === undefined || load.standing.priority !== first.standing.priority) break
+    const found = open.find(load)
+    const costMs = (found?.costMs ?? Infinity) + turn * TURN_COST_MS
+    if (found !== undefined && (best === undefined || costMs < best.costMs)) best = { load, choice: found.choice, costMs }
   }
   return best
 }
 
 /** Chooses the next load and its engine. Without an open engine, the first pending request may replace an outdated version. */
-function chooseLoad (state: PlacementState, pending: readonly [PendingLoad, ...PendingLoad[]], open: readonly OpenEngine[], pool: EnginePool, holders: Holders, now: MonotonicMs): { readonly load: PendingLoad, readonly choice: EngineChoice | undefined } {
-  const next = open.length === 0 ? undefined : chooseNextLoad(state, pending, open, pool, now)
+function chooseLoad (state: PlacementState, pending: readonly [PendingLoad, ...PendingLoad[]], open: CheapestEngines<PendingLoad>, holders: Holders, now: MonotonicMs): { readonly load: PendingLoad, readonly choice: EngineChoice | undefined } {
+  const next = open.isEmpty() ? undefined : chooseNextLoad(pending, open)
   return next ?? { load: pending[0], choice: chooseReplacement(state, pending[0].request, holders, now) }
 }
 
@@ -234,15 +234,15 @@
   const { now } = context
   const begun: PendingLoad[] = []
   let [first, ...rest] = requests.slice(0, MAX_TRIED_LOADS)
-  let { open } = opts
+  const open = createOpenEngines(state, opts.open, pool, now)
   while (first !== undefined) {
-    const { load, choice } = chooseLoad(state, [first, ...rest], open, pool, opts.holders, now)
+    const { load, choice } = chooseLoad(state, [first, ...rest], open, opts.holders, now)
     const isStoreFull = countStoreLoads(state) >= computeStoreLimit(pool)
     if (choice !== undefined && (choice.isCached || !isStoreFull)) {
       beginLoad(state, load.request, { ...choice, standing: load.standing }, context)
       state.history.recordLoad(now)
       begun.push(load)
-      open = open.filter(({ engine }) => engine !== choice.engine)
+      open.remove(choice.engine)
     }
     ;[first, ...rest] = [first, ...rest].filter(other => other !== load)
   }
