Let a peer refuse by lack of endpoints in the test of refusals

The test had a peer refuse a stream that has begun by a route table without its route. Since such a peer declines, so the test failed (3 of 3 runs: two lines of step 'forward' in place of one; the stream was served). The peer now has no endpoint, which is a refusal, and the test checks also that the outcome was 'refused'.

--- a/gateway/relay/test/endedByHost.test.ts
+++ b/gateway/relay/test/endedByHost.test.ts
@@ -33,10 +33,10 @@
       if (isHealthCheck(req)) res.end()
       else void writeEvents(req, res)
     })
-    const peer = await start(t, { endpoints: [await startEndpoint('e9', () => undefined)], route: { ...RESUMABLE, pathPrefix: '/other/' } })
-    const { call, lines } = await start(t, { endpoints: [first, await startLost('e2'), await startLost('e3'), other], route: RESUMABLE, peers: [peer.peer], othersLoad: { e1: 0, e2: 2, e3: 4, e4: 30 } })
+    const peer = await start(t, { endpoints: [], route: RESUMABLE })
+    const { call, lines, counts } = await start(t, { endpoints: [first, await startLost('e2'), await startLost('e3'), other], route: RESUMABLE, peers: [peer.peer], othersLoad: { e1: 0, e2: 2, e3: 4, e4: 30 } })
     expect(await call({ headers: HEADERS })).toEqual(expect.subset({ status: 200, body: WHOLE_STREAM, broken: false }))
-    expect(lines.filter(({ step }) => step === 'forward').length).toEqual(1)
+    expect([lines.filter(({ step }) => step === 'forward').length, counts.filter(count => count.startsWith('forwards'))]).toEqual([1, ['forwards refused']])
   })
 
   // Guards against a stream that is cut while the host finds out whether two failures within ms are its own path or the endpoints.
