Answer the requests of a connection one after the other

What callers saw: a request sent ahead on a kept connection ran at an endpoint and got no answer, its connection being closed. The response before it had neither a length nor chunks and ended the connection. A request sent ahead also ran for a caller that had left.

Cause: each request of a connection was passed on as it was read, although its response can only be sent after the one before it, and only if that one does not end the connection. Until then its response has no socket, so that Node.js emits no 'close' on it when the caller leaves: the request stayed among those being answered, and a forwarded one kept its place among the requests of peers.

Fix: a request is taken once the one before it on its connection is answered, and not at all if the connection has ended by then. Its time runs from its arrival as before. While the host drains, the last request that has arrived still carries 'Connection: close', so those before it are answered. The places of forwarded requests are given back when the handling ends, not at a 'close' that may not come.

Ruled out: passing requests on at once and holding back only those behind a response whose head has no length, which is known too late.

--- a/gateway/relay/src/relay.ts
+++ b/gateway/relay/src/relay.ts
@@ -11,6 +11,7 @@
 import type { MonotonicMs } from '@catkinferry/core.types'
 import { createEndpointNotices, createRequestLimits } from '@catkinferry/routing.endpoint-notices'
 import { beginExchange, findQuarantine, waitUntilCheckable } from './arrival.ts'
+import type { Arrival } from './arrival.ts'
 import type { AttemptEnd } from './attempt.ts'
 import { countHostEnd, HostEndOutcome, reportLost } from './attemptReport.ts'
 import { MAX_FORWARDED_REQUESTS, MAX_NOT_RUN_ATTEMPTS, MAX_STARTUP_WAIT_MS, RETRY_AFTER_MS, STARTUP_WAIT_FRACTION } from './constants.ts'
@@ -88,6 +89,7 @@
     exchanges: new Set(),
     forwardedCount: 0,
     closing: new WeakSet(),
+    turns: new WeakMap(),
     draining: false,
     drainTimes: undefined,
     lastTakenAt: Number.NEGATIVE_INFINITY
@@ -183,8 +185,11 @@
   else if (state.forwardedCount >= MAX_FORWARDED_REQUESTS) decline('this host serves as many requests of others as it may')
   else {
     state.forwardedCount += 1
-    res.once('close', () => { state.forwardedCount -= 1 })
-    await handle(state, req, res, forwarded)
+    try {
+      await handle(state, req, res, forwarded)
+    } finally {
+      state.forwardedCount -= 1
+    }
   }
 }
 
@@ -198,8 +203,27 @@
   res.once('close', () => state.answering.delete(res))
   if (state.draining) closeConnectionAfter(state, res)
   res.on('error', () => undefined)
+  const arrivedAt = state.opts.clock.getMonotonicMs() - (forwarded?.waitedMs ?? 0)
+  const turn = answerInTurn(state, { req, res, arrivedAt, forwarded }, state.turns.get(req.socket))
+  state.turns.set(req.socket, turn)
+  await turn
+}
+
+/** Answers a request once the one before it on the connection is answered: that response may end the connection, and only then would the caller's leaving be noticed. */
+async function answerInTurn (state: RelayState, arrival: Omit<Arrival, 'facts'>, earlier: Promise<void> | undefined): Promise<void> {
+  const { req, res } = arrival
+  await earlier
+  if (req.socket.destroyed || req.socket.writableEnded) {
+    state.answering.delete(res)
+    req.resume()
+    return
+  }
+  await answer(state, arrival)
+  if (!res.closed) await new Promise(resolve => { res.once('close', resolve) })
+}
+
+async function answer (state: RelayState, { req, res, arrivedAt, forwarded }: Omit<Arrival, 'facts'>): Promise<void> {
   try {
-    const arrivedAt = state.opts.clock.getMonotonicMs() - (forwarded?.waitedMs ?? 0)
     const facts = state.opts.dialect.readRequest(req.headers, req.rawHeaders)
     await state.opts.waitUntilReady(Math.min(MAX_STARTUP_WAIT_MS, (facts.deadlineMs ?? Infinity) * STARTUP_WAIT_FRACTION))
     const arrival = { req, res, facts, arrivedAt, forwarded }
--- a/gateway/relay/src/relayState.ts
+++ b/gateway/relay/src/relayState.ts
@@ -43,6 +43,8 @@
   forwardedCount: number
   /** Connections whose current response is their last. */
   readonly closing: WeakSet<Socket>
+  /** When the latest request of each connection is answered. */
+  readonly turns: WeakMap<Socket, Promise<void>>
   draining: boolean
   /** Which requests are still taken while the host stops; undefined if all. */
   drainTimes: DrainTimes | undefined
--- a/gateway/relay/test/unframed.test.ts
+++ b/gateway/relay/test/unframed.test.ts
@@ -1,8 +1,10 @@
 import { expect } from 'earl'
+import { once } from 'node:events'
 import { afterEach, describe, it } from 'node:test'
 import type { Socket } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { startEndpoint, startRawEndpoint, startTestRelay } from './testRelay.ts'
-import type { CallResult, TestRelay, TestRelayOptions } from './testRelay.ts'
+import type { CallResult, Endpoint, TestRelay, TestRelayOptions } from './testRelay.ts'
 
 let testRelay: TestRelay | undefined
 
@@ -119,3 +121,52 @@
     expect(await callOnce('all of it', UNFRAMED, {})).toEqual(expect.subset({ status: 200, body: 'all of it', broken: false }))
   })
 })
+
+describe('requests that a caller sends ahead on one connection', () => {
+  const AHEAD = ['id1', 'id2'].map(id => `POST /p/x HTTP/1.1\r\nHost: h.example\r\nX-Id: ${id}\r\nContent-Length: 0\r\n\r\n`).join('')
+
+  interface Ahead {
+    readonly endpoint: Endpoint
+    readonly socket: Socket
+    /** The ids that the endpoint has received. */
+    readonly received: readonly string[]
+  }
+
+  async function sendAhead (answer: (socket: Socket, id: string) => void): Promise<Ahead> {
+    const received: string[] = []
+    const endpoint = await startRawEndpoint('e1', (socket, text) => {
+      const id = /x-id: (\S+)/i.exec(text)?.[1] ?? ''
+      received.push(id)
+      answer(socket, id)
+    })
+    testRelay = await startTestRelay({ endpoints: [endpoint] })
+    const socket = testRelay.dial()
+    socket.resume()
+    socket.write(AHEAD)
+    return { endpoint, socket, received }
+  }
+
+  // Guards against a request that runs and gets no answer, since the response before it has no length and ends the connection.
+  it('are not passed on behind a response without length or chunks', async () => {
+    const { socket, received } = await sendAhead((endpointSocket, id) => setTimeout(() => endpointSocket.end(`HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nX-Stamp: s\r\n\r\nwhole`), 50))
+    await once(socket, 'close')
+    expect(received).toEqual(['id1'])
+  })
+
+  // Guards against a request that runs although its caller has left: a response that waits for the one before it does not learn of that.
+  it('are not passed on once the caller has left', async () => {
+    const { socket, received } = await sendAhead(() => socket.destroy())
+    const { relay } = testRelay as TestRelay
+    while (relay.getActiveCount() > 0) await sleep(5)
+    await sleep(50)
+    expect(received).toEqual(['id1'])
+  })
+
+  it('are answered in their order', async () => {
+    const { socket, received } = await sendAhead((endpointSocket, id) => { endpointSocket.write(`HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nX-Stamp: s\r\nContent-Length: 3\r\n\r\n${id}`) })
+    let text = ''
+    socket.on('data', chunk => { text += String(chunk) })
+    while (!text.endsWith('id2')) await once(socket, 'data')
+    expect([received, text.split('200 OK').length - 1]).toEqual([['id1', 'id2'], 2])
+  })
+})
