Do not resume streams after events without an id

What callers could see: an event twice. A stream that broke off after events without an id was resumed after the last id, or begun anew if there was none, and the next endpoint sent them again.

Fix: the record of delivered events keeps whether the last one has an id; only then may the request run elsewhere. What has neither id nor data, such as a comment, counts for nothing, as clients dispatch no event for it.

Evidence: the three tests that expect a cut failed before with the event twice and the stream ended as complete, and pass now; the two with comments before the break, and with an id after an event without one, passed before as well.

--- a/gateway/relay/src/eventSplitter.ts
+++ b/gateway/relay/src/eventSplitter.ts
@@ -6,6 +6,7 @@
 const LINE_FEED = 10
 const CARRIAGE_RETURN = 13
 const ID_FIELD = /^id:[ ]?(.*)$/m
+const DATA_FIELD = /^data(?::|$)/m
 /** A line of an event stream: a field, a comment, or the blank line after an event. */
 const EVENT_LINE = /^(?:id|data|event|retry)?(?::|$)/
 
@@ -42,24 +43,32 @@
 /** The events of a stream that its caller has. Kept for the whole request, over all endpoints that continue the stream. */
 export interface DeliveredEvents {
   readonly has: (id: string) => boolean
-  readonly add: (id: string) => void
+  /** An event without an id is added as undefined. */
+  readonly add: (id: string | undefined) => void
+  /** Whether no event without an id came after the last that has one, so that the stream can be resumed after that. */
+  readonly endsWithId: () => boolean
 }
 
 /** `lastEventId`: last event that the caller has from an earlier request. Numeric IDs increase; others are compared one by one. */
 export function createDeliveredEvents (lastEventId?: string): DeliveredEvents {
   const ids = new Set<string>()
   let lastNumber = Number.NEGATIVE_INFINITY
-  const add = (id: string): void => {
+  let endsWithId = true
+  const add = (id: string | undefined): void => {
+    endsWithId = id !== undefined
+    if (id === undefined) return
     const number = Number(id)
     if (!Number.isNaN(number)) lastNumber = Math.max(lastNumber, number)
     else if (ids.size < MAX_REMEMBERED_IDS) ids.add(id)
   }
   if (lastEventId !== undefined) add(lastEventId)
-  return { add, has: id => ids.has(id) || Number(id) <= lastNumber }
+  return { add, has: id => ids.has(id) || Number(id) <= lastNumber, endsWithId: () => endsWithId }
 }
 
-function listIds (events: string): string[] {
-  return events.split(/\r?\n\r?\n/).map(event => ID_FIELD.exec(event)?.[1]?.trim()).filter(id => id !== undefined)
+/** IDs of the events, undefined for those that have data and no ID. What has neither, such as a comment, is no event. */
+function listIds (events: string): Array<string | undefined> {
+  const blocks = events.split(/\r?\n\r?\n/).map(text => ({ id: ID_FIELD.exec(text)?.[1]?.trim(), hasData: DATA_FIELD.test(text) }))
+  return blocks.filter(({ id, hasData }) => id !== undefined || hasData).map(({ id }) => id)
 }
 
 function hasOnlyEventLines (text: string): boolean {
@@ -98,7 +107,7 @@
       const events = dropDelivered(bytes.subarray(0, end), delivered)
       const ids = listIds(events.toString('latin1'))
       for (const id of ids) delivered.add(id)
-      lastId = ids.at(-1) ?? lastId
+      lastId = ids.findLast(id => id !== undefined) ?? lastId
       return events
     },
     takeRest: () => {
--- a/gateway/relay/test/continuedStreams.test.ts
+++ b/gateway/relay/test/continuedStreams.test.ts
@@ -140,6 +140,35 @@
   }
 })
 
+describe('a stream that broke off after', () => {
+  // Guards against an event that comes twice: the next endpoint goes on after the last event with an id, and sends those without one again.
+  for (const [name, text] of [
+    ['an event without an id', 'data: a\n\n'],
+    ['an event without an id that follows others', `${BEGINNING}event: x\r\ndata: a\r\n\r\n`],
+    ['an event without an id that a comment follows', `${BEGINNING}data\n\n: waiting\n\n`]
+  ] as const) {
+    it(`${name} is cut, and the request runs nowhere else`, async t => {
+      const first = await startBeginning(EVENT_STREAM, text)
+      const second = await startAnswering('e2', `200 OK\r\n${IDENTITY}${EVENT_STREAM}${frameInChunks(`data: a\n\n${REST}`)}`)
+      const relay = await start(t, { endpoints: [first.endpoint, second] })
+      const { body, broken } = await callBroken(relay, first)
+      expect([body, broken, second.requests.length]).toEqual([text, true, 0])
+    })
+  }
+
+  for (const [name, text] of [
+    ['a comment and a retry time', `${BEGINNING}: waiting\n\nretry: 100\n\n`],
+    ['an event with an id that follows one without', `data: a\n\n${BEGINNING}`]
+  ] as const) {
+    it(`${name} goes on at the next endpoint`, async t => {
+      const first = await startBeginning(EVENT_STREAM, text)
+      const relay = await start(t, { endpoints: [first.endpoint, await startAnswering('e2', CONTINUATIONS['in chunks'] ?? '')] })
+      const { body, broken } = await callBroken(relay, first)
+      expect([body, broken]).toEqual([text + REST, false])
+    })
+  }
+})
+
 describe('a stream whose endpoints state no content type', () => {
   it('goes on with events, of no stated type or as events', async t => {
     for (const response of [`200 OK\r\n${IDENTITY}${frameInChunks(REST)}`, CONTINUATIONS['in chunks'] ?? '']) {
