Tell peers what the caller has of a stream that broke off

What callers saw: a stream that broke off and went on at a peer was cut when the first endpoint there answered with a redirect, a document, a 204 or a long error, although the route allowed another endpoint.

Fix: forwarded requests carry the head of the stream that was begun, and the peer judges responses by it as the other host would. The field is optional; a peer of an earlier release ignores it, and its answer is judged by the host that forwards, which cuts the stream as before.

--- a/gateway/relay/src/arrival.ts
+++ b/gateway/relay/src/arrival.ts
@@ -149,7 +149,7 @@
     softwareVersion: forwarded?.softwareVersion,
     delivered: createDeliveredEvents(progress.lastEventId),
     headSent: false,
-    resumableHead: undefined,
+    resumableHead: forwarded?.resumableHead,
     isUnframed: false,
     offered: false,
     firstByteMs: undefined,
--- a/gateway/relay/src/attempt.ts
+++ b/gateway/relay/src/attempt.ts
@@ -89,11 +89,11 @@
 
 /** Headers that tell a peer how far the request has come. All that the caller sent goes along. */
 function buildPeerHeaders ({ relay, exchange }: SendOptions): string[] {
-  const { pool, routesVersion, deadlineAt, arrivedAt, tried, lastEventId, softwareVersion, chargedUnits } = exchange
+  const { pool, routesVersion, deadlineAt, arrivedAt, tried, lastEventId, softwareVersion, resumableHead, chargedUnits } = exchange
   const now = relay.clock.getMonotonicMs()
   const left = countEndpointsLeft(exchange)
   const maxEndpoints = Math.min(left, 1)
-  return [FORWARDED_HEADER, encodeForwarded({ waitedMs: now - arrivedAt, remainingMs: Math.max(0, deadlineAt - now), routesVersion, pool: pool.name, maxEndpoints, furtherEndpoints: left - maxEndpoints, tried: [...tried], lastEventId, softwareVersion, ...(chargedUnits === undefined ? {} : { isCharged: true }) })]
+  return [FORWARDED_HEADER, encodeForwarded({ waitedMs: now - arrivedAt, remainingMs: Math.max(0, deadlineAt - now), routesVersion, pool: pool.name, maxEndpoints, furtherEndpoints: left - maxEndpoints, tried: [...tried], lastEventId, softwareVersion, resumableHead, ...(chargedUnits === undefined ? {} : { isCharged: true }) })]
 }
 
 function buildEndpointHeaders ({ relay, exchange, target }: SendOptions): readonly string[] {
--- a/gateway/relay/src/exchange.ts
+++ b/gateway/relay/src/exchange.ts
@@ -78,7 +78,7 @@
   /** Events that the caller has, of a resumable stream. */
   readonly delivered: DeliveredEvents
   headSent: boolean
-  /** Head of a stream of which the caller has the beginning, and that another endpoint may go on with. */
+  /** Head of a stream of which the caller has the beginning, from here or from the host that has forwarded the request, and that another endpoint may go on with. */
   resumableHead: ResponseHead | undefined
   /** The response to the caller has neither a length nor chunks, so it ends with its connection. */
   isUnframed: boolean
--- a/gateway/relay/src/forwardedRequest.ts
+++ b/gateway/relay/src/forwardedRequest.ts
@@ -36,6 +36,8 @@
   /** Where a stream goes on that has begun, and at which software version. */
   lastEventId: z.string().optional(),
   softwareVersion: z.string().optional(),
+  /** Head of that stream. Absent: the caller has nothing of a stream, or the sender does not say. */
+  resumableHead: z.object({ status: z.number().int(), mediaType: z.string().optional(), isEncoded: z.boolean() }).optional(),
   /** Whether the sender has taken its units from the account's quota. Absent: it has not. */
   isCharged: z.boolean().optional()
 })
--- a/gateway/relay/src/responseRole.ts
+++ b/gateway/relay/src/responseRole.ts
@@ -14,7 +14,7 @@
 export interface ResponseHead {
   readonly status: number
   /** In lower case and without parameters; undefined if the response states none. */
-  readonly mediaType: string | undefined
+  readonly mediaType?: string
   /** Whether the body has a content encoding. */
   readonly isEncoded: boolean
 }
@@ -22,7 +22,7 @@
 /** What a caller has of the response to its request. */
 export interface SentPart {
   readonly headSent: boolean
-  /** Head of the stream that another endpoint may go on with; undefined for any other response. */
+  /** Head of the stream that another endpoint may go on with; undefined for any other response. A peer may go on with one that another host has begun to send. */
   readonly resumableHead: ResponseHead | undefined
 }
 
@@ -45,7 +45,7 @@
 
 /** A stream goes on with a response of the same status and type. One that stated no type may go on as an event stream that states it. */
 export function findResponseRole ({ headSent, resumableHead: sent }: SentPart, { status, mediaType, isEncoded }: ResponseHead): ResponseRole {
-  if (!headSent) return ResponseRole.ANSWER
-  if (sent === undefined || status !== sent.status || isEncoded) return ResponseRole.FAILURE
+  if (sent === undefined) return headSent ? ResponseRole.FAILURE : ResponseRole.ANSWER
+  if (status !== sent.status || isEncoded) return ResponseRole.FAILURE
   return mediaType === sent.mediaType || mediaType === EVENT_STREAM ? ResponseRole.CONTINUATION : ResponseRole.FAILURE
 }
--- a/gateway/relay/src/sendAnswer.ts
+++ b/gateway/relay/src/sendAnswer.ts
@@ -238,10 +238,10 @@
 
 function streamResponse (attempt: Attempt, response: IncomingMessage, firstBytes: Buffer = Buffer.alloc(0)): void {
   const { exchange, settle, isSettled, request, isComplete } = attempt
-  const { route, delivered, lastEventId, headSent } = exchange
+  const { route, delivered, lastEventId, resumableHead } = exchange
   const head = readResponseHead(response)
   const splitter = isEventStream(route, head) ? createEventSplitter(route.resumable ? delivered : undefined, lastEventId, head.mediaType !== undefined) : undefined
-  const state: StreamState = { attempt, response, head, isContinuation: headSent, splitter, bytes: 0 }
+  const state: StreamState = { attempt, response, head, isContinuation: resumableHead !== undefined, splitter, bytes: 0 }
   writeChunk(state, firstBytes)
   response.on('data', (chunk: Buffer) => receiveChunk(state, chunk))
   response.on('end', () => {
--- a/gateway/relay/test/continuedStreams.test.ts
+++ b/gateway/relay/test/continuedStreams.test.ts
@@ -245,31 +245,42 @@
 
 describe('a stream that broke off and goes on at a peer', () => {
   /** The endpoints of the caller's host but for the first are out of its reach, so that a peer runs the retry. */
-  async function callWithPeer (t: TestContext, response: string): Promise<CallResult & { readonly ran: number }> {
-    const first = await startBeginning()
+  async function callWithPeer (t: TestContext, responses: readonly string[], headers?: string): Promise<CallResult & { readonly ran: readonly number[] }> {
+    const first = await startBeginning(headers)
     const lost = await startEndpoint('e2', () => undefined)
     lost.close()
-    const second = await startAnswering('e2', response)
-    const peer = await start(t, { endpoints: [second] })
+    const further = await Promise.all(responses.map((response, index) => startAnswering(`e${index + 2}`, response)))
+    const peer = await start(t, { endpoints: further })
     const relay = await start(t, { endpoints: [first.endpoint, lost], peers: [peer.peer] })
-    return { ...await callBroken(relay, first), ran: second.requests.length }
+    return { ...await callBroken(relay, first), ran: further.map(({ requests }) => requests.length) }
   }
 
   // Guards against an answer of the peer's endpoint, or of the peer itself, in the middle of a stream.
   for (const [name, response] of Object.entries(OTHER_RESPONSES)) {
     it(`is cut if that is answered with ${name}`, async t => {
-      const { body, broken, ran } = await callWithPeer(t, response)
-      expect([body, broken, ran]).toEqual([BEGINNING, true, 1])
+      const { body, broken, ran } = await callWithPeer(t, [response])
+      expect([body, broken, ran]).toEqual([BEGINNING, true, [1]])
+    })
+
+    // Guards against a stream that is cut although the route allows another endpoint: the peer took the response for the answer.
+    it(`goes on at the peer's next endpoint if that is answered with ${name}`, async t => {
+      const { body, broken, ran } = await callWithPeer(t, [response, CONTINUATIONS['in chunks'] ?? ''])
+      expect([body, broken, ran]).toEqual([BEGINNING + REST, false, [1, 1]])
     })
   }
 
+  it('goes on there if its type was not stated', async t => {
+    const { body, broken } = await callWithPeer(t, [`200 OK\r\n${IDENTITY}${frameInChunks(REST)}`], '')
+    expect([body, broken]).toEqual([BEGINNING + REST, false])
+  })
+
   it('is cut if the peer loses it', async t => {
-    const { body, broken, ran } = await callWithPeer(t, `200 OK\r\n${IDENTITY}${EVENT_STREAM}Content-Length: 5\r\n\r\nid: 2`)
-    expect([body, broken, ran]).toEqual([BEGINNING, true, 1])
+    const { body, broken, ran } = await callWithPeer(t, [`200 OK\r\n${IDENTITY}${EVENT_STREAM}Content-Length: 5\r\n\r\nid: 2`])
+    expect([body, broken, ran]).toEqual([BEGINNING, true, [1]])
   })
 
   it('goes on with the events that the peer gets', async t => {
-    const { body, broken } = await callWithPeer(t, CONTINUATIONS['in chunks'] ?? '')
+    const { body, broken } = await callWithPeer(t, [CONTINUATIONS['in chunks'] ?? ''])
     expect([body, broken]).toEqual([BEGINNING + REST, false])
   })
 })
--- a/gateway/relay/test/responseRole.test.ts
+++ b/gateway/relay/test/responseRole.test.ts
@@ -11,20 +11,21 @@
   nothing: { headSent: false, resumableHead: undefined },
   'the beginning of events': { headSent: true, resumableHead: EVENTS },
   'the beginning of events whose type was not stated': { headSent: true, resumableHead: UNTYPED },
+  'the beginning of events from another host': { headSent: false, resumableHead: EVENTS },
   'the beginning of anything else': { headSent: true, resumableHead: undefined }
 }
 
 /** Responses, and what they are to a caller with each of the above. */
 const ROLES: Readonly<Record<string, readonly [ResponseHead, readonly ResponseRole[]]>> = {
-  events: [EVENTS, [ANSWER, CONTINUATION, CONTINUATION, FAILURE]],
-  'a response of no stated type': [UNTYPED, [ANSWER, FAILURE, CONTINUATION, FAILURE]],
-  'a document': [{ ...EVENTS, mediaType: 'application/json' }, [ANSWER, FAILURE, FAILURE, FAILURE]],
-  'encoded events': [{ ...EVENTS, isEncoded: true }, [ANSWER, FAILURE, FAILURE, FAILURE]],
-  'an error': [{ ...EVENTS, status: 500 }, [ANSWER, FAILURE, FAILURE, FAILURE]],
-  'an error of no stated type': [{ ...UNTYPED, status: 503 }, [ANSWER, FAILURE, FAILURE, FAILURE]],
-  'no content': [{ ...UNTYPED, status: 204 }, [ANSWER, FAILURE, FAILURE, FAILURE]],
-  'partial content': [{ ...EVENTS, status: 206 }, [ANSWER, FAILURE, FAILURE, FAILURE]],
-  'a redirect': [{ ...UNTYPED, status: 302 }, [ANSWER, FAILURE, FAILURE, FAILURE]]
+  events: [EVENTS, [ANSWER, CONTINUATION, CONTINUATION, CONTINUATION, FAILURE]],
+  'a response of no stated type': [UNTYPED, [ANSWER, FAILURE, CONTINUATION, FAILURE, FAILURE]],
+  'a document': [{ ...EVENTS, mediaType: 'application/json' }, [ANSWER, FAILURE, FAILURE, FAILURE, FAILURE]],
+  'encoded events': [{ ...EVENTS, isEncoded: true }, [ANSWER, FAILURE, FAILURE, FAILURE, FAILURE]],
+  'an error': [{ ...EVENTS, status: 500 }, [ANSWER, FAILURE, FAILURE, FAILURE, FAILURE]],
+  'an error of no stated type': [{ ...UNTYPED, status: 503 }, [ANSWER, FAILURE, FAILURE, FAILURE, FAILURE]],
+  'no content': [{ ...UNTYPED, status: 204 }, [ANSWER, FAILURE, FAILURE, FAILURE, FAILURE]],
+  'partial content': [{ ...EVENTS, status: 206 }, [ANSWER, FAILURE, FAILURE, FAILURE, FAILURE]],
+  'a redirect': [{ ...UNTYPED, status: 302 }, [ANSWER, FAILURE, FAILURE, FAILURE, FAILURE]]
 }
 
 describe('the role of a response', () => {
