Test other places that write to a caller who has part of a response

What callers could see: a stream whose endpoint had fallen silent ended with what the endpoint in its place answered, although the first endpoint went on.

--- a/endpoints/engine-driver/test/engineDriver.test.ts
+++ b/endpoints/engine-driver/test/engineDriver.test.ts
@@ -76,6 +76,31 @@
     expect(events.flatMap(event => event.kind === 'attempt.chunk' ? [event.index] : [])).toEqual([2])
   })
 
+  // Guards against a response to a resumed stream that passes for its rest: an error, a redirect, text or nothing at all.
+  for (const [name, response] of [
+    ['an error', '500 Failed\r\nContent-Length: 8\r\n\r\nan error'],
+    ['a redirect', '302 Found\r\nLocation: /q\r\nContent-Length: 0\r\n\r\n'],
+    ['no content', '204 No Content\r\n\r\n'],
+    ['an empty body', '200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n'],
+    ['a text', '200 OK\r\nContent-Type: text/plain\r\nContent-Length: 8\r\n\r\nan error'],
+    ['a line among events', '200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 10\r\n\r\nan error\n\n'],
+    ['an error event', '200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 21\r\n\r\ndata: {"error":"x"}\n\n']
+  ] as const) {
+    it(`fails a resumed stream that is answered with ${name}`, async t => {
+      const server = createServer(socket => {
+        t.after(() => socket.destroy())
+        socket.on('error', () => undefined)
+        socket.once('data', () => socket.write(`HTTP/1.1 ${response}`))
+      })
+      t.after(() => server.close())
+      server.listen(0, '127.0.0.1')
+      await once(server, 'listening')
+      driver.startAttempt({ ...buildStart({ resumeFrom: 2 }), url: `http://127.0.0.1:${(server.address() as AddressInfo).port}` })
+      await waitFor('attempt.failed')
+      expect(events.map(({ kind }) => kind)).toEqual(['attempt.failed'])
+    })
+  }
+
   it('emits a non-streamed response as one chunk with its token count', async () => {
     await startEngine({})
     driver.startAttempt(buildStart({ work: { stream: false }, freshConnection: true }))
--- a/gateway/relay/test/continuedStreams.test.ts
+++ b/gateway/relay/test/continuedStreams.test.ts
@@ -42,6 +42,7 @@
 const CONTINUATIONS: Readonly<Record<string, string>> = {
   'in chunks': `200 OK\r\n${IDENTITY}${EVENT_STREAM}${frameInChunks(REST)}`,
   'with a length': `200 OK\r\n${IDENTITY}${EVENT_STREAM}${frameWithLength(REST)}`,
+  'after a 103': `103 Early Hints\r\nLink: </q>\r\n\r\nHTTP/1.1 200 OK\r\n${IDENTITY}${EVENT_STREAM}${frameInChunks(REST)}`,
   'with a charset': `200 OK\r\n${IDENTITY}Content-Type: Text/Event-Stream; charset=utf-8\r\n${frameInChunks(REST)}`
 }
 
@@ -243,6 +244,28 @@
   })
 })
 
+describe('a response that may not go on elsewhere', () => {
+  // Guards against bytes of two endpoints in one response on routes whose requests are repeated at most before the first byte.
+  for (const [name, route, text] of [
+    ['a stream that is not resumable', { ...RESUMABLE, resumable: false }, BEGINNING],
+    ['a long response to a request that may be repeated', { ...RESUMABLE, kind: 'idempotent', resumable: false }, LONG_ERROR]
+  ] as const) {
+    it(`is cut if it breaks off: ${name}`, async t => {
+      const first = await startBeginning(EVENT_STREAM, text)
+      const second = await startAnswering('e2', CONTINUATIONS['in chunks'] ?? '')
+      const relay = await start(t, { endpoints: [first.endpoint, second], route })
+      let got = 0
+      const { body, broken } = await relay.call({
+        onPart: part => {
+          got += part.length
+          if (got === text.length) first.reset()
+        }
+      })
+      expect([body === text, broken, second.requests.length]).toEqual([true, true, 0])
+    })
+  }
+})
+
 describe('a stream that broke off and goes on at a peer', () => {
   /** The endpoints of the caller's host but for the first are out of its reach, so that a peer runs the retry. */
   async function callWithPeer (t: TestContext, responses: readonly string[], headers?: string): Promise<CallResult & { readonly ran: readonly number[] }> {
--- a/gateway/relay/test/doubtedAttempts.test.ts
+++ b/gateway/relay/test/doubtedAttempts.test.ts
@@ -5,12 +5,14 @@
 import { expect } from 'earl'
 import { once } from 'node:events'
 import { request } from 'node:http'
+import type { ServerResponse } from 'node:http'
 import { createServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
 import { describe, it } from 'node:test'
 import type { TestContext } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { isDeepStrictEqual } from 'node:util'
+import { MAX_BUFFERED_RESPONSE_BYTES } from '../src/constants.ts'
 import { encodeForwarded, FORWARDED_HEADER } from '../src/forwardedRequest.ts'
 import { formatEvent, formatHead, isHealthCheck } from './stallingEndpoint.ts'
 import { answerOk, startEndpoint, startTestRelay } from './testRelay.ts'
@@ -176,6 +178,30 @@
     expect(ends.some(({ tried, refusedBy }) => isDeepStrictEqual(tried, ['silent', 'other']) && refusedBy === undefined)).toEqual(true)
   })
 
+  // Guards against a stream that ends with what was answered in its place while its endpoint was silent, which goes on with it.
+  for (const [name, respond] of [
+    ['a redirect', (res: ServerResponse) => res.writeHead(302, { 'X-Id': 'id1', 'X-Stamp': 's', Location: '/q' }).end('text\n\n')],
+    ['no content', (res: ServerResponse) => res.writeHead(204, { 'X-Id': 'id1', 'X-Stamp': 's' }).end()],
+    ['a document', (res: ServerResponse) => res.writeHead(200, { 'X-Id': 'id1', 'X-Stamp': 's', 'Content-Type': 'application/json' }).end('{}\n\n')],
+    ['a long error', (res: ServerResponse) => res.writeHead(500, { 'X-Id': 'id1', 'X-Stamp': 's' }).end('x'.repeat(MAX_BUFFERED_RESPONSE_BYTES + 1))]
+  ] as const) {
+    it(`goes on with its stream if its replacement is answered with ${name}`, async t => {
+      const ran: string[] = []
+      let first: Socket | undefined
+      const silent = await startClosing(socket => {
+        first = socket
+        socket.write(STREAM_HEAD + formatChunk(formatEvent(1)))
+      })
+      const other = await startCounting('other', ran, (_req, res) => {
+        respond(res)
+        setTimeout(() => first?.write(`${formatChunk(formatEvent(2))}0\r\n\r\n`), 100)
+      })
+      const { call } = await start(t, { endpoints: [silent, other], othersLoad: { silent: 0, other: 3 }, route: RESUMABLE })
+      const { body, broken } = await call({ headers: { 'X-Deadline': '4000' } })
+      expect([body, broken, ran]).toEqual([formatEvent(1) + formatEvent(2), false, ['other']])
+    })
+  }
+
   // Guards against a stream that is cut because a peer that was asked while its endpoint was silent counts for all endpoints.
   it('goes on elsewhere if its endpoint goes on and then breaks, after a peer was asked', async t => {
     const silent = await startClosing(socket => {
--- a/routing/requests/test/failures.test.ts
+++ b/routing/requests/test/failures.test.ts
@@ -112,6 +112,25 @@
     expect(harness.list('caller.end').length).toEqual(1)
   })
 
+  // Guards against a response that is judged as if the caller had nothing yet: it would follow the chunks that were sent, or end the stream as complete.
+  for (const [name, events] of [
+    ['begins anew', [{ kind: 'attempt.started', status: 200 }, { kind: 'attempt.chunk', index: 0, data: 'x', tokens: 1 }]],
+    ['is a whole document', [{ kind: 'attempt.started', status: 200, contentType: 'application/json' }, { kind: 'attempt.chunk', index: 0, data: '{}', tokens: 1 }, { kind: 'attempt.ended', chunks: 1 }]],
+    ['is empty', [{ kind: 'attempt.ended', chunks: 0 }]],
+    ['ends without a chunk', [{ kind: 'attempt.ended', chunks: 1 }]]
+  ] as const) {
+    it(`is not resumed with a response that ${name}`, () => {
+      const { harness } = startOne({ work: GREEDY })
+      harness.overrides['stream.resumeEnabled'] = true
+      cut(harness)
+      harness.advance(50)
+      harness.grant('r1.2', { endpoint: harness.listSent('grant.ask').at(-1)?.endpoint ?? '' })
+      const echo = createEcho('r1.2')
+      for (const event of events) harness.receiveAttempt({ ...event, attemptId: 'r1.2', echo })
+      expect([harness.list('caller.head').length, harness.list('caller.chunk').map(({ data }) => data), harness.list('caller.end').length]).toEqual([1, ['one '], 0])
+    })
+  }
+
   it('fails when a chunk is missing or the count of chunks is wrong', () => {
     for (const [index, chunks] of [[1, 1], [0, 2]] as const) {
       const { harness } = startOne()
