Do not complete a stream by the close of the endpoint that goes on with it

What callers could see: a stream that ended as complete before its last event, when it had broken off and the endpoint that went on with it, whose response had neither a length nor chunks, closed its connection between two events, as a crash does.

Fix: a continuation without framing completes a response only if that has none either. Otherwise the attempt counts as lost after its last event, and the next endpoint goes on or says that nothing is left. It is no sign of a crash.

Evidence: the tests that expect a cut, and the question to a third endpoint, failed before (complete after two events; no request to the third), and pass now; a stream that began without framing ends in order before and after.

--- a/gateway/relay/src/sendAnswer.ts
+++ b/gateway/relay/src/sendAnswer.ts
@@ -159,6 +159,8 @@
   exchange.res.writeHead(response.statusCode ?? 0, selectEndToEnd(response.rawHeaders, route.resumable ? CONTENT_LENGTH : NO_HEADERS))
 }
 
+type LostEnd = Extract<AttemptEnd, { kind: 'lost' }>
+
 interface StreamState {
   readonly attempt: Attempt
   readonly response: IncomingMessage
@@ -175,7 +177,7 @@
   exchange.lastChunkAt = now
 }
 
-function loseStream ({ attempt: { settle, request } }: StreamState, end: Pick<Extract<AttemptEnd, { kind: 'lost' }>, 'reason' | 'hostReason'>): void {
+function loseStream ({ attempt: { settle, request } }: StreamState, end: Pick<LostEnd, 'reason' | 'hostReason'>): void {
   settle({ kind: 'lost', ...end })
   request.destroy()
 }
@@ -213,14 +215,19 @@
   response.once('close', release)
 }
 
-/** Why a response that has ended is not complete; undefined if it is. One that has no length or chunks may have ended at any point. */
-function findBreak ({ attempt: { exchange }, splitter, response, isContinuation }: StreamState): string | undefined {
+/**
+ * How a response that has ended was broken off; undefined if it is complete. One that has no length or chunks may have ended at any
+ * point: what began so ends so, but framing that was begun is completed only by a response that is known to be complete.
+ */
+function findBreak ({ attempt: { exchange }, splitter, response, isContinuation }: StreamState): Pick<LostEnd, 'reason' | 'isBroken'> | undefined {
   if (splitter === undefined) return undefined
-  if (splitter.isInsideEvent()) return 'the stream ended inside an event'
-  if (splitter.hasEvents()) return undefined
-  if (!isFramed(response)) return 'the stream ended before its first event'
+  const isBroken = !isFramed(response)
+  if (splitter.isInsideEvent()) return { reason: 'the stream ended inside an event', isBroken }
+  if (isBroken && !splitter.hasEvents()) return { reason: 'the stream ended before its first event', isBroken }
+  if (!isContinuation) return undefined
+  if (isBroken && !exchange.isUnframed) return { reason: 'the rest of the stream ended with its connection' }
   // An endpoint that has nothing left to send must have been told what the caller has.
-  return isContinuation && exchange.lastEventId === undefined ? 'the stream that the caller has begins anew without events' : undefined
+  return splitter.hasEvents() || exchange.lastEventId !== undefined ? undefined : { reason: 'the stream that the caller has begins anew without events' }
 }
 
 function receiveChunk (state: StreamState, chunk: Buffer): void {
@@ -246,9 +253,9 @@
   response.on('data', (chunk: Buffer) => receiveChunk(state, chunk))
   response.on('end', () => {
     if (!isComplete() || isSettled() || exchange.ended !== undefined) return
-    const reason = findBreak(state)
-    if (reason !== undefined) {
-      settle({ kind: 'lost', reason, isBroken: !isFramed(response) })
+    const broken = findBreak(state)
+    if (broken !== undefined) {
+      settle({ kind: 'lost', ...broken })
       return
     }
     attempt.select()
--- a/gateway/relay/test/continuedStreams.test.ts
+++ b/gateway/relay/test/continuedStreams.test.ts
@@ -170,6 +170,40 @@
   }
 })
 
+describe('a stream that goes on at an endpoint whose response ends with its connection', () => {
+  const UNFRAMED = `HTTP/1.1 200 OK\r\n${IDENTITY}${EVENT_STREAM}Connection: close\r\n\r\n${formatEvent(2)}`
+
+  const startClosing = (): Promise<Endpoint> => startRawEndpoint('e2', (socket, request) => { if (request.includes('id1')) socket.end(UNFRAMED) })
+
+  // Guards against a stream that ends as complete after an endpoint has crashed: a closed connection does not tell that it is whole.
+  it('does not end as complete', async t => {
+    const first = await startBeginning()
+    const relay = await start(t, { endpoints: [first.endpoint, await startClosing()] })
+    const { body, broken } = await callBroken(relay, first)
+    expect([body, broken]).toEqual([BEGINNING + formatEvent(2), true])
+  })
+
+  it('ends as complete once another endpoint has told that it is', async t => {
+    const first = await startBeginning()
+    const third = await startAnswering('e3', `200 OK\r\n${IDENTITY}${EVENT_STREAM}${frameInChunks('')}`)
+    const relay = await start(t, { endpoints: [first.endpoint, await startClosing(), third] })
+    const { body, broken } = await callBroken(relay, first)
+    expect([body, broken, third.requests.map(request => /x-resume: (\w+)/i.exec(request)?.[1])]).toEqual([BEGINNING + formatEvent(2), false, ['2']])
+  })
+
+  it('closes the connection in order if it began without length or chunks too', async t => {
+    let socket: Socket | undefined
+    const first = await startRawEndpoint('e1', (connection, request) => {
+      if (!request.includes('id1')) return
+      socket = connection
+      socket.write(`HTTP/1.1 200 OK\r\n${IDENTITY}${EVENT_STREAM}\r\n${BEGINNING}`)
+    })
+    const relay = await start(t, { endpoints: [first, await startClosing()] })
+    const { body, broken } = await relay.call({ onPart: () => { socket?.resetAndDestroy() } })
+    expect([body, broken, findStatuses(relay)]).toEqual([BEGINNING + formatEvent(2), false, [200]])
+  })
+})
+
 describe('a stream whose endpoints state no content type', () => {
   it('goes on with events, of no stated type or as events', async t => {
     for (const response of [`200 OK\r\n${IDENTITY}${frameInChunks(REST)}`, CONTINUATIONS['in chunks'] ?? '']) {
