Find all events of a stream whose lines end with carriage returns

What callers could see: an event twice. Of several events that arrived in one chunk, the id of the first was taken for the last one that the caller has, and the next endpoint was asked to go on after it.

Cause: the end of an event is found at any of the line ends that event streams may have, but the list of ids, and what is dropped as delivered, knew only line feeds, alone or after a carriage return.

Evidence: the unit test with carriage returns failed before with last id 1 of 2, and passes; all 472 tests of gateway/relay pass (load average 15 to 24).

--- a/gateway/relay/src/eventSplitter.ts
+++ b/gateway/relay/src/eventSplitter.ts
@@ -5,6 +5,9 @@
 
 const LINE_FEED = 10
 const CARRIAGE_RETURN = 13
+/** The end of an event and the position after it. Lines end with a line feed, a carriage return or both. */
+const EVENT_END = /(?:\r\n|\n|\r(?!\n)){2}/
+const AFTER_EVENT = /(?<=(?:\r\n|\n|\r(?!\n)){2})/
 const ID_FIELD = /^id:[ ]?(.*)$/m
 const DATA_FIELD = /^data(?::|$)/m
 /** A line of an event stream: a field, a comment, or the blank line after an event. */
@@ -67,8 +70,8 @@
 
 /** IDs of the events, undefined for those that have data and no ID. What has neither, such as a comment, is no event. */
 function listIds (events: string): Array<string | undefined> {
-  const blocks = events.split(/\r?\n\r?\n/).map(text => ({ id: ID_FIELD.exec(text)?.[1]?.trim(), hasData: DATA_FIELD.test(text) }))
-  return blocks.filter(({ id, hasData }) => id !== undefined || hasData).map(({ id }) => id)
+  const blocks = events.split(EVENT_END).map(text => ({ text, id: ID_FIELD.exec(text)?.[1]?.trim() }))
+  return blocks.filter(({ text, id }) => id !== undefined || DATA_FIELD.test(text)).map(({ id }) => id)
 }
 
 function hasOnlyEventLines (text: string): boolean {
@@ -88,7 +91,7 @@
 
   function dropDelivered (events: Buffer, delivered: DeliveredEvents): Buffer {
     const text = events.toString('latin1')
-    const kept = text.split(/(?<=\n\r?\n)/).filter(event => {
+    const kept = text.split(AFTER_EVENT).filter(event => {
       const id = ID_FIELD.exec(event)?.[1]?.trim()
       return id === undefined || !delivered.has(id)
     }).join('')
