--- a/gateway/relay/src/exchange.ts
+++ b/gateway/relay/src/exchange.ts
@@ -78,7 +78,7 @@
   /** Events that the caller has, of a resumable stream. */
   readonly delivered: DeliveredEvents
   headSent: boolean
-  /** Head of a stream of which the caller has the beginning, and that another endpoint may go on with. */
+  /** Head of a stream of which the caller has the beginning, from here or from the host that has forwarded the request, and that another endpoint may go on with. */
   resumableHead: ResponseHead | undefined
   /** The response to the caller has neither a length nor chunks, so it ends with its connection. */
   isUnframed: boolean
@@ -160,9 +160,9 @@
 }
 
 /** Whether the request may be retried after an attempt that may have run. */
-export function isRetryable ({ route, headSent, resumableHead, isQuarantined }: Exchange): boolean {
+export function isRetryable ({ route, headSent, resumableHead, delivered, isQuarantined }: Exchange): boolean {
   if (isQuarantined) return false
-  // Only a stream of events can be continued with the response of another endpoint.
-  if (headSent) return resumableHead !== undefined
+  // Only a stream of events can be continued with the response of another endpoint, and only after an event with an ID.
+  if (headSent) return resumableHead !== undefined && delivered.endsWithId()
   return route.kind === RouteKind.IDEMPOTENT || (route.kind === RouteKind.STREAM && route.resumable)
 }
--- a/gateway/relay/test/continuedStreams.test.ts
+++ b/gateway/relay/test/continuedStreams.test.ts
@@ -42,6 +42,7 @@
 const CONTINUATIONS: Readonly<Record<string, string>> = {
   'in chunks': `200 OK\r\n${IDENTITY}${EVENT_STREAM}${frameInChunks(REST)}`,
   'with a length': `200 OK\r\n${IDENTITY}${EVENT_STREAM}${frameWithLength(REST)}`,
+  'after a 103': `103 Early Hints\r\nLink: </q>\r\n\r\nHTTP/1.1 200 OK\r\n${IDENTITY}${EVENT_STREAM}${frameInChunks(REST)}`,
   'with a charset': `200 OK\r\n${IDENTITY}Content-Type: Text/Event-Stream; charset=utf-8\r\n${frameInChunks(REST)}`
 }
 
@@ -140,6 +141,69 @@
   }
 })
 
+describe('a stream that broke off after', () => {
+  // Guards against an event that comes twice: the next endpoint goes on after the last event with an id, and sends those without one again.
+  for (const [name, text] of [
+    ['an event without an id', 'data: a\n\n'],
+    ['an event without an id that follows others', `${BEGINNING}event: x\r\ndata: a\r\n\r\n`],
+    ['an event without an id that a comment follows', `${BEGINNING}data\n\n: waiting\n\n`]
+  ] as const) {
+    it(`${name} is cut, and the request runs nowhere else`, async t => {
+      const first = await startBeginning(EVENT_STREAM, text)
+      const second = await startAnswering('e2', `200 OK\r\n${IDENTITY}${EVENT_STREAM}${frameInChunks(`data: a\n\n${REST}`)}`)
+      const relay = await start(t, { endpoints: [first.endpoint, second] })
+      const { body, broken } = await callBroken(relay, first)
+      expect([body, broken, second.requests.length]).toEqual([text, true, 0])
+    })
+  }
+
+  for (const [name, text] of [
+    ['a comment and a retry time', `${BEGINNING}: waiting\n\nretry: 100\n\n`],
+    ['an event with an id that follows one without', `data: a\n\n${BEGINNING}`]
+  ] as const) {
+    it(`${name} goes on at the next endpoint`, async t => {
+      const first = await startBeginning(EVENT_STREAM, text)
+      const relay = await start(t, { endpoints: [first.endpoint, await startAnswering('e2', CONTINUATIONS['in chunks'] ?? '')] })
+      const { body, broken } = await callBroken(relay, first)
+      expect([body, broken]).toEqual([text + REST, false])
+    })
+  }
+})
+
+describe('a stream that goes on at an endpoint whose response ends with its connection', () => {
+  const UNFRAMED = `HTTP/1.1 200 OK\r\n${IDENTITY}${EVENT_STREAM}Connection: close\r\n\r\n${formatEvent(2)}`
+
+  const startClosing = (): Promise<Endpoint> => startRawEndpoint('e2', (socket, request) => { if (request.includes('id1')) socket.end(UNFRAMED) })
+
+  // Guards against a stream that ends as complete after an endpoint has crashed: a closed connection does not tell that it is whole.
+  it('does not end as complete', async t => {
+    const first = await startBeginning()
+    const relay = await start(t, { endpoints: [first.endpoint, await startClosing()] })
+    const { body, broken } = await callBroken(relay, first)
+    expect([body, broken]).toEqual([BEGINNING + formatEvent(2), true])
+  })
+
+  it('ends as complete once another endpoint has told that it is', async t => {
+    const first = await startBeginning()
+    const third = await startAnswering('e3', `200 OK\r\n${IDENTITY}${EVENT_STREAM}${frameInChunks('')}`)
+    const relay = await start(t, { endpoints: [first.endpoint, await startClosing(), third] })
+    const { body, broken } = await callBroken(relay, first)
+    expect([body, broken, third.requests.map(request => /x-resume: (\w+)/i.exec(request)?.[1])]).toEqual([BEGINNING + formatEvent(2), false, ['2']])
+  })
+
+  it('closes the connection in order if it began without length or chunks too', async t => {
+    let socket: Socket | undefined
+    const first = await startRawEndpoint('e1', (connection, request) => {
+      if (!request.includes('id1')) return
+      socket = connection
+      socket.write(`HTTP/1.1 200 OK\r\n${IDENTITY}${EVENT_STREAM}\r\n${BEGINNING}`)
+    })
+    const relay = await start(t, { endpoints: [first, await startClosing()] })
+    const { body, broken } = await relay.call({ onPart: () => { socket?.resetAndDestroy() } })
+    expect([body, broken, findStatuses(relay)]).toEqual([BEGINNING + formatEvent(2), false, [200]])
+  })
+})
+
 describe('a stream whose endpoints state no content type', () => {
   it('goes on with events, of no stated type or as events', async t => {
     for (const response of [`200 OK\r\n${IDENTITY}${frameInChunks(REST)}`, CONTINUATIONS['in chunks'] ?? '']) {
@@ -214,33 +278,66 @@
   })
 })
 
+describe('a response that may not go on elsewhere', () => {
+  // Guards against bytes of two endpoints in one response on routes whose requests are repeated at most before the first byte.
+  for (const [name, route, text] of [
+    ['a stream that is not resumable', { ...RESUMABLE, resumable: false }, BEGINNING],
+    ['a long response to a request that may be repeated', { ...RESUMABLE, kind: 'idempotent', resumable: false }, LONG_ERROR]
+  ] as const) {
+    it(`is cut if it breaks off: ${name}`, async t => {
+      const first = await startBeginning(EVENT_STREAM, text)
+      const second = await startAnswering('e2', CONTINUATIONS['in chunks'] ?? '')
+      const relay = await start(t, { endpoints: [first.endpoint, second], route })
+      let got = 0
+      const { body, broken } = await relay.call({
+        onPart: part => {
+          got += part.length
+          if (got === text.length) first.reset()
+        }
+      })
+      expect([body === text, broken, second.requests.length]).toEqual([true, true, 0])
+    })
+  }
+})
+
 describe('a stream that broke off and goes on at a peer', () => {
   /** The endpoints of the caller's host but for the first are out of its reach, so that a peer runs the retry. */
-  async function callWithPeer (t: TestContext, response: string): Promise<CallResult & { readonly ran: number }> {
-    const first = await startBeginning()
+  async function callWithPeer (t: TestContext, responses: readonly string[], headers?: string): Promise<CallResult & { readonly ran: readonly number[] }> {
+    const first = await startBeginning(headers)
     const lost = await startEndpoint('e2', () => undefined)
     lost.close()
-    const second = await startAnswering('e2', response)
-    const peer = await start(t, { endpoints: [second] })
+    const further = await Promise.all(responses.map((response, index) => startAnswering(`e${index + 2}`, response)))
+    const peer = await start(t, { endpoints: further })
     const relay = await start(t, { endpoints: [first.endpoint, lost], peers: [peer.peer] })
-    return { ...await callBroken(relay, first), ran: second.requests.length }
+    return { ...await callBroken(relay, first), ran: further.map(({ requests }) => requests.length) }
   }
 
   // Guards against an answer of the peer's endpoint, or of the peer itself, in the middle of a stream.
   for (const [name, response] of Object.entries(OTHER_RESPONSES)) {
     it(`is cut if that is answered with ${name}`, async t => {
-      const { body, broken, ran } = await callWithPeer(t, response)
-      expect([body, broken, ran]).toEqual([BEGINNING, true, 1])
+      const { body, broken, ran } = await callWithPeer(t, [response])
+      expect([body, broken, ran]).toEqual([BEGINNING, true, [1]])
+    })
+
+    // Guards against a stream that is cut although the route allows another endpoint: the peer took the response for the answer.
+    it(`goes on at the peer's next endpoint if that is answered with ${name}`, async t => {
+      const { body, broken, ran } = await callWithPeer(t, [response, CONTINUATIONS['in chunks'] ?? ''])
+      expect([body, broken, ran]).toEqual([BEGINNING + REST, false, [1, 1]])
     })
   }
 
+  it('goes on there if its type was not stated', async t => {
+    const { body, broken } = await callWithPeer(t, [`200 OK\r\n${IDENTITY}${frameInChunks(REST)}`], '')
+    expect([body, broken]).toEqual([BEGINNING + REST, false])
+  })
+
   it('is cut if the peer loses it', async t => {
-    const { body, broken, ran } = await callWithPeer(t, `200 OK\r\n${IDENTITY}${EVENT_STREAM}Content-Length: 5\r\n\r\nid: 2`)
-    expect([body, broken, ran]).toEqual([BEGINNING, true, 1])
+    const { body, broken, ran } = await callWithPeer(t, [`200 OK\r\n${IDENTITY}${EVENT_STREAM}Content-Length: 5\r\n\r\nid: 2`])
+    expect([body, broken, ran]).toEqual([BEGINNING, true, [1]])
   })
 
   it('goes on with the events that the peer gets', async t => {
-    const { body, broken } = await callWithPeer(t, CONTINUATIONS['in chunks'] ?? '')
+    const { body, broken } = await callWithPeer(t, [CONTINUATIONS['in chunks'] ?? ''])
     expect([body, broken]).toEqual([BEGINNING + REST, false])
   })
 })
