Refuse requests that cannot end before their host does

Callers of an entry host that was asked to stop got 502, or a cut stream, for requests sent late in its grace time, also for those that may not be repeated, although another host could have served them.

Cause: whether a request may end in time was decided once, when its head had arrived, and until the balancer has turned away (2.6 s, the whole of a grace time of 3 s) not at all. Nothing asked again while the request waited for its body, a key, an origin, a slot or an adapter, or when it was sent to an endpoint after a refusal. After the remaining requests had been ended, ones that arrived were still passed on while the connections were being closed. The class: a decision that depends on the time left is made once and early, and used later.

Now the relay estimates run times by route, as a mean and a mean deviation (RFC 6298), and asks on arrival, every 50 ms while a request waits, before it is sent to its first endpoint or forwarded, and once more when the connection is there. A request that may be repeated must fit with its mean run time, any other with the mean and three deviations. A request whose deadline lies before the end is taken as before, and after 2.6 s only such are, so the rule for late ones is unchanged. Once the host has ended its requests it refuses all others.

Requests that an endpoint may have run still get 502 at the end, or are cut if their response has begun.

Ruled out: answers that are lost at the end of the grace time itself.

Known limits: a route without any request since the start of the host is assumed to take 400 ms; streams of one route are taken to be alike.

--- a/daemon/fleet/src/drainListeners.ts
+++ b/daemon/fleet/src/drainListeners.ts
@@ -29,15 +29,15 @@
 export async function drainListeners ({ callers, peers, relay, clock, graceMs }: DrainOptions): Promise<void> {
   const startedAt = clock.getMonotonicMs()
   const endsAt = startedAt + graceMs - ABORT_MARGIN_MS
-  const takesAllUntil = Math.min(endsAt, startedAt + BALANCER_DELAY_MS)
-  relay.drain({ takesAllUntil, endsAt })
+  const balancerUntil = Math.min(endsAt, startedAt + BALANCER_DELAY_MS)
+  relay.drain({ balancerUntil, endsAt })
 
   async function closeIdle (): Promise<void> {
     await Promise.all([callers.closeIdle(), peers?.closeIdle()])
     await sleep(DRAIN_CHECK_MS)
   }
 
-  while (clock.getMonotonicMs() < takesAllUntil) await sleep(DRAIN_CHECK_MS)
+  while (clock.getMonotonicMs() < balancerUntil) await sleep(DRAIN_CHECK_MS)
   // Until here each connection gets `Connection: close` with its next response; from here on its caller may be refused.
   await closeIdle()
   while (clock.getMonotonicMs() < Math.min(endsAt - LAST_ACCEPT_MARGIN_MS, relay.getLastTakenAt() + QUIET_MS)) await closeIdle()
--- a/gateway/relay/src/nextTarget.ts
+++ b/gateway/relay/src/nextTarget.ts
@@ -3,6 +3,7 @@
 import { UNCHECKED } from './accountCheck.ts'
 import { MIN_REMAINING_MS } from './constants.ts'
 import type { Exchange, Target } from './exchange.ts'
+import { isTooLate, STOPPING } from './lateRequests.ts'
 import type { RelayState } from './relayState.ts'
 import type { FoundTarget } from './target.ts'
 
@@ -44,6 +45,10 @@
       if (!isWanted()) return undefined
       continue
     }
+    if (found.kind !== 'none' && isTooLate(state, exchange)) {
+      if (found.kind === 'target') releaseGranted(state, found.target)
+      return { kind: 'none', reason: STOPPING.message }
+    }
     if (found.kind !== 'target') return found
     if (exchange.deadlineAt - state.opts.clock.getMonotonicMs() < MIN_REMAINING_MS) {
       releaseGranted(state, found.target)
--- a/gateway/relay/src/relay.ts
+++ b/gateway/relay/src/relay.ts
@@ -22,6 +22,7 @@
 import { decodeForwarded, PeerOutcome } from './forwardedRequest.ts'
 import type { ForwardedFacts } from './forwardedRequest.ts'
 import { forwardToPeer } from './forwardToPeer.ts'
+import { mayEndInTime, refuseLate, STOPPING } from './lateRequests.ts'
 import { sendFailure } from './ownAnswers.ts'
 import { findNextTarget, waitForTurn } from './nextTarget.ts'
 import { createBodyReader } from './readBody.ts'
@@ -31,6 +32,7 @@
 import { computeRequestDigest } from './requestDigest.ts'
 import { createRetryAllowance } from './retryAllowance.ts'
 import { doubtAttempts, runReplaceable } from './replaceAttempt.ts'
+import { createRunEstimates } from './runEstimates.ts'
 import { createRunTimes, DEFAULT_FIRST_BYTE_MS, DEFAULT_RUN_MS } from './runTimes.ts'
 import { resolveOrigin } from './streamOrigin.ts'
 import { createTargetFinder } from './target.ts'
@@ -49,20 +51,22 @@
   readonly drain: (times?: DrainTimes) => void
   /** Ends the requests in progress that have a trait that is quarantined by now. */
   readonly endQuarantined: () => void
-  /** Answers the requests that are still in progress, as far as no response has begun; the others are cut. */
+  /** Answers the requests that are still in progress, as far as no response has begun; the others are cut. Later ones are refused. */
   readonly endRemaining: () => void
   readonly close: () => void
 }
 
 const SWEEP_INTERVAL_MS = 5_000
+/** Interval at which a stopping host looks for requests that have waited for too long. */
+const LATE_CHECK_MS = 50
+/** A host that has ended its requests takes no more of them. */
+const DRAIN_OVER: DrainTimes = { balancerUntil: Number.NEGATIVE_INFINITY, endsAt: Number.NEGATIVE_INFINITY }
 
 const BODY_FAILURES: Readonly<Record<'tooLarge' | 'noRoom', Failure>> = {
   tooLarge: { code: ErrorCode.TOO_LARGE, message: 'request body exceeds the size limit', step: 'body', ran: 'no' },
   noRoom: { code: ErrorCode.NO_CAPACITY, message: 'request body buffer is full', step: 'body', ran: 'no', retryAfterMs: RETRY_AFTER_MS }
 }
 
-const STOPPING: Failure = { code: ErrorCode.NOT_SERVING, message: 'this host stops before the request may have ended', step: 'stop', ran: 'no', retryAfterMs: RETRY_AFTER_MS }
-
 /** Creates a relay. The HTTP server calls `handle` for each request. */
 export function createRelay (opts: RelayOptions): Relay {
   const links = createEndpointLinks(opts)
@@ -80,6 +84,7 @@
     finder: createTargetFinder({ isCutOff: paths.isCutOff, relay: opts, links, runTimes, firstByteTimes, notices, limits }),
     runTimes,
     firstByteTimes,
+    runEstimates: createRunEstimates(),
     notices,
     limits,
     allowance: createRetryAllowance({ ...opts.retryBudget, getEntryCount: opts.getEntryCount, getNow: opts.clock.getMonotonicMs }),
@@ -90,6 +95,7 @@
     closing: new WeakSet(),
     draining: false,
     drainTimes: undefined,
+    lateCheck: undefined,
     lastTakenAt: Number.NEGATIVE_INFINITY
   }
   const sweep = setInterval(() => {
@@ -116,6 +122,8 @@
     drain: times => {
       state.draining = true
       state.drainTimes = times
+      state.lateCheck ??= setInterval(refuseLate, LATE_CHECK_MS, state)
+      state.lateCheck.unref()
       const lastBySocket = new Map([...state.answering.keys()].map(res => [res.req.socket, res]))
       for (const res of lastBySocket.values()) closeConnectionAfter(state, res)
     },
@@ -136,8 +144,11 @@
   }
 }
 
-/** Answers or cuts the requests that are still in progress. */
+/** Answers or cuts the requests that are still in progress, and takes no more. */
 function endRemaining (state: RelayState): void {
+  clearInterval(state.lateCheck)
+  state.draining = true
+  state.drainTimes = DRAIN_OVER
   for (const exchange of state.exchanges) finishExchange(state, exchange, EndReason.STOPPED)
   // Requests that are not matched to a route yet.
   for (const [res, forwarded] of state.answering) if (!res.headersSent && !res.destroyed) sendFailure(res, END_FAILURES[EndReason.STOPPED].notRun, forwarded === undefined ? undefined : PeerOutcome.DECLINED)
@@ -166,11 +177,6 @@
   closing.add(res.req.socket)
 }
 
-/** Whether a stopping host can complete the request even if that takes all of its time. */
-function mayEndInTime ({ drainTimes }: RelayState, { arrivedAt, deadlineAt }: Exchange): boolean {
-  return drainTimes === undefined || arrivedAt < drainTimes.takesAllUntil || deadlineAt <= drainTimes.endsAt
-}
-
 async function handleForwarded (state: RelayState, req: IncomingMessage, res: ServerResponse): Promise<void> {
   const forwarded = decodeForwarded(req.headers)
   const decline = (message: string): void => {
--- a/gateway/relay/src/relayState.ts
+++ b/gateway/relay/src/relayState.ts
@@ -11,15 +11,16 @@
 import type { PeerLinks } from './relayPeers.ts'
 import type { RelayOptions } from './relayOptions.ts'
 import type { RetryAllowance } from './retryAllowance.ts'
+import type { RunEstimates } from './runEstimates.ts'
 import type { RunTimes } from './runTimes.ts'
 import type { TargetFinder } from './target.ts'
 
 export type LogFields = Readonly<Record<string, unknown>>
 
 export interface DrainTimes {
-  /** Requests that arrive before are served whenever they end. */
-  readonly takesAllUntil: MonotonicMs
-  /** When those that still run are aborted. */
+  /** Until then, the load balancer sends callers here: their requests are taken if they are expected to end in time, later ones only if their deadline lies before the end. */
+  readonly balancerUntil: MonotonicMs
+  /** When requests that still run are aborted. */
   readonly endsAt: MonotonicMs
 }
 
@@ -31,6 +32,7 @@
   readonly finder: TargetFinder
   readonly runTimes: RunTimes
   readonly firstByteTimes: RunTimes
+  readonly runEstimates: RunEstimates
   readonly notices: EndpointNotices
   readonly limits: RequestLimits
   readonly allowance: RetryAllowance
@@ -46,5 +48,6 @@
   draining: boolean
   /** Which requests are still taken while the host stops; undefined if all. */
   drainTimes: DrainTimes | undefined
+  lateCheck: NodeJS.Timeout | undefined
   lastTakenAt: MonotonicMs
 }
--- a/gateway/relay/src/runAttempt.ts
+++ b/gateway/relay/src/runAttempt.ts
@@ -6,7 +6,9 @@
 import { MIN_REMAINING_MS, STALL_MS } from './constants.ts'
 import { BREAKER_LIMITS, recordBytes, recordEnded, recordFirstByte, recordSent, setIdleTimeout } from './endpointLinks.ts'
 import type { EndpointLink } from './endpointLinks.ts'
+import { EndReason } from './exchange.ts'
 import type { Exchange, LiveAttempt, Target } from './exchange.ts'
+import { mayEndInTime } from './lateRequests.ts'
 import type { LogFields, RelayState } from './relayState.ts'
 import { createResponseProgress, recordCrashSigns } from './responseProgress.ts'
 import { recordOrigin } from './streamOrigin.ts'
@@ -65,7 +67,8 @@
     isInDoubt: state.paths.isInDoubt(opts.directory.listEndpoints(exchange.pool.name).map(row => row.endpoint)),
     mayStillSend: () => {
       const now = opts.clock.getMonotonicMs()
-      return exchange.deadlineAt - now >= MIN_REMAINING_MS && state.notices.isOpen(target, now)
+      const isFirst = !isBeside && exchange.tried.size === 0
+      return exchange.deadlineAt - now >= MIN_REMAINING_MS && state.notices.isOpen(target, now) && (!isFirst || mayEndInTime(state, exchange))
     },
     onHead: ({ load, keepAliveMs }) => {
       const now = opts.clock.getMonotonicMs()
@@ -81,11 +84,13 @@
   })
   const isStalled = link.silent && link.awaitingSince !== undefined && opts.clock.getMonotonicMs() - link.awaitingSince > STALL_MS
   recordEnded(link)
+  const runMs = opts.clock.getMonotonicMs() - sentAt
   if (end.kind === 'delivered') {
-    const runMs = opts.clock.getMonotonicMs() - sentAt
+    state.runEstimates.record(exchange.route.name, runMs)
     if (target.hasFreeSlot === true) state.runTimes.record(exchange.pool.name, runMs)
     state.finder.recordDelivered(exchange, target, { runMs, bytes: end.bytes })
   }
+  if (end.kind === 'interrupted' && exchange.ended === EndReason.TIMEOUT) state.runEstimates.recordUnfinished(exchange.route.name, runMs)
   opts.directory.recordEnded(endpoint, adapterKey ?? '')
   if (end.kind === 'notRun' && end.isAnswered && !end.isMisdirected) state.limits.recordRejected(target, opts.clock.getMonotonicMs())
   const endedAt = opts.clock.getMonotonicMs()
--- a/gateway/relay/test/lateRequests.test.ts
+++ b/gateway/relay/test/lateRequests.test.ts
@@ -39,7 +39,7 @@
 /** Stops the host: the balancer sends it requests all the while. */
 function drain ({ relay }: TestRelay, leftMs: number): void {
   const endsAt = clock.getMonotonicMs() + leftMs
-  relay.drain({ takesAllUntil: endsAt, endsAt })
+  relay.drain({ balancerUntil: endsAt, endsAt })
 }
 
 /** What the caller is told, and whether before the host ends what still runs, as at the end of its grace time. */
