Give adapters refused again and again a share of the loads

What callers saw: in a lasting overload those of some adapters were refused each time they asked, and these adapters were never loaded.

Cause: nothing was remembered from one refusal to the next. The order of loads is by priority, then by callers on time, a returning caller does not count as on time, late callers are shed, and one waiting caller is not worth the eviction of an adapter that is asked for far more often.

Why it works: the leader counts refusals by adapter since its last load. A quarter of the loads goes to adapters refused for 3 s, the longest refused first, so each one's turn comes while the overload lasts. Only adapters that nobody uses are evicted for it. Without refusals nothing changes.

--- a/adapters/load-scheduler/src/index.ts
+++ b/adapters/load-scheduler/src/index.ts
@@ -1,4 +1,5 @@
-/** Order of adapter loads, and backoff after failed ones. */
+/** Order of adapter loads, the share of starved adapters, and backoff after failed loads. */
 export * from './chooseLoad.ts'
 export * from './loadBackoff.ts'
 export * from './rankWaitingLoads.ts'
+export * from './starvedAdapters.ts'
--- /dev/null
+++ b/adapters/load-scheduler/src/starvedAdapters.ts
@@ -0,0 +1,103 @@
+/**
+ * Adapters whose callers are refused again and again, and the share of loads that they get. Pattern: ageing. In a lasting overload
+ * the order by priority and by callers on time always prefers the same adapters, and the others would never be loaded. The leader
+ * of a fleet records refusals and completed loads here, and asks before it begins loads.
+ */
+import type { AdapterKey, DurationMs, MonotonicMs } from '@catkinferry/core.types'
+
+/** An adapter counts as starved this long after its first refusal: callers who were told to return have returned by then. */
+const STARVED_AFTER_MS = 3_000
+/** While its callers are late anyway, it waits this long for one who can be on time: as long as work counts as returning. */
+const STARVED_LATE_AFTER_MS = 10_000
+/** It was refused this often by then. */
+const MIN_REFUSALS = 2
+/** Refusals are forgotten this long after the last one, or if more adapters than this are refused. */
+const RETENTION_MS = 60_000
+const MAX_REFUSED_ADAPTERS = 20_000
+
+interface RefusedAdapter {
+  readonly since: MonotonicMs
+  lastAt: MonotonicMs
+  refusals: number
+}
+
+export interface StarvedAdapters {
+  readonly recordRefusal: (adapterKey: AdapterKey, now: MonotonicMs) => void
+  /** Forgets the refusals of an adapter that was loaded. Returns how many there were. */
+  readonly recordLoad: (adapterKey: AdapterKey) => number
+  /**
+   * When a starved adapter was first refused since its last load; undefined if the adapter is not starved. `isOnTime`: the load
+   * would serve a caller on time.
+   */
+  readonly getStarvedSince: (adapterKey: AdapterKey, opts: { readonly now: MonotonicMs, readonly isOnTime: boolean }) => MonotonicMs | undefined
+  /** Number of adapters with refusals. */
+  readonly getSize: () => number
+  readonly clear: () => void
+}
+
+/** Creates an empty table. */
+export function createStarvedAdapters (): StarvedAdapters {
+  /** The least recently refused adapter first. */
+  const rows = new Map<AdapterKey, RefusedAdapter>()
+
+  function dropOldest (now: MonotonicMs): void {
+    for (const [adapterKey, { lastAt }] of rows) {
+      if (rows.size <= MAX_REFUSED_ADAPTERS && now - lastAt <= RETENTION_MS) return
+      rows.delete(adapterKey)
+    }
+  }
+
+  return {
+    recordRefusal: (adapterKey, now) => {
+      const row = rows.get(adapterKey) ?? { since: now, lastAt: now, refusals: 0 }
+      row.lastAt = now
+      row.refusals += 1
+      rows.delete(adapterKey)
+      rows.set(adapterKey, row)
+      dropOldest(now)
+    },
+    recordLoad: adapterKey => {
+      const refusals = rows.get(adapterKey)?.refusals ?? 0
+      rows.delete(adapterKey)
+      return refusals
+    },
+    getStarvedSince: (adapterKey, { now, isOnTime }) => {
+      const row = rows.get(adapterKey)
+      const starvedAfterMs = isOnTime ? STARVED_AFTER_MS : STARVED_LATE_AFTER_MS
+      if (row === undefined || row.refusals < MIN_REFUSALS || now - row.since < starvedAfterMs || now - row.lastAt > RETENTION_MS) return undefined
+      return row.since
+    },
+    getSize: () => rows.size,
+    clear: () => { rows.clear() }
+  }
+}
+
+/** Share of the loads of a pool that go to starved adapters while other callers could use all of them. */
+const STARVED_LOAD_SHARE = 0.25
+/** Loads for starved adapters that may be saved up. */
+const MAX_CREDIT = 2
+/** Where few other loads begin, each engine gives up a more popular adapter for a starved one once in this time on average. */
+const ENGINE_INTERVAL_MS = 5_000
+
+export interface StarvedLoadShare {
+  /** Whether the next load may be one for a starved adapter, in a pool with this number of engines. */
+  readonly isDue: (engines: number, now: MonotonicMs) => boolean
+  readonly recordLoad: (isStarved: boolean, now: MonotonicMs) => void
+}
+
+/** Creates the share of one pool. */
+export function createStarvedLoadShare (share = STARVED_LOAD_SHARE): StarvedLoadShare {
+  let credit = 0
+  let lastAt = Number.NEGATIVE_INFINITY
+  const getIntervalMs = (engines: number): DurationMs => ENGINE_INTERVAL_MS / Math.max(1, engines)
+
+  return {
+    isDue: (engines, now) => share > 0 && (credit >= 1 || now - lastAt >= getIntervalMs(engines)),
+    recordLoad: (isStarved, now) => {
+      if (isStarved) {
+        credit = Math.max(0, credit - 1)
+        lastAt = now
+      } else credit = Math.min(MAX_CREDIT, credit + share / (1 - share))
+    }
+  }
+}
--- /dev/null
+++ b/adapters/load-scheduler/test/starvedAdapters.test.ts
@@ -0,0 +1,53 @@
+import { createStarvedAdapters, createStarvedLoadShare } from '@catkinferry/adapters.load-scheduler'
+import { expect } from 'earl'
+import { describe, it } from 'node:test'
+
+describe('adapters whose callers are refused again and again', () => {
+  it('are starved after two refusals and 3 s, or 10 s while no caller can be on time', () => {
+    const starved = createStarvedAdapters()
+    starved.recordRefusal('once', 0)
+    for (const at of [0, 2_500]) starved.recordRefusal('twice', at)
+    expect([2_999, 3_000].map(now => starved.getStarvedSince('twice', { now, isOnTime: true }))).toEqual([undefined, 0])
+    expect([9_999, 10_000].map(now => starved.getStarvedSince('twice', { now, isOnTime: false }))).toEqual([undefined, 0])
+    expect(starved.getStarvedSince('once', { now: 20_000, isOnTime: true })).toEqual(undefined)
+  })
+
+  it('are forgotten when they are loaded, or are not asked for during a minute', () => {
+    const starved = createStarvedAdapters()
+    for (const adapterKey of ['loaded', 'idle']) for (const at of [0, 3_000]) starved.recordRefusal(adapterKey, at)
+    expect(starved.recordLoad('loaded')).toEqual(2)
+    expect(starved.getStarvedSince('loaded', { now: 5_000, isOnTime: true })).toEqual(undefined)
+    expect([63_000, 63_001].map(now => starved.getStarvedSince('idle', { now, isOnTime: true }))).toEqual([0, undefined])
+    starved.recordRefusal('other', 63_001)
+    expect(starved.getSize()).toEqual(1)
+  })
+
+  it('are remembered up to 20,000, the least recently refused being forgotten first', () => {
+    const starved = createStarvedAdapters()
+    for (let index = 0; index < 20_001; index++) for (const at of [0, 1]) starved.recordRefusal(`a${index}`, at)
+    expect(starved.getSize()).toEqual(20_000)
+    expect(['a0', 'a1'].map(adapterKey => starved.getStarvedSince(adapterKey, { now: 4_000, isOnTime: true }))).toEqual([undefined, 0])
+  })
+})
+
+describe('the share of loads for starved adapters', () => {
+  it('is a quarter of all loads while other callers could use them all', () => {
+    const share = createStarvedLoadShare()
+    let starvedLoads = 0
+    for (let index = 0; index < 1_000; index++) {
+      const now = index
+      const isStarved = share.isDue(1, now)
+      if (isStarved) starvedLoads += 1
+      share.recordLoad(isStarved, now)
+    }
+    expect(starvedLoads).toBeGreaterThanOrEqual(245)
+    expect(starvedLoads).toBeLessThanOrEqual(255)
+  })
+
+  it('is one load for each engine in 5 s where no others begin, and none if it is switched off', () => {
+    const share = createStarvedLoadShare()
+    share.recordLoad(true, 0)
+    expect([1_249, 1_250].map(now => share.isDue(4, now))).toEqual([false, true])
+    expect(createStarvedLoadShare(0).isDue(4, 60_000)).toEqual(false)
+  })
+})
--- a/fleet/placement/src/chooseEngine.ts
+++ b/fleet/placement/src/chooseEngine.ts
@@ -31,6 +31,8 @@
   readonly isAvoided: (listed: ListedEndpoint) => boolean
   /** Number of requests that wait for the load. */
   readonly waiting: number
+  /** The load may evict an adapter that is worth more. */
+  readonly isStarved?: boolean
 }
 
 export interface EngineChoice {
@@ -118,7 +120,7 @@
   const { endpoint } = engine.listed
   const slotKey = formatSlotKey(requirements.model, requirements.adapter)
   if (requirements.isAvoided(engine.listed) || !engine.models.has(requirements.model) || engine.slots.has(slotKey)) return undefined
-  if (victim !== undefined && !isWorthEvicting(opts, slotKey, victim, victimRate)) return undefined
+  if (victim !== undefined && requirements.isStarved !== true && !isWorthEvicting(opts, slotKey, victim, victimRate)) return undefined
   const isCached = engine.cachedAdapters.has(formatPlacedKey(requirements.model, requirements.adapter, requirements.version))
   const costMs = (isCached ? 0 : STORE_COST_MS) + loading * QUEUED_LOAD_COST_MS + victimRate * EXPECTED_LOAD_MS +
     FULL_BATCH_COST_MS * opts.getRunning(endpoint) / Math.max(1, pool.batchLimit) + computeDistanceCost(requirements, engine, opts.getRegion)
--- a/fleet/placement/src/jobs.ts
+++ b/fleet/placement/src/jobs.ts
@@ -229,6 +229,7 @@
   slot.state = SlotState.RESIDENT
   slot.changedAt = context.now
   slot.usedAt = context.now
+  state.starved.recordLoad(slotKey)
   recordCached(engine, slot)
   state.publisher.enqueueResidency(engine.listed.endpoint, slot, true)
 }
--- a/fleet/placement/src/placement.ts
+++ b/fleet/placement/src/placement.ts
@@ -3,6 +3,7 @@
  * polls the platform's endpoint list, orders loads and evictions with its term as the fencing token, and publishes endpoints
  * and residency to entry hosts.
  */
+import { createStarvedAdapters } from '@catkinferry/adapters.load-scheduler'
 import { createPopularity } from '@catkinferry/adapters.popularity'
 import type { EndpointId, ListedEndpoint, ModelId, MonotonicMs } from '@catkinferry/core.types'
 import type { RunContext, System } from '@catkinferry/host.events'
@@ -56,6 +57,8 @@
     requests: new Map(),
     popularity: createPopularity(),
     history: createLoadHistory(),
+    starved: createStarvedAdapters(),
+    starvedShares: new Map(),
     loadPolls: createLoadPolls(),
     mirror: createSlotMirror(),
     jobs: new Map(),
@@ -242,6 +245,8 @@
   for (const { waiters } of state.requests.values()) for (const waiter of waiters) refuseWaiter(waiter, 'leadership has changed', REFUSED_RETRY_MS, context)
   state.requests.clear()
   state.history.clear()
+  state.starved.clear()
+  state.starvedShares.clear()
   state.jobs.clear()
   state.mirror.clearMarks()
   state.outcomes.length = 0
--- a/fleet/placement/src/placementRequests.ts
+++ b/fleet/placement/src/placementRequests.ts
@@ -3,8 +3,8 @@
  * engine where the adapter is resident, or the adapter is loaded. While slots are scarce, loads are ordered and requests refused by
  * the policy of `adapters.load-scheduler`.
  */
-import { compareStandings, computeRetryMs, computeStanding, isOverloaded, isTooLate } from '@catkinferry/adapters.load-scheduler'
-import type { LoadBacklog, LoadStanding } from '@catkinferry/adapters.load-scheduler'
+import { compareStandings, computeRetryMs, computeStanding, createStarvedLoadShare, isOverloaded, isTooLate } from '@catkinferry/adapters.load-scheduler'
+import type { LoadBacklog, LoadStanding, StarvedLoadShare } from '@catkinferry/adapters.load-scheduler'
 import type { AdapterName, EndpointId, EnginePool, ListedEndpoint, ModelId, MonotonicMs } from '@catkinferry/core.types'
 import { formatPlacedKey } from '@catkinferry/core.types'
 import type { RunContext } from '@catkinferry/host.events'
@@ -82,7 +82,9 @@
   request.waiters = request.waiters.filter(waiter => !refused.includes(waiter))
   for (const waiter of refused) {
     if (waiter.workId !== undefined) state.history.recordRefusal(waiter.workId, context.now)
-    state.popularity.record(formatSlotKey(request.model, request.adapter), context.now)
+    const slotKey = formatSlotKey(request.model, request.adapter)
+    state.popularity.record(slotKey, context.now)
+    state.starved.recordRefusal(slotKey, context.now)
     const fraction = waiter.askId % RETRY_STEPS / RETRY_STEPS
     refuseWaiter(waiter, opts.reason, opts.backlog === undefined ? REFUSED_RETRY_MS : computeRetryMs(opts.backlog, fraction), context)
   }
@@ -172,6 +174,8 @@
 interface PendingLoad {
   readonly request: PlacementRequest
   readonly standing: LoadStanding
+  /** When its adapter was first refused since its last load, if a load of the share of starved adapters may be for it. */
+  readonly starvedSince: MonotonicMs | undefined
 }
 
 function comparePending (a: PendingLoad, b: PendingLoad): number {
@@ -196,14 +200,26 @@
     const isDone = resident !== undefined || (request.waiters.length === 0 && context.now >= request.expiresAt)
     if (isDone) state.requests.delete(key)
     const pool = findPool(state, request.pool)?.engine
-    if (isDone || pool === undefined || countLoadingFor(request, holders) >= computeTargetLoads(request, pool)) continue
-    pending.push({ request, standing: computeStanding({ waiting: request.waiters, since: request.createdAt, now: context.now, loadMs: EXPECTED_LOAD_MS }) })
+    const loading = isDone ? 0 : countLoadingFor(request, holders)
+    if (isDone || pool === undefined || loading >= computeTargetLoads(request, pool)) continue
+    const standing = computeStanding({ waiting: request.waiters, since: request.createdAt, now: context.now, loadMs: EXPECTED_LOAD_MS })
+    const starvedSince = loading > 0 ? undefined : state.starved.getStarvedSince(formatSlotKey(request.model, request.adapter), { now: context.now, isOnTime: standing.onTime > 0 })
+    pending.push({ request, standing, starvedSince })
   }
   return pending.sort(comparePending)
 }
 
+interface LoadChoiceOptions {
+  readonly open: readonly OpenEngine[]
+  readonly pool: EnginePool
+  readonly holders: Holders
+  /** The loads may evict adapters that are worth more. */
+  readonly isStarved: boolean
+  readonly now: MonotonicMs
+}
+
 /** Chooses the next load among the first pending ones: the cheapest, with turns counting as costs. */
-function chooseNextLoad (state: PlacementState, pending: readonly PendingLoad[], open: readonly OpenEngine[], pool: EnginePool, now: MonotonicMs): { readonly load: PendingLoad, readonly choice: EngineChoice } | undefined {
+function chooseNextLoad (state: PlacementState, pending: readonly PendingLoad[], { open, pool, isStarved, now }: LoadChoiceOptions): { readonly load: PendingLoad, readonly choice: EngineChoice } | undefined {
   let best: { load: PendingLoad, choice: EngineChoice, costMs: number } | undefined
   const [first] = pending
   for (const [turn, load] of pending.slice(0, MATCHED_LOADS).entries()) {
@@ -211,7 +227,7 @@
     if (first === undefined || standing.priority !== first.standing.priority) break
     const isAvoided = (listed: ListedEndpoint): boolean => !isOfVersion(request, listed) || request.avoid.has(listed.endpoint) || request.existingReplicas.has(listed.endpoint) || state.health.isSuspect(listed.endpoint)
     const chosen = chooseEngine(open, {
-      requirements: { ...request, waiting: request.waiters.length, isAvoided },
+      requirements: { ...request, waiting: request.waiters.length, isAvoided, isStarved },
       pool,
       getRate: slotKey => state.popularity.getFastRate(slotKey, now),
       getRegion: state.opts.getRegion,
@@ -224,23 +240,32 @@
 }
 
 /** Chooses the next load and its engine. Without an open engine, the first pending request may replace an outdated version. */
-function chooseLoad (state: PlacementState, pending: readonly [PendingLoad, ...PendingLoad[]], open: readonly OpenEngine[], pool: EnginePool, holders: Holders, now: MonotonicMs): { readonly load: PendingLoad, readonly choice: EngineChoice | undefined } {
-  const next = open.length === 0 ? undefined : chooseNextLoad(state, pending, open, pool, now)
-  return next ?? { load: pending[0], choice: chooseReplacement(state, pending[0].request, holders, now) }
+function chooseLoad (state: PlacementState, pending: readonly [PendingLoad, ...PendingLoad[]], opts: LoadChoiceOptions): { readonly load: PendingLoad, readonly choice: EngineChoice | undefined } {
+  const next = opts.open.length === 0 ? undefined : chooseNextLoad(state, pending, opts)
+  return next ?? { load: pending[0], choice: chooseReplacement(state, pending[0].request, opts.holders, opts.now) }
+}
+
+function getStarvedShare (state: PlacementState, pool: string): StarvedLoadShare {
+  const known = state.starvedShares.get(pool)
+  if (known !== undefined) return known
+  const share = createStarvedLoadShare(state.opts.starvedLoadShare)
+  state.starvedShares.set(pool, share)
+  return share
 }
 
 /** Begins loads for pending requests of one pool, one on each engine that is open for them, and returns these. */
-function beginLoads (state: PlacementState, pool: EnginePool, requests: readonly PendingLoad[], opts: { readonly open: readonly OpenEngine[], readonly holders: Holders }, context: RunContext): readonly PendingLoad[] {
-  const { now } = context
+function beginLoads (state: PlacementState, requests: readonly PendingLoad[], opts: LoadChoiceOptions, context: RunContext): readonly PendingLoad[] {
+  const { pool, now } = opts
   const begun: PendingLoad[] = []
   let [first, ...rest] = requests.slice(0, MAX_TRIED_LOADS)
   let { open } = opts
   while (first !== undefined) {
-    const { load, choice } = chooseLoad(state, [first, ...rest], open, pool, opts.holders, now)
+    const { load, choice } = chooseLoad(state, [first, ...rest], { ...opts, open })
     const isStoreFull = countStoreLoads(state) >= computeStoreLimit(pool)
     if (choice !== undefined && (choice.isCached || !isStoreFull)) {
       beginLoad(state, load.request, { ...choice, standing: load.standing }, context)
       state.history.recordLoad(now)
+      getStarvedShare(state, load.request.pool).recordLoad(opts.isStarved, now)
       begun.push(load)
       open = open.filter(({ engine }) => engine !== choice.engine)
     }
@@ -249,22 +274,40 @@
   return begun
 }
 
-/** Begins the loads of one pool: those that callers wait for, then the others, for which only long idle adapters are evicted. Returns them. */
+/** Begins loads for starved adapters, the longest refused first and whatever the priority of their callers, as far as their share of the loads goes. */
+function beginStarvedLoads (state: PlacementState, pool: EnginePool, pending: readonly PendingLoad[], opts: { readonly engines: readonly EngineState[], readonly holders: Holders }, context: RunContext): readonly PendingLoad[] {
+  const { now } = context
+  const starved = pending.filter(({ starvedSince }) => starvedSince !== undefined).toSorted((a, b) => (a.starvedSince ?? 0) - (b.starvedSince ?? 0)).slice(0, MAX_TRIED_LOADS)
+  const begun: PendingLoad[] = []
+  for (const load of starved) {
+    if (!getStarvedShare(state, load.request.pool).isDue(opts.engines.length, now)) break
+    const open = listOpenEngines({ engines: opts.engines, pool, now, minIdleMs: EVICT_IDLE_MS, getRate: slotKey => state.popularity.getFastRate(slotKey, now) })
+    if (open.length === 0) break
+    begun.push(...beginLoads(state, [load], { open, pool, holders: opts.holders, isStarved: true, now }, context))
+  }
+  return begun
+}
+
+/**
+ * Begins the loads of one pool: the share of starved adapters, those that callers wait for, then the others, for which only long
+ * idle adapters are evicted. Returns them.
+ */
 function beginPoolLoads (state: PlacementState, poolName: string, pending: readonly PendingLoad[], holders: Holders, context: RunContext): readonly PendingLoad[] {
   const pool = findPool(state, poolName)?.engine
   if (pool === undefined) return []
   const { now } = context
-  const [waitedFor, others] = [true, false].map(hasWaiters => pending.filter(({ request }) => request.pool === poolName && (request.waiters.length > 0) === hasWaiters))
-  return ([[waitedFor, EVICT_IDLE_MS], [others, REPLICA_EVICT_IDLE_MS]] as const).flatMap(([requests = [], minIdleMs]) => {
-    const begun = new Set<PendingLoad>()
+  const engines = listPoolEngines(state, poolName)
+  const [waitedFor = [], others = []] = [true, false].map(hasWaiters => pending.filter(({ request }) => request.pool === poolName && (request.waiters.length > 0) === hasWaiters))
+  const begun = new Set(beginStarvedLoads(state, pool, waitedFor, { engines, holders }, context))
+  for (const [requests, minIdleMs] of [[waitedFor, EVICT_IDLE_MS], [others, REPLICA_EVICT_IDLE_MS]] as const) {
     for (let hasBegun = requests.length > 0; hasBegun;) {
-      const open = listOpenEngines({ engines: listPoolEngines(state, poolName), pool, now, minIdleMs, getRate: slotKey => state.popularity.getFastRate(slotKey, now) })
-      const loads = beginLoads(state, pool, requests.filter(load => !begun.has(load)), { open, holders }, context)
+      const open = listOpenEngines({ engines, pool, now, minIdleMs, getRate: slotKey => state.popularity.getFastRate(slotKey, now) })
+      const loads = beginLoads(state, requests.filter(load => !begun.has(load)), { open, pool, holders, isStarved: false, now }, context)
       for (const load of loads) begun.add(load)
       hasBegun = loads.length > 0
     }
-    return [...begun]
-  })
+  }
+  return [...begun]
 }
 
 /** Refuses waiters that can no longer be on time, while others can be and already have to wait. */
--- a/fleet/placement/src/placementState.ts
+++ b/fleet/placement/src/placementState.ts
@@ -1,4 +1,5 @@
 /** State of placement on a core host: engines, requests for adapters, and orders in progress. Empty unless the host leads. */
+import type { StarvedAdapters, StarvedLoadShare } from '@catkinferry/adapters.load-scheduler'
 import type { Popularity } from '@catkinferry/adapters.popularity'
 import type { AdapterName, DurationMs, EndpointId, EngineOrder, EngineOrderOutcome, HostId, HostLocation, ModelId, MonotonicMs, Pool, RegionId, RouteTable, ZoneId } from '@catkinferry/core.types'
 import type { RunContext } from '@catkinferry/host.events'
@@ -47,6 +48,8 @@
   readonly enginesCheckFencing: boolean
   /** Whether entry hosts may learn of an endpoint of this software version; all may be published if absent. */
   readonly isPublishable?: (pool: string, softwareVersion: string | undefined, now: MonotonicMs) => boolean
+  /** Share of the loads that go to adapters refused again and again; that of `adapters.load-scheduler` if absent. */
+  readonly starvedLoadShare?: number
   /** Starts a read of the endpoint list; the result comes back through `receiveList`. */
   readonly pollList: () => void
 }
@@ -125,6 +128,9 @@
   readonly popularity: Popularity
   /** Work whose load was refused recently, and loads begun recently. */
   readonly history: LoadHistory
+  /** Adapters refused again and again, and by pool the share of loads that they get. */
+  readonly starved: StarvedAdapters
+  readonly starvedShares: Map<string, StarvedLoadShare>
   readonly loadPolls: LoadPolls
   readonly jobs: Map<string, Job>
   /** Start times of base model loads, oldest first. */
--- a/fleet/placement/test/adapterDemand.ts
+++ b/fleet/placement/test/adapterDemand.ts
@@ -24,6 +24,8 @@
   readonly modelLoadsPerSecond: number
   /** How long a request uses its adapter. */
   readonly useMs: number
+  /** Share of the loads that go to starved adapters; the one of the product if absent. */
+  readonly starvedLoadShare?: number
   /** Request rates per second of the adapters, and the priority of their callers. */
   readonly adapters: ReadonlyArray<{ readonly perSecond: number, readonly priority: number }>
 }
@@ -74,6 +76,7 @@
     ids: Array.from({ length: demand.engines }, (_, index) => `e${index}`),
     slots: demand.slots,
     modelLoadsPerSecond: demand.modelLoadsPerSecond,
+    ...(demand.starvedLoadShare === undefined ? {} : { starvedLoadShare: demand.starvedLoadShare }),
     onMessage
   })
 
--- a/fleet/placement/test/fakeEngines.ts
+++ b/fleet/placement/test/fakeEngines.ts
@@ -65,6 +65,8 @@
   readonly modelLoadMs?: number
   /** Time an engine takes to load an adapter. */
   readonly loadMs?: number
+  /** Share of the loads that go to starved adapters. */
+  readonly starvedLoadShare?: number
   /** Receives the messages to entry hosts, in place of a host that uses each granted adapter for a moment. */
   readonly onMessage?: (message: FleetMessage) => void
 }
@@ -158,6 +160,7 @@
     hasRecentQuorum: () => hasQuorum,
     getLocation: () => ({ zone: 'z', region: 'r' }),
     sendOrder,
+    ...(opts.starvedLoadShare === undefined ? {} : { starvedLoadShare: opts.starvedLoadShare }),
     pollList: () => {
       const seen = lists.findLast(({ at }) => at <= now - lagMs) ?? lists[0]
       if (seen !== undefined) scheduled.push({ at: now + 1, run: () => placements[index]?.receiveList(seen.listed, createContext()) })
