--- a/fleet/placement/src/chooseEngine.ts
+++ b/fleet/placement/src/chooseEngine.ts
@@ -43,6 +43,12 @@
   readonly isCached: boolean
 }
 
+/** An engine chosen for a load, and what the load is estimated to cost there, in milliseconds. */
+export interface EngineEstimate {
+  readonly choice: EngineChoice
+  readonly costMs: DurationMs
+}
+
 /** Requests per second for an adapter, recently. */
 export type GetRate = (slotKey: string) => number
 
@@ -115,7 +121,7 @@
 }
 
 /** Estimates what a load on an engine costs, in milliseconds; undefined if the engine cannot or should not load the adapter. */
-function computeEngineCost ({ engine, victim, victimRate, loading }: OpenEngine, opts: EngineCostOptions): { choice: EngineChoice, costMs: number } | undefined {
+function computeEngineCost ({ engine, victim, victimRate, loading }: OpenEngine, opts: EngineCostOptions): EngineEstimate | undefined {
   const { requirements, pool } = opts
   const { endpoint } = engine.listed
   const slotKey = formatSlotKey(requirements.model, requirements.adapter)
@@ -128,8 +134,8 @@
 }
 
 /** Chooses the cheapest of the open engines; undefined if none can load the adapter now. */
-export function chooseEngine (open: readonly OpenEngine[], opts: EngineCostOptions): { choice: EngineChoice, costMs: number } | undefined {
-  let best: { choice: EngineChoice, costMs: number } | undefined
+export function chooseEngine (open: readonly OpenEngine[], opts: EngineCostOptions): EngineEstimate | undefined {
+  let best: EngineEstimate | undefined
   for (const candidate of open) {
     const cost = computeEngineCost(candidate, opts)
     if (cost !== undefined && (best === undefined || cost.costMs < best.costMs)) best = cost
--- a/fleet/placement/src/placementRequests.ts
+++ b/fleet/placement/src/placementRequests.ts
@@ -9,7 +9,7 @@
 import { formatPlacedKey } from '@catkinferry/core.types'
 import type { RunContext } from '@catkinferry/host.events'
 import { chooseEngine, EXPECTED_LOAD_MS, listOpenEngines } from './chooseEngine.ts'
-import type { EngineChoice, OpenEngine } from './chooseEngine.ts'
+import type { EngineChoice, EngineEstimate, OpenEngine } from './chooseEngine.ts'
 import { CONCURRENT_STORE_LOADS_PER_RATE, EVICT_IDLE_MS, EXTRA_LOAD_BATCH_SHARE, MAX_EXTRA_LOADS, MIN_CONCURRENT_STORE_LOADS, MIN_REMAINING_MS, MIN_WAITERS_PER_EXTRA_LOAD, REFUSED_RETRY_MS, REPLICA_EVICT_IDLE_MS } from './constants.ts'
 import { formatSlotKey, recordGrant, SlotState } from './engineState.ts'
 import type { EngineState } from './engineState.ts'
@@ -216,23 +216,30 @@
   /** The loads may evict adapters that are worth more. */
   readonly isStarved: boolean
   readonly now: MonotonicMs
+  /** The cheapest of the open engines, by load: one that is passed over is looked at again in each of the next turns. */
+  readonly estimates: Map<PendingLoad, EngineEstimate | undefined>
+}
+
+/** Finds the cheapest open engine for a load; undefined if none can load the adapter now. */
+function findLoadEngine (state: PlacementState, { request }: PendingLoad, { open, pool, isStarved, now }: LoadChoiceOptions): EngineEstimate | undefined {
+  const isAvoided = (listed: ListedEndpoint): boolean => !isOfVersion(request, listed) || request.avoid.has(listed.endpoint) || request.existingReplicas.has(listed.endpoint) || state.health.isSuspect(listed.endpoint)
+  return chooseEngine(open, {
+    requirements: { ...request, waiting: request.waiters.length, isAvoided, isStarved },
+    pool,
+    getRate: slotKey => state.popularity.getFastRate(slotKey, now),
+    getRegion: state.opts.getRegion,
+    getRunning: state.totals.get
+  })
 }
 
 /** Chooses the next load among the first pending ones: the cheapest, with turns counting as costs. */
-function chooseNextLoad (state: PlacementState, pending: readonly PendingLoad[], { open, pool, isStarved, now }: LoadChoiceOptions): { readonly load: PendingLoad, readonly choice: EngineChoice } | undefined {
+function chooseNextLoad (state: PlacementState, pending: readonly PendingLoad[], opts: LoadChoiceOptions): { readonly load: PendingLoad, readonly choice: EngineChoice } | undefined {
   let best: { load: PendingLoad, choice: EngineChoice, costMs: number } | undefined
   const [first] = pending
   for (const [turn, load] of pending.slice(0, MATCHED_LOADS).entries()) {
-    const { request, standing } = load
-    if (first === undefined || standing.priority !== first.standing.priority) break
-    const isAvoided = (listed: ListedEndpoint): boolean => !isOfVersion(request, listed) || request.avoid.has(listed.endpoint) || request.existingReplicas.has(listed.endpoint) || state.health.isSuspect(listed.endpoint)
-    const chosen = chooseEngine(open, {
-      requirements: { ...request, waiting: request.waiters.length, isAvoided, isStarved },
-      pool,
-      getRate: slotKey => state.popularity.getFastRate(slotKey, now),
-      getRegion: state.opts.getRegion,
-      getRunning: state.totals.get
-    })
+    if (first === undefined || load.standing.priority !== first.standing.priority) break
+    if (!opts.estimates.has(load)) opts.estimates.set(load, findLoadEngine(state, load, opts))
+    const chosen = opts.estimates.get(load)
     const costMs = (chosen?.costMs ?? Infinity) + turn * TURN_COST_MS
     if (chosen !== undefined && (best === undefined || costMs < best.costMs)) best = { load, choice: chosen.choice, costMs }
   }
@@ -254,13 +261,14 @@
 }
 
 /** Begins loads for pending requests of one pool, one on each engine that is open for them, and returns these. */
-function beginLoads (state: PlacementState, requests: readonly PendingLoad[], opts: LoadChoiceOptions, context: RunContext): readonly PendingLoad[] {
+function beginLoads (state: PlacementState, requests: readonly PendingLoad[], opts: Omit<LoadChoiceOptions, 'estimates'>, context: RunContext): readonly PendingLoad[] {
   const { pool, now } = opts
   const begun: PendingLoad[] = []
   let [first, ...rest] = requests.slice(0, MAX_TRIED_LOADS)
+  const estimates: LoadChoiceOptions['estimates'] = new Map()
   let { open } = opts
   while (first !== undefined) {
-    const { load, choice } = chooseLoad(state, [first, ...rest], { ...opts, open })
+    const { load, choice } = chooseLoad(state, [first, ...rest], { ...opts, open, estimates })
     const isStoreFull = countStoreLoads(state) >= computeStoreLimit(pool)
     if (choice !== undefined && (choice.isCached || !isStoreFull)) {
       beginLoad(state, load.request, { ...choice, standing: load.standing }, context)
@@ -268,6 +276,7 @@
       getStarvedShare(state, load.request.pool).recordLoad(opts.isStarved, now)
       begun.push(load)
       open = open.filter(({ engine }) => engine !== choice.engine)
+      estimates.clear()
     }
     ;[first, ...rest] = [first, ...rest].filter(other => other !== load)
   }
