--- a/fleet/placement/src/chooseEngine.ts
+++ b/fleet/placement/src/chooseEngine.ts
@@ -31,6 +31,8 @@
   readonly isAvoided: (listed: ListedEndpoint) => boolean
   /** Number of requests that wait for the load. */
   readonly waiting: number
+  /** The load may evict an adapter that is worth more. */
+  readonly isStarved?: boolean
 }
 
 export interface EngineChoice {
@@ -41,6 +43,12 @@
   readonly isCached: boolean
 }
 
+/** An engine chosen for a load, and what the load is estimated to cost there, in milliseconds. */
+export interface EngineEstimate {
+  readonly choice: EngineChoice
+  readonly costMs: DurationMs
+}
+
 /** Requests per second for an adapter, recently. */
 export type GetRate = (slotKey: string) => number
 
@@ -112,18 +120,13 @@
   return chooseEviction({ candidates: [{ adapterKey, ratePerSecond: victimRate }], expectedLoadMs: EXPECTED_LOAD_MS, loadValue, hysteresis: EVICT_HYSTERESIS }) !== undefined
 }
 
-interface CostedChoice {
-  readonly choice: EngineChoice
-  readonly costMs: number
-}
-
 /** Estimates what a load on an engine costs, in milliseconds; undefined if the engine cannot or should not load the adapter. */
-function computeEngineCost ({ engine, victim, victimRate, loading }: OpenEngine, opts: EngineCostOptions): CostedChoice | undefined {
+function computeEngineCost ({ engine, victim, victimRate, loading }: OpenEngine, opts: EngineCostOptions): EngineEstimate | undefined {
   const { requirements, pool } = opts
   const { endpoint } = engine.listed
   const slotKey = formatSlotKey(requirements.model, requirements.adapter)
   if (requirements.isAvoided(engine.listed) || !engine.models.has(requirements.model) || engine.slots.has(slotKey)) return undefined
-  if (victim !== undefined && !isWorthEvicting(opts, slotKey, victim, victimRate)) return undefined
+  if (victim !== undefined && requirements.isStarved !== true && !isWorthEvicting(opts, slotKey, victim, victimRate)) return undefined
   const isCached = engine.cachedAdapters.has(formatPlacedKey(requirements.model, requirements.adapter, requirements.version))
   const costMs = (isCached ? 0 : STORE_COST_MS) + loading * QUEUED_LOAD_COST_MS + victimRate * EXPECTED_LOAD_MS +
     FULL_BATCH_COST_MS * opts.getRunning(endpoint) / Math.max(1, pool.batchLimit) + computeDistanceCost(requirements, engine, opts.getRegion)
@@ -131,8 +134,8 @@
 }
 
 /** Chooses the cheapest of the open engines; undefined if none can load the adapter now. */
-export function chooseEngine (open: readonly OpenEngine[], opts: EngineCostOptions): CostedChoice | undefined {
-  let best: CostedChoice | undefined
+export function chooseEngine (open: readonly OpenEngine[], opts: EngineCostOptions): EngineEstimate | undefined {
+  let best: EngineEstimate | undefined
   for (const candidate of open) {
     const cost = computeEngineCost(candidate, opts)
     if (cost !== undefined && (best === undefined || cost.costMs < best.costMs)) best = cost
@@ -144,14 +147,14 @@
 export interface CheapestEngines<Load> {
   readonly isEmpty: () => boolean
   /** Finds what `chooseEngine` chooses of the engines that are left. */
-  readonly find: (load: Load) => CostedChoice | undefined
+  readonly find: (load: Load) => EngineEstimate | undefined
   /** Removes an engine that begins a load. */
   readonly remove: (engine: EngineState) => void
 }
 
 /** A load that begins on one engine does not change the costs of the others, so the cheapest for a load is looked for again only once it is removed. */
 export function createCheapestEngines<Load> (open: readonly OpenEngine[], getOptions: (load: Load) => EngineCostOptions): CheapestEngines<Load> {
-  const found = new Map<Load, CostedChoice | undefined>()
+  const found = new Map<Load, EngineEstimate | undefined>()
   let left = open
   return {
     isEmpty: () => left.length === 0,
