Count a caller once whose load request is sent again

What callers saw: more adapters were brought from the store than they needed, while others were refused for want of loads.

Cause: an entry host sends a load request again after 0.7 s without an answer, and a load on a late leader takes longer. The leader added each repeat as a further caller. From four callers on an adapter is loaded on another engine too, and the order of loads goes by callers, so a late leader made itself more work, and gave places at the store to what it had in progress.

A request of the same host and number is now taken for the one that waits. The first one's times stand, as before: its refusal ended the request at the host.

Class: lateness of the leader that adds to its load.

--- a/fleet/placement/src/placementRequests.ts
+++ b/fleet/placement/src/placementRequests.ts
@@ -52,7 +52,9 @@
   const known = state.requests.get(key)
   if (known !== undefined) {
     known.avoid = new Set([...known.avoid, ...avoid])
-    if (waiter !== undefined) known.waiters.push(waiter)
+    // A host sends a request again that has not been answered for a while.
+    const isKnown = known.waiters.some(({ host, askId }) => host === waiter?.host && askId === waiter.askId)
+    if (waiter !== undefined && !isKnown) known.waiters.push(waiter)
     return
   }
   state.requests.set(key, {
--- a/fleet/placement/test/lateLeader.test.ts
+++ b/fleet/placement/test/lateLeader.test.ts
@@ -57,6 +57,20 @@
     expect([...fleet.engines.values()].map(({ resident }) => [...resident.keys()])).toEqual([['a'], []])
   })
 
+  // Guards against requests of entry hosts that count as several callers, and get several engines, because the leader has not answered yet.
+  it('are not begun on more engines because a host sends its request again', () => {
+    const fleet = createFakeEngines({ ids: ['e1', 'e2', 'e3'], slots: 4, loadMs: 3_000 })
+    fleet.runFor(1_000)
+    const request = buildLoadRequest('a', { remainingMs: 6_000 })
+    for (let count = 0; count < 5; count += 1) {
+      fleet.receive(request)
+      fleet.runFor(700)
+    }
+    fleet.runFor(1_000)
+    expect([...fleet.engines.values()].map(({ resident, loading }) => resident.size + loading.size)).toEqual([1, 0, 0])
+    expect(fleet.sent.filter(({ message }) => message.kind === 'load.given').length).toEqual(1)
+  })
+
   for (const seed of Array.from({ length: 20 }, (_, index) => index + 1)) {
     it(`never overfill an engine while some orders are answered late, and others are lost or executed late (seed ${seed})`, () => {
       const random = createRandom(seed)
