Count why adapters are not loaded, and report those refused again and again

The log had a line for each load, but nothing by adapter on what was asked, refused and granted, so that an order of loads that starves adapters, a store at its limit, a late leader and refusals by entry hosts looked alike.

The leader counts callers by what they were told and their priority, loads by cause, the refusals of an adapter before its load, and adapters refused four times or more over 8 s that were not loaded, by priority. Labels have fixed values, priorities beyond 9 count as 9, and one log line in 2 s at most names the adapter refused for the longest time. The line of a load and that line name the adapter, so catkinferry explain shows them for its requests.

Tests: loadCounts.test.ts, loadMetrics.test.ts, starvedAdapters.test.ts. Not run: a whole fleet with these metrics.

--- a/adapters/load-scheduler/src/starvedAdapters.ts
+++ b/adapters/load-scheduler/src/starvedAdapters.ts
@@ -15,14 +15,28 @@
 const RETENTION_MS = 60_000
 const MAX_REFUSED_ADAPTERS = 20_000
 
+/** An adapter that was refused this often over this time, and not loaded, is reported. */
+const REPORTED_REFUSALS = 4
+const REPORTED_AFTER_MS = 8_000
+
 interface RefusedAdapter {
   readonly since: MonotonicMs
+  /** The most urgent priority of its refused callers. */
+  priority: number
   lastAt: MonotonicMs
   refusals: number
 }
 
+/** An adapter that was asked for again and again and not loaded. */
+export interface UnloadedAdapter {
+  readonly adapterKey: AdapterKey
+  readonly since: MonotonicMs
+  readonly refusals: number
+  readonly priority: number
+}
+
 export interface StarvedAdapters {
-  readonly recordRefusal: (adapterKey: AdapterKey, now: MonotonicMs) => void
+  readonly recordRefusal: (adapterKey: AdapterKey, opts: { readonly now: MonotonicMs, readonly priority: number }) => void
   /** Forgets the refusals of an adapter that was loaded. Returns how many there were. */
   readonly recordLoad: (adapterKey: AdapterKey) => number
   /**
@@ -30,6 +44,8 @@
    * would serve a caller on time.
    */
   readonly getStarvedSince: (adapterKey: AdapterKey, opts: { readonly now: MonotonicMs, readonly isOnTime: boolean }) => MonotonicMs | undefined
+  /** Lists the adapters that were refused four times or more over 8 s and not loaded. */
+  readonly listUnloaded: (now: MonotonicMs) => readonly UnloadedAdapter[]
   /** Number of adapters with refusals. */
   readonly getSize: () => number
   readonly clear: () => void
@@ -48,8 +64,9 @@
   }
 
   return {
-    recordRefusal: (adapterKey, now) => {
-      const row = rows.get(adapterKey) ?? { since: now, lastAt: now, refusals: 0 }
+    recordRefusal: (adapterKey, { now, priority }) => {
+      const row = rows.get(adapterKey) ?? { since: now, lastAt: now, refusals: 0, priority }
+      row.priority = Math.min(row.priority, priority)
       row.lastAt = now
       row.refusals += 1
       rows.delete(adapterKey)
@@ -67,6 +84,9 @@
       if (row === undefined || row.refusals < MIN_REFUSALS || now - row.since < starvedAfterMs || now - row.lastAt > RETENTION_MS) return undefined
       return row.since
     },
+    listUnloaded: now => [...rows]
+      .filter(([, { since, lastAt, refusals }]) => refusals >= REPORTED_REFUSALS && lastAt - since >= REPORTED_AFTER_MS && now - lastAt <= RETENTION_MS)
+      .map(([adapterKey, { since, refusals, priority }]) => ({ adapterKey, since, refusals, priority })),
     getSize: () => rows.size,
     clear: () => { rows.clear() }
   }
--- a/daemon/fleet/src/coreHost.ts
+++ b/daemon/fleet/src/coreHost.ts
@@ -15,6 +15,7 @@
 import { openDataFolder } from './dataFolder.ts'
 import { createFleetNode } from './fleetNode.ts'
 import type { FleetSettings } from './fleetSettings.ts'
+import { createLoadMetrics } from './loadMetrics.ts'
 
 /** Operations of the deployment's platform that the leader uses. */
 export interface FleetPlatform {
@@ -104,8 +105,10 @@
   })
   await node.open()
   const accountMetrics = createAccountMetrics(page)
+  const loadMetrics = createLoadMetrics(page)
   const metricsTimer = setInterval(() => {
     accountMetrics.update(systems.quotas.takeTotals())
+    loadMetrics.update(systems.placement.takeLoadCounts(clock.getMonotonicMs()))
     page.set('leader', systems.voter.isLeader() ? 1 : 0)
     const { failure } = systems.voter.getStatus()
     if (failure !== undefined) onDiskFailed(failure)
--- a/fleet/placement/src/jobs.ts
+++ b/fleet/placement/src/jobs.ts
@@ -35,8 +35,8 @@
 }
 
 /** Begins to load an adapter, after the eviction of the victim if there is one. */
-export function beginLoad (state: PlacementState, request: PlacementRequest, choice: EngineChoice & { readonly standing: LoadStanding }, context: RunContext): void {
-  const { engine, victim, isCached, standing } = choice
+export function beginLoad (state: PlacementState, request: PlacementRequest, choice: EngineChoice & { readonly standing: LoadStanding, readonly starvedSince: MonotonicMs | undefined }, context: RunContext): void {
+  const { engine, victim, isCached, standing, starvedSince } = choice
   const { model, adapter, version } = request
   const { endpoint } = engine.listed
   const steps: Job['steps'] = [{ kind: 'load', model, adapter, version }]
@@ -54,7 +54,7 @@
   slot.outcomeUnknownUntil = previous?.outcomeUnknownUntil ?? slot.outcomeUnknownUntil
   engine.slots.set(slotKey, slot)
   addJob(state, { key: formatJobKey(endpoint, slotKey), endpoint, steps, isCached, startedAt: context.now })
-  reportInfo(context, 'adapter load started', { peer: endpoint, adapter: slotKey, version, pool: request.pool, waiting: request.waiters.length, onTime: standing.onTime, slackMs: Number.isFinite(standing.slackMs) ? Math.round(standing.slackMs) : undefined, evicts: victim === undefined ? undefined : formatSlotKey(victim.model, victim.adapter), held: isCached, term: state.term })
+  reportInfo(context, 'adapter load started', { peer: endpoint, adapter: slotKey, version, pool: request.pool, waiting: request.waiters.length, onTime: standing.onTime, slackMs: Number.isFinite(standing.slackMs) ? Math.round(standing.slackMs) : undefined, evicts: victim === undefined ? undefined : formatSlotKey(victim.model, victim.adapter), held: isCached, refusedForMs: starvedSince === undefined ? undefined : Math.round(context.now - starvedSince), term: state.term })
 }
 
 /** Begins an eviction that no load waits for. */
@@ -229,7 +229,7 @@
   slot.state = SlotState.RESIDENT
   slot.changedAt = context.now
   slot.usedAt = context.now
-  state.starved.recordLoad(slotKey)
+  state.loadCounts.recordLoaded(state.starved.recordLoad(slotKey))
   recordCached(engine, slot)
   state.publisher.enqueueResidency(engine.listed.endpoint, slot, true)
 }
--- a/fleet/placement/src/placement.ts
+++ b/fleet/placement/src/placement.ts
@@ -20,6 +20,8 @@
 import { evictIdle } from './evictIdle.ts'
 import { findPool, isOutdated, listPoolEngines, reportInfo } from './placementState.ts'
 import type { PlacementOptions, PlacementState, Waiter } from './placementState.ts'
+import { createLoadCounts, getCountedPriority, LoadRequestOutcome } from './loadCounts.ts'
+import type { LoadCountTotals } from './loadCounts.ts'
 import { createLoadHistory } from './loadHistory.ts'
 import { createLoadPolls } from './loadPolls.ts'
 import { addRequest, refuseWaiter, runRequests } from './placementRequests.ts'
@@ -32,6 +34,8 @@
 type UsageReport = Extract<FleetMessage, { kind: 'fleet.use' }>
 
 const MS_PER_SECOND = 1_000
+/** Minimum interval between two log lines about adapters that are refused again and again. */
+const UNLOADED_REPORT_INTERVAL_MS = 2_000
 
 export interface Placement extends System<LoadRequestMessage | UsageReport | SlotUseReport | MirrorMessage> {
   /** Applies the platform's endpoint list; ignored unless this host leads. */
@@ -39,6 +43,8 @@
   /** Sends the endpoints to an entry host that lacks changes. */
   readonly update: (host: string, held: HeldState, context: RunContext) => void
   readonly getLeaderTerm: () => number | undefined
+  /** Returns the counts of loads and their callers since the last call, and by priority how many adapters are refused again and again. */
+  readonly takeLoadCounts: (now: MonotonicMs) => LoadCountTotals & { readonly unloadedByPriority: ReadonlyMap<number, number> }
 }
 
 /** Creates the placement of one core host; it acts only while the host leads. */
@@ -59,6 +65,8 @@
     history: createLoadHistory(),
     starved: createStarvedAdapters(),
     starvedShares: new Map(),
+    loadCounts: createLoadCounts(),
+    nextUnloadedReportAt: 0,
     loadPolls: createLoadPolls(),
     mirror: createSlotMirror(),
     jobs: new Map(),
@@ -94,7 +102,8 @@
     },
     run: context => run(state, context),
     getNextAt: () => getNextAt(state),
-    getLeaderTerm: () => state.term
+    getLeaderTerm: () => state.term,
+    takeLoadCounts: now => ({ ...state.loadCounts.take(), unloadedByPriority: countUnloaded(state, now) })
   }
 }
 
@@ -239,10 +248,37 @@
   }
 }
 
+function refuseForNewLeader (state: PlacementState, waiters: readonly Waiter[], context: RunContext): void {
+  for (const waiter of waiters) {
+    state.loadCounts.recordOutcome(LoadRequestOutcome.LEADER_CHANGED, waiter.priority)
+    refuseWaiter(waiter, 'leadership has changed', REFUSED_RETRY_MS, context)
+  }
+}
+
+function countUnloaded (state: PlacementState, now: MonotonicMs): ReadonlyMap<number, number> {
+  const counts = new Map<number, number>()
+  for (const adapter of state.starved.listUnloaded(now)) {
+    const priority = getCountedPriority(adapter.priority)
+    counts.set(priority, (counts.get(priority) ?? 0) + 1)
+  }
+  return counts
+}
+
+/** Logs how many adapters are refused again and again, and the one that has been for the longest time. */
+function reportUnloaded (state: PlacementState, context: RunContext): void {
+  if (context.now < state.nextUnloadedReportAt) return
+  state.nextUnloadedReportAt = context.now + UNLOADED_REPORT_INTERVAL_MS
+  const unloaded = state.starved.listUnloaded(context.now)
+  const [longest] = unloaded.toSorted((a, b) => a.since - b.since)
+  if (longest === undefined) return
+  const { adapterKey, since, refusals, priority } = longest
+  reportInfo(context, 'adapters are asked for again and again and not loaded', { adapters: unloaded.length, adapter: adapterKey, refusals, refusedForMs: Math.round(context.now - since), priority, term: state.term })
+}
+
 function updateLeadership (state: PlacementState, context: RunContext): void {
   const term = state.opts.getLeaderTerm()
   if (term === state.term) return
-  for (const { waiters } of state.requests.values()) for (const waiter of waiters) refuseWaiter(waiter, 'leadership has changed', REFUSED_RETRY_MS, context)
+  for (const { waiters } of state.requests.values()) refuseForNewLeader(state, waiters, context)
   state.requests.clear()
   state.history.clear()
   state.starved.clear()
@@ -352,6 +388,7 @@
   }
   const isOrdering = mayOrder(state, context.now)
   runRequests(state, isOrdering, context)
+  reportUnloaded(state, context)
   if (isOrdering) {
     dropOutdated(state, context)
     loadModels(state, context)
--- a/fleet/placement/src/placementRequests.ts
+++ b/fleet/placement/src/placementRequests.ts
@@ -14,6 +14,7 @@
 import { formatSlotKey, recordGrant, SlotState } from './engineState.ts'
 import type { EngineState } from './engineState.ts'
 import { beginLoad } from './jobs.ts'
+import { LoadCause, LoadRequestOutcome } from './loadCounts.ts'
 import { findPool, listPoolEngines, reportInfo } from './placementState.ts'
 import type { PlacementRequest, PlacementState, Waiter } from './placementState.ts'
 
@@ -84,7 +85,8 @@
     if (waiter.workId !== undefined) state.history.recordRefusal(waiter.workId, context.now)
     const slotKey = formatSlotKey(request.model, request.adapter)
     state.popularity.record(slotKey, context.now)
-    state.starved.recordRefusal(slotKey, context.now)
+    state.starved.recordRefusal(slotKey, { now: context.now, priority: waiter.priority })
+    state.loadCounts.recordOutcome(opts.backlog === undefined ? LoadRequestOutcome.OVERDUE : LoadRequestOutcome.OVERLOADED, waiter.priority)
     const fraction = waiter.askId % RETRY_STEPS / RETRY_STEPS
     refuseWaiter(waiter, opts.reason, opts.backlog === undefined ? REFUSED_RETRY_MS : computeRetryMs(opts.backlog, fraction), context)
   }
@@ -139,11 +141,12 @@
   return 1 + Math.min(MAX_EXTRA_LOADS, Math.floor(waiters.length / Math.max(MIN_WAITERS_PER_EXTRA_LOAD, batchLimit * EXTRA_LOAD_BATCH_SHARE)))
 }
 
-function grantRequest (request: PlacementRequest, engine: EngineState, context: RunContext): void {
+function grantRequest (state: PlacementState, request: PlacementRequest, engine: EngineState, context: RunContext): void {
   const { endpoint } = engine.listed
   const slot = engine.slots.get(formatSlotKey(request.model, request.adapter))
   const adapterKey = formatPlacedKey(request.model, request.adapter, slot?.version ?? request.version)
-  for (const { host, askId } of request.waiters) {
+  for (const { host, askId, priority } of request.waiters) {
+    state.loadCounts.recordOutcome(LoadRequestOutcome.GRANTED, priority)
     if (slot !== undefined) recordGrant(slot, host, context.now)
     context.send(host, { kind: 'load.given', askId, endpoint, adapterKey })
   }
@@ -196,7 +199,7 @@
     const resident = request.waiters.length > 0 || context.now < request.expiresAt ? findResidentEngine(state, request, holders) : undefined
     const isLoadBegun = resident !== undefined || countLoadingFor(request, holders) > 0
     refuseWaiters(state, request, { choose: waiter => isOverdue(state, waiter, isLoadBegun, context.now), reason: 'no engine could load the adapter in time' }, context)
-    if (resident !== undefined) grantRequest(request, resident, context)
+    if (resident !== undefined) grantRequest(state, request, resident, context)
     const isDone = resident !== undefined || (request.waiters.length === 0 && context.now >= request.expiresAt)
     if (isDone) state.requests.delete(key)
     const pool = findPool(state, request.pool)?.engine
@@ -252,6 +255,11 @@
   return next ?? { load: pending[0], choice: chooseReplacement(state, pending[0].request, opts.holders, opts.now) }
 }
 
+function getLoadCause ({ request }: PendingLoad, isStarved: boolean): LoadCause {
+  if (isStarved) return LoadCause.STARVED
+  return request.waiters.length > 0 ? LoadCause.CALLERS : LoadCause.AHEAD
+}
+
 function getStarvedShare (state: PlacementState, pool: string): StarvedLoadShare {
   const known = state.starvedShares.get(pool)
   if (known !== undefined) return known
@@ -271,9 +279,10 @@
     const { load, choice } = chooseLoad(state, [first, ...rest], { ...opts, open, estimates })
     const isStoreFull = countStoreLoads(state) >= computeStoreLimit(pool)
     if (choice !== undefined && (choice.isCached || !isStoreFull)) {
-      beginLoad(state, load.request, { ...choice, standing: load.standing }, context)
+      beginLoad(state, load.request, { ...choice, standing: load.standing, starvedSince: load.starvedSince }, context)
       state.history.recordLoad(now)
       getStarvedShare(state, load.request.pool).recordLoad(opts.isStarved, now)
+      state.loadCounts.recordLoadBegun(getLoadCause(load, opts.isStarved))
       begun.push(load)
       open = open.filter(({ engine }) => engine !== choice.engine)
       estimates.clear()
--- a/fleet/placement/src/placementState.ts
+++ b/fleet/placement/src/placementState.ts
@@ -7,6 +7,7 @@
 import type { EngineState, Slot } from './engineState.ts'
 import type { SlotMirror } from './slotMirror.ts'
 import type { EndpointPublisher } from './endpointPublisher.ts'
+import type { LoadCounts } from './loadCounts.ts'
 import type { LoadHistory } from './loadHistory.ts'
 import type { LoadPolls } from './loadPolls.ts'
 import type { LoadTotals } from './loadTotals.ts'
@@ -131,6 +132,9 @@
   /** Adapters refused again and again, and by pool the share of loads that they get. */
   readonly starved: StarvedAdapters
   readonly starvedShares: Map<string, StarvedLoadShare>
+  readonly loadCounts: LoadCounts
+  /** When adapters that are refused again and again are reported next. */
+  nextUnloadedReportAt: MonotonicMs
   readonly loadPolls: LoadPolls
   readonly jobs: Map<string, Job>
   /** Start times of base model loads, oldest first. */
--- a/fleet/placement/test/fakeEngines.ts
+++ b/fleet/placement/test/fakeEngines.ts
@@ -34,6 +34,8 @@
 export interface FakeEngines {
   readonly placement: Placement
   readonly sent: Array<{ readonly to: string, readonly message: FleetMessage }>
+  /** Log lines. */
+  readonly logs: Array<Extract<HostOutput, { kind: 'log' }>>
   readonly orders: Array<{ readonly at: number, readonly endpoint: string, readonly order: EngineOrder, readonly fencing: number }>
   /** Engines that were ordered to load more adapters than they have slots. */
   readonly overfilled: string[]
@@ -78,6 +80,7 @@
   const lists: { at: number, listed: ListedEndpoint[] }[] = []
   const sent: FakeEngines['sent'] = []
   const orders: FakeEngines['orders'] = []
+  const logs: FakeEngines['logs'] = []
   const overfilled: string[] = []
   let scheduled: ScheduledAction[] = []
   let now = 0
@@ -189,7 +192,7 @@
         if (other === undefined) receiveAsEntryHost(to, message as FleetMessage)
         else scheduled.push({ at: now + 2, run: () => other.receive('core', message as never, createContext()) })
       },
-      emit: (_output: HostOutput) => undefined
+      emit: (output: HostOutput) => { if (output.kind === 'log') logs.push(output) }
     }
   }
 
@@ -210,6 +213,7 @@
   return {
     get placement () { return getPlacement() },
     sent,
+    logs,
     orders,
     overfilled,
     engines,
