Do not complete a stream by the end of a shorter one

What callers could see: a stream that ended as complete in the middle, when an endpoint that does not know Last-Event-Id began it anew and ended it before the last event that the caller has.

Cause: the same class: what the caller has was dropped from the response, but the end of the response was judged as if nothing had been.

Fix: the splitter knows whether the events of a response have come up to the last one that the caller has; a continuation that ends before is lost.

Evidence: the test that expects a cut failed before with the stream complete, and passes; one that ends just with what the caller has is complete before and after. Also guarded, and passing before: an error of an earlier attempt is not sent into a stream that broke off, and a refusal in answer to its retry neither.

--- a/gateway/relay/src/eventSplitter.ts
+++ b/gateway/relay/src/eventSplitter.ts
@@ -23,6 +23,8 @@
   /** Whether the bytes so far end inside an event. */
   readonly isInsideEvent: () => boolean
   readonly hasEvents: () => boolean
+  /** Whether the endpoint has sent the stream again from an earlier event, and not yet the last one that the caller has. */
+  readonly isBehind: () => boolean
   /** Whether the first bytes with the end of an event have lines that no event has. Always false if the type of the stream is known. */
   readonly hasOtherLines: () => boolean
   /** ID of the last complete event that has one; before the first, the ID that the splitter was created with. */
@@ -88,12 +90,15 @@
   let lastId = lastEventId
   let hasEvents = false
   let hasOtherLines = false
+  let isBehind = false
 
   function dropDelivered (events: Buffer, delivered: DeliveredEvents): Buffer {
     const text = events.toString('latin1')
     const kept = text.split(AFTER_EVENT).filter(event => {
       const id = ID_FIELD.exec(event)?.[1]?.trim()
-      return id === undefined || !delivered.has(id)
+      const isDropped = id !== undefined && delivered.has(id)
+      if (id !== undefined) isBehind = isDropped && id !== lastEventId
+      return !isDropped
     }).join('')
     return kept.length === text.length ? events : Buffer.from(kept, 'latin1')
   }
@@ -121,6 +126,7 @@
     getOpenBytes: () => rest.length,
     isInsideEvent: () => !rest.every(isLineEnd),
     hasEvents: () => hasEvents,
+    isBehind: () => isBehind,
     hasOtherLines: () => hasOtherLines,
     getLastEventId: () => lastId
   }
--- a/gateway/relay/src/sendAnswer.ts
+++ b/gateway/relay/src/sendAnswer.ts
@@ -226,6 +226,7 @@
   if (isBroken && !splitter.hasEvents()) return { reason: 'the stream ended before its first event', isBroken }
   if (!isContinuation) return undefined
   if (isBroken && !exchange.isUnframed) return { reason: 'the rest of the stream ended with its connection' }
+  if (splitter.isBehind()) return { reason: 'the stream that was begun anew ended before what the caller has' }
   // An endpoint that has nothing left to send must have been told what the caller has.
   return splitter.hasEvents() || exchange.lastEventId !== undefined ? undefined : { reason: 'the stream that the caller has begins anew without events' }
 }
--- a/gateway/relay/test/continuedStreams.test.ts
+++ b/gateway/relay/test/continuedStreams.test.ts
@@ -27,6 +27,7 @@
   'an error of 256 KB in chunks': `500 Failed\r\n${IDENTITY}${frameInChunks(LONG_ERROR)}`,
   'an error with the content type of events': `500 Failed\r\n${IDENTITY}${EVENT_STREAM}${frameWithLength(REST)}`,
   'a 503 that does not say that the request has not run': `503 Unavailable\r\n${IDENTITY}${frameWithLength(ERROR_TEXT)}`,
+  'a refusal that says that the request has not run': `503 Full\r\n${IDENTITY}X-Not-Run: 1\r\n${frameWithLength(ERROR_TEXT)}`,
   'a redirect with a text': `302 Found\r\n${IDENTITY}Location: /q\r\n${frameWithLength(ERROR_TEXT)}`,
   'a redirect without a body': `302 Found\r\n${IDENTITY}Location: /q\r\n${frameWithLength('')}`,
   'a 206': `206 Partial Content\r\n${IDENTITY}${EVENT_STREAM}${frameWithLength(REST)}`,
@@ -170,6 +171,33 @@
   }
 })
 
+describe('a stream that began after another endpoint had failed', () => {
+  // Guards against the error of an earlier attempt in the middle of a stream.
+  it('is cut if it breaks off, without a byte of that error', async t => {
+    const failing = await startAnswering('e0', OTHER_RESPONSES['an error'] ?? '')
+    const first = await startBeginning()
+    const relay = await start(t, { endpoints: [failing, first.endpoint], othersLoad: { e0: 0, e1: 3 } })
+    const { body, broken } = await callBroken(relay, first)
+    expect([body, broken, failing.requests.length, findStatuses(relay)]).toEqual([BEGINNING, true, 1, ['cut']])
+  })
+})
+
+describe('a stream that another endpoint begins anew', () => {
+  // Guards against a stream that ends as complete after the end of a shorter one.
+  for (const [name, sent, expected] of [
+    ['is cut if that ends before what the caller has', [1, 2], true],
+    ['is complete if that ends with what the caller has', [1, 2, 3], false]
+  ] as const) {
+    it(name, async t => {
+      const text = BEGINNING + REST
+      const first = await startBeginning(EVENT_STREAM, text)
+      const relay = await start(t, { endpoints: [first.endpoint, await startAnswering('e2', `200 OK\r\n${IDENTITY}${EVENT_STREAM}${frameInChunks(sent.map(formatEvent).join(''))}`)] })
+      const { body, broken } = await callBroken(relay, first)
+      expect([body, broken]).toEqual([text, expected])
+    })
+  }
+})
+
 describe('a stream that goes on at an endpoint whose response ends with its connection', () => {
   const UNFRAMED = `HTTP/1.1 200 OK\r\n${IDENTITY}${EVENT_STREAM}Connection: close\r\n\r\n${formatEvent(2)}`
 
