Take what has an id for an event where the type is not stated

A stream whose type is not stated may go on only if its first events look like events. Lines with fields of an endpoint's own made them look like other text; what has an id is an event now, whatever fields it has, as clients ignore the fields that they do not know.

Also tested: what a peer of an earlier release passes on, what a peer says itself (declined, refused, lost), and the 408 of its HTTP server, in answer to a stream that broke off; it is cut without a byte of these.

--- a/gateway/relay/src/eventSplitter.ts
+++ b/gateway/relay/src/eventSplitter.ts
@@ -10,6 +10,7 @@
 const AFTER_EVENT = /(?<=(?:\r\n|\n|\r(?!\n)){2})/
 const ID_FIELD = /^id:[ ]?(.*)$/m
 const DATA_FIELD = /^data(?::|$)/m
+const LINE_END = /\r\n|\n|\r/
 /** A line of an event stream: a field, a comment, or the blank line after an event. */
 const EVENT_LINE = /^(?:id|data|event|retry)?(?::|$)/
 
@@ -25,8 +26,8 @@
   readonly hasEvents: () => boolean
   /** Whether the endpoint has sent the stream again from an earlier event, and not yet the last one that the caller has. */
   readonly isBehind: () => boolean
-  /** Whether the first bytes with the end of an event have lines that no event has. Always false if the type of the stream is known. */
-  readonly hasOtherLines: () => boolean
+  /** Whether the first bytes with the end of an event have text that is none. Always false if the type of the stream is known. */
+  readonly hasOtherText: () => boolean
   /** ID of the last complete event that has one; before the first, the ID that the splitter was created with. */
   readonly getLastEventId: () => string | undefined
 }
@@ -76,8 +77,9 @@
   return blocks.filter(({ text, id }) => id !== undefined || DATA_FIELD.test(text)).map(({ id }) => id)
 }
 
-function hasOnlyEventLines (text: string): boolean {
-  return text.split(/\r\n|\n|\r/).every(line => EVENT_LINE.test(line))
+/** What has an ID is an event, whatever else it has; text without one must consist of lines of events. */
+function hasOnlyEvents (text: string): boolean {
+  return text.split(EVENT_END).every(block => ID_FIELD.test(block) || block.split(LINE_END).every(line => EVENT_LINE.test(line)))
 }
 
 function isLineEnd (byte: number): boolean {
@@ -89,7 +91,7 @@
   let rest: Buffer = Buffer.alloc(0)
   let lastId = lastEventId
   let hasEvents = false
-  let hasOtherLines = false
+  let hasOtherText = false
   let isBehind = false
 
   function dropDelivered (events: Buffer, delivered: DeliveredEvents): Buffer {
@@ -109,9 +111,9 @@
       const end = findEndOfEvents(bytes)
       rest = bytes.subarray(end)
       if (end === 0) return Buffer.alloc(0)
-      if (!hasEvents && !isTypeKnown) hasOtherLines = !hasOnlyEventLines(bytes.toString('latin1', 0, end))
+      if (!hasEvents && !isTypeKnown) hasOtherText = !hasOnlyEvents(bytes.toString('latin1', 0, end))
       hasEvents = true
-      if (delivered === undefined || hasOtherLines) return bytes.subarray(0, end)
+      if (delivered === undefined || hasOtherText) return bytes.subarray(0, end)
       const events = dropDelivered(bytes.subarray(0, end), delivered)
       const ids = listIds(events.toString('latin1'))
       for (const id of ids) delivered.add(id)
@@ -127,7 +129,7 @@
     isInsideEvent: () => !rest.every(isLineEnd),
     hasEvents: () => hasEvents,
     isBehind: () => isBehind,
-    hasOtherLines: () => hasOtherLines,
+    hasOtherText: () => hasOtherText,
     getLastEventId: () => lastId
   }
 }
--- a/gateway/relay/src/sendAnswer.ts
+++ b/gateway/relay/src/sendAnswer.ts
@@ -191,7 +191,7 @@
   recordPause(exchange, attempt.getNow())
   if (splitter !== undefined) attempt.onEvent()
   if (!exchange.headSent) sendHead(state)
-  if (splitter?.hasOtherLines() === true) exchange.resumableHead = undefined
+  if (splitter?.hasOtherText() === true) exchange.resumableHead = undefined
   state.bytes += chunk.length
   if (splitter !== undefined) exchange.lastEventId = splitter.getLastEventId()
   if (!res.write(chunk)) waitForCaller(state, res)
@@ -235,7 +235,7 @@
   const { attempt: { isSettled }, splitter, isContinuation } = state
   if (isSettled()) return
   const bytes = splitter === undefined ? chunk : splitter.add(chunk)
-  if (isContinuation && splitter?.hasOtherLines() === true) {
+  if (isContinuation && splitter?.hasOtherText() === true) {
     loseStream(state, { reason: 'a response of no stated type in the middle of a stream has no events', hostReason: HostEndReason.WRONG_RESPONSE })
     return
   }
--- a/gateway/relay/test/continuedStreams.test.ts
+++ b/gateway/relay/test/continuedStreams.test.ts
@@ -4,6 +4,7 @@
 import type { TestContext } from 'node:test'
 import type { Socket } from 'node:net'
 import { MAX_BUFFERED_RESPONSE_BYTES } from '../src/constants.ts'
+import { OUTCOME_HEADER, PeerOutcome } from '../src/forwardedRequest.ts'
 import { formatEvent } from './stallingEndpoint.ts'
 import { startEndpoint, startRawEndpoint, startTestRelay } from './testRelay.ts'
 import type { CallResult, Endpoint, TestRelay, TestRelayOptions } from './testRelay.ts'
@@ -234,11 +235,11 @@
 
 describe('a stream whose endpoints state no content type', () => {
   it('goes on with events, of no stated type or as events', async t => {
-    for (const response of [`200 OK\r\n${IDENTITY}${frameInChunks(REST)}`, CONTINUATIONS['in chunks'] ?? '']) {
-      const first = await startBeginning('')
+    for (const [response, text] of [[`200 OK\r\n${IDENTITY}${frameInChunks(REST)}`, BEGINNING], [CONTINUATIONS['in chunks'] ?? '', 'id: 1\nown: a\ndata: a\n\n']] as const) {
+      const first = await startBeginning('', text)
       const relay = await start(t, { endpoints: [first.endpoint, await startAnswering('e2', response)] })
       const { body, broken } = await callBroken(relay, first)
-      expect([body, broken]).toEqual([BEGINNING + REST, false])
+      expect([body, broken]).toEqual([text + REST, false])
     }
   })
 
@@ -359,6 +360,27 @@
     expect([body, broken]).toEqual([BEGINNING + REST, false])
   })
 
+  /** Peers of an earlier release pass such responses on. */
+  const PEER_RESPONSES: Readonly<Record<string, string>> = {
+    ...OTHER_RESPONSES,
+    ...Object.fromEntries(Object.values(PeerOutcome).map(outcome => [`an answer of its own (${outcome})`, `503 Unavailable\r\n${OUTCOME_HEADER}: ${outcome}\r\n${frameWithLength(ERROR_TEXT)}`])),
+    'the 408 of its HTTP server': '408 Request Timeout\r\nConnection: close\r\n\r\n'
+  }
+
+  // Guards against what a peer passes on, or says itself, in the middle of a stream.
+  for (const [name, response] of Object.entries(PEER_RESPONSES)) {
+    it(`is cut if the peer passes on ${name}`, async t => {
+      const first = await startBeginning()
+      const lost = await startEndpoint('e2', () => undefined)
+      lost.close()
+      const peer = await startAnswering('peer', response)
+      t.after(peer.close)
+      const relay = await start(t, { endpoints: [first.endpoint, lost], peers: [{ address: peer.address, zone: 'z', region: 'r' }] })
+      const { body, broken } = await callBroken(relay, first)
+      expect([body, broken, peer.requests.length, findStatuses(relay)]).toEqual([BEGINNING, true, 1, ['cut']])
+    })
+  }
+
   it('is cut if the peer loses it', async t => {
     const { body, broken, ran } = await callWithPeer(t, [`200 OK\r\n${IDENTITY}${EVENT_STREAM}Content-Length: 5\r\n\r\nid: 2`])
     expect([body, broken, ran]).toEqual([BEGINNING, true, [1]])
