--- a/gateway/relay/src/sendAnswer.ts
+++ b/gateway/relay/src/sendAnswer.ts
@@ -191,7 +191,7 @@
   recordPause(exchange, attempt.getNow())
   if (splitter !== undefined) attempt.onEvent()
   if (!exchange.headSent) sendHead(state)
-  if (splitter?.hasOtherLines() === true) exchange.resumableHead = undefined
+  if (splitter?.hasOtherText() === true) exchange.resumableHead = undefined
   state.bytes += chunk.length
   if (splitter !== undefined) exchange.lastEventId = splitter.getLastEventId()
   if (!res.write(chunk)) waitForCaller(state, res)
@@ -226,6 +226,7 @@
   if (isBroken && !splitter.hasEvents()) return { reason: 'the stream ended before its first event', isBroken }
   if (!isContinuation) return undefined
   if (isBroken && !exchange.isUnframed) return { reason: 'the rest of the stream ended with its connection' }
+  if (splitter.isBehind()) return { reason: 'the stream that was begun anew ended before what the caller has' }
   // An endpoint that has nothing left to send must have been told what the caller has.
   return splitter.hasEvents() || exchange.lastEventId !== undefined ? undefined : { reason: 'the stream that the caller has begins anew without events' }
 }
@@ -234,7 +235,7 @@
   const { attempt: { isSettled }, splitter, isContinuation } = state
   if (isSettled()) return
   const bytes = splitter === undefined ? chunk : splitter.add(chunk)
-  if (isContinuation && splitter?.hasOtherLines() === true) {
+  if (isContinuation && splitter?.hasOtherText() === true) {
     loseStream(state, { reason: 'a response of no stated type in the middle of a stream has no events', hostReason: HostEndReason.WRONG_RESPONSE })
     return
   }
