Take a response that is reset with its last bytes for broken off

Callers got 200 with an empty or short body, as a whole response, when an endpoint without length or chunks in its response broke it off by a reset that arrived together with the last bytes.

Cause: Node.js (libuv) reports such a reset as the end of the connection, without an error, when the last bytes and the hang-up are found in one poll; for a response without length or chunks the parser takes that end for the end of the response. The relay asked only for the socket's error. The class: the absence of an error is taken for a regular end.

After a regular end the connection still has its peer (CLOSE-WAIT); after a reset it has none, and the peer's address is no longer known (ENOTCONN, seen with Node.js 20 on Linux). The relay asks for it before the parser sees the end. A response that was complete before by its length or chunks is not concerned.

--- a/gateway/relay/src/attempt.ts
+++ b/gateway/relay/src/attempt.ts
@@ -152,6 +152,8 @@
     if (!hasProgress && idleBytes > (response === undefined ? MAX_HEAD_BYTES : MAX_FRAMING_BYTES)) fail('the endpoint sends bytes that are no response', false, HostEndReason.NO_RESPONSE)
   }
   const onSocketError = (): void => { socketFailed = true }
+  // Node.js reports a reset that arrives with the last bytes as an end, but the connection has no peer any more.
+  const onSocketEnd = (): void => { if (response?.complete !== true && socketInUse?.remoteAddress === undefined) socketFailed = true }
   // Without an id, a response can be matched to its request only on a connection that carries no other.
   const agentOptions = facts.requestId === undefined ? { agent: false as const, localAddress: link.localIp } : { agent: link.agent }
   const outgoing = request({ ...parseAddress(link.address), ...agentOptions, method: req.method, path: req.url, headers: buildHeaders(opts), setHost: false })
@@ -161,7 +163,7 @@
     if (settled) return
     settled = true
     connectLimit.cancel()
-    socketInUse?.off('error', onSocketError).off('data', countIdleBytes)
+    socketInUse?.off('error', onSocketError).off('end', onSocketEnd).off('data', countIdleBytes)
     exchange.live.delete(live)
     resolve(end)
   }
@@ -187,9 +189,9 @@
   exchange.live.add(live)
   opts.onBegin?.(live)
   outgoing.on('socket', socket => {
-    // Prepended, so that it runs before the parser takes a connection error for the end of a response without a length.
+    // Prepended, so that they run before the parser takes a connection error or a reset for the end of a response without a length.
     socketInUse = socket
-    socket.prependListener('error', onSocketError)
+    socket.prependListener('error', onSocketError).prependListener('end', onSocketEnd)
     const onConnected = (): void => {
       connected = true
       connectLimit.cancel()
