Read each idle connection before it is closed, also among many

Cause: sockets were read once before all idle connections were closed. Closing many takes milliseconds; what arrived on the others meanwhile lay unread in the kernel when their turn came. The same held for idle limits that pass in one turn, as after a pause.

Fix: each connection is closed in a turn of its own, after what is readable was read, and not if a request has arrived.

--- a/daemon/fleet/src/callerConnections.ts
+++ b/daemon/fleet/src/callerConnections.ts
@@ -107,8 +107,23 @@
   readonly handleError: (socket: Socket, code: string | undefined) => void
 }
 
+/** Runs checks one a turn of the event loop, each after the sockets that were readable were read. */
+function createTurnQueue (): (check: () => void) => void {
+  const queue: Array<() => void> = []
+  const runNext = (): void => {
+    queue[0]?.()
+    queue.shift()
+    if (queue.length > 0) setImmediate(runNext)
+  }
+  return check => {
+    queue.push(check)
+    if (queue.length === 1) setImmediate(runNext)
+  }
+}
+
 export function createConnections ({ getNow, findIdleLimit, findHeaderLimit, onClose }: ConnectionsOptions): Connections {
   const connections = new Map<Socket, Connection>()
+  const checkInTurn = createTurnQueue()
 
   function computeLeftMs ({ idleSince, arrivingSince }: Connection): DurationMs {
     const endsAt = arrivingSince === undefined ? idleSince + findIdleLimit(idleSince) + IDLE_MARGIN_MS : arrivingSince + findHeaderLimit()
@@ -118,9 +133,7 @@
   /** Bytes that begin no request, such as line breaks, restart no time limit of the HTTP server; the idle limit therefore has a timer of its own. */
   function watchIdle (connection: Connection): void {
     clearTimeout(connection.idleTimer)
-    // Sockets that were readable are read first.
-    connection.idleTimer = setTimeout(() => setImmediate(closeIfIdle, connection), Math.ceil(computeLeftMs(connection)))
-    connection.idleTimer.unref()
+    connection.idleTimer = setTimeout(() => checkInTurn(() => closeIfIdle(connection)), Math.ceil(computeLeftMs(connection))).unref()
   }
 
   function closeIfIdle (connection: Connection): void {
--- a/daemon/fleet/src/callerServer.ts
+++ b/daemon/fleet/src/callerServer.ts
@@ -12,6 +12,7 @@
 import { parseAddress } from '@catkinferry/core.types'
 import type { CallerLimits, DurationMs, MonotonicMs } from '@catkinferry/core.types'
 import { CloseCause, closeGracefully, createConnections, cutConnection, hasArriving } from './callerConnections.ts'
+import type { Connection } from './callerConnections.ts'
 import { createLimitHistory, LIMIT_OVERLAP_MS } from './idleLimits.ts'
 
 /** Limits until the first configuration arrives. */
@@ -77,6 +78,11 @@
   server.on('timeout', () => undefined)
   server.on('clientError', ({ code }: NodeJS.ErrnoException, socket) => connections.handleError(socket as Socket, code))
 
+  const isClosable = (connection: Connection): boolean => {
+    const { pending, isClosing, latest, socket } = connection
+    return pending.size === 0 && !isClosing && !socket.destroyed && !hasArriving(connection) && (latest !== undefined || stoppedAccepting)
+  }
+
   const updateHeaderTimeout = (): void => { server.headersTimeout = headerLimits.find(getNow()) }
 
   server.listen({ ...parseAddress(address), backlog: BACKLOG })
@@ -93,10 +99,11 @@
       setTimeout(updateHeaderTimeout, LIMIT_OVERLAP_MS).unref()
     },
     closeIdle: async () => {
-      await waitTurn()
       for (const connection of connections.list()) {
-        const isUnused = connection.latest === undefined
-        if (connection.pending.size > 0 || connection.isClosing || hasArriving(connection) || (isUnused && !stoppedAccepting)) continue
+        if (!isClosable(connection)) continue
+        // Closing many takes a while, in which a request may arrive on any of the others.
+        await waitTurn()
+        if (!isClosable(connection)) continue
         onClose(CloseCause.DRAINING)
         closeGracefully(connection)
       }
--- a/daemon/fleet/test/callerServer.test.ts
+++ b/daemon/fleet/test/callerServer.test.ts
@@ -10,6 +10,8 @@
 
 const REQUEST = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
 
+const LIMITS = { maxHeaderBytes: 10_000, maxBodyBytes: 10_000, headerTimeoutMs: 500, idleTimeoutMs: 400 }
+
 describe('openCallerServer', () => {
   let server: CallerServer | undefined
   const sockets: Socket[] = []
@@ -20,8 +22,8 @@
     void server?.close(0)
   })
 
-  async function open (handle: (res: ServerResponse) => void): Promise<CallerServer> {
-    server = await openCallerServer({ address: '127.0.0.1:0', handle: (_req, res) => handle(res), getNow: () => performance.now() })
+  async function open (handle: (res: ServerResponse) => void, onClose?: () => void): Promise<CallerServer> {
+    server = await openCallerServer({ address: '127.0.0.1:0', handle: (_req, res) => handle(res), getNow: () => performance.now(), onClose })
     return server
   }
 
@@ -50,6 +52,46 @@
     expect(fresh.destroyed || fresh.readableEnded).toEqual(true)
   })
 
+  /** Opens connections that fall idle, and sends a request on all others once the first of them is closed. */
+  async function sendWhileClosing (closeIdle: (opened: CallerServer) => void): Promise<string[]> {
+    const idle: Socket[] = []
+    const got: string[] = []
+    const opened = await open(res => res.end('ok'), () => {
+      if (got.length > 0) return
+      for (const [index, socket] of idle.entries()) {
+        got.push('')
+        socket.on('data', chunk => { got[index] += String(chunk) })
+        socket.write(REQUEST)
+      }
+    })
+    opened.setLimits(LIMITS)
+    // Until then the limit of before counts.
+    await sleep(5_100)
+    for (let count = 0; count < 4; count += 1) idle.push(await dial(opened))
+    for (const socket of idle) socket.write(REQUEST)
+    await Promise.all(idle.map(socket => once(socket, 'data')))
+    closeIdle(opened)
+    await Promise.all(idle.map(socket => once(socket, 'close')))
+    return got.map(text => text.split('\r\n', 1).join())
+  }
+
+  // Guards against requests that end without an answer: they had arrived while the host closed other connections, and were not read before theirs was closed.
+  it('answers requests that arrive while it closes other connections, when it stops', async () => {
+    const got = await sendWhileClosing(opened => {
+      void opened.closeIdle().then(() => sleep(20)).then(opened.closeIdle)
+    })
+    expect(got).toEqual(['', 'HTTP/1.1 200 OK', 'HTTP/1.1 200 OK', 'HTTP/1.1 200 OK'])
+  })
+
+  it('answers requests that arrive while it closes other connections, after a pause in which their idle limits have passed', async () => {
+    const got = await sendWhileClosing(() => {
+      // The limit of callers, and the margin by which connections stay open longer.
+      const limitMs = LIMITS.idleTimeoutMs + 1_000
+      setTimeout(() => { for (const until = performance.now() + limitMs; performance.now() < until;); }, limitMs / 2)
+    })
+    expect(got).toEqual(['', 'HTTP/1.1 200 OK', 'HTTP/1.1 200 OK', 'HTTP/1.1 200 OK'])
+  })
+
   // Guards against a host that ends at the first response, or warns at each, because a configuration has times that timers do not take.
   for (const ms of [-1, 0, 0.5, 2 ** 31, 1e26, 1e308]) {
     it(`serves several requests on a connection with limits of ${ms} ms`, async () => {
@@ -88,8 +130,6 @@
     expect(text.endsWith('last\r\n0\r\n\r\n')).toEqual(true)
   })
 
-  const LIMITS = { maxHeaderBytes: 10_000, maxBodyBytes: 10_000, headerTimeoutMs: 500, idleTimeoutMs: 400 }
-
   /** Writes a request after a turn has read its sockets and blocks the loop, so that timers come next. */
   function writeBeforePause (socket: Socket, ms: number): Promise<void> {
     return new Promise(resolve => {
