--- a/daemon/fleet/src/coreHost.ts
+++ b/daemon/fleet/src/coreHost.ts
@@ -54,6 +54,32 @@
 const LEADERSHIP_TRANSFER_MS = 600
 const METRICS_INTERVAL_MS = 1_000
 
+interface OrderSenderOptions extends Pick<CoreHostOptions, 'platform' | 'clock' | 'logger' | 'page'> {
+  /** Passes an outcome on to the systems of the host. */
+  readonly report: (act: () => void) => void
+}
+
+/** Creates the function that sends orders and reports their outcomes. */
+function createOrderSender ({ platform, clock, logger, page, report }: OrderSenderOptions): (call: OrderCall) => void {
+  return ({ onOutcome, ...call }) => {
+    const { endpoint, order, fencing } = call
+    const startedAt = clock.getMonotonicMs()
+    const onLateOutcome = (outcome: EngineOrderOutcome): void => {
+      page.count('late_order_responses', { outcome })
+      logger.info('order was answered after its time limit', { step: 'order', peer: endpoint, ...order, order: order.kind, fencing, outcome, afterMs: Math.round(clock.getMonotonicMs() - startedAt) })
+      report(() => onOutcome(outcome))
+    }
+    void platform.sendOrder({ ...call, onLateOutcome }).catch((error: unknown) => {
+      logger.warn('failed to send an order', { step: 'order', peer: endpoint, cause: error })
+      return EngineOrderOutcome.UNANSWERED
+    }).then(outcome => {
+      page.count('orders', { outcome })
+      if (outcome !== 'holds' && outcome !== 'accepted') logger.info('order was not confirmed', { step: 'order', peer: endpoint, ...order, order: order.kind, fencing, outcome })
+      report(() => onOutcome(outcome))
+    })
+  }
+}
+
 /** Starts a core host. Rejects if the data folder cannot be opened or the address cannot be bound. A damaged folder is replaced by an empty one. */
 export async function startCoreHost (opts: CoreHostOptions): Promise<CoreHost> {
   const { settings, clock, logger, metrics, page, platform } = opts
@@ -80,24 +106,7 @@
     })
   }
 
-  function sendOrder ({ onOutcome, ...call }: OrderCall): void {
-    const { endpoint, order, fencing } = call
-    const startedAt = clock.getMonotonicMs()
-    const onLateOutcome = (outcome: EngineOrderOutcome): void => {
-      page.count('late_order_responses', { outcome })
-      logger.info('order was answered after its time limit', { step: 'order', peer: endpoint, ...order, order: order.kind, fencing, outcome, afterMs: Math.round(clock.getMonotonicMs() - startedAt) })
-      node.shell.emit(() => onOutcome(outcome))
-    }
-    void platform.sendOrder({ ...call, onLateOutcome }).catch((error: unknown) => {
-      logger.warn('failed to send an order', { step: 'order', peer: endpoint, cause: error })
-      return EngineOrderOutcome.UNANSWERED
-    }).then(outcome => {
-      page.count('orders', { outcome })
-      if (outcome !== 'holds' && outcome !== 'accepted') logger.info('order was not confirmed', { step: 'order', peer: endpoint, ...order, order: order.kind, fencing, outcome })
-      node.shell.emit(() => onOutcome(outcome))
-    })
-  }
-
+  const sendOrder = createOrderSender({ ...opts, report: act => node.shell.emit(act) })
   const systems = createCoreSystems({ settings, getSeeds: opts.getSeeds, stored: log.stored, seed: randomInt(MAX_SEED), startedAt: clock.getMonotonicMs(), sendOrder, pollList })
   const node = createFleetNode({
     host: settings.host,
