Evict an outdated adapter once its requests have ended

Cause: as soon as another engine had the new version, the leader ordered the eviction of the old one everywhere. An engine accepts that, waits for the requests that run on the adapter, and refuses all loads as busy meanwhile; also the repeated order of a load that it had accepted, so its end was not seen.

The adapter is taken from the entry hosts at once, as before. The order to evict it now waits until they report no more requests on it, looked at each 25 ms, for up to 4 s; then the slot goes the way of an abandoned job, and the eviction begins anew if it is still due.

The simulated engine refuses loads while an eviction waits, as seen there. The test failed before: 67 orders to evict within 1.4 s, and one of three other adapters was not loaded.

--- a/fleet/placement/src/jobs.ts
+++ b/fleet/placement/src/jobs.ts
@@ -7,7 +7,7 @@
 import type { RunContext } from '@catkinferry/host.events'
 import type { EngineChoice } from './chooseEngine.ts'
 import { ADAPTER_LOAD_TIMEOUT_MS, CACHED_LOAD_POLL_MS, MAX_LIST_LAG_MS, MAX_ORDER_DELAY_MS, MODEL_LOAD_RESEND_MS, ORDER_RESEND_MS } from './constants.ts'
-import { createSlot, findListedVersion, formatSlotKey, getOutcomeUnknownUntil, releaseSlot, recordCached, SlotState } from './engineState.ts'
+import { countRunning, createSlot, findListedVersion, formatSlotKey, getOutcomeUnknownUntil, releaseSlot, recordCached, SlotState } from './engineState.ts'
 import type { EngineState, Slot } from './engineState.ts'
 import { computePollPauseMs } from './loadPolls.ts'
 import { reportInfo } from './placementState.ts'
@@ -22,6 +22,8 @@
 const BUSY_RESEND_MS = 50
 /** Longest pause before an order that is not answered is sent again; the pause doubles up to it. */
 const MAX_UNANSWERED_RESEND_MS = 250
+/** How often a postponed eviction looks whether its requests have ended. */
+const IN_USE_POLL_MS = 25
 /** After this long on a busy engine a job is cancelled, so that another engine can be chosen. */
 const BUSY_TIMEOUT_MS = 150
 /** An unreachable engine gets no orders for this long. */
@@ -92,11 +94,24 @@
     const engine = state.engines.get(job.endpoint)
     const [order] = job.steps
     if (engine === undefined || order === undefined) state.jobs.delete(job.key)
+    else if (isInUse(engine, order, context.now)) postponeEvict(state, job, engine, context)
     else if (context.now - job.startedAt > getTimeoutMs(job)) failJob(state, job, 'not completed in time', context)
     else sendJob(state, job, engine, order, context.now)
   }
 }
 
+/** Whether an eviction would wait at the engine for requests, while the engine refuses loads as busy. */
+function isInUse ({ slots }: EngineState, { kind, model, adapter }: Job['steps'][number], now: MonotonicMs): boolean {
+  const slot = adapter === undefined || kind !== 'evict' ? undefined : slots.get(formatSlotKey(model, adapter))
+  return slot !== undefined && countRunning(slot, now) > 0
+}
+
+/** Waits for the requests on an adapter that is no longer published. An eviction that has waited too long begins anew if it is still due. */
+function postponeEvict (state: PlacementState, job: Job, engine: EngineState, context: RunContext): void {
+  if (context.now - job.startedAt <= getTimeoutMs(job)) scheduleResend(job, IN_USE_POLL_MS, context.now)
+  else failJob(state, job, 'its requests have not ended in time', context)
+}
+
 function sendJob (state: PlacementState, job: Job, engine: EngineState, order: Job['steps'][number], now: MonotonicMs): void {
   const { listed: { endpoint, address } } = engine
   const orderId = ++state.lastOrderId
--- a/fleet/placement/test/fakeEngines.ts
+++ b/fleet/placement/test/fakeEngines.ts
@@ -27,6 +27,8 @@
   /** Loads by adapter, with the time when they end. */
   readonly loading: Map<string, { readonly until: number, readonly version: number }>
   readonly busyWith: Set<string>
+  /** Adapters whose evictions wait for their requests; meanwhile the engine refuses loads as busy. */
+  readonly evicting: Set<string>
 }
 
 /** Executed, lost, executed late without a response, not sent, refused as busy, or executed with a response that comes after the time limit. */
@@ -75,7 +77,7 @@
 
 export function createFakeEngines (opts: FakeEnginesOptions): FakeEngines {
   const { slots, lagMs = 800, lateMs = 3_000, takeoverDelayMs = 0, modelLoadsPerSecond = 2, modelLoadMs = 0, loadMs = LOAD_MS } = opts
-  const engines = new Map<string, Engine>(opts.ids.map(id => [id, { id, born: 1, highestFencing: 0, hasModel: true, modelLoadUntil: undefined, resident: new Map(), loading: new Map(), busyWith: new Set() }]))
+  const engines = new Map<string, Engine>(opts.ids.map(id => [id, { id, born: 1, highestFencing: 0, hasModel: true, modelLoadUntil: undefined, resident: new Map(), loading: new Map(), busyWith: new Set(), evicting: new Set() }]))
   const versions = new Map<string, number>()
   const lists: { at: number, listed: ListedEndpoint[] }[] = []
   const sent: FakeEngines['sent'] = []
@@ -102,21 +104,35 @@
     }
   }
 
+  function executeModelLoad (engine: Engine): EngineOrderOutcome {
+    if (!engine.hasModel) engine.modelLoadUntil ??= now + modelLoadMs
+    engine.hasModel ||= now >= (engine.modelLoadUntil ?? 0)
+    return engine.hasModel ? 'holds' : 'accepted'
+  }
+
+  function executeEvict (engine: Engine, adapter: string): EngineOrderOutcome {
+    if (engine.busyWith.has(adapter)) {
+      engine.evicting.add(adapter)
+      return 'accepted'
+    }
+    engine.evicting.delete(adapter)
+    engine.resident.delete(adapter)
+    return 'holds'
+  }
+
+  function isEvicting ({ evicting, busyWith }: Engine): boolean {
+    for (const adapter of evicting) if (!busyWith.has(adapter)) evicting.delete(adapter)
+    return evicting.size > 0
+  }
+
   function executeOrder (engine: Engine, { kind, adapter, version = 1 }: EngineOrder, fencing: number): EngineOrderOutcome {
     if (fencing < engine.highestFencing) return 'fenced'
     engine.highestFencing = fencing
     finishLoads(engine)
-    if (adapter === undefined) {
-      if (!engine.hasModel) engine.modelLoadUntil ??= now + modelLoadMs
-      engine.hasModel ||= now >= (engine.modelLoadUntil ?? 0)
-      return engine.hasModel ? 'holds' : 'accepted'
-    }
-    if (kind === 'evict') {
-      if (engine.busyWith.has(adapter)) return 'accepted'
-      engine.resident.delete(adapter)
-      return 'holds'
-    }
+    if (adapter === undefined) return executeModelLoad(engine)
+    if (kind === 'evict') return executeEvict(engine, adapter)
     if (!engine.hasModel) return 'misdirected'
+    if (isEvicting(engine)) return 'busy'
     if (engine.resident.get(adapter) === version) return 'holds'
     if (engine.loading.has(adapter)) return 'accepted'
     if (engine.loading.size >= 4) return 'busy'
--- a/fleet/placement/test/placement.test.ts
+++ b/fleet/placement/test/placement.test.ts
@@ -41,6 +41,29 @@
     expect(new Set(fleet.orders.filter(({ order }) => order.adapter === 'a').map(({ endpoint }) => endpoint)).size).toEqual(2)
   })
 
+  // Guards against engines that take no loads for seconds because the eviction of an adapter waits there for its requests.
+  it('evicts an outdated adapter once its requests have ended, and loads others meanwhile', () => {
+    const fleet = createFakeEngines({ ids: ['e1', 'e2'], slots: 3 })
+    fleet.runFor(1_000)
+    fleet.receive(buildLoadRequest('a'))
+    fleet.runFor(400)
+    const first = [...fleet.engines.values()].find(({ resident }) => resident.has('a'))
+    const use = [first?.id ?? '', 'm/a@1'] as const
+    const countEvictions = (): number => fleet.orders.filter(({ endpoint, order }) => endpoint === use[0] && order.kind === 'evict').length
+    first?.busyWith.add('a')
+    fleet.receive({ kind: 'fleet.slotUse', begun: [use], ended: [] })
+    fleet.setVersion('a', 2)
+    fleet.runFor(1_000)
+    for (const adapter of ['b', 'c', 'd']) fleet.receive(buildLoadRequest(adapter))
+    fleet.runFor(400)
+    const loaded = [...fleet.engines.values()].flatMap(engine => [...engine.resident.keys()]).filter(adapter => adapter !== 'a')
+    expect([countEvictions(), first?.resident.has('a'), loaded.toSorted()]).toEqual([0, true, ['b', 'c', 'd']])
+    first?.busyWith.delete('a')
+    fleet.receive({ kind: 'fleet.slotUse', begun: [], ended: [use] })
+    fleet.runFor(100)
+    expect([countEvictions(), first?.resident.has('a')]).toEqual([1, false])
+  })
+
   it('does not restore an evicted adapter from a lagging endpoint list', () => {
     const fleet = createFakeEngines({ ids: ['e1'], slots: 3 })
     fleet.runFor(1_000)
