List open engines once for the loads of starved adapters

While the weight store is at its limit, no load begins, and the engines and their slots were walked for each of up to 64 starved adapters in each run of the leader. They are walked again only after a load has begun.

--- a/fleet/placement/src/placementRequests.ts
+++ b/fleet/placement/src/placementRequests.ts
@@ -296,12 +296,15 @@
 function beginStarvedLoads (state: PlacementState, pool: EnginePool, pending: readonly PendingLoad[], opts: { readonly engines: readonly EngineState[], readonly holders: Holders }, context: RunContext): readonly PendingLoad[] {
   const { now } = context
   const starved = pending.filter(({ starvedSince }) => starvedSince !== undefined).toSorted((a, b) => (a.starvedSince ?? 0) - (b.starvedSince ?? 0)).slice(0, MAX_TRIED_LOADS)
+  if (starved.length === 0) return []
+  const listOpen = (): OpenEngine[] => listOpenEngines({ engines: opts.engines, pool, now, minIdleMs: EVICT_IDLE_MS, getRate: slotKey => state.popularity.getFastRate(slotKey, now) })
   const begun: PendingLoad[] = []
+  let open = listOpen()
   for (const load of starved) {
-    if (!getStarvedShare(state, load.request.pool).isDue(opts.engines.length, now)) break
-    const open = listOpenEngines({ engines: opts.engines, pool, now, minIdleMs: EVICT_IDLE_MS, getRate: slotKey => state.popularity.getFastRate(slotKey, now) })
-    if (open.length === 0) break
-    begun.push(...beginLoads(state, [load], { open, pool, holders: opts.holders, isStarved: true, now }, context))
+    if (open.length === 0 || !getStarvedShare(state, load.request.pool).isDue(opts.engines.length, now)) break
+    const loads = beginLoads(state, [load], { open, pool, holders: opts.holders, isStarved: true, now }, context)
+    if (loads.length > 0) open = listOpen()
+    begun.push(...loads)
   }
   return begun
 }
