Fail calls whose response is reset before it has ended

Callers of the API got 200 with an empty or short body, with its length, as a whole response, when a service without length or chunks in its response reset the connection.

Cause: undici takes ECONNRESET for the regular end of a response without a length or chunks (a workaround for another system), and Node.js reports a reset that arrives with the last bytes as an end. The service driver collects the body, and the API sends it with a length.

The drivers' connections now rename the code of a reset, so that undici fails the response, and turn an end of a connection without a peer into an error.

--- a/endpoints/http-dispatch/src/connections.ts
+++ b/endpoints/http-dispatch/src/connections.ts
@@ -32,12 +32,36 @@
 /** Limit on pools, one per origin; the least recently used one is closed first. */
 const MAX_POOLS = 4_096
 
+/** Code of a reset connection in place of `ECONNRESET`, which undici takes for the regular end of a response without a length or chunks. */
+const RESET_CODE = 'ERR_CONNECTION_RESET'
+
 function ignoreError (): void {}
 
+/** Makes a reset fail the response in progress. Node.js reports one that arrives with the last bytes as an end, but the connection has no peer any more. */
+function watchResets (socket: Socket): void {
+  const emit = socket.emit.bind(socket) as (event: string | symbol, ...values: unknown[]) => boolean
+  socket.prependListener('error', (error: NodeJS.ErrnoException) => { if (error.code === 'ECONNRESET') error.code = RESET_CODE })
+  // Nothing else keeps the end from the listener of undici.
+  socket.emit = (event: string | symbol, ...values: unknown[]) => {
+    if (event !== 'end' || socket.remoteAddress !== undefined) return emit(event, ...values)
+    socket.destroy(Object.assign(new Error('connection reset'), { code: RESET_CODE }))
+    return true
+  }
+}
+
 /** Creates the connections of one driver. Response timeouts are left to the calls. */
 export function createConnections (opts: ConnectionsOptions = {}): Connections {
   const idleMs = opts.idleMs ?? DEFAULT_IDLE_MS
-  const connect = { timeout: opts.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS, noDelay: true }
+  const connector = buildConnector({ timeout: opts.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS, noDelay: true })
+  const buildConnect = (onOpen: (socket: Socket) => void): buildConnector.connector => (options, callback) => {
+    connector(options, (...result) => {
+      if (result[0] === null) {
+        watchResets(result[1])
+        onOpen(result[1])
+      }
+      callback(...result)
+    })
+  }
   const common = { pipelining: 1, keepAliveTimeout: idleMs, keepAliveMaxTimeout: idleMs, bodyTimeout: 0, headersTimeout: 0 }
   const pools = new Map<string, Pool>()
   const dedicated = new Set<Client>()
@@ -58,22 +82,13 @@
         return existing
       }
       if (pools.size >= MAX_POOLS) closeLeastRecentlyUsed()
-      const pool = new Pool(origin, { ...common, connect })
+      const pool = new Pool(origin, { ...common, connect: buildConnect(() => undefined) })
       pools.set(origin, pool)
       return pool
     },
     openFresh: origin => {
       let socket: Socket | undefined
-      const connector = buildConnector(connect)
-      const client = new Client(origin, {
-        ...common,
-        connect: (options, callback) => {
-          connector(options, (...result) => {
-            if (result[0] === null) socket = result[1]
-            callback(...result)
-          })
-        }
-      })
+      const client = new Client(origin, { ...common, connect: buildConnect(opened => { socket = opened }) })
       dedicated.add(client)
       return {
         dispatcher: client,
