Leave forwarded requests of a stopping host to another peer

Callers got 503 for a request that had been forwarded to a host that was asked to stop while the request waited there, for its body or an adapter, although another peer could have served it.

Cause: the refusal of a stopping host was marked as one of a host that serves, which is final. Requests that were not matched to a route yet were marked right (declined). Found while looking for the cause of the late requests in what peers are told.

--- a/gateway/relay/src/finishExchange.ts
+++ b/gateway/relay/src/finishExchange.ts
@@ -67,15 +67,15 @@
 }
 
 /** What the entry host that forwarded a request is told of a failure; undefined if it came from a caller. */
-function findOutcome ({ forwarded, hasUnreached }: Exchange, { ran }: Failure): PeerOutcome | undefined {
+function findOutcome ({ draining }: RelayState, { forwarded, hasUnreached }: Exchange, { ran }: Failure): PeerOutcome | undefined {
   if (forwarded === undefined) return undefined
   if (ran !== 'no') return PeerOutcome.LOST
-  return hasUnreached ? PeerOutcome.DECLINED : PeerOutcome.REFUSED
+  return hasUnreached || draining ? PeerOutcome.DECLINED : PeerOutcome.REFUSED
 }
 
 export function finishWithFailure (state: RelayState, exchange: Exchange, failure: Failure): void {
   if (failure.ran === 'no') releaseUnits(state.opts.accounts, exchange)
-  const status = sendFailure(exchange.res, failure, findOutcome(exchange, failure))
+  const status = sendFailure(exchange.res, failure, findOutcome(state, exchange, failure))
   reportEnd(state, { requestId: exchange.facts.requestId, status, reason: failure.message, ran: failure.ran, retryAfterMs: failure.retryAfterMs, ...describeEnd(state, exchange) })
 }
 
--- a/gateway/relay/test/lateRequests.test.ts
+++ b/gateway/relay/test/lateRequests.test.ts
@@ -5,6 +5,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { createSystemClock } from '@catkinferry/core.clock'
 import type { LoadAnswer } from '@catkinferry/fleet.directory'
+import type { RelayPeer } from '@catkinferry/wire.messages'
 import { answerOk, startEndpoint, startTestRelay } from './testRelay.ts'
 import type { Call, CallResult, TestRelay, TestRelayOptions } from './testRelay.ts'
 
@@ -150,4 +151,31 @@
     relay.relay.endRemaining()
     expect([await describeAnswer(relay, relay.call(CALL)), endpoint.seen.length]).toEqual([REFUSED, 0])
   })
+
+  it('leaves a forwarded request that waits for its adapter to another peer once too little time is left', async () => {
+    const stopping: TestRelay[] = []
+    let isAsked = false
+    const [first, second] = await Promise.all(['e1', 'e2'].map(async id => {
+      const peer: TestRelay = await start({
+        endpoints: [await startEndpoint(id, answerOk)],
+        resident: {},
+        route: { ...TIMES, objectiveMs: DEADLINE_MS },
+        requestLoad: async () => {
+          if (isAsked) return { kind: 'given', endpoint: id, adapterKey: 'm/a@1' }
+          isAsked = true
+          stopping.push(peer)
+          drain(peer, 0)
+          return await new Promise(() => undefined)
+        }
+      })
+      return peer.peer
+    })) as [RelayPeer, RelayPeer]
+    const gone = await startEndpoint('e3', answerOk)
+    gone.close()
+    const relay = await start({ endpoints: [gone], route: TIMES, peers: [first, second] })
+    const timer = setTimeout(() => stopping[0]?.relay.endRemaining(), END_MS)
+    const { status } = await relay.call({ headers: { ...CALL.headers, 'X-Model': 'a' } })
+    clearTimeout(timer)
+    expect([status, stopping.length]).toEqual([200, 1])
+  })
 })
