Keep the slot of a load that its engine has accepted

Callers saw an engine crash: it was ordered to load more adapters than it has slots.

Cause: a response that comes late settles its order, so the slot no longer waits for orders that may be executed late. But unless it was the response to the order sent last, the job did not learn that the engine had accepted the load.

The fix: the late response marks the job as accepted, so it is not cancelled as busy. The slot of an accepted load whose job is abandoned is kept as long as a load may take and the list lags. Slots without an accepted load are freed as before.

--- a/fleet/placement/src/jobs.ts
+++ b/fleet/placement/src/jobs.ts
@@ -24,6 +24,8 @@
 const MAX_UNANSWERED_RESEND_MS = 250
 /** After this long on a busy engine a job is cancelled, so that another engine can be chosen. */
 const BUSY_TIMEOUT_MS = 150
+/** The endpoint list shows how a load ended that was accepted so long ago. */
+const ACCEPTED_LOAD_LAG_MS = ADAPTER_LOAD_TIMEOUT_MS + MAX_LIST_LAG_MS
 /** An unreachable engine gets no orders for this long. */
 const UNREACHABLE_PAUSE_MS = 400
 
@@ -111,7 +113,12 @@
   for (const sent of state.outcomes.splice(0)) {
     const { job, outcome } = sent
     settleOrder(state, sent, context)
-    if (state.jobs.get(job.key) !== job || job.lastOrderId !== sent.orderId || job.steps[0] !== sent.order) continue
+    if (state.jobs.get(job.key) !== job || job.steps[0] !== sent.order) continue
+    if (job.lastOrderId !== sent.orderId) {
+      // What the engine has begun goes on, whatever becomes of the order that was sent after it.
+      if (CONFIRMING_OUTCOMES.has(outcome)) job.accepted = true
+      continue
+    }
     job.isAwaitingOutcome = false
     const engine = state.engines.get(job.endpoint)
     if (engine !== undefined && state.opts.enginesCheckFencing && CONFIRMING_OUTCOMES.has(outcome)) engine.fencedAt ??= context.now
@@ -127,7 +134,7 @@
   if (slot === undefined || outcome === 'unanswered' || !slot.unansweredOrders.delete(orderId)) return
   state.mirror.mark(endpoint)
   // The load of an abandoned job may be in progress; the endpoint list shows how it ends.
-  if (slot.state === SlotState.EVICTING) slot.outcomeUnknownUntil = Math.max(slot.outcomeUnknownUntil, now + MAX_LIST_LAG_MS)
+  if (slot.state === SlotState.EVICTING) slot.outcomeUnknownUntil = Math.max(slot.outcomeUnknownUntil, now + (outcome === 'accepted' ? ACCEPTED_LOAD_LAG_MS : MAX_LIST_LAG_MS))
 }
 
 /** Outcomes by which an engine shows that it has taken note of the fencing token. */
@@ -262,7 +269,7 @@
   state.jobs.delete(job.key)
   state.mirror.mark(job.endpoint)
   const engine = state.engines.get(job.endpoint)
-  for (const { adapter, model } of job.steps) {
+  for (const [index, { kind, adapter, model }] of job.steps.entries()) {
     if (adapter === undefined) {
       if (engine !== undefined) engine.modelLoad = undefined
       continue
@@ -272,7 +279,8 @@
     // The slot stays taken until the endpoint list shows the outcome of the order.
     slot.state = SlotState.EVICTING
     slot.changedAt = context.now
-    slot.outcomeUnknownUntil = Math.max(slot.outcomeUnknownUntil, context.now + MAX_LIST_LAG_MS)
+    const isLoadAccepted = index === 0 && kind === 'load' && job.accepted
+    slot.outcomeUnknownUntil = Math.max(slot.outcomeUnknownUntil, context.now + (isLoadAccepted ? ACCEPTED_LOAD_LAG_MS : MAX_LIST_LAG_MS))
   }
   context.emit({ kind: 'log', level: 'warn', message: 'engine job abandoned', fields: { step: 'placement', peer: job.endpoint, orders: job.steps, reason, afterMs: Math.round(context.now - job.startedAt), term: state.term } })
 }
--- a/fleet/placement/test/fakeEngines.ts
+++ b/fleet/placement/test/fakeEngines.ts
@@ -9,7 +9,7 @@
 export const POOL = 'llm'
 const LOAD_MS = 250
 const ORDER_MS = 2
-/** When an order counts as unanswered, and when the response of one that is answered late arrives. */
+/** When an order counts as unanswered, and when the response of one that is answered late arrives by default. */
 const ORDER_TIMEOUT_MS = 120
 const LATE_ANSWER_MS = 300
 /** How long an entry host uses an adapter that it was granted. */
@@ -62,6 +62,8 @@
   /** Lag of the endpoint list. */
   readonly lagMs?: number
   readonly lateMs?: number
+  /** When the response of an order that is answered late arrives. */
+  readonly lateAnswerMs?: number
   readonly takeoverDelayMs?: number
   /** Software versions of engines; `v1` by default. */
   readonly softwareVersions?: Readonly<Record<string, string>>
@@ -78,7 +80,7 @@
 }
 
 export function createFakeEngines (opts: FakeEnginesOptions): FakeEngines {
-  const { slots, lagMs = 800, lateMs = 3_000, takeoverDelayMs = 0, modelLoadsPerSecond = 2, modelLoadMs = 0, loadMs = LOAD_MS } = opts
+  const { slots, lagMs = 800, lateMs = 3_000, lateAnswerMs = LATE_ANSWER_MS, takeoverDelayMs = 0, modelLoadsPerSecond = 2, modelLoadMs = 0, loadMs = LOAD_MS } = opts
   const engines = new Map<string, Engine>(opts.ids.map(id => [id, { id, born: 1, highestFencing: 0, hasModel: true, modelLoadUntil: undefined, resident: new Map(), loading: new Map(), busyWith: new Set() }]))
   const versions = new Map<string, number>()
   const lists: { at: number, listed: ListedEndpoint[] }[] = []
@@ -141,7 +143,7 @@
     else if (handling === 'answeredLate') {
       const outcome = executeOrder(engine, order, fencing)
       scheduled.push({ at: now + ORDER_TIMEOUT_MS, run: () => onOutcome('unanswered') })
-      scheduled.push({ at: now + LATE_ANSWER_MS, run: () => onOutcome(outcome) })
+      scheduled.push({ at: now + lateAnswerMs, run: () => onOutcome(outcome) })
     } else {
       const { born } = engine
       if (handling === 'late') scheduled.push({ at: now + lateMs, run: () => { if (engine.born === born) executeOrder(engine, order, fencing) } })
--- a/fleet/placement/test/lateLeader.test.ts
+++ b/fleet/placement/test/lateLeader.test.ts
@@ -80,3 +80,30 @@
     })
   }
 })
+
+/** Guards against an engine that crashes since it is ordered to load more than it holds: the slot of a load that it had accepted was given to another one. */
+describe('the slot of a load that the engine has accepted', () => {
+  const LOAD_MS = 3_500
+  const LATE_ANSWER_MS = 150
+  const CASES = [
+    ['is refused as busy once the response to the first one has come late', ['answeredLate', 'busy', 'busy']],
+    ['cannot be sent once the response to the first one has come late', ['answeredLate', 'busy', 'unreachable']],
+    ['cannot be sent once the response to the first one has come in time', ['now', 'unreachable']]
+  ] as const
+
+  for (const [name, handlings] of CASES) {
+    it(`is not given to another load if the repeated order ${name}`, () => {
+      const fleet = createFakeEngines({ ids: ['e1'], slots: 2, loadMs: LOAD_MS, lateAnswerMs: LATE_ANSWER_MS })
+      fleet.runFor(3_000)
+      const left = [...handlings]
+      fleet.setOrderHandling(({ adapter }) => (adapter === 'a' ? left.shift() : undefined) ?? 'now')
+      fleet.receive(buildLoadRequest('a', { remainingMs: 300 }))
+      fleet.runFor(400)
+      for (let step = 0; step < 40; step += 1) {
+        fleet.receive(buildLoadRequest(`b${step % 2}`))
+        fleet.runFor(100)
+      }
+      expect([left, fleet.overfilled]).toEqual([[], []])
+    })
+  }
+})
