Ask whether an order may still be sent when there is a connection

An order may wait for a connection, or connect slowly on a late host.

What decides is now asked directly: the term and the quorum age, at the moment of sending.

--- a/core/types/src/endpoints.ts
+++ b/core/types/src/endpoints.ts
@@ -102,7 +102,7 @@
   UNANSWERED: 'unanswered',
   /** The order never left this host: the engine cannot be reached. */
   NOT_SENT: 'notSent',
-  /** The order never left this host, which was late. */
+  /** The order never left this host: when it could be sent, the host might no longer be the leader. */
   POSTPONED: 'postponed'
 } as const
 export type EngineOrderOutcome = typeof EngineOrderOutcome[keyof typeof EngineOrderOutcome]
--- a/daemon/fleet/src/coreHost.ts
+++ b/daemon/fleet/src/coreHost.ts
@@ -21,8 +21,8 @@
 export interface FleetPlatform {
   /** Reads the platform's list of endpoints; undefined if it cannot be read. */
   readonly readList: () => Promise<readonly ListedEndpoint[] | undefined>
-  /** `onLateOutcome` is called if a response arrives after the order counted as unanswered. */
-  readonly sendOrder: (call: Omit<OrderCall, 'onOutcome'> & { readonly onLateOutcome?: OrderCall['onOutcome'] }) => Promise<EngineOrderOutcome>
+  /** `isAllowed` is asked when the order can be sent, `onLateOutcome` called if a response arrives after the order counted as unanswered. */
+  readonly sendOrder: (call: Omit<OrderCall, 'onOutcome' | 'isAllowed'> & { readonly isAllowed?: () => boolean, readonly onLateOutcome?: OrderCall['onOutcome'] }) => Promise<EngineOrderOutcome>
 }
 
 export interface CoreHostOptions {
@@ -61,7 +61,7 @@
 
 /** Creates the function that sends orders and reports their outcomes. */
 function createOrderSender ({ platform, clock, logger, page, report }: OrderSenderOptions): (call: OrderCall) => void {
-  return ({ onOutcome, ...call }) => {
+  return ({ onOutcome, isAllowed, ...call }) => {
     const { endpoint, order, fencing } = call
     const startedAt = clock.getMonotonicMs()
     const onLateOutcome = (outcome: EngineOrderOutcome): void => {
@@ -69,7 +69,7 @@
       logger.info('order was answered after its time limit', { step: 'order', peer: endpoint, ...order, order: order.kind, fencing, outcome, afterMs: Math.round(clock.getMonotonicMs() - startedAt) })
       report(() => onOutcome(outcome))
     }
-    void platform.sendOrder({ ...call, onLateOutcome }).catch((error: unknown) => {
+    void platform.sendOrder({ ...call, isAllowed: () => isAllowed(clock.getMonotonicMs()), onLateOutcome }).catch((error: unknown) => {
       logger.warn('failed to send an order', { step: 'order', peer: endpoint, cause: error })
       return EngineOrderOutcome.UNANSWERED
     }).then(outcome => {
--- a/fleet/placement/src/jobs.ts
+++ b/fleet/placement/src/jobs.ts
@@ -120,7 +120,9 @@
   job.isAwaitingOutcome = true
   job.lastOrderId = orderId
   job.sentAt = now
-  state.opts.sendOrder({ endpoint, address, order, fencing: state.term ?? 0, onOutcome: outcome => { state.outcomes.push({ orderId, job, order, outcome }) } })
+  const { term } = state
+  const isAllowed = (at: MonotonicMs): boolean => state.term === term && state.opts.hasRecentQuorum(at)
+  state.opts.sendOrder({ endpoint, address, order, fencing: term ?? 0, isAllowed, onOutcome: outcome => { state.outcomes.push({ orderId, job, order, outcome }) } })
 }
 
 /** Processes the outcomes of orders. The response to an order that was sent again is of use for what it says about that order only. */
--- a/fleet/placement/src/placementState.ts
+++ b/fleet/placement/src/placementState.ts
@@ -19,6 +19,8 @@
   readonly address: string
   readonly order: EngineOrder
   readonly fencing: number
+  /** Whether it may still be sent: this host leads in the same term, and a majority has answered it recently. */
+  readonly isAllowed: (now: MonotonicMs) => boolean
   /** Called once more if a response arrives after the order counted as unanswered. */
   readonly onOutcome: (outcome: EngineOrderOutcome) => void
 }
--- a/fleet/placement/test/fakeEngines.ts
+++ b/fleet/placement/test/fakeEngines.ts
@@ -47,6 +47,8 @@
   readonly orders: Array<{ readonly at: number, readonly endpoint: string, readonly order: EngineOrder, readonly fencing: number }>
   /** Engines that were ordered to load more adapters than they have slots. */
   readonly overfilled: string[]
+  /** Of each order, whether it may still be sent. */
+  readonly orderChecks: ReadonlyArray<OrderCall['isAllowed']>
   readonly engines: Map<string, Engine>
   readonly receive: (message: FleetMessage, from?: string) => void
   readonly runFor: (ms: number) => void
@@ -91,6 +93,7 @@
   const sent: FakeEngines['sent'] = []
   const orders: FakeEngines['orders'] = []
   const logs: FakeEngines['logs'] = []
+  const orderChecks: Array<OrderCall['isAllowed']> = []
   const overfilled: string[] = []
   let scheduled: ScheduledAction[] = []
   let now = 0
@@ -151,7 +154,8 @@
     return 'accepted'
   }
 
-  function sendOrder ({ endpoint, order, fencing, onOutcome }: OrderCall): void {
+  function sendOrder ({ endpoint, order, fencing, isAllowed, onOutcome }: OrderCall): void {
+    orderChecks.push(isAllowed)
     orders.push({ at: now, endpoint, order, fencing })
     const engine = engines.get(endpoint)
     const handling = chooseHandling(order, endpoint)
@@ -244,6 +248,7 @@
     logs,
     orders,
     overfilled,
+    orderChecks,
     engines,
     receive: (message, from = 'entry') => { getPlacement().receive(from, message as never, createContext()) },
     runFor,
--- a/fleet/placement/test/lateLeader.test.ts
+++ b/fleet/placement/test/lateLeader.test.ts
@@ -121,3 +121,21 @@
     })
   }
 })
+
+describe('an order that waits for a connection', () => {
+  // Guards against orders of a leader that may have a successor by the time they can be sent.
+  it('may be sent only as long as a majority answers the leader, and in its term', () => {
+    const fleet = createFakeEngines({ ids: ['e1'], slots: 2 })
+    fleet.runFor(1_000)
+    fleet.receive(buildLoadRequest('a'))
+    fleet.runFor(20)
+    const check = (): unknown => fleet.orderChecks.at(-1)?.(fleet.getNow())
+    const leading = check()
+    fleet.setQuorum(false)
+    const unanswered = check()
+    fleet.setQuorum(true)
+    fleet.setTerm(3)
+    fleet.runFor(20)
+    expect([fleet.orderChecks.length > 0, leading, unanswered, check()]).toEqual([true, true, false, false])
+  })
+})
