Give starved adapters no more than their share while other loads can begin

Where few loads begin because the store or the leader is slow, one load for each engine in 5 s is most or all of them: 33 to 50 in 100 at 20 loads a second, all at 5 (calculated in review), whatever the priority of the other callers. Loads beyond the quarter now begin only in a run in which no other load can.

--- a/adapters/load-scheduler/src/starvedAdapters.ts
+++ b/adapters/load-scheduler/src/starvedAdapters.ts
@@ -21,6 +21,8 @@
 
 interface RefusedAdapter {
   readonly since: MonotonicMs
+  /** When its turn began to come: at its first refusal, or when its load last failed. */
+  waitsSince: MonotonicMs
   /** The most urgent priority of its refused callers. */
   priority: number
   lastAt: MonotonicMs
@@ -37,10 +39,12 @@
 
 export interface StarvedAdapters {
   readonly recordRefusal: (adapterKey: AdapterKey, opts: { readonly now: MonotonicMs, readonly priority: number }) => void
+  /** Has an adapter whose load has failed wait anew, behind the others. */
+  readonly recordFailure: (adapterKey: AdapterKey, now: MonotonicMs) => void
   /** Forgets the refusals of an adapter that was loaded. Returns how many there were. */
   readonly recordLoad: (adapterKey: AdapterKey) => number
   /**
-   * When a starved adapter was first refused since its last load; undefined if the adapter is not starved. `isOnTime`: the load
+   * Since when a starved adapter waits: its first refusal since its last load, or its last load that failed; undefined if the adapter is not starved. `isOnTime`: the load
    * would serve a caller on time.
    */
   readonly getStarvedSince: (adapterKey: AdapterKey, opts: { readonly now: MonotonicMs, readonly isOnTime: boolean }) => MonotonicMs | undefined
@@ -65,7 +69,7 @@
 
   return {
     recordRefusal: (adapterKey, { now, priority }) => {
-      const row = rows.get(adapterKey) ?? { since: now, lastAt: now, refusals: 0, priority }
+      const row = rows.get(adapterKey) ?? { since: now, waitsSince: now, lastAt: now, refusals: 0, priority }
       row.priority = Math.min(row.priority, priority)
       row.lastAt = now
       row.refusals += 1
@@ -73,6 +77,10 @@
       rows.set(adapterKey, row)
       dropOldest(now)
     },
+    recordFailure: (adapterKey, now) => {
+      const row = rows.get(adapterKey)
+      if (row !== undefined) row.waitsSince = now
+    },
     recordLoad: adapterKey => {
       const refusals = rows.get(adapterKey)?.refusals ?? 0
       rows.delete(adapterKey)
@@ -81,8 +89,8 @@
     getStarvedSince: (adapterKey, { now, isOnTime }) => {
       const row = rows.get(adapterKey)
       const starvedAfterMs = isOnTime ? STARVED_AFTER_MS : STARVED_LATE_AFTER_MS
-      if (row === undefined || row.refusals < MIN_REFUSALS || now - row.since < starvedAfterMs || now - row.lastAt > RETENTION_MS) return undefined
-      return row.since
+      if (row === undefined || row.refusals < MIN_REFUSALS || now - row.waitsSince < starvedAfterMs || now - row.lastAt > RETENTION_MS) return undefined
+      return row.waitsSince
     },
     listUnloaded: now => [...rows]
       .filter(([, { since, lastAt, refusals }]) => refusals >= REPORTED_REFUSALS && lastAt - since >= REPORTED_AFTER_MS && now - lastAt <= RETENTION_MS)
@@ -96,12 +104,14 @@
 const STARVED_LOAD_SHARE = 0.25
 /** Loads for starved adapters that may be saved up. */
 const MAX_CREDIT = 2
-/** Where few other loads begin, each engine gives up a more popular adapter for a starved one once in this time on average. */
+/** Where no other load begins, each engine gives up a more popular adapter for a starved one once in this time on average. */
 const ENGINE_INTERVAL_MS = 5_000
 
 export interface StarvedLoadShare {
-  /** Whether the next load may be one for a starved adapter, in a pool with this number of engines. */
-  readonly isDue: (engines: number, now: MonotonicMs) => boolean
+  /** Whether the next load goes to a starved adapter before others may use it. */
+  readonly isDue: () => boolean
+  /** Whether it may go to a starved adapter if no other can begin, in a pool with this number of engines. */
+  readonly isDueUnused: (engines: number, now: MonotonicMs) => boolean
   readonly recordLoad: (isStarved: boolean, now: MonotonicMs) => void
 }
 
@@ -112,7 +122,8 @@
   const getIntervalMs = (engines: number): DurationMs => ENGINE_INTERVAL_MS / Math.max(1, engines)
 
   return {
-    isDue: (engines, now) => share > 0 && (credit >= 1 || now - lastAt >= getIntervalMs(engines)),
+    isDue: () => credit >= 1,
+    isDueUnused: (engines, now) => share > 0 && now - lastAt >= getIntervalMs(engines),
     recordLoad: (isStarved, now) => {
       if (isStarved) {
         credit = Math.max(0, credit - 1)
--- a/adapters/load-scheduler/test/starvedAdapters.test.ts
+++ b/adapters/load-scheduler/test/starvedAdapters.test.ts
@@ -22,6 +22,14 @@
     expect(starved.getSize()).toEqual(1)
   })
 
+  // Guards against loads that fail again and again and keep the first place.
+  it('wait anew when their load has failed', () => {
+    const starved = createStarvedAdapters()
+    for (const at of [0, 2_500]) starved.recordRefusal('a', { now: at, priority: 1 })
+    starved.recordFailure('a', 4_000)
+    expect([6_999, 7_000].map(now => starved.getStarvedSince('a', { now, isOnTime: true }))).toEqual([undefined, 4_000])
+  })
+
   it('are remembered up to 20,000, the least recently refused being forgotten first', () => {
     const starved = createStarvedAdapters()
     for (let index = 0; index < 20_001; index++) for (const at of [0, 1]) starved.recordRefusal(`a${index}`, { now: at, priority: 1 })
@@ -50,7 +58,7 @@
     let starvedLoads = 0
     for (let index = 0; index < 1_000; index++) {
       const now = index
-      const isStarved = share.isDue(1, now)
+      const isStarved = share.isDue()
       if (isStarved) starvedLoads += 1
       share.recordLoad(isStarved, now)
     }
@@ -58,10 +66,11 @@
     expect(starvedLoads).toBeLessThanOrEqual(255)
   })
 
-  it('is one load for each engine in 5 s where no others begin, and none if it is switched off', () => {
+  it('is one load for each engine in 5 s where no others can begin, and none if it is switched off', () => {
     const share = createStarvedLoadShare()
     share.recordLoad(true, 0)
-    expect([1_249, 1_250].map(now => share.isDue(4, now))).toEqual([false, true])
-    expect(createStarvedLoadShare(0).isDue(4, 60_000)).toEqual(false)
+    expect([1_249, 1_250].map(now => share.isDueUnused(4, now))).toEqual([false, true])
+    expect(share.isDue()).toEqual(false)
+    expect(createStarvedLoadShare(0).isDueUnused(4, 60_000)).toEqual(false)
   })
 })
--- a/fleet/placement/src/jobs.ts
+++ b/fleet/placement/src/jobs.ts
@@ -291,6 +291,7 @@
       if (engine !== undefined) engine.modelLoad = undefined
       continue
     }
+    if (kind === 'load') state.starved.recordFailure(formatSlotKey(model, adapter), context.now)
     const slot = engine?.slots.get(formatSlotKey(model, adapter))
     if (slot === undefined) continue
     // The slot stays taken until the endpoint list shows the outcome of the order.
--- a/fleet/placement/src/placementRequests.ts
+++ b/fleet/placement/src/placementRequests.ts
@@ -285,17 +285,25 @@
   return begun
 }
 
-/** Begins loads for starved adapters, the longest refused first and whatever the priority of their callers, as far as their share of the loads goes. */
-function beginStarvedLoads (state: PlacementState, pool: EnginePool, pending: readonly PendingLoad[], opts: { readonly engines: readonly EngineState[], readonly holders: Holders }, context: RunContext): readonly PendingLoad[] {
+interface StarvedLoadOptions extends Pick<LoadOptions, 'pool' | 'holders'> {
+  readonly engines: readonly EngineState[]
+  /** Whether the next load may be one for a starved adapter. */
+  readonly isDue: () => boolean
+}
+
+/** Begins loads for starved adapters while they are due, the longest refused first and whatever the priority of their callers. */
+function beginStarvedLoads (state: PlacementState, pending: readonly PendingLoad[], opts: StarvedLoadOptions, context: RunContext): readonly PendingLoad[] {
+  const { engines, pool, holders, isDue } = opts
   const { now } = context
-  const starved = pending.filter(({ starvedSince }) => starvedSince !== undefined).toSorted((a, b) => (a.starvedSince ?? 0) - (b.starvedSince ?? 0)).slice(0, MAX_TRIED_LOADS)
-  if (starved.length === 0) return []
-  const listOpen = (): OpenEngine[] => listOpenEngines({ engines: opts.engines, pool, now, minIdleMs: EVICT_IDLE_MS, getRate: slotKey => state.popularity.getFastRate(slotKey, now) })
+  const canLoad = ({ model }: PlacementRequest): boolean => engines.some(({ models }) => models.has(model))
+  const starved = pending.filter(({ request, starvedSince }) => starvedSince !== undefined && canLoad(request)).toSorted((a, b) => (a.starvedSince ?? 0) - (b.starvedSince ?? 0)).slice(0, MAX_TRIED_LOADS)
+  if (starved.length === 0 || !isDue()) return []
+  const listOpen = (): OpenEngine[] => listOpenEngines({ engines, pool, now, minIdleMs: EVICT_IDLE_MS, getRate: slotKey => state.popularity.getFastRate(slotKey, now) })
   const begun: PendingLoad[] = []
   let open = listOpen()
   for (const load of starved) {
-    if (open.length === 0 || !getStarvedShare(state, load.request.pool).isDue(opts.engines.length, now)) break
-    const loads = beginLoads(state, [load], { open, pool, holders: opts.holders, isStarved: true }, context)
+    if (open.length === 0 || !isDue()) break
+    const loads = beginLoads(state, [load], { open, pool, holders, isStarved: true }, context)
     if (loads.length > 0) open = listOpen()
     begun.push(...loads)
   }
@@ -304,7 +312,7 @@
 
 /**
  * Begins the loads of one pool: the share of starved adapters, those that callers wait for, then the others, for which only long
- * idle adapters are evicted. Returns them.
+ * idle adapters are evicted; if none of these can begin, further ones for starved adapters. Returns them.
  */
 function beginPoolLoads (state: PlacementState, poolName: string, pending: readonly PendingLoad[], holders: Holders, context: RunContext): readonly PendingLoad[] {
   const pool = findPool(state, poolName)?.engine
@@ -312,7 +320,8 @@
   const { now } = context
   const engines = listPoolEngines(state, poolName)
   const [waitedFor = [], others = []] = [true, false].map(hasWaiters => pending.filter(({ request }) => request.pool === poolName && (request.waiters.length > 0) === hasWaiters))
-  const begun = new Set(beginStarvedLoads(state, pool, waitedFor, { engines, holders }, context))
+  const share = getStarvedShare(state, poolName)
+  const begun = new Set(beginStarvedLoads(state, waitedFor, { engines, pool, holders, isDue: share.isDue }, context))
   for (const [requests, minIdleMs] of [[waitedFor, EVICT_IDLE_MS], [others, REPLICA_EVICT_IDLE_MS]] as const) {
     for (let hasBegun = requests.length > 0; hasBegun;) {
       const open = listOpenEngines({ engines, pool, now, minIdleMs, getRate: slotKey => state.popularity.getFastRate(slotKey, now) })
@@ -321,7 +330,8 @@
       hasBegun = loads.length > 0
     }
   }
-  return [...begun]
+  if (begun.size > 0) return [...begun]
+  return beginStarvedLoads(state, waitedFor, { engines, pool, holders, isDue: () => share.isDueUnused(engines.length, now) }, context)
 }
 
 /** Refuses waiters that can no longer be on time, while others can be and already have to wait. */
