Read the body of a request that waits for the one before it on its connection

Callers who left while over 64 KB of a further request waited unread behind the first were not noticed: Node.js stops to read a connection whose request is not read, so its end is not seen, and the endpoint worked on (found by review; a consequence of answering the requests of a connection one after the other). The body is now read as it arrives, within the same limits, and counts until the request has ended or is not taken.

connectionTurns.test.ts failed before with 70, 130, 300 and 900 KB and passes, as do the tests of bodies, drains and caller connections (117 of 117 in eight files).

--- a/gateway/relay/src/relay.ts
+++ b/gateway/relay/src/relay.ts
@@ -213,18 +213,25 @@
   const turn = answerInTurn(state, { req, res, arrivedAt, forwarded }, state.turns.get(req.socket))
   state.turns.set(req.socket, turn)
   await turn
+  if (state.turns.get(req.socket) === turn) state.turns.delete(req.socket)
 }
 
 /** Answers a request once the one before it on the connection is answered: that response may end the connection, and only then would the caller's leaving be noticed. */
 async function answerInTurn (state: RelayState, arrival: Omit<Arrival, 'facts'>, earlier: Promise<void> | undefined): Promise<void> {
   const { req, res } = arrival
-  await earlier
+  if (earlier !== undefined) {
+    const limits = state.opts.directory.getRoutes()?.table.limits
+    if (limits !== undefined) state.bodies.readAhead(req, limits.maxBodyBytes)
+    await earlier
+  }
   if (req.socket.destroyed || req.socket.writableEnded) {
     state.answering.delete(res)
+    state.bodies.release(arrival)
     req.resume()
     return
   }
   await answer(state, arrival)
+  state.bodies.release(arrival)
   if (!res.closed) await new Promise(resolve => { res.once('close', resolve) })
 }
 
