Give endpoints that refuse connections an address that no test binds

Endpoints of tests that are not to be reached were servers that had been closed. Their ports could be taken by tests in other processes: what answers there counts as an endpoint that was reached and tried. That the ports were taken is by reading; no run shows it. The endpoints have ports of 127.0.0.2 now, and the tests check what they did.

--- a/gateway/relay/test/accounts.test.ts
+++ b/gateway/relay/test/accounts.test.ts
@@ -8,7 +8,7 @@
 import type { AccountGate } from '@catkinferry/gateway.relay'
 import { encodeForwarded, FORWARDED_HEADER, OUTCOME_HEADER, PeerOutcome } from '../src/forwardedRequest.ts'
 import type { ForwardedFacts } from '../src/forwardedRequest.ts'
-import { answerOk, buildAccount, startEndpoint, startTestRelay } from './testRelay.ts'
+import { answerOk, buildAccount, buildLostEndpoint, startEndpoint, startTestRelay } from './testRelay.ts'
 import type { Call, CallResult, Endpoint, TestRelay, TestRelayOptions } from './testRelay.ts'
 
 const NON_IDEMPOTENT = { kind: 'nonIdempotent', maxEndpoints: 1 } as const
@@ -37,13 +37,6 @@
   return await startEndpoint(id, (req, res) => answerOk(req, res))
 }
 
-/** An endpoint at an address where nothing listens. */
-async function startLost (id = 'e1'): Promise<Endpoint> {
-  const lost = await startEndpoint(id, () => undefined)
-  lost.close()
-  return lost
-}
-
 interface TestGate extends AccountGate {
   /** What was taken and given back: account and units. */
   readonly moves: string[]
@@ -258,7 +251,7 @@
       res.writeHead(503, { 'X-Id': 'id1', 'X-Not-Run': '1' })
       res.end()
     })
-    for (const endpoint of [await startLost(), refusing]) {
+    for (const endpoint of [buildLostEndpoint('e1'), refusing]) {
       const { call } = await start({ endpoints: [endpoint], accounts: listAccounts, gate, route: NON_IDEMPOTENT })
       expect([(await call({ headers: KEY })).status, gate.moves.splice(0)]).toEqual([503, TAKEN_AND_GIVEN])
     }
@@ -306,7 +299,7 @@
     const [gate, peerGate] = [createGate(), createGate({ isOver: true })]
     const endpoint = await startSound()
     const peer = await start({ endpoints: [endpoint], accounts: listAccounts, gate: peerGate })
-    const relay = await start({ endpoints: [await startLost()], accounts: listAccounts, gate, peers: [peer.peer] })
+    const relay = await start({ endpoints: [buildLostEndpoint('e1')], accounts: listAccounts, gate, peers: [peer.peer] })
     expect((await relay.call({ headers: { ...KEY, 'X-Account': 'b' } })).status).toEqual(200)
     expect([gate.moves, peerGate.moves, endpoint.seen.map(({ headers }) => [headers['x-account'], headers['x-key']])]).toEqual([['take a 7'], [], [['a', undefined]]])
     expect([getEnds(relay), getEnds(peer)]).toEqual([[[200, 'a']], [[200, 'a']]])
@@ -318,7 +311,7 @@
     const full = await start({ endpoints: [], accounts: listAccounts })
     const losing = await start({ endpoints: [closing], accounts: listAccounts, route: NON_IDEMPOTENT })
     for (const [peer, status, moves] of [[full, 503, ['take a 7', 'give a 7']], [losing, 502, ['take a 7']]] as const) {
-      const { call } = await start({ endpoints: [await startLost()], accounts: listAccounts, gate, route: NON_IDEMPOTENT, peers: [peer.peer] })
+      const { call } = await start({ endpoints: [buildLostEndpoint('e1')], accounts: listAccounts, gate, route: NON_IDEMPOTENT, peers: [peer.peer] })
       expect([(await call({ headers: KEY })).status, gate.moves.splice(0)]).toEqual([status, [...moves]])
     }
   })
@@ -327,7 +320,7 @@
     const gate = createGate()
     const endpoint = await startSound()
     const peer = await start({ endpoints: [endpoint], accounts: () => [], routesVersion: 2 })
-    const { call } = await start({ endpoints: [await startLost()], accounts: listAccounts, gate, peers: [peer.peer] })
+    const { call } = await start({ endpoints: [buildLostEndpoint('e1')], accounts: listAccounts, gate, peers: [peer.peer] })
     expect([...readError(await call({ headers: KEY })), endpoint.seen, gate.moves]).toEqual([401, 'UNAUTHENTICATED', 'no', [], ['take a 7', 'give a 7']])
   })
 })
@@ -375,7 +368,7 @@
     const [unused, endpoint] = [await startSound(), await startSound()]
     const stale = await start({ endpoints: [unused], accounts: listAccounts, gate: createGate({ isStale: true }) })
     const sound = await start({ endpoints: [endpoint], accounts: listAccounts, gate: peerGate })
-    const relay = await start({ endpoints: [await startLost()], accounts: listAccounts, gate, peers: [stale.peer, { ...sound.peer, region: 'far' }] })
+    const relay = await start({ endpoints: [buildLostEndpoint('e1')], accounts: listAccounts, gate, peers: [stale.peer, { ...sound.peer, region: 'far' }] })
     expect((await relay.call({ headers: KEY })).status).toEqual(200)
     expect([unused.seen.length, endpoint.seen.length, gate.moves, peerGate.moves]).toEqual([0, 1, ['take a 7'], []])
     expect(relay.counts.filter(line => line.startsWith('forwards'))).toEqual(['forwards declined', 'forwards delivered'])
--- a/gateway/relay/test/continuedStreams.test.ts
+++ b/gateway/relay/test/continuedStreams.test.ts
@@ -6,7 +6,7 @@
 import { MAX_BUFFERED_RESPONSE_BYTES } from '../src/constants.ts'
 import { OUTCOME_HEADER, PeerOutcome } from '../src/forwardedRequest.ts'
 import { formatEvent } from './stallingEndpoint.ts'
-import { startEndpoint, startRawEndpoint, startTestRelay } from './testRelay.ts'
+import { buildLostEndpoint, startRawEndpoint, startTestRelay } from './testRelay.ts'
 import type { CallResult, Endpoint, TestRelay, TestRelayOptions } from './testRelay.ts'
 
 /** Nothing here depends on the deadline, which a pause of the test process may not use up. */
@@ -338,8 +338,7 @@
   /** The endpoints of the caller's host but for the first are out of its reach, so that a peer runs the retry. */
   async function callWithPeer (t: TestContext, responses: readonly string[], headers?: string): Promise<CallResult & { readonly ran: readonly number[] }> {
     const first = await startBeginning(headers)
-    const lost = await startEndpoint('e2', () => undefined)
-    lost.close()
+    const lost = buildLostEndpoint('e2')
     const further = await Promise.all(responses.map((response, index) => startAnswering(`e${index + 2}`, response)))
     const peer = await start(t, { endpoints: further })
     const relay = await start(t, { endpoints: [first.endpoint, lost], peers: [peer.peer] })
@@ -376,8 +375,7 @@
   for (const [name, response] of Object.entries(PEER_RESPONSES)) {
     it(`is cut if the peer passes on ${name}`, async t => {
       const first = await startBeginning()
-      const lost = await startEndpoint('e2', () => undefined)
-      lost.close()
+      const lost = buildLostEndpoint('e2')
       const peer = await startAnswering('peer', response)
       t.after(peer.close)
       const relay = await start(t, { endpoints: [first.endpoint, lost], peers: [{ address: peer.address, zone: 'z', region: 'r' }] })
--- a/gateway/relay/test/doubtedAttempts.test.ts
+++ b/gateway/relay/test/doubtedAttempts.test.ts
@@ -15,7 +15,7 @@
 import { MAX_BUFFERED_RESPONSE_BYTES } from '../src/constants.ts'
 import { encodeForwarded, FORWARDED_HEADER } from '../src/forwardedRequest.ts'
 import { formatEvent, formatHead, isHealthCheck } from './stallingEndpoint.ts'
-import { answerOk, startEndpoint, startTestRelay } from './testRelay.ts'
+import { answerOk, buildLostEndpoint, startEndpoint, startTestRelay } from './testRelay.ts'
 import type { Endpoint, TestRelay, TestRelayOptions } from './testRelay.ts'
 
 const REPEATABLE = { kind: 'idempotent', resumable: false, maxEndpoints: 3, timeoutMs: 6_000 } as const
@@ -52,12 +52,6 @@
   return { id: 'silent', seen: [], address: `127.0.0.1:${(server.address() as AddressInfo).port}`, close: () => { for (const socket of sockets) socket.destroy() } }
 }
 
-async function startLost (id: string): Promise<Endpoint> {
-  const lost = await startEndpoint(id, () => undefined)
-  lost.close()
-  return lost
-}
-
 function startCounting (id: string, ran: string[], script: Parameters<typeof startEndpoint>[1]): Promise<Endpoint> {
   return startEndpoint(id, (req, res, body) => {
     if (isHealthCheck(req)) {
@@ -97,7 +91,7 @@
         res.writeHead(200, formatHead(req))
         res.end(formatEvent(2) + formatEvent(3))
       })
-      const { call } = await start(t, { endpoints: [silent, await startLost('b1'), await startLost('b2'), other], othersLoad: { silent: 0, b1: 3, b2: 3, other: 60 }, route: RESUMABLE, peers: [peer.peer] })
+      const { call } = await start(t, { endpoints: [silent, buildLostEndpoint('b1'), buildLostEndpoint('b2'), other], othersLoad: { silent: 0, b1: 3, b2: 3, other: 60 }, route: RESUMABLE, peers: [peer.peer] })
       const { body, broken } = await call({ headers: { 'X-Deadline': '4000' } })
       expect([body, broken]).toEqual([formatEvent(1) + formatEvent(2) + formatEvent(3), false])
     })
@@ -109,7 +103,7 @@
     const cut: Parameters<typeof startEndpoint>[1] = (_req, res) => { setTimeout(() => res.destroy(), 30) }
     const peer = await start(t, { endpoints: [await startCounting('e1', ran, cut), await startCounting('e2', ran, cut), await startCounting('e3', ran, cut)], route: REPEATABLE })
     const other = await startCounting('other', ran, (req, res) => answerOk(req, res))
-    const { call } = await start(t, { endpoints: [silent, await startLost('b1'), await startLost('b2'), other], othersLoad: { silent: 0, b1: 3, b2: 3, other: 60 }, route: REPEATABLE, peers: [peer.peer] })
+    const { call } = await start(t, { endpoints: [silent, buildLostEndpoint('b1'), buildLostEndpoint('b2'), other], othersLoad: { silent: 0, b1: 3, b2: 3, other: 60 }, route: REPEATABLE, peers: [peer.peer] })
     await call({ headers: { 'X-Deadline': '2000' } })
     expect(ran.length <= REPEATABLE.maxEndpoints).toEqual(true)
   })
@@ -135,7 +129,7 @@
     })
     const route = { ...RESUMABLE, maxEndpoints: 2 }
     const peer = await start(t, { endpoints: [begun, further], othersLoad: peerLoad, route })
-    const { call } = await start(t, { endpoints: [silent, await startLost('b1'), await startLost('b2')], othersLoad: { silent: 0, b1: 3, b2: 3 }, route, peers: [peer.peer] })
+    const { call } = await start(t, { endpoints: [silent, buildLostEndpoint('b1'), buildLostEndpoint('b2')], othersLoad: { silent: 0, b1: 3, b2: 3 }, route, peers: [peer.peer] })
     const { body, broken } = await call({ headers: { 'X-Deadline': '4000' } })
     expect([ran, body, broken]).toEqual([['silent', 'e1'], formatEvent(1) + formatEvent(2), true])
   })
@@ -216,7 +210,7 @@
       res.end(formatEvent(3))
     })
     const peer = await start(t, { endpoints: [slow], route: RESUMABLE })
-    const { call } = await start(t, { endpoints: [silent, await startLost('b1')], othersLoad: { silent: 0, b1: 3 }, route: RESUMABLE, peers: [peer.peer] })
+    const { call } = await start(t, { endpoints: [silent, buildLostEndpoint('b1')], othersLoad: { silent: 0, b1: 3 }, route: RESUMABLE, peers: [peer.peer] })
     const { body, broken } = await call({ headers: { 'X-Deadline': '4000' } })
     expect([body, broken, ran]).toEqual([formatEvent(1) + formatEvent(2) + formatEvent(3), false, ['e1', 'e1']])
   })
--- a/gateway/relay/test/endedByHost.test.ts
+++ b/gateway/relay/test/endedByHost.test.ts
@@ -3,8 +3,8 @@
 import type { TestContext } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { formatEvent, formatHead, isHealthCheck, WHOLE_STREAM, writeEvents } from './stallingEndpoint.ts'
-import { answerOk, startEndpoint, startTestRelay } from './testRelay.ts'
-import type { Endpoint, TestRelay, TestRelayOptions } from './testRelay.ts'
+import { answerOk, buildLostEndpoint, startEndpoint, startTestRelay } from './testRelay.ts'
+import type { TestRelay, TestRelayOptions } from './testRelay.ts'
 
 const RESUMABLE = { kind: 'stream', resumable: true, maxEndpoints: 4, timeoutMs: 6_000 } as const
 const HEADERS = { 'X-Deadline': '5000' }
@@ -15,12 +15,6 @@
   return relay
 }
 
-async function startLost (id: string): Promise<Endpoint> {
-  const lost = await startEndpoint(id, () => undefined)
-  lost.close()
-  return lost
-}
-
 describe('a stream that has begun here', () => {
   // Guards against a stream that ends although an endpoint could go on with it: a refusal says that the peer has not run it, and nothing of other endpoints.
   it('goes on at an endpoint of this host if a peer refuses it', async t => {
@@ -34,7 +28,7 @@
       else void writeEvents(req, res)
     })
     const peer = await start(t, { endpoints: [], route: RESUMABLE })
-    const { call, lines, counts } = await start(t, { endpoints: [first, await startLost('e2'), await startLost('e3'), other], route: RESUMABLE, peers: [peer.peer], othersLoad: { e1: 0, e2: 2, e3: 4, e4: 30 } })
+    const { call, lines, counts } = await start(t, { endpoints: [first, buildLostEndpoint('e2'), buildLostEndpoint('e3'), other], route: RESUMABLE, peers: [peer.peer], othersLoad: { e1: 0, e2: 2, e3: 4, e4: 30 } })
     expect(await call({ headers: HEADERS })).toEqual(expect.subset({ status: 200, body: WHOLE_STREAM, broken: false }))
     expect([lines.filter(({ step }) => step === 'forward').length, counts.filter(count => count.startsWith('forwards'))]).toEqual([1, ['forwards refused']])
   })
@@ -50,7 +44,7 @@
       if (isHealthCheck(req)) res.end()
       else void writeEvents(req, res)
     })
-    const { call } = await start(t, { endpoints: [first, await startLost('e2'), other], route: RESUMABLE, othersLoad: { e1: 0, e2: 2, e4: 30 } })
+    const { call } = await start(t, { endpoints: [first, buildLostEndpoint('e2'), other], route: RESUMABLE, othersLoad: { e1: 0, e2: 2, e4: 30 } })
     expect(await call({ headers: HEADERS })).toEqual(expect.subset({ status: 200, body: WHOLE_STREAM, broken: false }))
   })
 
@@ -68,7 +62,7 @@
       setTimeout(() => res.end(formatEvent(2)), 1_200)
     })
     const othersLoad = { e1: 0, e2: 9, e3: 20 }
-    const { call } = await start(t, { endpoints: [endpoint, await startLost('e2'), await startLost('e3')], route: { ...RESUMABLE, resumable: false }, othersLoad })
+    const { call } = await start(t, { endpoints: [endpoint, buildLostEndpoint('e2'), buildLostEndpoint('e3')], route: { ...RESUMABLE, resumable: false }, othersLoad })
     const stream = call({ headers: HEADERS })
     await sleep(100)
     Object.assign(othersLoad, { e1: 10, e2: 0, e3: 60 })
--- a/gateway/relay/test/forwarding.test.ts
+++ b/gateway/relay/test/forwarding.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'earl'
 import { afterEach, describe, it } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { answerOk, startEndpoint, startRawEndpoint, startTestRelay } from './testRelay.ts'
+import { answerOk, buildLostEndpoint, startEndpoint, startRawEndpoint, startTestRelay } from './testRelay.ts'
 import type { Endpoint, TestRelay, TestRelayOptions } from './testRelay.ts'
 
 const STREAM = { kind: 'stream', resumable: false, maxEndpoints: 1 } as const
@@ -17,13 +17,6 @@
   return relay
 }
 
-/** Endpoints at addresses where nothing listens: the same endpoints as a cut host sees them. */
-async function startLost (ids: readonly string[]): Promise<Endpoint[]> {
-  const lost = await Promise.all(ids.map(id => startEndpoint(id, () => undefined)))
-  for (const { close } of lost) close()
-  return lost
-}
-
 const IDS = ['e1', 'e2', 'e3']
 
 describe('a request of a host that reaches no endpoint', () => {
@@ -31,7 +24,7 @@
   it('is served by a peer, also on a route without repeats, with what is left of its deadline', async () => {
     const endpoint = await startEndpoint('e1', (req, res) => answerOk(req, res))
     const peer = await start({ endpoints: [endpoint], route: NON_IDEMPOTENT })
-    const { call, lines } = await start({ endpoints: await startLost(IDS), route: NON_IDEMPOTENT, peers: [peer.peer] })
+    const { call, lines } = await start({ endpoints: IDS.map(buildLostEndpoint), route: NON_IDEMPOTENT, peers: [peer.peer] })
     const answers = [await call(), await call({ headers: { 'X-Id': 'id2' } })]
     expect(answers.map(({ status, body }) => [status, body])).toEqual([[200, 'done'], [200, 'done']])
     expect(endpoint.seen.map(({ body, headers }) => [body, headers['x-id'], Number(headers['x-left']) <= 1_500, headers['catkinferry-forwarded']])).toEqual([['ask', 'id1', true, undefined], ['ask', 'id2', true, undefined]])
@@ -47,7 +40,7 @@
       res.on('close', () => onGone(!res.writableFinished))
     })
     const peer = await start({ endpoints: [endpoint], route: STREAM })
-    const { call } = await start({ endpoints: await startLost(IDS), route: STREAM, peers: [peer.peer] })
+    const { call } = await start({ endpoints: IDS.map(buildLostEndpoint), route: STREAM, peers: [peer.peer] })
     await call({ onPart: (_part, abort) => abort() })
     expect(await Promise.race([gone, sleep(1_000).then(() => false)])).toEqual(true)
   })
@@ -57,9 +50,9 @@
     const late = await startEndpoint('late', (_req, res) => res.writeHead(408, { Connection: 'close' }).end())
     const endpoint = await startEndpoint('e1', (req, res) => answerOk(req, res))
     const peer = await start({ endpoints: [endpoint], route: NON_IDEMPOTENT })
-    const { call } = await start({ endpoints: await startLost(IDS), route: NON_IDEMPOTENT, peers: [{ ...peer.peer, address: late.address }, peer.peer] })
+    const { call } = await start({ endpoints: IDS.map(buildLostEndpoint), route: NON_IDEMPOTENT, peers: [{ ...peer.peer, address: late.address }, peer.peer] })
     expect((await call()).status).toEqual(200)
-    const { call: callLate } = await start({ endpoints: await startLost(IDS), route: NON_IDEMPOTENT, peers: [{ ...peer.peer, address: late.address }] })
+    const { call: callLate } = await start({ endpoints: IDS.map(buildLostEndpoint), route: NON_IDEMPOTENT, peers: [{ ...peer.peer, address: late.address }] })
     expect((await callLate()).status).toEqual(503)
     late.close()
   })
@@ -71,7 +64,7 @@
       closeLater.push(dead)
       const endpoint = await startEndpoint('e1', (req, res) => answerOk(req, res))
       const peer = await start({ endpoints: [endpoint], route })
-      const { call } = await start({ endpoints: await startLost(IDS), route, peers: [{ ...peer.peer, address: dead.address }, { ...peer.peer, region: 'further' }] })
+      const { call } = await start({ endpoints: IDS.map(buildLostEndpoint), route, peers: [{ ...peer.peer, address: dead.address }, { ...peer.peer, region: 'further' }] })
       expect([(await call()).status, endpoint.seen.length]).toEqual([status, status === 200 ? 1 : 0])
     }
   })
@@ -90,7 +83,7 @@
     first.push(await start({ endpoints: [await startOne('e1'), await startOne('e2')], route, othersLoad: { e1: 0, e2: 3 } }))
     const further = await start({ endpoints: [await startOne('e3')], route })
     const peers = [...first.map(({ peer }) => peer), { ...further.peer, region: 'further' }]
-    const { call } = await start({ endpoints: await startLost(IDS), route, peers })
+    const { call } = await start({ endpoints: IDS.map(buildLostEndpoint), route, peers })
     const { status } = await call()
     return { status, ran }
   }
@@ -110,8 +103,8 @@
 
   it('is refused at once if its peers reach no endpoint either, and is never forwarded twice', async () => {
     const peers: TestRelayOptions['peers'] = []
-    const second = await start({ endpoints: await startLost(IDS), peers })
-    const first = await start({ endpoints: await startLost(IDS), peers: [second.peer] })
+    const second = await start({ endpoints: IDS.map(buildLostEndpoint), peers })
+    const first = await start({ endpoints: IDS.map(buildLostEndpoint), peers: [second.peer] })
     ;(peers as Array<typeof first.peer>).push(first.peer)
     const startedAt = Date.now()
     const answer = await first.call()
@@ -126,7 +119,7 @@
     stopping.relay.drain()
     const sound = await start({ endpoints: [endpoint], routesVersion: 2 })
     for (const bad of [outdated.peer, stopping.peer]) {
-      const { call } = await start({ endpoints: await startLost(IDS), routesVersion: 2, peers: [bad, { ...sound.peer, region: 'far' }] })
+      const { call } = await start({ endpoints: IDS.map(buildLostEndpoint), routesVersion: 2, peers: [bad, { ...sound.peer, region: 'far' }] })
       expect((await call()).status).toEqual(200)
     }
     expect(endpoint.seen.length).toEqual(2)
@@ -145,7 +138,7 @@
     const route = { kind: 'stream', resumable: true, maxEndpoints: 3 } as const
     const first = await start({ endpoints: [endpoint], route: { ...route, ...newer.route }, pool: newer.pool, routesVersion: 2 })
     const second = await start({ endpoints: [endpoint], route })
-    const { call } = await start({ endpoints: [broken, ...await startLost(['e2', 'e3'])], othersLoad: { e1: 0, e2: 3, e3: 3 }, route, peers: [first.peer, { ...second.peer, region: 'far' }] })
+    const { call } = await start({ endpoints: [broken, ...['e2', 'e3'].map(buildLostEndpoint)], othersLoad: { e1: 0, e2: 3, e3: 3 }, route, peers: [first.peer, { ...second.peer, region: 'far' }] })
     const { body, broken: isBroken } = await call()
     return [body, isBroken]
   }
@@ -163,7 +156,7 @@
   it('gets the refusal of a peer that serves, with its time to come back', async () => {
     const endpoint = await startEndpoint('e1', (req, res) => answerOk(req, res))
     const peer = await start({ endpoints: [endpoint], resident: { e1: [] } })
-    const { call } = await start({ endpoints: await startLost(IDS), resident: { e1: [], e2: [], e3: [] }, peers: [peer.peer] })
+    const { call } = await start({ endpoints: IDS.map(buildLostEndpoint), resident: { e1: [], e2: [], e3: [] }, peers: [peer.peer] })
     await call()
     const answer = await call({ headers: { 'X-Model': 'a' } })
     expect([answer.status, answer.headers['retry-after'], answer.headers['catkinferry-outcome']]).toEqual([503, '0.100', undefined])
@@ -176,12 +169,12 @@
       req.socket.destroy()
     })
     const peers = [await start({ endpoints: [endpoint], route: NON_IDEMPOTENT }), await start({ endpoints: [endpoint], route: NON_IDEMPOTENT })]
-    const { call } = await start({ endpoints: await startLost(IDS), route: NON_IDEMPOTENT, peers: peers.map(({ peer }) => peer) })
+    const { call } = await start({ endpoints: IDS.map(buildLostEndpoint), route: NON_IDEMPOTENT, peers: peers.map(({ peer }) => peer) })
     expect([(await call()).status, arrivals]).toEqual([502, 1])
   })
 
   it('is served here again once a probe has reached an endpoint', async () => {
-    const lost = await startLost(IDS)
+    const lost = IDS.map(buildLostEndpoint)
     const endpoint = await startEndpoint('e1', (req, res) => answerOk(req, res))
     const peer = await start({ endpoints: [endpoint] })
     const { call, lines } = await start({ endpoints: [...lost.slice(1), endpoint], peers: [peer.peer], othersLoad: { e1: 3 } })
@@ -195,7 +188,7 @@
 describe('what a host reports of endpoints that it does not reach', () => {
   // Guards against the incident RECOVER of aqx-ops: what a cut host saw made sound endpoints suspect for all hosts.
   it('is nothing while it hears from none', async () => {
-    const { call, health } = await start({ endpoints: await startLost(IDS) })
+    const { call, health } = await start({ endpoints: IDS.map(buildLostEndpoint) })
     for (let count = 0; count < 4; count += 1) await call({ headers: { 'X-Id': `id${count}` } })
     await sleep(300)
     expect(health).toEqual([])
@@ -203,7 +196,7 @@
 
   it('is that they are unreachable once another has been heard from', async () => {
     const endpoint = await startEndpoint('e4', (req, res) => answerOk(req, res))
-    const { call, health } = await start({ endpoints: [...await startLost(['e1']), endpoint], othersLoad: { e1: 0, e4: 3 } })
+    const { call, health } = await start({ endpoints: [...['e1'].map(buildLostEndpoint), endpoint], othersLoad: { e1: 0, e4: 3 } })
     await call()
     await sleep(100)
     await call({ headers: { 'X-Id': 'id2' } })
--- a/gateway/relay/test/lostAttempts.test.ts
+++ b/gateway/relay/test/lostAttempts.test.ts
@@ -3,7 +3,7 @@
 import type { TestContext } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { isHealthCheck, startStallingEndpoint, WHOLE_STREAM, writeEvents } from './stallingEndpoint.ts'
-import { answerOk, startEndpoint, startTestRelay } from './testRelay.ts'
+import { answerOk, buildLostEndpoint, startEndpoint, startTestRelay } from './testRelay.ts'
 import type { CallResult, Endpoint, TestRelay, TestRelayOptions } from './testRelay.ts'
 
 const STREAM = { kind: 'stream', resumable: true, maxEndpoints: 3, timeoutMs: 6_000 } as const
@@ -33,13 +33,6 @@
 /** Requests that an endpoint got, health checks apart. */
 const countRequests = ({ seen }: Endpoint): number => seen.filter(({ headers }) => headers['x-id'] !== undefined).length
 
-/** An endpoint at an address where nothing listens. */
-async function startLost (id: string): Promise<Endpoint> {
-  const lost = await startEndpoint(id, () => undefined)
-  lost.close()
-  return lost
-}
-
 /** The situations in which nothing can take the place of an attempt. Each gives the relay for a route and a kind of request. */
 const WITHOUT_REPLACEMENT: Readonly<Record<string, (t: TestContext, silent: Endpoint, route: TestRelayOptions['route']) => Promise<TestRelay>>> = {
   'there is no other endpoint': async (t, silent, route) => await start(t, { endpoints: [silent], route }),
@@ -60,8 +53,8 @@
     return await start(t, { endpoints: [silent, other], route, resident: { silent: ['a@1'], other: [] } })
   },
   'the host reaches no endpoint and its peers decline': async (t, silent, route) => {
-    const peer = await start(t, { endpoints: [await startLost('e8'), await startLost('e9')] })
-    const relay = await start(t, { endpoints: [silent, await startLost('other')], route, peers: [peer.peer], othersLoad: { silent: 3, other: 0 } })
+    const peer = await start(t, { endpoints: [buildLostEndpoint('e8'), buildLostEndpoint('e9')] })
+    const relay = await start(t, { endpoints: [silent, buildLostEndpoint('other')], route, peers: [peer.peer], othersLoad: { silent: 3, other: 0 } })
     return {
       ...relay,
       call: async call => {
--- a/gateway/relay/test/testRelay.ts
+++ b/gateway/relay/test/testRelay.ts
@@ -88,6 +88,17 @@
   return { id, address: `127.0.0.1:${(server.address() as AddressInfo).port}`, seen, close: () => { server.closeAllConnections(); server.close() } }
 }
 
+/** Nothing listens at this loopback address. A port of the usual one could be taken by a test in another process once it is free. */
+const UNUSED_IP = '127.0.0.2'
+const FIRST_LOST_PORT = 20_000
+let lostCount = 0
+
+/** Builds an endpoint that refuses connections. */
+export function buildLostEndpoint (id: string): Endpoint {
+  lostCount += 1
+  return { id, address: `${UNUSED_IP}:${FIRST_LOST_PORT + lostCount}`, seen: [], close: () => undefined }
+}
+
 /** Starts an endpoint that writes raw bytes. */
 export async function startRawEndpoint (id: string, onData: (socket: Socket, text: string) => void): Promise<Endpoint> {
   const sockets = new Set<Socket>()
