--- /dev/null
+++ b/core/memory-budget/src/index.ts
@@ -0,0 +1,2 @@
+/** A limit on the memory that a process holds for others, by owner and in total. */
+export * from './memoryBudget.ts'
