--- a/core/memory-budget/src/index.ts
+++ b/core/memory-budget/src/index.ts
@@ -1,2 +1,3 @@
 /** A limit on the memory that a process holds for others, by owner and in total. */
+export * from './heldBuffer.ts'
 export * from './memoryBudget.ts'
