Remember the IDs of events as digests, and resume only by IDs that a request can carry

What operators saw: a resumable stream with event IDs that are no numbers made the host grow with every event, by the ID and by the data: an ID that is cut out of the text of its events is a slice that keeps the whole text. An ID longer than the headers that servers take, or with a control character, went into the request that resumes the stream: the first is refused by every endpoint, the second throws inside the relay and leaves the attempt recorded as in flight. Callers of a stream with more than 10,000 such IDs could get events twice, as those beyond were not remembered when another endpoint began the stream anew.

A stream with an ID over 1 KB, with an ID that no header can carry, or with more IDs than are remembered is passed on unchanged and counts from then on as one that cannot be resumed: if it breaks off it is cut. ID of the last event, in logs and requests, is a copy and at most 1 KB long. Numeric IDs are handled as before.

Tests, on the sources before and after: of the added cases 5 of 7 failed before (both of continuedStreams.test.ts, and in eventSplitter.test.ts longer IDs, more IDs, memory of their data); all pass.

Weighed: to keep short IDs as they are (needs a copy for each all the same, and has two representations); to resume a stream with forgotten events at endpoints that go on after the last ID (whether one does is known only once events have come twice).

--- a/gateway/relay/src/constants.ts
+++ b/gateway/relay/src/constants.ts
@@ -32,6 +32,12 @@
 /** Size limit of one server-sent event. */
 export const MAX_EVENT_BYTES = 1024 * 1024
 
+/** Longest event ID after which a stream is resumed. Servers take 8 KB of headers or more; a forwarded request carries the ID in up to six bytes a character. */
+export const MAX_EVENT_ID_BYTES = 1024
+
+/** Event IDs of one stream that are remembered, as digests of about 100 bytes in memory; only streams whose IDs are not numbers need them. */
+export const MAX_REMEMBERED_IDS = 10_000
+
 /** Interval of the probes of an endpoint to which a connection failed; this host avoids it until one succeeds. */
 export const UNREACHABLE_MS = 1_000
 
--- a/gateway/relay/src/eventSplitter.ts
+++ b/gateway/relay/src/eventSplitter.ts
@@ -2,6 +2,8 @@
  * Splits a stream of server-sent events into complete events, so that a stream that is broken off inside an event does not look
  * complete, and can be resumed after the last one. The relay creates one for each stream that it forwards.
  */
+import { hash } from 'node:crypto'
+import { MAX_EVENT_ID_BYTES, MAX_REMEMBERED_IDS } from './constants.ts'
 
 const LINE_FEED = 10
 const CARRIAGE_RETURN = 13
@@ -13,6 +15,8 @@
 const LINE_END = /\r\n|\n|\r/
 /** A line of an event stream: a field, a comment, or the blank line after an event. */
 const EVENT_LINE = /^(?:id|data|event|retry)?(?::|$)/
+/** The value of a header (RFC 9110, section 5.5). */
+const HEADER_VALUE = /^[\t\u0020-\u007e\u0080-\u00ff]*$/
 
 export interface EventSplitter {
   /** Returns the bytes of the events that `chunk` completes. */
@@ -28,7 +32,7 @@
   readonly isBehind: () => boolean
   /** Whether the first bytes with the end of an event have text that is none. Always false if the type of the stream is known. */
   readonly hasOtherText: () => boolean
-  /** ID of the last complete event that has one; before the first, the ID that the splitter was created with. */
+  /** ID of the last complete event that has one that a request can name; before the first, the ID that the splitter was created with. */
   readonly getLastEventId: () => string | undefined
 }
 
@@ -43,32 +47,56 @@
   return 0
 }
 
-/** Limit on the event IDs of one stream that are remembered; only streams whose IDs are not numbers need them. */
-const MAX_REMEMBERED_IDS = 10_000
-
 /** The events of a stream that its caller has. Kept for the whole request, over all endpoints that continue the stream. */
 export interface DeliveredEvents {
   readonly has: (id: string) => boolean
   /** An event without an id is added as undefined. */
   readonly add: (id: string | undefined) => void
-  /** Whether no event without an id came after the last that has one, so that the stream can be resumed after that. */
-  readonly endsWithId: () => boolean
+  /** Whether the stream can be resumed after its last event: a request can name that event, and all events with an id are remembered. */
+  readonly isResumable: () => boolean
+}
+
+function computeDigest (id: string): string {
+  return hash('sha256', id, 'base64url')
+}
+
+/** A copy that is no slice of the text that it was found in, which it would keep in memory. */
+function copyText (text: string | undefined): string | undefined {
+  return text === undefined ? undefined : Buffer.from(text, 'latin1').toString('latin1')
+}
+
+/** Whether a request can name the event with this id, and the relay remembers it. */
+function isUsableId (id: string): boolean {
+  return id.length <= MAX_EVENT_ID_BYTES && HEADER_VALUE.test(id)
 }
 
-/** `lastEventId`: last event that the caller has from an earlier request. Numeric IDs increase; others are compared one by one. */
+/**
+ * `lastEventId`: last event that the caller has from an earlier request. Numeric IDs increase; others are compared one by one, by
+ * their digests: an ID may be a slice of a text, which it would keep in memory.
+ */
 export function createDeliveredEvents (lastEventId?: string): DeliveredEvents {
-  const ids = new Set<string>()
+  const digests = new Set<string>()
   let lastNumber = Number.NEGATIVE_INFINITY
   let endsWithId = true
-  const add = (id: string | undefined): void => {
-    endsWithId = id !== undefined
-    if (id === undefined) return
+  let isComplete = true
+  const remember = (id: string): void => {
     const number = Number(id)
     if (!Number.isNaN(number)) lastNumber = Math.max(lastNumber, number)
-    else if (ids.size < MAX_REMEMBERED_IDS) ids.add(id)
+    else if (digests.size < MAX_REMEMBERED_IDS) digests.add(computeDigest(id))
+    else isComplete = false
+  }
+  // Came in a header, so a header can carry it.
+  if (lastEventId !== undefined) remember(lastEventId)
+  return {
+    add: id => {
+      endsWithId = id !== undefined
+      if (id === undefined) return
+      if (isUsableId(id)) remember(id)
+      else isComplete = false
+    },
+    has: id => Number(id) <= lastNumber || (digests.size > 0 && digests.has(computeDigest(id))),
+    isResumable: () => endsWithId && isComplete
   }
-  if (lastEventId !== undefined) add(lastEventId)
-  return { add, has: id => ids.has(id) || Number(id) <= lastNumber, endsWithId: () => endsWithId }
 }
 
 /** IDs of the events, undefined for those that have data and no ID. What has neither, such as a comment, is no event. */
@@ -117,7 +145,7 @@
       const events = dropDelivered(bytes.subarray(0, end), delivered)
       const ids = listIds(events.toString('latin1'))
       for (const id of ids) delivered.add(id)
-      lastId = ids.findLast(id => id !== undefined) ?? lastId
+      lastId = copyText(ids.findLast(id => id !== undefined && isUsableId(id))) ?? lastId
       return events
     },
     takeRest: () => {
--- a/gateway/relay/src/exchange.ts
+++ b/gateway/relay/src/exchange.ts
@@ -162,7 +162,7 @@
 /** Whether the request may be retried after an attempt that may have run. */
 export function isRetryable ({ route, headSent, resumableHead, delivered, isQuarantined }: Exchange): boolean {
   if (isQuarantined) return false
-  // Only a stream of events can be continued with the response of another endpoint, and only after an event with an ID.
-  if (headSent) return resumableHead !== undefined && delivered.endsWithId()
+  // Only a stream of events can be continued with the response of another endpoint, and only after an event that a request can name.
+  if (headSent) return resumableHead !== undefined && delivered.isResumable()
   return route.kind === RouteKind.IDEMPOTENT || (route.kind === RouteKind.STREAM && route.resumable)
 }
--- a/gateway/relay/test/continuedStreams.test.ts
+++ b/gateway/relay/test/continuedStreams.test.ts
@@ -147,6 +147,19 @@
 })
 
 describe('a stream that broke off after', () => {
+  // Guards against an id that no request can carry: sending it failed inside the relay, or at every endpoint.
+  for (const [name, id] of [['of 64 KB', 'x'.repeat(64 * 1024)], ['with a control character', 'a\u0001b']] as const) {
+    it(`an event with an id ${name} is cut, and the request runs nowhere else`, async t => {
+      const text = `${BEGINNING}id: ${id}\ndata: a\n\n`
+      const first = await startBeginning(EVENT_STREAM, text)
+      const second = await startAnswering('e2', CONTINUATIONS['in chunks'] ?? '')
+      const relay = await start(t, { endpoints: [first.endpoint, second] })
+      let received = 0
+      const { body, broken } = await relay.call({ headers: DEADLINE, onPart: part => { received += part.length; if (received === text.length) first.reset() } })
+      expect([body === text, broken, second.requests.length, findStatuses(relay), relay.lines.filter(({ step }) => step === 'relay')]).toEqual([true, true, 0, ['cut'], []])
+    })
+  }
+
   // Guards against an event that comes twice: the next endpoint goes on after the last event with an id, and sends those without one again.
   for (const [name, text] of [
     ['an event without an id', 'data: a\n\n'],
--- a/gateway/relay/test/eventSplitter.test.ts
+++ b/gateway/relay/test/eventSplitter.test.ts
@@ -1,6 +1,13 @@
 import { expect } from 'earl'
 import { describe, it } from 'node:test'
+import { setFlagsFromString } from 'node:v8'
+import { runInNewContext } from 'node:vm'
+import { MAX_EVENT_ID_BYTES, MAX_REMEMBERED_IDS } from '../src/constants.ts'
 import { createDeliveredEvents, createEventSplitter } from '../src/eventSplitter.ts'
+import type { DeliveredEvents, EventSplitter } from '../src/eventSplitter.ts'
+
+setFlagsFromString('--expose-gc')
+const collectGarbage = runInNewContext('gc') as () => void
 
 function buildEvents (ids: readonly string[]): Buffer {
   return Buffer.from(ids.map(id => `id: ${id}\ndata: ${id}\n\n`).join(''))
@@ -34,3 +41,40 @@
     expect([splitter.add(buildEvents(['1', '2', '3'])).toString(), splitter.getLastEventId()]).toEqual([buildEvents(['3']).toString(), '3'])
   })
 })
+
+/** `count` events with IDs that are no numbers, of `idBytes` each. */
+function addEvents (delivered: DeliveredEvents, count: number, idBytes: number, build = (id: string): Buffer => buildEvents([id])): EventSplitter {
+  const splitter = createEventSplitter(delivered)
+  for (let index = 0; index < count; index += 1) {
+    const events = build(`x-${index}-`.padEnd(idBytes, 'y'))
+    expect(splitter.add(events).equals(events)).toEqual(true)
+  }
+  return splitter
+}
+
+describe('a stream whose event IDs', () => {
+  // Guards against IDs without end in the memory of the host, in requests and in logs, and against events that come twice as their IDs were not remembered.
+  for (const [name, count, idBytes, isResumable] of [
+    ['are as long as a request can carry is resumed', 3, MAX_EVENT_ID_BYTES, true],
+    ['are longer is delivered unchanged and not resumed', 3, MAX_EVENT_ID_BYTES + 1, false],
+    ['are as many as are remembered is resumed', MAX_REMEMBERED_IDS, 16, true],
+    ['are more is delivered unchanged and not resumed', MAX_REMEMBERED_IDS + 1, 16, false]
+  ] as const) {
+    it(name, () => {
+      const delivered = createDeliveredEvents()
+      const lastId = addEvents(delivered, count, idBytes).getLastEventId()
+      expect([delivered.isResumable(), lastId?.length]).toEqual([isResumable, idBytes > MAX_EVENT_ID_BYTES ? undefined : idBytes])
+    })
+  }
+
+  // Guards against a few bytes of ID that keep the whole text of their event in memory, as a slice of it.
+  it('are remembered takes no memory for their data', () => {
+    const data = Buffer.from(`data: ${'d'.repeat(64 * 1024)}\n\n`)
+    const getHeapBytes = (): number => { collectGarbage(); return process.memoryUsage().heapUsed }
+    const before = getHeapBytes()
+    const delivered = createDeliveredEvents()
+    addEvents(delivered, 200, 20, id => Buffer.concat([Buffer.from(`id: ${id}\n`), data]))
+    const heldBytes = getHeapBytes() - before
+    expect([delivered.isResumable(), heldBytes < 20 * data.length]).toEqual([true, true])
+  })
+})
