Collect an event that arrives in small chunks without joining it anew

What operators saw: a host that was busy with one stream: the bytes of an event whose end has not arrived were joined with each chunk, and searched for the end of an event from their end to their beginning, at a cost that grows with the square of their number. An endpoint that sends an event of 1 MB (the limit) in chunks of 256 bytes had 2,149 MB copied.

Change: the bytes are collected in a buffer that doubles when it is full, and only the new chunk is searched, with a look at the bytes before it. A chunk is copied, so a few bytes of it no longer keep the block in memory that they were read in.

The test that counts them failed before and passes; events are found alike in chunks of any size (before and after).

Ruled out: a list of chunks that are joined at the end: each chunk of a byte keeps an object, and the block that it was read in.

--- a/gateway/relay/src/eventSplitter.ts
+++ b/gateway/relay/src/eventSplitter.ts
@@ -7,6 +7,8 @@
 
 const LINE_FEED = 10
 const CARRIAGE_RETURN = 13
+/** Factor by which a buffer that is full grows. */
+const GROWTH = 2
 /** The end of an event and the position after it. Lines end with a line feed, a carriage return or both. */
 const EVENT_END = /(?:\r\n|\n|\r(?!\n)){2}/
 const AFTER_EVENT = /(?<=(?:\r\n|\n|\r(?!\n)){2})/
@@ -36,17 +38,50 @@
   readonly getLastEventId: () => string | undefined
 }
 
-/** Index after the last blank line; 0 if there is none. */
-function findEndOfEvents (bytes: Buffer): number {
-  for (let index = bytes.length - 1; index > 0; index -= 1) {
-    if (bytes[index] === CARRIAGE_RETURN && bytes[index - 1] === CARRIAGE_RETURN) return index + 1
-    if (bytes[index] !== LINE_FEED) continue
-    const before = bytes[index - 1] === CARRIAGE_RETURN ? index - 2 : index - 1
-    if (bytes[before] === LINE_FEED) return index + 1
+/** Index in `chunk` after the last blank line that ends there; 0 if there is none. `earlier`: the bytes before the chunk. */
+function findEndOfEvents (chunk: Buffer, earlier: Buffer): number {
+  const getByte = (index: number): number | undefined => index < 0 ? earlier.at(index) : chunk[index]
+  for (let index = chunk.length - 1; index >= 0; index -= 1) {
+    const byte = chunk[index]
+    if (byte === CARRIAGE_RETURN && getByte(index - 1) === CARRIAGE_RETURN) return index + 1
+    if (byte !== LINE_FEED) continue
+    const before = getByte(index - 1) === CARRIAGE_RETURN ? index - 2 : index - 1
+    if (getByte(before) === LINE_FEED) return index + 1
   }
   return 0
 }
 
+/** Bytes that grow by small chunks, each copied a constant number of times, without a reference to the chunks. */
+interface GrowingBytes {
+  readonly append: (chunk: Buffer) => void
+  readonly get: () => Buffer
+  /** Returns and clears the bytes. */
+  readonly take: () => Buffer
+}
+
+function createGrowingBytes (): GrowingBytes {
+  let buffer: Buffer = Buffer.alloc(0)
+  let length = 0
+  return {
+    append: chunk => {
+      if (length + chunk.length > buffer.length) {
+        const grown = Buffer.allocUnsafeSlow(Math.max(GROWTH * buffer.length, length + chunk.length))
+        buffer.copy(grown, 0, 0, length)
+        buffer = grown
+      }
+      chunk.copy(buffer, length)
+      length += chunk.length
+    },
+    get: () => buffer.subarray(0, length),
+    take: () => {
+      const bytes = buffer.subarray(0, length)
+      buffer = Buffer.alloc(0)
+      length = 0
+      return bytes
+    }
+  }
+}
+
 /** The events of a stream that its caller has. Kept for the whole request, over all endpoints that continue the stream. */
 export interface DeliveredEvents {
   readonly has: (id: string) => boolean
@@ -116,7 +151,7 @@
 
 /** Creates a splitter for the response of one endpoint. Events in `delivered` at its start, which the caller already has, are dropped; undefined where a stream is not resumed. `isTypeKnown`: the response states that it is a stream of events. */
 export function createEventSplitter (delivered: DeliveredEvents | undefined, lastEventId?: string, isTypeKnown = true): EventSplitter {
-  let rest: Buffer = Buffer.alloc(0)
+  const rest = createGrowingBytes()
   let lastId = lastEventId
   let hasEvents = false
   let hasOtherText = false
@@ -133,28 +168,33 @@
     return kept.length === text.length ? events : Buffer.from(kept, 'latin1')
   }
 
+  function completeEvents (end: Buffer): Buffer {
+    if (rest.get().length === 0) return end
+    rest.append(end)
+    return rest.take()
+  }
+
   return {
     add: chunk => {
-      const bytes = rest.length === 0 ? chunk : Buffer.concat([rest, chunk])
-      const end = findEndOfEvents(bytes)
-      rest = bytes.subarray(end)
-      if (end === 0) return Buffer.alloc(0)
-      if (!hasEvents && !isTypeKnown) hasOtherText = !hasOnlyEvents(bytes.toString('latin1', 0, end))
+      const end = findEndOfEvents(chunk, rest.get())
+      if (end === 0) {
+        rest.append(chunk)
+        return Buffer.alloc(0)
+      }
+      const bytes = completeEvents(chunk.subarray(0, end))
+      rest.append(chunk.subarray(end))
+      if (!hasEvents && !isTypeKnown) hasOtherText = !hasOnlyEvents(bytes.toString('latin1'))
       hasEvents = true
-      if (delivered === undefined || hasOtherText) return bytes.subarray(0, end)
-      const events = dropDelivered(bytes.subarray(0, end), delivered)
+      if (delivered === undefined || hasOtherText) return bytes
+      const events = dropDelivered(bytes, delivered)
       const ids = listIds(events.toString('latin1'))
       for (const id of ids) delivered.add(id)
       lastId = copyText(ids.findLast(id => id !== undefined && isUsableId(id))) ?? lastId
       return events
     },
-    takeRest: () => {
-      const left = rest
-      rest = Buffer.alloc(0)
-      return left
-    },
-    getOpenBytes: () => rest.length,
-    isInsideEvent: () => !rest.every(isLineEnd),
+    takeRest: rest.take,
+    getOpenBytes: () => rest.get().length,
+    isInsideEvent: () => !rest.get().every(isLineEnd),
     hasEvents: () => hasEvents,
     isBehind: () => isBehind,
     hasOtherText: () => hasOtherText,
--- a/gateway/relay/test/eventSplitter.test.ts
+++ b/gateway/relay/test/eventSplitter.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test'
 import { setFlagsFromString } from 'node:v8'
 import { runInNewContext } from 'node:vm'
-import { MAX_EVENT_ID_BYTES, MAX_REMEMBERED_IDS } from '../src/constants.ts'
+import { MAX_EVENT_BYTES, MAX_EVENT_ID_BYTES, MAX_REMEMBERED_IDS } from '../src/constants.ts'
 import { createDeliveredEvents, createEventSplitter } from '../src/eventSplitter.ts'
 import type { DeliveredEvents, EventSplitter } from '../src/eventSplitter.ts'
 
@@ -78,3 +78,39 @@
     expect([delivered.isResumable(), heldBytes < 20 * data.length]).toEqual([true, true])
   })
 })
+
+describe('a stream that arrives in small chunks', () => {
+  // Guards against a cost that grows with the square of an event: all that had come of it was joined anew with each chunk.
+  it('is copied a constant number of times', t => {
+    let copiedBytes = 0
+    const { concat } = Buffer
+
+    const { copy } = Buffer.prototype
+    t.mock.method(Buffer, 'concat', (chunks: Buffer[]) => {
+      for (const chunk of chunks) copiedBytes += chunk.length
+      return concat(chunks)
+    })
+    t.mock.method(Buffer.prototype, 'copy', function (this: Buffer, ...args: Parameters<Buffer['copy']>) {
+      const copied = copy.apply(this, args)
+      copiedBytes += copied
+      return copied
+    })
+    const splitter = createEventSplitter(createDeliveredEvents())
+    const chunk = Buffer.alloc(256, 'x')
+    for (let bytes = 0; bytes < MAX_EVENT_BYTES; bytes += chunk.length) splitter.add(chunk)
+    expect([splitter.add(Buffer.from('\n\n')).length, copiedBytes < 4 * MAX_EVENT_BYTES]).toEqual([MAX_EVENT_BYTES + 2, true])
+  })
+
+  // Guards against the end of an event that is not found, as it begins in one chunk and ends in the next.
+  for (const lineEnd of ['\n', '\r\n', '\r']) {
+    it(`has the same events as in one, with lines that end with ${JSON.stringify(lineEnd)}`, () => {
+      const bytes = Buffer.from('id: 1\ndata: a\n\n: b\n\n\ndata: c\ndata\n\nid: 2\n'.replaceAll('\n', lineEnd))
+      for (let size = 1; size <= bytes.length; size += 1) {
+        const splitter = createEventSplitter(createDeliveredEvents())
+        const events: Buffer[] = []
+        for (let start = 0; start < bytes.length; start += size) events.push(splitter.add(bytes.subarray(start, start + size)))
+        expect([Buffer.concat(events).toString(), splitter.takeRest().toString(), splitter.getLastEventId()]).toEqual([bytes.toString().slice(0, bytes.lastIndexOf('id')), `id: 2${lineEnd}`, '1'])
+      }
+    })
+  }
+})
