--- a/gateway/relay/src/eventSplitter.ts
+++ b/gateway/relay/src/eventSplitter.ts
@@ -2,9 +2,13 @@
  * Splits a stream of server-sent events into complete events, so that a stream that is broken off inside an event does not look
  * complete, and can be resumed after the last one. The relay creates one for each stream that it forwards.
  */
+import { hash } from 'node:crypto'
+import { MAX_EVENT_ID_BYTES, MAX_REMEMBERED_IDS } from './constants.ts'
 
 const LINE_FEED = 10
 const CARRIAGE_RETURN = 13
+/** Factor by which a buffer that is full grows. */
+const GROWTH = 2
 /** The end of an event and the position after it. Lines end with a line feed, a carriage return or both. */
 const EVENT_END = /(?:\r\n|\n|\r(?!\n)){2}/
 const AFTER_EVENT = /(?<=(?:\r\n|\n|\r(?!\n)){2})/
@@ -13,6 +17,8 @@
 const LINE_END = /\r\n|\n|\r/
 /** A line of an event stream: a field, a comment, or the blank line after an event. */
 const EVENT_LINE = /^(?:id|data|event|retry)?(?::|$)/
+/** The value of a header (RFC 9110, section 5.5). */
+const HEADER_VALUE = /^[\t\u0020-\u007e\u0080-\u00ff]*$/
 
 export interface EventSplitter {
   /** Returns the bytes of the events that `chunk` completes. */
@@ -28,47 +34,104 @@
   readonly isBehind: () => boolean
   /** Whether the first bytes with the end of an event have text that is none. Always false if the type of the stream is known. */
   readonly hasOtherText: () => boolean
-  /** ID of the last complete event that has one; before the first, the ID that the splitter was created with. */
+  /** ID of the last complete event that has one that a request can name; before the first, the ID that the splitter was created with. */
   readonly getLastEventId: () => string | undefined
 }
 
-/** Index after the last blank line; 0 if there is none. */
-function findEndOfEvents (bytes: Buffer): number {
-  for (let index = bytes.length - 1; index > 0; index -= 1) {
-    if (bytes[index] === CARRIAGE_RETURN && bytes[index - 1] === CARRIAGE_RETURN) return index + 1
-    if (bytes[index] !== LINE_FEED) continue
-    const before = bytes[index - 1] === CARRIAGE_RETURN ? index - 2 : index - 1
-    if (bytes[before] === LINE_FEED) return index + 1
+/** Index in `chunk` after the last blank line that ends there; 0 if there is none. `earlier`: the bytes before the chunk. */
+function findEndOfEvents (chunk: Buffer, earlier: Buffer): number {
+  const getByte = (index: number): number | undefined => index < 0 ? earlier.at(index) : chunk[index]
+  for (let index = chunk.length - 1; index >= 0; index -= 1) {
+    const byte = chunk[index]
+    if (byte === CARRIAGE_RETURN && getByte(index - 1) === CARRIAGE_RETURN) return index + 1
+    if (byte !== LINE_FEED) continue
+    const before = getByte(index - 1) === CARRIAGE_RETURN ? index - 2 : index - 1
+    if (getByte(before) === LINE_FEED) return index + 1
   }
   return 0
 }
 
-/** Limit on the event IDs of one stream that are remembered; only streams whose IDs are not numbers need them. */
-const MAX_REMEMBERED_IDS = 10_000
+/** Bytes that grow by small chunks, each copied a constant number of times, without a reference to the chunks. */
+interface GrowingBytes {
+  readonly append: (chunk: Buffer) => void
+  readonly get: () => Buffer
+  /** Returns and clears the bytes. */
+  readonly take: () => Buffer
+}
+
+function createGrowingBytes (): GrowingBytes {
+  let buffer: Buffer = Buffer.alloc(0)
+  let length = 0
+  return {
+    append: chunk => {
+      if (length + chunk.length > buffer.length) {
+        const grown = Buffer.allocUnsafeSlow(Math.max(GROWTH * buffer.length, length + chunk.length))
+        buffer.copy(grown, 0, 0, length)
+        buffer = grown
+      }
+      chunk.copy(buffer, length)
+      length += chunk.length
+    },
+    get: () => buffer.subarray(0, length),
+    take: () => {
+      const bytes = buffer.subarray(0, length)
+      buffer = Buffer.alloc(0)
+      length = 0
+      return bytes
+    }
+  }
+}
 
 /** The events of a stream that its caller has. Kept for the whole request, over all endpoints that continue the stream. */
 export interface DeliveredEvents {
   readonly has: (id: string) => boolean
   /** An event without an id is added as undefined. */
   readonly add: (id: string | undefined) => void
-  /** Whether no event without an id came after the last that has one, so that the stream can be resumed after that. */
-  readonly endsWithId: () => boolean
+  /** Whether the stream can be resumed after its last event: a request can name that event, and all events with an id are remembered. */
+  readonly isResumable: () => boolean
+}
+
+function computeDigest (id: string): string {
+  return hash('sha256', id, 'base64url')
+}
+
+/** A copy that is no slice of the text that it was found in, which it would keep in memory. */
+function copyText (text: string | undefined): string | undefined {
+  return text === undefined ? undefined : Buffer.from(text, 'latin1').toString('latin1')
 }
 
-/** `lastEventId`: last event that the caller has from an earlier request. Numeric IDs increase; others are compared one by one. */
+/** Whether a request can name the event with this id, and the relay remembers it. */
+function isUsableId (id: string): boolean {
+  return id.length <= MAX_EVENT_ID_BYTES && HEADER_VALUE.test(id)
+}
+
+/**
+ * `lastEventId`: last event that the caller has from an earlier request. Numeric IDs increase; others are compared one by one, by
+ * their digests: an ID may be a slice of a text, which it would keep in memory.
+ */
 export function createDeliveredEvents (lastEventId?: string): DeliveredEvents {
-  const ids = new Set<string>()
+  const digests = new Set<string>()
   let lastNumber = Number.NEGATIVE_INFINITY
   let endsWithId = true
-  const add = (id: string | undefined): void => {
-    endsWithId = id !== undefined
-    if (id === undefined) return
+  let isComplete = true
+  const remember = (id: string): void => {
     const number = Number(id)
     if (!Number.isNaN(number)) lastNumber = Math.max(lastNumber, number)
-    else if (ids.size < MAX_REMEMBERED_IDS) ids.add(id)
+    else if (digests.size < MAX_REMEMBERED_IDS) digests.add(computeDigest(id))
+    else isComplete = false
+  }
+  // Came in a header, so a header can carry it.
+  if (lastEventId !== undefined) remember(lastEventId)
+  return {
+    add: id => {
+      endsWithId = id !== undefined
+      if (id === undefined) return
+      if (isUsableId(id)) remember(id)
+      else isComplete = false
+    },
+    has: id => Number(id) <= lastNumber || (digests.size > 0 && digests.has(computeDigest(id))),
+    isResumable: () => endsWithId && isComplete
   }
-  if (lastEventId !== undefined) add(lastEventId)
-  return { add, has: id => ids.has(id) || Number(id) <= lastNumber, endsWithId: () => endsWithId }
 }
 
 /** IDs of the events, undefined for those that have data and no ID. What has neither, such as a comment, is no event. */
@@ -88,7 +151,7 @@
 
 /** Creates a splitter for the response of one endpoint. Events in `delivered` at its start, which the caller already has, are dropped; undefined where a stream is not resumed. `isTypeKnown`: the response states that it is a stream of events. */
 export function createEventSplitter (delivered: DeliveredEvents | undefined, lastEventId?: string, isTypeKnown = true): EventSplitter {
-  let rest: Buffer = Buffer.alloc(0)
+  const rest = createGrowingBytes()
   let lastId = lastEventId
   let hasEvents = false
   let hasOtherText = false
@@ -105,28 +168,33 @@
     return kept.length === text.length ? events : Buffer.from(kept, 'latin1')
   }
 
+  function completeEvents (end: Buffer): Buffer {
+    if (rest.get().length === 0) return end
+    rest.append(end)
+    return rest.take()
+  }
+
   return {
     add: chunk => {
-      const bytes = rest.length === 0 ? chunk : Buffer.concat([rest, chunk])
-      const end = findEndOfEvents(bytes)
-      rest = bytes.subarray(end)
-      if (end === 0) return Buffer.alloc(0)
-      if (!hasEvents && !isTypeKnown) hasOtherText = !hasOnlyEvents(bytes.toString('latin1', 0, end))
+      const end = findEndOfEvents(chunk, rest.get())
+      if (end === 0) {
+        rest.append(chunk)
+        return Buffer.alloc(0)
+      }
+      const bytes = completeEvents(chunk.subarray(0, end))
+      rest.append(chunk.subarray(end))
+      if (!hasEvents && !isTypeKnown) hasOtherText = !hasOnlyEvents(bytes.toString('latin1'))
       hasEvents = true
-      if (delivered === undefined || hasOtherText) return bytes.subarray(0, end)
-      const events = dropDelivered(bytes.subarray(0, end), delivered)
+      if (delivered === undefined || hasOtherText) return bytes
+      const events = dropDelivered(bytes, delivered)
       const ids = listIds(events.toString('latin1'))
       for (const id of ids) delivered.add(id)
-      lastId = ids.findLast(id => id !== undefined) ?? lastId
+      lastId = copyText(ids.findLast(id => id !== undefined && isUsableId(id))) ?? lastId
       return events
     },
-    takeRest: () => {
-      const left = rest
-      rest = Buffer.alloc(0)
-      return left
-    },
-    getOpenBytes: () => rest.length,
-    isInsideEvent: () => !rest.every(isLineEnd),
+    takeRest: rest.take,
+    getOpenBytes: () => rest.get().length,
+    isInsideEvent: () => !rest.get().every(isLineEnd),
     hasEvents: () => hasEvents,
     isBehind: () => isBehind,
     hasOtherText: () => hasOtherText,
