Log how commands of operators travel

A command that was not acknowledged showed in the log as its end only, with 'unknown' after 2.5 s. Whether it waited at a host that followed a leader that was none, or at a late leader, could not be told.

--- a/daemon/fleet/src/coreHost.ts
+++ b/daemon/fleet/src/coreHost.ts
@@ -37,7 +37,8 @@
 }
 
 export interface CoreHost {
-  readonly submit: (command: Command, deadlineMs: DurationMs) => Promise<CommandResult>
+  /** `logFields` name the command in the lines that tell what becomes of it; without them there are none. */
+  readonly submit: (command: Command, deadlineMs: DurationMs, logFields?: Readonly<Record<string, unknown>>) => Promise<CommandResult>
   /** Linearizable read: the answer includes everything committed before the call. */
   readonly query: (query: Query, deadlineMs: DurationMs) => Promise<Result<unknown>>
   /** Transfers leadership and stops. */
@@ -134,9 +135,13 @@
   return {
     failed,
     diskFailed,
-    submit: (command, deadlineMs) => new Promise(resolve => {
+    submit: (command, deadlineMs, logFields) => new Promise(resolve => {
       const packed = packCommand(command)
-      node.shell.emit(context => systems.commands.submit({ command: packed, deadlineAt: context.now + deadlineMs, onOutcome: resolve }, context))
+      node.shell.emit(context => {
+        const { role, term } = systems.voter.getStatus()
+        if (logFields !== undefined) logger.info('received a command', { step: 'command', ...logFields, role, term, leader: systems.voter.getLeader(), inContact: systems.voter.isInContact() })
+        systems.commands.submit({ command: packed, deadlineAt: context.now + deadlineMs, logFields, onOutcome: resolve }, context)
+      })
     }),
     query: (query, deadlineMs) => new Promise(resolve => {
       node.shell.emit(context => systems.commands.submitQuery({ query, fresh: true, deadlineAt: context.now + deadlineMs, onAnswer: resolve }, context))
--- a/daemon/fleet/src/restartingCoreHost.ts
+++ b/daemon/fleet/src/restartingCoreHost.ts
@@ -30,7 +30,7 @@
 
   startWatch()
   return {
-    submit: (command, deadlineMs) => current.submit(command, deadlineMs),
+    submit: (command, deadlineMs, logFields) => current.submit(command, deadlineMs, logFields),
     query: (query, deadlineMs) => current.query(query, deadlineMs),
     stop: async () => {
       stopped = true
--- a/settings/command-client/src/commandClient.ts
+++ b/settings/command-client/src/commandClient.ts
@@ -6,6 +6,7 @@
 import type { RunContext, System } from '@catkinferry/host.events'
 import type { Command, CommandMessage, CommandOutcome, CommandResult, Query } from '@catkinferry/wire.messages'
 import { createResender } from './resender.ts'
+import type { SendReport } from './resender.ts'
 
 /** Most commands in flight at once, and most queries; more are refused. */
 export const MAX_IN_FLIGHT = 10_000
@@ -16,6 +17,8 @@
   readonly command: Command
   /** Infinity: the command is resent until it is answered. */
   readonly deadlineAt: MonotonicMs
+  /** Fields of the log lines that tell where the command is sent and what becomes of each send. Without them there are none. */
+  readonly logFields?: Readonly<Record<string, unknown>>
   /** Called once. `settled` is false if another send of the command may still be committed. */
   readonly onOutcome: (result: CommandResult, context: RunContext, settled: boolean) => void
 }
@@ -42,6 +45,16 @@
   hint: 'the host may be cut off from the majority; see status'
 }
 
+const REPORT_TEXTS: Readonly<Record<SendReport['kind'], string>> = {
+  sent: 'sent a command to a voter',
+  refused: 'a voter refused a command',
+  unanswered: 'a voter did not answer a command in time'
+}
+
+function logReport (fields: SubmitOptions['logFields'], { kind, ...report }: SendReport, { emit }: RunContext): void {
+  emit({ kind: 'log', level: 'info', message: REPORT_TEXTS[kind], fields: { step: 'command', ...fields, ...report } })
+}
+
 /** Creates a client. `voters` lists the voters known to this host; `random` also makes the ids of sends unique. */
 export function createCommandClient (opts: { host: HostId, voters: () => readonly HostId[], random: Random }): CommandClient {
   const { host } = opts
@@ -49,7 +62,7 @@
   const queries = createResender<unknown>(opts)
 
   function submit (submitOpts: SubmitOptions, context: RunContext): void {
-    const { command, deadlineAt, onOutcome } = submitOpts
+    const { command, deadlineAt, logFields, onOutcome } = submitOpts
     // A command without a deadline carries an outcome that must be recorded; the ledger client limits how many there are.
     if (commands.getSize() >= MAX_IN_FLIGHT && deadlineAt !== Infinity) {
       onOutcome({ kind: 'refused', reason: 'too many commands in flight on this host' }, context, true)
@@ -57,6 +70,7 @@
     }
     commands.begin({
       deadlineAt,
+      onReport: logFields === undefined ? undefined : (report, ctx) => logReport(logFields, report, ctx),
       send: (commandId, to, ctx) => { ctx.send(to, { kind: 'command.submit', commandId, origin: host, command, hops: 0 }) },
       onDeadline: (everySendRefused, reason, ctx) => { onOutcome(everySendRefused ? { kind: 'refused', reason } : { kind: 'unknown' }, ctx, everySendRefused) },
       onAnswer: (outcome, settled, ctx) => { onOutcome({ kind: 'outcome', outcome }, ctx, settled) }
--- a/settings/command-client/src/resender.ts
+++ b/settings/command-client/src/resender.ts
@@ -19,11 +19,18 @@
 const NONCE_MAX = 2 ** 30 - 1
 const NONCE_BASE = 36
 
+/** What became of one send of a request, for logs. */
+export type SendReport =
+  | { readonly kind: 'sent', readonly peer: HostId }
+  | { readonly kind: 'refused', readonly reason: string, readonly leader?: HostId }
+  | { readonly kind: 'unanswered', readonly peer?: HostId }
+
 /** A request and its callbacks. `Answer` is the type of the answer that settles it. */
 export interface ResendableRequest<Answer> {
   /** Infinity: the request is resent until it is answered. */
   readonly deadlineAt: MonotonicMs
   readonly send: (sendId: string, to: HostId, context: RunContext) => void
+  readonly onReport?: (report: SendReport, context: RunContext) => void
   /** Called at the deadline. `reason` is that of the last refusal, or why nothing was sent. */
   readonly onDeadline: (everySendRefused: boolean, reason: string, context: RunContext) => void
   /** `settled`: every other send was refused, so that the request can have no further effect. */
@@ -103,6 +110,7 @@
     Object.assign(request, { lastTarget: target, awaitingAnswer: true, lastReason: 'sent, but not answered' })
     sends.add(request, sendId)
     due.set(request.id, Math.min(request.deadlineAt, context.now + computeExponentialDelay(FIRST_ANSWER_TIMEOUT_MS, request.retryCount, MAX_ANSWER_TIMEOUT_MS)))
+    request.onReport?.({ kind: 'sent', peer: target }, context)
     request.send(sendId, target, context)
   }
 
@@ -112,14 +120,13 @@
     due.set(request.id, Math.min(request.deadlineAt, context.now + computeNextBackoff(request, random)))
   }
 
-  function receiveRefusal (sendId: string, refusal: { leader?: HostId, reason: string }, context: RunContext): void {
+  function receiveRefusal (sendId: string, { leader, reason }: { leader?: HostId, reason: string }, context: RunContext): void {
     const request = sends.find(sendId)
     if (request === undefined || !request.openSends.delete(sendId)) return
-    const { leader, reason } = refusal
     request.lastReason = reason
+    request.onReport?.({ kind: 'refused', reason, leader }, context)
     voterChoice.setLeader(leader)
-    const isNewLeader = leader !== undefined && leader !== request.lastTarget
-    if (isNewLeader && request.hintsFollowed++ < MAX_HINTS) send(request, context)
+    if (leader !== undefined && leader !== request.lastTarget && request.hintsFollowed++ < MAX_HINTS) send(request, context)
     else backOff(request, context)
   }
 
@@ -130,6 +137,7 @@
       return
     }
     if (request.awaitingAnswer) {
+      request.onReport?.({ kind: 'unanswered', peer: request.lastTarget }, context)
       voterChoice.recordTimeout(request.lastTarget)
       request.retryCount++
     }
