Log how commands pass through voters, and changes of the leader

A host's log told to which voter a command was sent, but not what became of it there: passed on to whom and in which term, how long it waited on the leader and behind how many entries; and of elections only that a voter became the leader. Now voters log commands of operators that they pass on, the leader logs entries that took 500 ms or more (one line a second at most), and a voter logs when it no longer leads, follows a new leader, or knows none. The times of all entries go into three metrics.

No change of behaviour. The new test of consensus/voter and the tests of the two packages pass; those of daemon/fleet gave 109 passed and one failed: 'answers a request that arrived on an idle connection during a pause past its limit' of httpServer.test.ts, which this change does not touch, and which passed when run alone.

--- a/consensus/voter/src/intake.ts
+++ b/consensus/voter/src/intake.ts
@@ -1,6 +1,6 @@
 /** Commands that the leader has accepted and not yet answered: queued on arrival, proposed in batches on the voter's runs. */
 import { estimateBytes } from '@catkinferry/consensus.log-machine'
-import type { HostId } from '@catkinferry/core.types'
+import type { HostId, MonotonicMs } from '@catkinferry/core.types'
 import type { Command, CommandMessage } from '@catkinferry/wire.messages'
 import { MAX_BATCH_BYTES, MAX_BATCH_COMMANDS, MAX_PENDING_BYTES, MAX_PENDING_COMMANDS } from './constants.ts'
 
@@ -12,16 +12,20 @@
   readonly commandId: string
   readonly command: Command
   readonly bytes: number
+  readonly receivedAt: MonotonicMs
 }
 
 export interface Batch {
   readonly term: number
   readonly submissions: readonly Submission[]
+  readonly appendedAt: MonotonicMs
+  /** Entries in the log that had not been applied when the batch was appended. */
+  readonly entriesBefore: number
 }
 
 export interface Intake {
   /** Returns false when a limit is reached. */
-  readonly add: (message: Submit) => boolean
+  readonly add: (message: Submit, receivedAt: MonotonicMs) => boolean
   /** Removes the commands of the next entry from the queue. */
   readonly takeBatch: () => Submission[]
   /** A batch that was proposed at the same index in an earlier term is kept: it may still be the one that is committed there. */
@@ -49,12 +53,12 @@
   }
 
   return {
-    add: ({ origin, commandId, command }) => {
+    add: ({ origin, commandId, command }, receivedAt) => {
       const size = estimateBytes(command)
       if (count >= MAX_PENDING_COMMANDS || bytes + size > MAX_PENDING_BYTES) return false
       count += 1
       bytes += size
-      queued.push({ origin, commandId, command, bytes: size })
+      queued.push({ origin, commandId, command, bytes: size, receivedAt })
       return true
     },
     takeBatch: () => {
--- a/consensus/voter/src/voter.ts
+++ b/consensus/voter/src/voter.ts
@@ -14,6 +14,8 @@
 import type { CommandMessage, ConsensusMessage, DiskAnswer, LogEntry, Query, StateMachine, StoredState } from '@catkinferry/wire.messages'
 import { CAUGHT_UP_TIMEOUT_MS, MAX_APPLY_BYTES, MAX_APPLY_ENTRIES, MAX_HOPS, MAX_PENDING_QUERIES, MIN_COMPACT_BYTES, TAIL_ENTRIES } from './constants.ts'
 import { checkMessage } from './checkMessage.ts'
+import { createCommandReports } from './commandReports.ts'
+import type { CommandReports } from './commandReports.ts'
 import { createIntake } from './intake.ts'
 import type { Batch, Intake, Submission } from './intake.ts'
 import { createReplacement } from './replacement.ts'
@@ -70,6 +72,7 @@
   readonly opts: VoterOptions
   readonly machine: LogMachine
   readonly intake: Intake
+  readonly reports: CommandReports
   readonly replacement: Replacement
   readonly pendingReads: Map<number, QueryRequest>
   /** Confirmed reads that are answered once all committed entries are applied. */
@@ -79,6 +82,7 @@
   bytesSinceSnapshot: number
   snapshotBytes: number
   reportedRole: Role
+  reportedLeader: HostId | undefined
   lastRunAt: MonotonicMs
 }
 
@@ -91,6 +95,7 @@
     opts,
     machine,
     intake: createIntake(),
+    reports: createCommandReports(),
     replacement: createReplacement(machine),
     pendingReads: new Map(),
     readyReads: [],
@@ -98,6 +103,7 @@
     bytesSinceSnapshot: 0,
     snapshotBytes: 0,
     reportedRole: Role.FOLLOWER,
+    reportedLeader: undefined,
     lastRunAt: startedAt
   }
   if (stored.snapshot !== undefined) restoreState(state, stored.snapshot.data)
@@ -161,14 +167,18 @@
     context.emit({ kind: 'log', level: 'error', message: 'dropped a malformed command', fields: { step: 'receive', peer: message.origin, kind: message.kind, problem } })
     return
   }
-  const { role, transferTo } = state.machine.getState()
+  const { role, term, transferTo } = state.machine.getState()
   if (role !== Role.LEADER) {
     const next = findNextHop(state, message.hops)
-    if (next === undefined) refuseSubmit(state, message, 'notLeader', context)
-    else context.send(next, { ...message, hops: message.hops + 1 })
+    if (next === undefined) {
+      refuseSubmit(state, message, 'notLeader', context)
+      return
+    }
+    state.reports.reportForward({ message, leader: next, term }, context)
+    context.send(next, { ...message, hops: message.hops + 1 })
     return
   }
-  if (transferTo !== undefined || !state.intake.add(message)) refuseSubmit(state, message, 'busy', context)
+  if (transferTo !== undefined || !state.intake.add(message, context.now)) refuseSubmit(state, message, 'busy', context)
 }
 
 function refuseSubmit (state: VoterState, { origin, commandId }: Pick<Submission, 'origin' | 'commandId'>, reason: 'notLeader' | 'busy', context: RunContext): void {
@@ -252,7 +262,9 @@
     state.lastProposedAt = Math.max(context.wallNow, state.lastProposedAt, findLastProposedAt(state))
     const payload = { kind: 'commands', proposedAt: state.lastProposedAt, commands: submissions.map(({ command }) => command) } as const
     const proposed = state.machine.propose(payload, createMachineContext(context))
-    if (proposed !== undefined) state.intake.recordProposed(proposed.index, { term: proposed.term, submissions })
+    if (proposed === undefined) continue
+    const entriesBefore = proposed.index - 1 - state.machine.getState().deliveredIndex
+    state.intake.recordProposed(proposed.index, { term: proposed.term, submissions, appendedAt: context.now, entriesBefore })
   }
 }
 
@@ -288,6 +300,7 @@
   const committed = batches.find(batch => batch.term === term)
   for (const batch of batches) if (batch !== committed) refuseBatch(state, batch, context)
   if (payload.kind !== 'commands') return
+  if (committed !== undefined) state.reports.reportApplied(index, committed, context)
   const { proposedAt } = payload
   state.lastProposedAt = Math.max(state.lastProposedAt, proposedAt)
   state.bytesSinceSnapshot += estimateBytes(payload)
@@ -333,13 +346,18 @@
 }
 
 function reportRole (state: VoterState, context: RunContext): void {
-  const { role, term, failure } = state.machine.getState()
-  if (role === state.reportedRole) return
+  const { role, term, leader, failure } = state.machine.getState()
+  const { reportedRole, reportedLeader } = state
   state.reportedRole = role
-  context.emit({ kind: 'metric', type: 'gauge', name: 'voter.leader', value: role === Role.LEADER ? 1 : 0 })
-  if (role === Role.FAILED) {
+  state.reportedLeader = leader
+  if (role !== reportedRole) context.emit({ kind: 'metric', type: 'gauge', name: 'voter.leader', value: role === Role.LEADER ? 1 : 0 })
+  if (role !== reportedRole && role === Role.FAILED) {
     context.emit({ kind: 'log', level: 'error', message: 'disk write failed; this voter acknowledges nothing until its process is restarted', fields: { step: 'disk', reason: failure } })
-  } else if (role === Role.LEADER) {
+  } else if (role !== reportedRole && role === Role.LEADER) {
     context.emit({ kind: 'log', level: 'info', message: 'this voter became the leader', fields: { step: 'election', term } })
+  } else if (reportedRole === Role.LEADER && role !== Role.LEADER) {
+    context.emit({ kind: 'log', level: 'info', message: 'this voter no longer leads', fields: { step: 'election', term, leader, role } })
+  } else if (leader !== reportedLeader) {
+    context.emit({ kind: 'log', level: 'info', message: leader === undefined ? 'this voter knows no leader' : 'this voter follows a new leader', fields: { step: 'election', term, leader, before: reportedLeader, role } })
   }
 }
--- a/consensus/voter/test/intake.test.ts
+++ b/consensus/voter/test/intake.test.ts
@@ -11,8 +11,8 @@
   it('keeps both batches that were proposed at one index in different terms, until an entry is committed there', () => {
     const intake = createIntake()
     for (const [commandId, term] of [['c1', 2], ['c2', 4]] as const) {
-      intake.add(buildSubmit(commandId))
-      intake.recordProposed(7, { term, submissions: intake.takeBatch() })
+      intake.add(buildSubmit(commandId), 0)
+      intake.recordProposed(7, { term, submissions: intake.takeBatch(), appendedAt: 0, entriesBefore: 0 })
     }
     expect(intake.getPendingCount()).toEqual(2)
     expect(intake.takeProposed(7).map(({ term, submissions }) => [term, submissions.map(({ commandId }) => commandId)])).toEqual([[2, ['c1']], [4, ['c2']]])
--- a/consensus/voter/test/voter.test.ts
+++ b/consensus/voter/test/voter.test.ts
@@ -44,6 +44,30 @@
     expect(group.getNode(first).applied.map(({ changeId }) => changeId)).toEqual(['kept'])
   })
 
+  /** Guards against commands whose way cannot be told from the logs: passed on, to whom and in which term, and how long they took. */
+  it('that are passed on or take long, and changes of the leader, are logged', () => {
+    const { group, leader, first, second } = createStartedGroup(5)
+    const takeLines = (): Record<string, unknown>[] => group.outputs.splice(0).flatMap(output => output.kind === 'log' ? [{ ...output.fields, message: output.message }] : [])
+    const { term } = group.getVoter(leader).getStatus()
+    takeLines()
+    group.submit(first, 'x')
+    expect(takeLines()).toEqual([{ message: 'passed a command on to the leader', step: 'command', peer: leader, term, command: 'settings.change', commandId: 'x', origin: 'caller', hops: 0 }])
+    group.runFor(100)
+    for (const host of [first, second]) group.cut.add(host)
+    for (const id of ['y', 'z']) {
+      group.submit(leader, id)
+      group.runFor(100)
+    }
+    group.runFor(300)
+    for (const host of [first, second]) group.cut.delete(host)
+    group.runFor(1_500)
+    expect(takeLines().filter(({ step }) => step === 'command').map(fields => ['message', 'term', 'commandId', 'commands', 'entriesBefore', 'unlogged'].map(name => fields[name]))).toEqual([['commands took long on the leader', term, 'y', 1, 0, 0]])
+    group.cut.add(leader)
+    group.runFor(5_000)
+    const messages = takeLines().map(({ message }) => message)
+    expect(['this voter no longer leads', 'this voter became the leader', 'this voter follows a new leader'].filter(message => !messages.includes(message))).toEqual([])
+  })
+
   it('get proposal times that never go back when leadership moves to a host with a slower clock', () => {
     const { group, leader, first, second } = createStartedGroup(4)
     group.getNode(leader).wallSkewMs = 60_000
--- a/daemon/fleet/src/coreHost.ts
+++ b/daemon/fleet/src/coreHost.ts
@@ -16,6 +16,7 @@
 import { createFleetNode } from './fleetNode.ts'
 import type { FleetSettings } from './fleetSettings.ts'
 import { createLoadMetrics } from './loadMetrics.ts'
+import { createVoterMetrics } from './voterMetrics.ts'
 
 /** Operations of the deployment's platform that the leader uses. */
 export interface FleetPlatform {
@@ -114,7 +115,7 @@
     bindIp: settings.bindIp,
     clock,
     logger,
-    metrics,
+    metrics: createVoterMetrics(metrics, page),
     systems,
     disk: { request: (request, onAnswer) => { void log.execute(request).then(onAnswer) }, close: log.close },
     onDiskAnswer: systems.receiveDisk,
--- a/settings/command-client/src/resender.ts
+++ b/settings/command-client/src/resender.ts
@@ -21,7 +21,7 @@
 
 /** What became of one send of a request, for logs. */
 export type SendReport =
-  | { readonly kind: 'sent', readonly peer: HostId }
+  | { readonly kind: 'sent', readonly peer: HostId, readonly commandId: string }
   | { readonly kind: 'refused', readonly reason: string, readonly leader?: HostId }
   | { readonly kind: 'unanswered', readonly peer?: HostId }
 
@@ -110,7 +110,7 @@
     Object.assign(request, { lastTarget: target, awaitingAnswer: true, lastReason: 'sent, but not answered' })
     sends.add(request, sendId)
     due.set(request.id, Math.min(request.deadlineAt, context.now + computeExponentialDelay(FIRST_ANSWER_TIMEOUT_MS, request.retryCount, MAX_ANSWER_TIMEOUT_MS)))
-    request.onReport?.({ kind: 'sent', peer: target }, context)
+    request.onReport?.({ kind: 'sent', peer: target, commandId: sendId }, context)
     request.send(sendId, target, context)
   }
 
