Log requests that get no answer because their connection has ended

Cause: requests that arrive after the end of their connection, behind the response that ends it, or whose connection closes while they wait for their turn or for routes were dropped without a line. Parts of a request that were read and not answered were not counted at all.

Bytes are compared at the close of the connection, so nothing is added to the path of a request, and callers see nothing new.

Result: callerConnections.test.ts (four new cases) and stoppingHost.test.ts (one new case, one assertion more) pass; nothing of the kind could be asserted before.

--- a/daemon/fleet/src/callerConnections.ts
+++ b/daemon/fleet/src/callerConnections.ts
@@ -24,6 +24,31 @@
 } as const
 export type CloseCause = typeof CloseCause[keyof typeof CloseCause]
 
+/** Why a connection ended: as above, or as follows. */
+export const EndCause = {
+  ...CloseCause,
+  /** Its last response was sent. */
+  RESPONSE: 'response',
+  /** The caller ended it, or it broke. */
+  CALLER: 'caller'
+} as const
+export type EndCause = typeof EndCause[keyof typeof EndCause]
+
+/** The end of a connection, as a request finds it that arrives later. */
+export interface ConnectionEnd {
+  readonly cause: EndCause
+  /** Time since this host sent the end of the connection. */
+  readonly ageMs: DurationMs
+}
+
+/** Bytes of a caller to which nothing was answered, on a connection that has closed. */
+export interface UnansweredBytes extends ConnectionEnd {
+  /** Bytes that were read before its end, behind the latest whole request. */
+  readonly before: number
+  /** Bytes that were read after its end. */
+  readonly after: number
+}
+
 export interface Connection {
   readonly socket: Socket
   /** Responses that are not completely sent. */
@@ -39,16 +64,37 @@
   arrivingSince: MonotonicMs | undefined
   idleTimer: NodeJS.Timeout | undefined
   isClosing: boolean
+  /** Why this host ended it; undefined for the end behind a response. */
+  closeCause: CloseCause | undefined
+  /** When its end was sent, and how many bytes had arrived then. */
+  endedAt: MonotonicMs | undefined
+  endBytes: number
+  readonly getNow: () => MonotonicMs
 }
 
 /** Whether bytes have arrived since the latest response was sent. */
 export const hasArriving = ({ socket, idleBytes }: Connection): boolean => socket.bytesRead > idleBytes
 
+function describeEnd ({ closeCause, endedAt, getNow }: Connection): ConnectionEnd {
+  return { cause: closeCause ?? (endedAt === undefined ? EndCause.CALLER : EndCause.RESPONSE), ageMs: endedAt === undefined ? 0 : getNow() - endedAt }
+}
+
+/** Returns undefined if every byte belongs to a request that is answered, or that is logged as it ends. */
+function findUnanswered (connection: Connection): UnansweredBytes | undefined {
+  const { socket: { bytesRead }, pending, latest, idleBytes, endBytes, endedAt } = connection
+  const after = endedAt === undefined ? 0 : bytesRead - endBytes
+  // What arrives behind a response that is not complete, or of a body whose response was early, cannot be told apart from the rest of that request.
+  const before = pending.size > 0 || latest?.complete === false ? 0 : bytesRead - after - idleBytes
+  return before > 0 || after > 0 ? { ...describeEnd(connection), before: Math.max(0, before), after } : undefined
+}
+
 /** Sends the end of the connection after what is buffered, and reads on until the caller ends it too. */
 export function closeGracefully (connection: Connection): void {
   const { socket } = connection
   if (connection.isClosing || socket.destroyed) return
   connection.isClosing = true
+  connection.endedAt = connection.getNow()
+  connection.endBytes = socket.bytesRead
   socket.end()
   const timer = setTimeout(() => socket.destroy(), LINGER_MS)
   timer.unref()
@@ -97,11 +143,17 @@
   readonly findHeaderLimit: () => DurationMs
   /** Called for each connection that this host closes of its own accord. */
   readonly onClose: (cause: CloseCause) => void
+  /** Called for each request that arrives after the end of its connection was sent. */
+  readonly onLateRequest?: (req: IncomingMessage, end: ConnectionEnd) => void
+  /** Called for each connection that has closed with bytes to which nothing was answered. */
+  readonly onUnanswered?: (bytes: UnansweredBytes) => void
 }
 
 export interface Connections {
   readonly add: (socket: Socket) => void
   readonly list: () => readonly Connection[]
+  /** Records why this host is about to end a connection. */
+  readonly recordClose: (connection: Connection, cause: CloseCause) => void
   /** Records a request. Returns false if it crossed the end of its connection: neither answered nor passed on, it can safely be sent again. */
   readonly recordRequest: (req: IncomingMessage, res: ServerResponse) => boolean
   readonly handleError: (socket: Socket, code: string | undefined) => void
@@ -121,8 +173,8 @@
   }
 }
 
-export function createConnections ({ getNow, findIdleLimit, findHeaderLimit, onClose }: ConnectionsOptions): Connections {
-  const connections = new Map<Socket, Connection>()
+/** Calls `onIdle` for each connection that stays idle for longer than it may. Returns a function that is called when a connection falls idle. */
+function createIdleWatch ({ getNow, findIdleLimit, findHeaderLimit, onIdle }: Pick<ConnectionsOptions, 'getNow' | 'findIdleLimit' | 'findHeaderLimit'> & { readonly onIdle: (connection: Connection) => void }): (connection: Connection) => void {
   const checkInTurn = createTurnQueue()
 
   function computeLeftMs ({ idleSince, arrivingSince }: Connection): DurationMs {
@@ -150,16 +202,33 @@
       watchIdle(connection)
       return
     }
-    onClose(CloseCause.IDLE)
-    closeGracefully(connection)
+    onIdle(connection)
   }
 
-  function startIdle (connection: Connection): void {
+  return connection => {
     connection.idleSince = getNow()
     connection.idleBytes = connection.socket.bytesRead
     connection.arrivingSince = undefined
     watchIdle(connection)
   }
+}
+
+export function createConnections ({ getNow, findIdleLimit, findHeaderLimit, onClose, onLateRequest, onUnanswered }: ConnectionsOptions): Connections {
+  const connections = new Map<Socket, Connection>()
+  const startIdle = createIdleWatch({
+    getNow,
+    findIdleLimit,
+    findHeaderLimit,
+    onIdle: connection => {
+      recordClose(connection, CloseCause.IDLE)
+      closeGracefully(connection)
+    }
+  })
+
+  function recordClose (connection: Connection, cause: CloseCause): void {
+    connection.closeCause ??= cause
+    onClose(cause)
+  }
 
   /** Called when a request has not arrived whole in time, before its socket is read. */
   function expireRequest (connection: Connection): void {
@@ -168,26 +237,32 @@
     setImmediate(() => {
       const hasArrived = connection.latest !== latest || (!wasComplete && connection.latest?.complete === true)
       if (hasArrived || socket.destroyed || connection.isClosing) return
-      onClose(CloseCause.REQUEST_TIMEOUT)
+      recordClose(connection, CloseCause.REQUEST_TIMEOUT)
       endAfterPending(connection, REQUEST_TIMEOUT)
     })
   }
 
   return {
     add: socket => {
-      const connection: Connection = { socket, pending: new Set(), latest: undefined, idleSince: getNow(), idleBytes: 0, arrivingSince: undefined, idleTimer: undefined, isClosing: false }
+      const connection: Connection = { socket, pending: new Set(), latest: undefined, idleSince: getNow(), idleBytes: 0, arrivingSince: undefined, idleTimer: undefined, isClosing: false, closeCause: undefined, endedAt: undefined, endBytes: 0, getNow }
       connections.set(socket, connection)
       socket.once('close', () => {
         connections.delete(socket)
         clearTimeout(connection.idleTimer)
+        const unanswered = findUnanswered(connection)
+        if (unanswered !== undefined) onUnanswered?.(unanswered)
       })
       // The HTTP server calls this after the last response on the connection.
       socket.destroySoon = () => closeGracefully(connection)
     },
     list: () => [...connections.values()],
+    recordClose,
     recordRequest: (req, res) => {
       const connection = connections.get(req.socket)
-      if (connection === undefined || connection.isClosing) return false
+      if (connection === undefined || connection.isClosing) {
+        onLateRequest?.(req, connection === undefined ? { cause: EndCause.CALLER, ageMs: 0 } : describeEnd(connection))
+        return false
+      }
       connection.latest = req
       connection.pending.add(res)
       res.once('close', () => {
@@ -206,7 +281,7 @@
         expireRequest(connection)
         return
       }
-      if (connection.endsAfterPending !== true && code?.startsWith('HPE_') === true) onClose(CloseCause.MALFORMED)
+      if (connection.endsAfterPending !== true && code?.startsWith('HPE_') === true) recordClose(connection, CloseCause.MALFORMED)
       endAfterPending(connection, code)
     }
   }
--- a/daemon/fleet/src/callerServer.ts
+++ b/daemon/fleet/src/callerServer.ts
@@ -12,7 +12,7 @@
 import { parseAddress } from '@catkinferry/core.types'
 import type { CallerLimits, DurationMs, MonotonicMs } from '@catkinferry/core.types'
 import { CloseCause, closeGracefully, createConnections, cutConnection, hasArriving } from './callerConnections.ts'
-import type { Connection } from './callerConnections.ts'
+import type { Connection, ConnectionsOptions } from './callerConnections.ts'
 import { createLimitHistory, LIMIT_OVERLAP_MS } from './idleLimits.ts'
 
 /** Limits until the first configuration arrives. */
@@ -39,7 +39,7 @@
   readonly close: (maxMs: number) => Promise<void>
 }
 
-export interface CallerServerOptions {
+export interface CallerServerOptions extends Pick<ConnectionsOptions, 'onLateRequest' | 'onUnanswered'> {
   /** `ip:port` */
   readonly address: string
   readonly handle: RequestListener
@@ -49,12 +49,12 @@
 }
 
 /** Opens the listener. Rejects if the address cannot be bound. */
-export async function openCallerServer ({ address, handle, getNow, onClose = () => undefined }: CallerServerOptions): Promise<CallerServer> {
+export async function openCallerServer ({ address, handle, getNow, onClose = () => undefined, onLateRequest, onUnanswered }: CallerServerOptions): Promise<CallerServer> {
   const idleLimits = createLimitHistory({ getNow, initialMs: DEFAULT_LIMITS.idleTimeoutMs })
   const headerLimits = createLimitHistory({ getNow, initialMs: DEFAULT_LIMITS.headerTimeoutMs })
   // The HTTP server finds an expired request at its next check; one interval more lets it answer first.
   const findHeaderLimit = (): DurationMs => headerLimits.find(getNow()) + 2 * CHECK_INTERVAL_MS
-  const connections = createConnections({ getNow, findIdleLimit: idleLimits.find, findHeaderLimit, onClose })
+  const connections = createConnections({ getNow, findIdleLimit: idleLimits.find, findHeaderLimit, onClose, onLateRequest, onUnanswered })
   let acceptedCount = 0
   let stoppedAccepting = false
 
@@ -104,7 +104,7 @@
         // Closing many takes a while, in which a request may arrive on any of the others.
         await waitTurn()
         if (!isClosable(connection)) continue
-        onClose(CloseCause.DRAINING)
+        connections.recordClose(connection, CloseCause.DRAINING)
         closeGracefully(connection)
       }
     },
@@ -125,7 +125,7 @@
       const closed = connections.list().map(async connection => {
         const { pending, socket, isClosing } = connection
         if (socket.destroyed) return
-        if (!isClosing) onClose(pending.size > 0 ? CloseCause.GRACE_END : CloseCause.DRAINING)
+        if (!isClosing) connections.recordClose(connection, pending.size > 0 ? CloseCause.GRACE_END : CloseCause.DRAINING)
         const ended = once(socket, 'close')
         cutConnection(connection)
         await ended
--- a/daemon/fleet/src/entryHost.ts
+++ b/daemon/fleet/src/entryHost.ts
@@ -194,7 +194,7 @@
     accounts: buildAccountGate(confirmation, directory, clock),
     localIp: settings.bindIp
   })
-  const { callers, peers, ready, getClosedCounts } = await openEntryListeners({ settings, listen: opts.listen, relay, isReady: readiness.check, clock, page })
+  const { callers, peers, ready, getClosedCounts } = await openEntryListeners({ settings, listen: opts.listen, relay, isReady: readiness.check, clock, logger, page })
   const systems = buildSystems({ membership, directory, confirmation, loop, onRun: readiness.resolveWaiting })
   const node = createFleetNode({ host, bindIp: settings.bindIp, clock, logger, metrics, systems, onCrash: onFailed })
   await node.open()
--- a/daemon/fleet/test/callerConnections.test.ts
+++ b/daemon/fleet/test/callerConnections.test.ts
@@ -6,7 +6,8 @@
 import type { AddressInfo, Socket } from 'node:net'
 import { afterEach, describe, it } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { CloseCause, createConnections } from '../src/callerConnections.ts'
+import { CloseCause, createConnections, EndCause } from '../src/callerConnections.ts'
+import type { UnansweredBytes } from '../src/callerConnections.ts'
 
 const POST = 'POST / HTTP/1.1\r\nHost: h\r\n'
 const WHOLE = `${POST}Content-Length: 2\r\n\r\nab`
@@ -17,12 +18,16 @@
   let server: Server | undefined
   let socket: Socket | undefined
   let closed: CloseCause[] = []
+  let lateCauses: EndCause[] = []
+  let unanswered: UnansweredBytes[] = []
   let runCount = 0
 
   afterEach(() => {
     socket?.destroy()
     server?.close()
     closed = []
+    lateCauses = []
+    unanswered = []
     runCount = 0
   })
 
@@ -31,7 +36,14 @@
   }
 
   async function listen (handle: RequestListener): Promise<Socket> {
-    const connections = createConnections({ getNow: () => performance.now(), findIdleLimit: () => 60_000, findHeaderLimit: () => 60_000, onClose: cause => { closed.push(cause) } })
+    const connections = createConnections({
+      getNow: () => performance.now(),
+      findIdleLimit: () => 60_000,
+      findHeaderLimit: () => 60_000,
+      onClose: cause => { closed.push(cause) },
+      onLateRequest: (_req, { cause, ageMs }) => { if (ageMs >= 0) lateCauses.push(cause) },
+      onUnanswered: bytes => { unanswered.push(bytes) }
+    })
     const opened = createServer({ headersTimeout: LIMIT_MS, requestTimeout: LIMIT_MS, connectionsCheckingInterval: 50 }, (req, res) => {
       if (connections.recordRequest(req, res)) handle(req, res)
     })
@@ -134,6 +146,34 @@
     })
   }
 
+  const STRAY = '\0\0\r\n\r\n'
+  const PART = WHOLE.slice(0, 20)
+
+  // Guards against a request without an answer that no line of its host names: it crossed the end of its connection.
+  for (const [name, handled, sent, expected] of [
+    ['a request that arrives after the last response', WHOLE, WHOLE, { late: [EndCause.RESPONSE], bytes: [EndCause.RESPONSE, 0, WHOLE.length] }],
+    ['part of a request that arrives after the last response', WHOLE, PART, { late: [], bytes: [EndCause.RESPONSE, 0, PART.length] }],
+    ['a request that arrives after bytes that are none', STRAY, WHOLE, { late: [], bytes: [EndCause.MALFORMED, STRAY.length, WHOLE.length] }],
+    ['nothing after the last response', WHOLE, '', { late: [], bytes: undefined }]
+  ] as const) {
+    it(`reports what is not answered: ${name}`, async () => {
+      const caller = await listen((req, res) => {
+        req.resume()
+        res.shouldKeepAlive = false
+        req.on('end', () => {
+          runCount += 1
+          res.end('whole')
+        })
+      })
+      const got = collect(caller)
+      caller.write(handled)
+      await waitFor(() => got.hasEnded)
+      caller.end(sent)
+      await waitFor(() => got.hasClosed && (expected.bytes === undefined || unanswered.length > 0))
+      expect([lateCauses, unanswered.map(({ cause, before, after }) => [cause, before, after]), runCount]).toEqual([[...expected.late], expected.bytes === undefined ? [] : [[...expected.bytes]], handled === WHOLE ? 1 : 0])
+    })
+  }
+
   // Guards against a request that is passed on after its caller was told that it has not run: the rest of its body arrived while the connection was still read.
   for (const [name, first, rest] of [
     ['body', `${POST}Content-Length: 4\r\n\r\nab`, 'cd'],
--- a/gateway/relay/src/index.ts
+++ b/gateway/relay/src/index.ts
@@ -1,6 +1,8 @@
 /** HTTP reverse proxy of entry hosts: forwards callers' requests to endpoints by the current route table. */
 export { createRelay } from './relay.ts'
 export type { Relay } from './relay.ts'
+export { UnansweredReason } from './unansweredRequests.ts'
+export type { UnansweredRequest } from './unansweredRequests.ts'
 export type { RelayOptions, RelayObserver, RelayLocation } from './relayOptions.ts'
 export type { RetryBudget } from './retryAllowance.ts'
 export type { AnswerFacts, EndpointLoad, ForwardFacts, RelayDialect, RequestFacts } from './dialect.ts'
--- a/gateway/relay/src/relay.ts
+++ b/gateway/relay/src/relay.ts
@@ -37,11 +37,15 @@
 import { createRunTimes, DEFAULT_FIRST_BYTE_MS, DEFAULT_RUN_MS } from './runTimes.ts'
 import { resolveOrigin } from './streamOrigin.ts'
 import { createTargetFinder } from './target.ts'
+import { createUnansweredReports, UnansweredReason } from './unansweredRequests.ts'
+import type { UnansweredRequest } from './unansweredRequests.ts'
 
 export interface Relay {
   readonly handle: (req: IncomingMessage, res: ServerResponse) => void
   /** Handles a request that another entry host forwards. */
   readonly handleForwarded: (req: IncomingMessage, res: ServerResponse) => void
+  /** Logs a request that is not handled because its connection has ended. */
+  readonly reportUnanswered: (request: UnansweredRequest) => void
   /** Whether this host serves requests of other entry hosts. */
   readonly isServingPeers: () => boolean
   /** Number of responses that are not written out yet. */
@@ -90,6 +94,7 @@
     limits,
     allowance: createRetryAllowance({ ...opts.retryBudget, getEntryCount: opts.getEntryCount, getNow: opts.clock.getMonotonicMs }),
     bodies: createBodyReader(),
+    reportUnanswered: createUnansweredReports(opts),
     answering: new Map(),
     exchanges: new Set(),
     forwardedCount: 0,
@@ -118,6 +123,7 @@
   return {
     handle: (req, res) => { void handle(state, req, res) },
     handleForwarded: (req, res) => { void handleForwarded(state, req, res) },
+    reportUnanswered: state.reportUnanswered,
     isServingPeers: () => isServingPeers(state),
     getActiveCount: () => state.answering.size,
     getLastTakenAt: () => state.lastTakenAt,
@@ -202,6 +208,7 @@
 async function handle (state: RelayState, req: IncomingMessage, res: ServerResponse, forwarded?: ForwardedFacts): Promise<void> {
   if (req.socket.writableEnded || state.closing.has(req.socket)) {
     // The request arrived after the response that ends the connection. Neither answered nor forwarded, it can safely be retried elsewhere.
+    state.reportUnanswered({ req, reason: UnansweredReason.BEHIND_LAST })
     req.resume()
     return
   }
@@ -228,6 +235,7 @@
     state.answering.delete(res)
     state.bodies.release(arrival)
     req.resume()
+    state.reportUnanswered({ req, reason: UnansweredReason.CLOSED })
     return
   }
   await answer(state, arrival)
@@ -241,7 +249,10 @@
     await state.opts.waitUntilReady(Math.min(MAX_STARTUP_WAIT_MS, (facts.deadlineMs ?? Infinity) * STARTUP_WAIT_FRACTION))
     const arrival = { req, res, facts, arrivedAt, forwarded }
     await waitUntilCheckable(state, arrival)
-    if (res.destroyed || res.writableEnded) return
+    if (res.destroyed || res.writableEnded) {
+      if (!res.headersSent) state.reportUnanswered({ req, reason: UnansweredReason.CLOSED })
+      return
+    }
     const exchange = beginExchange(state, arrival)
     if (exchange === undefined) return
     if (mayEndInTime(state, exchange)) {
--- a/gateway/relay/src/relayState.ts
+++ b/gateway/relay/src/relayState.ts
@@ -14,6 +14,7 @@
 import type { RunEstimates } from './runEstimates.ts'
 import type { RunTimes } from './runTimes.ts'
 import type { TargetFinder } from './target.ts'
+import type { UnansweredRequest } from './unansweredRequests.ts'
 
 export type LogFields = Readonly<Record<string, unknown>>
 
@@ -37,6 +38,7 @@
   readonly limits: RequestLimits
   readonly allowance: RetryAllowance
   readonly bodies: BodyReader
+  readonly reportUnanswered: (request: UnansweredRequest) => void
   /** Responses that are not written out yet, with what the entry host said that has forwarded the request. */
   readonly answering: Map<ServerResponse, ForwardedFacts | undefined>
   /** Requests in progress. */
--- a/gateway/relay/test/stoppingHost.test.ts
+++ b/gateway/relay/test/stoppingHost.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'earl'
 import { once } from 'node:events'
 import { afterEach, describe, it } from 'node:test'
+import { UnansweredReason } from '@catkinferry/gateway.relay'
 import { answerOk, startEndpoint, startTestRelay } from './testRelay.ts'
 import type { TestRelay, TestRelayOptions } from './testRelay.ts'
 
@@ -23,7 +24,7 @@
       res.write('first')
       setTimeout(() => res.end('last'), 80)
     })
-    const { relay, dial } = await start({ endpoints: [endpoint], route: STREAM })
+    const { relay, dial, lines } = await start({ endpoints: [endpoint], route: STREAM })
     const socket = dial()
     let text = ''
     const ended = once(socket, 'close').then(() => true)
@@ -37,6 +38,24 @@
     relay.drain()
     const hasEnded = await Promise.race([ended, new Promise<boolean>(resolve => setTimeout(resolve, 5_000, false))])
     expect([text.split('last\r\n0\r\n\r\n').length - 1, text.toLowerCase().split('connection: close').length - 1, hasEnded, endpoint.seen.length]).toEqual([2, 1, true, 2])
+    // The caller sends a third request behind the last response.
+    expect(lines.filter(({ reason }) => reason === UnansweredReason.BEHIND_LAST).map(({ step, requestId }) => [step, requestId])).toEqual([['end', 'id1']])
+  })
+
+  // Guards against a request without an answer that no line of its host names: its connection closed before it was taken.
+  it('logs requests whose connection closes while they wait for routes, a limited number of them', async () => {
+    const finishWaits: Array<() => void> = []
+    const { dial, lines, counts } = await start({ endpoints: [], waitUntilReady: () => new Promise(resolve => { finishWaits.push(resolve) }) })
+    const sockets = Array.from({ length: 50 }, dial)
+    for (const socket of sockets) socket.write('GET /p/x HTTP/1.1\r\nHost: h.example\r\nX-Id: id7\r\n\r\n')
+    while (finishWaits.length < sockets.length) await new Promise(resolve => setTimeout(resolve, 5))
+    for (const socket of sockets) socket.destroy()
+    await Promise.all(sockets.map(socket => once(socket, 'close')))
+    await new Promise(resolve => setTimeout(resolve, 50))
+    for (const finishWait of finishWaits) finishWait()
+    while (counts.filter(count => count === 'unanswered_requests closed').length < sockets.length) await new Promise(resolve => setTimeout(resolve, 5))
+    const logged = lines.filter(({ reason }) => reason === UnansweredReason.CLOSED)
+    expect([logged.length < sockets.length, logged[0]?.requestId]).toEqual([true, 'id7'])
   })
 
   it('answers requests that it has sent to no endpoint before it ends', async () => {
