Bound what the drivers of a process hold of responses, in total

What callers saw: nothing, until the process ended for want of memory, and their requests with it, while endpoints sent responses without end.

Cause: a response might have 16 MiB and an open event 1 Mi characters, for any number of attempts at once. The body of an error was to be limited to 64 KiB, but the reader kept each part beyond that too and went on until the time limit of the attempt.

Change: all drivers of a process share a budget, 32 MiB for an endpoint and 64 MiB in total. A response that exceeds it, or gives way to another endpoint, fails as of unknown outcome, also if its status is a refusal; its call is cancelled.

--- a/daemon/main/src/daemon.ts
+++ b/daemon/main/src/daemon.ts
@@ -7,6 +7,7 @@
 import type { DurationMs, ResolvedAdapter, ServiceClass } from '@catkinferry/core.types'
 import type { Config } from '@catkinferry/daemon.config'
 import { createEngineDriver } from '@catkinferry/endpoints.engine-driver'
+import { createResponseBudget } from '@catkinferry/endpoints.http-dispatch'
 import { createPlatformDriver } from '@catkinferry/endpoints.platform-driver'
 import type { PlatformSource } from '@catkinferry/endpoints.platform-driver'
 import { createServiceDriver } from '@catkinferry/endpoints.service-driver'
@@ -91,8 +92,9 @@
 
 function createDrivers (opts: DaemonOptions, emit: (event: HostEvent) => void, store: DisposableStore) {
   const { clock } = opts
-  const engines = createEngineDriver({ clock, emit })
-  const services = createServiceDriver({ clock, emit })
+  const budget = createResponseBudget()
+  const engines = createEngineDriver({ clock, emit, budget })
+  const services = createServiceDriver({ clock, emit, budget })
   const platform = createPlatformDriver({ clock, emit, source: buildPlatformSource(opts.config) })
   store.add(engines.close)
   store.add(services.close)
--- a/endpoints/engine-driver/src/answerReader.ts
+++ b/endpoints/engine-driver/src/answerReader.ts
@@ -4,7 +4,10 @@
  */
 import { ErrorCode } from '@catkinferry/core.errors'
 import type { Failure } from '@catkinferry/core.errors'
+import { createHeldBuffer } from '@catkinferry/core.memory-budget'
+import type { HeldBuffer, MemoryBudget } from '@catkinferry/core.memory-budget'
 import type { AttemptId, EndpointId } from '@catkinferry/core.types'
+import { MAX_RESPONSE_BYTES } from '@catkinferry/endpoints.http-dispatch'
 import type { HostEvent } from '@catkinferry/host.events'
 import { getTokenCount, parseEcho } from './echo.ts'
 import { createStreamReader } from './streamReader.ts'
@@ -17,15 +20,20 @@
   /** Index of the first chunk; greater than 0 if a stream is resumed. */
   readonly firstIndex: number
   readonly emit: (event: HostEvent) => void
+  /** Accounts for what is held of the response. */
+  readonly budget: MemoryBudget
+  /** Called after a failure was emitted because other endpoints need the memory. The call must be cancelled. */
+  readonly onEvicted: () => void
 }
 
 export interface AnswerReader {
   /** `failed`: a failure was emitted and the call must be cancelled. */
   readonly read: (data: Buffer) => 'ok' | 'failed'
   readonly end: () => void
+  /** Gives back what is held. Called in all cases once the call has ended. */
+  readonly release: () => void
 }
 
-export const MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 const MAX_ERROR_BYTES = 64 * 1024
 const MAX_QUOTED_CHARACTERS = 200
 
@@ -39,28 +47,35 @@
   emit({ kind: 'attempt.failed', attemptId, failure: { ...failure, step: 'attempt.answer', peer: endpoint }, sent: true, refused })
 }
 
-function createCollector (maxBytes: number): { add: (data: Buffer) => boolean, getText: () => string } {
-  const parts: Buffer[] = []
-  let bytes = 0
+/** Collects a body. What exceeds a limit fails like a response that is none, whatever its status says. */
+function createCollector (opts: AnswerReaderOptions, maxBytes: number): HeldBuffer & Pick<AnswerReader, 'read'> {
+  const { budget, endpoint, onEvicted } = opts
+  const content = createHeldBuffer({
+    budget,
+    owner: endpoint,
+    maxBytes,
+    onEvicted: () => {
+      emitFailure(opts, { code: ErrorCode.TOO_LARGE, message: 'response was dropped: other endpoints need the memory', ran: 'unknown' })
+      onEvicted()
+    }
+  })
   return {
-    add: data => {
-      bytes += data.length
-      parts.push(data)
-      return bytes <= maxBytes
-    },
-    getText: () => Buffer.concat(parts).toString('utf8')
+    ...content,
+    read: data => {
+      const limit = content.add(data)
+      if (limit === undefined) return 'ok'
+      emitFailure(opts, { code: ErrorCode.TOO_LARGE, message: `response is over the limit of ${maxBytes} bytes or of the memory for responses (limit: ${limit})`, ran: 'unknown' })
+      return 'failed'
+    }
   }
 }
 
 function createBufferedReader (opts: AnswerReaderOptions): AnswerReader {
   const { attemptId, emit, status, contentType } = opts
-  const collector = createCollector(MAX_RESPONSE_BYTES)
+  const collector = createCollector(opts, MAX_RESPONSE_BYTES)
   return {
-    read: data => {
-      if (collector.add(data)) return 'ok'
-      emitFailure(opts, { code: ErrorCode.TOO_LARGE, message: `response is over the limit of ${MAX_RESPONSE_BYTES} bytes`, ran: 'unknown' })
-      return 'failed'
-    },
+    read: collector.read,
+    release: collector.release,
     end: () => {
       const data = collector.getText()
       const parsed = parseEcho(data)
@@ -76,12 +91,10 @@
 }
 
 function createErrorReader (opts: AnswerReaderOptions): AnswerReader {
-  const collector = createCollector(MAX_ERROR_BYTES)
+  const collector = createCollector(opts, MAX_ERROR_BYTES)
   return {
-    read: data => {
-      collector.add(data)
-      return 'ok'
-    },
+    read: collector.read,
+    release: collector.release,
     end: () => {
       const text = collector.getText()
       const refused = text.includes('"leaving"') ? 'leaving' : REFUSALS[opts.status]
--- a/endpoints/engine-driver/src/engineAttempt.ts
+++ b/endpoints/engine-driver/src/engineAttempt.ts
@@ -1,5 +1,6 @@
 /** Sends one attempt of a completion to an engine, for the engine driver, each time the host core starts an attempt. */
 import type { Clock } from '@catkinferry/core.clock'
+import type { MemoryBudget } from '@catkinferry/core.memory-budget'
 import type { AdapterWork, ServiceClass } from '@catkinferry/core.types'
 import { formatAdapterKey } from '@catkinferry/core.types'
 import { buildCallFailure, startHttpCall } from '@catkinferry/endpoints.http-dispatch'
@@ -13,6 +14,8 @@
   readonly clock: Clock
   readonly emit: (event: HostEvent) => void
   readonly connections: Connections
+  /** Accounts for what is held of responses. */
+  readonly budget: MemoryBudget
   /** Called once when the attempt has completed or failed; not called if it is cancelled. */
   readonly onDone: () => void
 }
@@ -42,6 +45,7 @@
   let reader: AnswerReader | undefined
 
   function finish (): void {
+    reader?.release()
     opts.onDone()
     fresh?.close()
   }
@@ -51,18 +55,23 @@
     emit({ kind: 'attempt.failed', attemptId, failure: buildCallFailure({ failure, step: 'attempt.dispatch', peer: endpoint }), sent: failure.sent })
   }
 
+  function abort (): void {
+    call.cancel()
+    finish()
+  }
+
   const handler: CallHandler = {
     onHead: (status, headers) => {
-      reader = createAnswerReader({ attemptId, endpoint, status, contentType: String(headers['content-type'] ?? ''), firstIndex: start.resumeFrom ?? 0, emit })
+      reader = createAnswerReader({ attemptId, endpoint, status, contentType: String(headers['content-type'] ?? ''), firstIndex: start.resumeFrom ?? 0, emit, budget: opts.budget, onEvicted: abort })
     },
     onData: data => {
-      if (reader?.read(data) !== 'failed') return
-      call.cancel()
-      finish()
+      if (reader?.read(data) === 'failed') abort()
     },
     onEnd: () => {
-      finish()
+      opts.onDone()
+      fresh?.close()
       reader?.end()
+      reader?.release()
     },
     onFail: fail
   }
@@ -82,6 +91,7 @@
     ...call,
     cancel: () => {
       call.cancel()
+      reader?.release()
       fresh?.close()
     }
   }
--- a/endpoints/engine-driver/src/engineDriver.ts
+++ b/endpoints/engine-driver/src/engineDriver.ts
@@ -4,8 +4,9 @@
  * or cancels one of them, and when a slow caller pauses an attempt.
  */
 import type { Clock } from '@catkinferry/core.clock'
+import type { MemoryBudget } from '@catkinferry/core.memory-budget'
 import type { AttemptId, EndpointId, OrderId } from '@catkinferry/core.types'
-import { createAttemptTable, createConnections } from '@catkinferry/endpoints.http-dispatch'
+import { createAttemptTable, createConnections, createResponseBudget } from '@catkinferry/endpoints.http-dispatch'
 import type { ConnectionsOptions } from '@catkinferry/endpoints.http-dispatch'
 import type { AttemptStart, HostEvent, OrderSend } from '@catkinferry/host.events'
 import { startEngineAttempt } from './engineAttempt.ts'
@@ -16,6 +17,8 @@
   readonly clock: Clock
   readonly emit: (event: HostEvent) => void
   readonly connections?: ConnectionsOptions
+  /** Accounts for what is held of responses; shared by the drivers of a process. */
+  readonly budget?: MemoryBudget
 }
 
 export interface EngineDriver {
@@ -38,13 +41,14 @@
 export function createEngineDriver (opts: EngineDriverOptions): EngineDriver {
   const { clock, emit } = opts
   const connections = createConnections(opts.connections)
+  const budget = opts.budget ?? createResponseBudget()
   const attempts = createAttemptTable()
   const orders = createOrders({ clock, emit, connections })
   const polling = new Set<EndpointId>()
 
   return {
     startAttempt: start => {
-      const call = startEngineAttempt({ start, clock, emit, connections, onDone: () => attempts.remove(start.attemptId) })
+      const call = startEngineAttempt({ start, clock, emit, connections, budget, onDone: () => attempts.remove(start.attemptId) })
       attempts.put(start.attemptId, call)
     },
     cancelAttempt: attemptId => { attempts.cancel(attemptId) },
--- a/endpoints/engine-driver/test/engineDriver.test.ts
+++ b/endpoints/engine-driver/test/engineDriver.test.ts
@@ -1,7 +1,7 @@
 import { createSystemClock } from '@catkinferry/core.clock'
 import type { AdapterWork } from '@catkinferry/core.types'
 import type { AttemptStart, HostEvent, OrderSend } from '@catkinferry/host.events'
-import { startFakeEngine } from '@catkinferry/testing.fakes'
+import { createPeakBudget, startEndlessServer, startFakeEngine } from '@catkinferry/testing.fakes'
 import type { FakeEngine, FakeEngineOptions } from '@catkinferry/testing.fakes'
 import { expect } from 'earl'
 import { createServer } from 'node:net'
@@ -101,6 +101,39 @@
     })
   }
 
+  // Guards against endpoints that fill the memory of the process, each within the limit of a response, or beyond it.
+  for (const [name, first, repeated, code] of [
+    ['a response', '200 OK\r\n\r\n', 'x'.repeat(0x4000), 'ERR_CATKINFERRY_TOO_LARGE'],
+    ['an error', '503 Busy\r\n\r\n', 'x'.repeat(0x4000), 'ERR_CATKINFERRY_TOO_LARGE'],
+    ['an event', '200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: ', 'x'.repeat(0x4000), 'ERR_CATKINFERRY_STREAM_CUT']
+  ] as const) {
+    it(`fails attempts that are answered with ${name} without end, holds no more than its budget, and goes on with others`, async t => {
+      const budget = createPeakBudget({ maxBytes: 0x80000, maxOwnerBytes: 0x40000 })
+      const ends: string[] = []
+      const ended = new Promise<void>(resolve => {
+        driver = createEngineDriver({
+          clock,
+          budget,
+          emit: event => {
+            if (event.kind === 'attempt.failed') ends.push(`${event.failure.code} ${event.sent} ${event.failure.ran} ${event.refused}`)
+            else if (event.kind === 'attempt.ended') ends.push('ended')
+            if (ends.length === 17) resolve()
+          }
+        })
+      })
+      await startEngine({})
+      for (const endpoint of ['e1', 'e2', 'e3', 'e4']) {
+        const server = await startEndlessServer(`HTTP/1.1 ${first}`, repeated)
+        t.after(server.close)
+        for (const at of Array(4).keys()) driver.startAttempt({ ...buildStart({ attemptId: `${endpoint}.${at}`, freshConnection: true }), endpoint, url: `http://${server.address}` })
+      }
+      driver.startAttempt(buildStart({ attemptId: 'sound' }))
+      await ended
+      expect([ends.filter(end => end === 'ended').length, new Set(ends)]).toEqual([1, new Set(['ended', `${code} true unknown undefined`])])
+      expect([budget.getPeakBytes() > 0, budget.getPeakBytes() <= 0x80000, budget.getHeldBytes()]).toEqual([true, true, 0])
+    })
+  }
+
   it('emits a non-streamed response as one chunk with its token count', async () => {
     await startEngine({})
     driver.startAttempt(buildStart({ work: { stream: false }, freshConnection: true }))
--- /dev/null
+++ b/endpoints/http-dispatch/src/responseBudget.ts
@@ -0,0 +1,13 @@
+/** The budget for what the drivers of a process hold of responses. */
+import { createMemoryBudget } from '@catkinferry/core.memory-budget'
+import type { MemoryBudget } from '@catkinferry/core.memory-budget'
+
+/** Limit on the body of a response that is read whole. */
+export const MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+/** Room for two of the largest responses of one endpoint, and for four in all: about a fifth of a host with 350 MB. */
+const MEMORY = { maxBytes: 4 * MAX_RESPONSE_BYTES, maxOwnerBytes: 2 * MAX_RESPONSE_BYTES } as const
+
+/** Creates the budget that all drivers of a process share. Owners are endpoints. */
+export function createResponseBudget (): MemoryBudget {
+  return createMemoryBudget(MEMORY)
+}
--- a/endpoints/service-driver/src/serviceDriver.ts
+++ b/endpoints/service-driver/src/serviceDriver.ts
@@ -5,8 +5,10 @@
  */
 import type { Clock } from '@catkinferry/core.clock'
 import { ErrorCode } from '@catkinferry/core.errors'
+import { createHeldBuffer } from '@catkinferry/core.memory-budget'
+import type { MemoryBudget } from '@catkinferry/core.memory-budget'
 import type { AnswerEcho, AttemptId, ServiceWork } from '@catkinferry/core.types'
-import { buildCallFailure, createAttemptTable, createConnections, startHttpCall } from '@catkinferry/endpoints.http-dispatch'
+import { buildCallFailure, createAttemptTable, createConnections, createResponseBudget, MAX_RESPONSE_BYTES, startHttpCall } from '@catkinferry/endpoints.http-dispatch'
 import type { CallHandler, Connections, ConnectionsOptions, HttpCall } from '@catkinferry/endpoints.http-dispatch'
 import type { AttemptStart, HostEvent } from '@catkinferry/host.events'
 
@@ -14,6 +16,8 @@
   readonly clock: Clock
   readonly emit: (event: HostEvent) => void
   readonly connections?: ConnectionsOptions
+  /** Accounts for what is held of responses; shared by the drivers of a process. */
+  readonly budget?: MemoryBudget
 }
 
 export interface ServiceDriver {
@@ -24,7 +28,6 @@
   readonly close: () => Promise<void>
 }
 
-const MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 /** A service answers with this status instead of running the request, so another endpoint may. A response with any other status is passed on. */
 const TOO_MANY_REQUESTS = 429
 
@@ -43,6 +46,7 @@
 interface ServiceAttemptOptions extends ServiceDriverOptions {
   readonly start: AttemptStart
   readonly httpConnections: Connections
+  readonly budget: MemoryBudget
   readonly onDone: () => void
 }
 
@@ -51,17 +55,23 @@
   const { attemptId, endpoint } = start
   const work = start.work as ServiceWork
   const fresh = start.freshConnection ? opts.httpConnections.openFresh(start.url) : undefined
-  const parts: Buffer[] = []
+  const content = createHeldBuffer({ budget: opts.budget, owner: endpoint, maxBytes: MAX_RESPONSE_BYTES, onEvicted: () => failTooLarge('response was dropped: other endpoints need the memory') })
   let echo: AnswerEcho = { attemptId }
   let status = 0
   let contentType: string | undefined
-  let bytes = 0
 
   function finish (): void {
+    content.release()
     opts.onDone()
     fresh?.close()
   }
 
+  function failTooLarge (message: string): void {
+    call.cancel()
+    finish()
+    emit({ kind: 'attempt.failed', attemptId, sent: true, failure: { code: ErrorCode.TOO_LARGE, message, step: 'attempt.answer', peer: endpoint, ran: 'unknown' } })
+  }
+
   const handler: CallHandler = {
     onHead: (value, headers) => {
       status = value
@@ -69,15 +79,11 @@
       echo = buildEcho(attemptId, headers['x-catkinferry-attempt'])
     },
     onData: data => {
-      bytes += data.length
-      parts.push(data)
-      if (bytes <= MAX_RESPONSE_BYTES) return
-      call.cancel()
-      finish()
-      const message = `response is over the limit of ${MAX_RESPONSE_BYTES} bytes`
-      emit({ kind: 'attempt.failed', attemptId, sent: true, failure: { code: ErrorCode.TOO_LARGE, message, step: 'attempt.answer', peer: endpoint, ran: 'unknown' } })
+      const limit = content.add(data)
+      if (limit !== undefined) failTooLarge(`response is over the limit of ${MAX_RESPONSE_BYTES} bytes or of the memory for responses (limit: ${limit})`)
     },
     onEnd: () => {
+      const text = content.getText()
       finish()
       if (status === TOO_MANY_REQUESTS) {
         const failure = { code: ErrorCode.ENDPOINT_FAILED, message: `status ${status}`, step: 'attempt.answer', peer: endpoint, ran: 'no' as const }
@@ -85,7 +91,7 @@
         return
       }
       emit({ kind: 'attempt.started', attemptId, echo, status, contentType })
-      emit({ kind: 'attempt.chunk', attemptId, echo, index: 0, data: Buffer.concat(parts).toString('utf8'), tokens: 0 })
+      emit({ kind: 'attempt.chunk', attemptId, echo, index: 0, data: text, tokens: 0 })
       emit({ kind: 'attempt.ended', attemptId, echo, chunks: 1 })
     },
     onFail: failure => {
@@ -108,6 +114,7 @@
     ...call,
     cancel: () => {
       call.cancel()
+      content.release()
       fresh?.close()
     }
   }
@@ -115,10 +122,11 @@
 
 export function createServiceDriver (opts: ServiceDriverOptions): ServiceDriver {
   const httpConnections = createConnections(opts.connections)
+  const budget = opts.budget ?? createResponseBudget()
   const attempts = createAttemptTable()
   return {
     startAttempt: start => {
-      const call = startServiceAttempt({ ...opts, start, httpConnections, onDone: () => attempts.remove(start.attemptId) })
+      const call = startServiceAttempt({ ...opts, start, httpConnections, budget, onDone: () => attempts.remove(start.attemptId) })
       attempts.put(start.attemptId, call)
     },
     cancelAttempt: attemptId => { attempts.cancel(attemptId) },
--- a/endpoints/service-driver/test/serviceDriver.test.ts
+++ b/endpoints/service-driver/test/serviceDriver.test.ts
@@ -1,6 +1,7 @@
 import { createSystemClock } from '@catkinferry/core.clock'
+import type { MemoryBudget } from '@catkinferry/core.memory-budget'
 import type { AttemptStart, HostEvent } from '@catkinferry/host.events'
-import { startFakeService } from '@catkinferry/testing.fakes'
+import { createPeakBudget, startEndlessServer, startFakeService } from '@catkinferry/testing.fakes'
 import type { FakeFaults, FakeService } from '@catkinferry/testing.fakes'
 import { expect } from 'earl'
 import { describe, it } from 'node:test'
@@ -8,13 +9,14 @@
 
 const clock = createSystemClock()
 
-async function runAttempt (faults: Partial<FakeFaults>, url?: string): Promise<{ events: HostEvent[], service: FakeService }> {
+async function runAttempt (faults: Partial<FakeFaults>, url?: string, budget?: MemoryBudget): Promise<{ events: HostEvent[], service: FakeService }> {
   const service = await startFakeService({ faults })
   const events: HostEvent[] = []
   let finish = (): void => undefined
   const done = new Promise<void>(resolve => { finish = resolve })
   const driver = createServiceDriver({
     clock,
+    budget,
     emit: event => {
       events.push(event)
       if (event.kind === 'attempt.ended' || event.kind === 'attempt.failed') finish()
@@ -50,6 +52,16 @@
     expect(JSON.parse(chunk?.kind === 'attempt.chunk' ? chunk.data : '')).toEqual({ method: 'POST', path: '/file?x=1', received: '{"boat":1}', runs: 1 })
   })
 
+  // Guards against services that fill the memory of the process, each within the limit of a response.
+  it('fails attempts that are answered without end, and holds no more than its budget', async t => {
+    const server = await startEndlessServer('HTTP/1.1 200 OK\r\n\r\n', 'x'.repeat(0x4000))
+    t.after(server.close)
+    const budget = createPeakBudget({ maxBytes: 0x80000, maxOwnerBytes: 0x40000 })
+    const runs = await Promise.all(Array.from({ length: 4 }, () => runAttempt({}, `http://${server.address}`, budget)))
+    for (const { events } of runs) expect(events).toEqual([expect.subset({ kind: 'attempt.failed', sent: true, failure: expect.subset({ code: 'ERR_CATKINFERRY_TOO_LARGE', ran: 'unknown' }) })])
+    expect([budget.getPeakBytes() > 0, budget.getPeakBytes() <= 0x40000, budget.getHeldBytes()]).toEqual([true, true, 0])
+  })
+
   it('reports that a call may have run if its response was lost', async () => {
     const { events, service } = await runAttempt({ cutAfterChunks: 0 })
     expect(events).toEqual([expect.subset({ kind: 'attempt.failed', sent: true, failure: expect.subset({ ran: 'unknown' }) })])
--- a/platform/test/endlessServer.ts
+++ b/testing/fakes/src/endlessServer.ts
@@ -1,16 +1,16 @@
-/** Raw servers that answer each connection with bytes that no HTTP server would send. */
+/** Faulty endpoint that writes without end. */
 import { once } from 'node:events'
 import { createServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
 
-export interface RawServer {
+export interface EndlessServer {
   readonly address: string
   readonly countOpen: () => number
   readonly close: () => void
 }
 
 /** Starts a server that writes `first` after the first bytes of each connection, and then `repeated` until the connection is closed. */
-export async function startEndlessServer (first: string, repeated: string): Promise<RawServer> {
+export async function startEndlessServer (first: string, repeated: string): Promise<EndlessServer> {
   const sockets = new Set<Socket>()
   const server = createServer(socket => {
     sockets.add(socket)
