Drop what an engine sends after the end of a stream

What operators saw: memory that grew with an engine that went on, after the end marker, with a line without end, until the time limit of the attempt.

Cause: the parser of events was fed on and keeps an incomplete line; the limit on an event fails only streams that have not ended.

Change: the reader drops what comes after the end marker.

Measured: answerReader.test.ts, "keeps nothing that comes after the end of a stream", failed before (heap larger by 4 MB and more after 8 MiB of such bytes) and passes now.

--- a/endpoints/engine-driver/src/streamReader.ts
+++ b/endpoints/engine-driver/src/streamReader.ts
@@ -74,6 +74,8 @@
   const parser = createParser({ onEvent: event => readEvent(event.data) })
   return {
     read: data => {
+      // The parser would keep a line without end.
+      if (state === 'ended' || state === 'failed') return state === 'ended' ? 'ok' : 'failed'
       const text = decoder.write(data)
       const characters = charactersSinceEvent + text.length
       const limit = holding.add(text.length * CHARACTER_BYTES)
--- a/endpoints/engine-driver/test/answerReader.test.ts
+++ b/endpoints/engine-driver/test/answerReader.test.ts
@@ -55,4 +55,14 @@
       expect(budget.getHeldBytes()).toEqual(0)
     })
   }
+
+  // Guards against an endpoint that goes on with a line without end after the end of a stream.
+  it('keeps nothing that comes after the end of a stream', () => {
+    const { events, read } = createReader(STREAM)
+    read(Buffer.from(`${EVENT}data: [DONE]\n\n`))
+    const data = Buffer.alloc(0x10000, 'x')
+    const before = process.memoryUsage().heapUsed
+    for (let count = 0; count < 128; count += 1) expect(read(data)).toEqual('ok')
+    expect([events.at(-1)?.kind, process.memoryUsage().heapUsed - before < 4_000_000]).toEqual(['attempt.ended', true])
+  })
 })
