Bound what drivers hold of responses to orders, polls and the list

What operators saw: memory that grew with the number of engines that answer polls or orders without end; such an order was in progress until it was cut.

Cause: the body of each response had a limit, the process had none. A part that was kept held all that was read from the socket with it. An order went on being read after its 64 KiB.

Change: orders and polls of an engine driver share a budget, apart from that of responses to attempts, so that large responses of a sound engine do not make it unreachable. An order whose response exceeds a limit is of unknown outcome, like one without a response.

Ruled out: no own test of the platform driver, which reads one list at a time by the same function.

--- a/endpoints/engine-driver/src/engineDriver.ts
+++ b/endpoints/engine-driver/src/engineDriver.ts
@@ -6,7 +6,7 @@
 import type { Clock } from '@catkinferry/core.clock'
 import type { MemoryBudget } from '@catkinferry/core.memory-budget'
 import type { AttemptId, EndpointId, OrderId } from '@catkinferry/core.types'
-import { createAttemptTable, createConnections, createResponseBudget } from '@catkinferry/endpoints.http-dispatch'
+import { createAttemptTable, createConnections, createControlBudget, createResponseBudget } from '@catkinferry/endpoints.http-dispatch'
 import type { ConnectionsOptions } from '@catkinferry/endpoints.http-dispatch'
 import type { AttemptStart, HostEvent, OrderSend } from '@catkinferry/host.events'
 import { startEngineAttempt } from './engineAttempt.ts'
@@ -17,8 +17,10 @@
   readonly clock: Clock
   readonly emit: (event: HostEvent) => void
   readonly connections?: ConnectionsOptions
-  /** Accounts for what is held of responses; shared by the drivers of a process. */
+  /** Accounts for what is held of responses to attempts; shared by the drivers of a process. */
   readonly budget?: MemoryBudget
+  /** Accounts for what is held of responses to orders and polls. */
+  readonly controlBudget?: MemoryBudget
 }
 
 export interface EngineDriver {
@@ -42,8 +44,9 @@
   const { clock, emit } = opts
   const connections = createConnections(opts.connections)
   const budget = opts.budget ?? createResponseBudget()
+  const controlBudget = opts.controlBudget ?? createControlBudget()
   const attempts = createAttemptTable()
-  const orders = createOrders({ clock, emit, connections })
+  const orders = createOrders({ clock, emit, connections, budget: controlBudget })
   const polling = new Set<EndpointId>()
 
   return {
@@ -58,7 +61,7 @@
     pollEndpoint: (endpoint, url) => {
       if (polling.has(endpoint)) return
       polling.add(endpoint)
-      void pollEngine({ endpoint, url, clock, connections }).then(event => {
+      void pollEngine({ endpoint, url, clock, connections, budget: controlBudget }).then(event => {
         polling.delete(endpoint)
         emit(event)
       })
--- a/endpoints/engine-driver/src/orders.ts
+++ b/endpoints/engine-driver/src/orders.ts
@@ -3,6 +3,8 @@
  * issues them. Each carries a fencing token and uses a dedicated connection, which is reset if the order is aborted.
  */
 import type { Clock } from '@catkinferry/core.clock'
+import { createHeldBuffer } from '@catkinferry/core.memory-budget'
+import type { MemoryBudget } from '@catkinferry/core.memory-budget'
 import type { Order, OrderId, OrderOutcome } from '@catkinferry/core.types'
 import { startHttpCall } from '@catkinferry/endpoints.http-dispatch'
 import type { CallFailure, Connections } from '@catkinferry/endpoints.http-dispatch'
@@ -12,6 +14,8 @@
   readonly clock: Clock
   readonly emit: (event: HostEvent) => void
   readonly connections: Connections
+  /** Accounts for what is held of responses. */
+  readonly budget: MemoryBudget
 }
 
 export interface Orders {
@@ -25,6 +29,7 @@
   readonly body: Readonly<Record<string, unknown>>
 }
 
+/** Many times what engines answer: the status tells the outcome, and a body has a few fields. */
 const MAX_RESPONSE_BYTES = 64 * 1024
 const MAX_QUOTED_CHARACTERS = 200
 const FENCING_REFUSED_STATUS = 409
@@ -66,10 +71,9 @@
     const request = buildRequest(order.order)
     const startedAt = clock.getMonotonicMs()
     let status = 0
-    let bytes = 0
-    const parts: Buffer[] = []
 
     function finish (outcome: OrderOutcome): void {
+      content.release()
       if (!inFlight.delete(orderId)) return
       emit({ kind: 'order.result', orderId, endpoint, outcome })
     }
@@ -78,10 +82,13 @@
       finish({ kind: sent ? 'unknown' : 'notSent' })
     }
 
-    inFlight.set(orderId, () => {
+    function cut (): void {
       call.cancel()
       finishUnanswered(call.isSent())
-    })
+    }
+
+    const content = createHeldBuffer({ budget: opts.budget, owner: endpoint, maxBytes: MAX_RESPONSE_BYTES, onEvicted: cut })
+    inFlight.set(orderId, cut)
     const call = startHttpCall({
       dispatcher: connection.dispatcher,
       clock,
@@ -95,12 +102,11 @@
       handler: {
         onHead: value => { status = value },
         onData: data => {
-          bytes += data.length
-          if (bytes <= MAX_RESPONSE_BYTES) parts.push(data)
+          if (content.add(data) !== undefined) cut()
         },
         onEnd: () => {
           connection.close()
-          finish(buildOutcome(status, Buffer.concat(parts).toString('utf8'), clock.getMonotonicMs() - startedAt))
+          finish(buildOutcome(status, content.getText(), clock.getMonotonicMs() - startedAt))
         },
         onFail: (failure: CallFailure) => { finishUnanswered(failure.sent) }
       }
--- a/endpoints/engine-driver/src/pollEngine.ts
+++ b/endpoints/engine-driver/src/pollEngine.ts
@@ -3,6 +3,7 @@
  * of the endpoint, at the interval `endpoint.pollMs`.
  */
 import type { Clock } from '@catkinferry/core.clock'
+import type { MemoryBudget } from '@catkinferry/core.memory-budget'
 import type { EndpointId, EndpointReport } from '@catkinferry/core.types'
 import { readJson } from '@catkinferry/endpoints.http-dispatch'
 import type { Connections } from '@catkinferry/endpoints.http-dispatch'
@@ -47,10 +48,10 @@
 }
 
 /** Polls once. A missing or malformed report counts as unreachable. */
-export async function pollEngine (opts: { readonly endpoint: EndpointId, readonly url: string, readonly clock: Clock, readonly connections: Connections }): Promise<HostEvent> {
+export async function pollEngine (opts: { readonly endpoint: EndpointId, readonly url: string, readonly clock: Clock, readonly connections: Connections, readonly budget: MemoryBudget }): Promise<HostEvent> {
   const { endpoint, clock } = opts
   const dispatcher = opts.connections.getShared(opts.url)
-  const result = await readJson({ dispatcher, clock, path: '/v1/report', timeoutMs: POLL_TIMEOUT_MS, maxBytes: MAX_REPORT_BYTES, step: 'endpoint.poll', peer: endpoint })
+  const result = await readJson({ dispatcher, clock, path: '/v1/report', timeoutMs: POLL_TIMEOUT_MS, maxBytes: MAX_REPORT_BYTES, budget: opts.budget, step: 'endpoint.poll', peer: endpoint })
   const parsed = result.ok ? reportSchema.safeParse(result.value) : undefined
   if (parsed?.success !== true) return { kind: 'endpoint.unreachable', endpoint }
   return { kind: 'endpoint.report', endpoint, report: buildReport(parsed.data) }
--- a/endpoints/engine-driver/test/engineDriver.test.ts
+++ b/endpoints/engine-driver/test/engineDriver.test.ts
@@ -195,6 +195,19 @@
     expect(events.length).toEqual(seen)
   })
 
+  // Guards against engines that fill the memory of the process with responses to orders and polls, or hold an order up for as long as they write.
+  it('leaves the outcome of an order unknown, and an engine unreachable, whose response has no end', async t => {
+    const server = await startEndlessServer('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n', `4000\r\n${'x'.repeat(0x4000)}\r\n`)
+    t.after(server.close)
+    const budget = createPeakBudget({ maxBytes: 0x400000, maxOwnerBytes: 0x200000 })
+    driver = createEngineDriver({ clock, controlBudget: budget, emit: event => { events.push(event); waiting?.resolve() } })
+    driver.sendOrder(buildOrder({ url: `http://${server.address}` }))
+    expect(await waitFor('order.result')).toEqual(expect.subset({ outcome: { kind: 'unknown' } }))
+    driver.pollEndpoint('e1', `http://${server.address}`)
+    await waitFor('endpoint.unreachable')
+    expect([budget.getPeakBytes() > 0x100000, budget.getPeakBytes() <= 0x200000, budget.getHeldBytes()]).toEqual([true, true, 0])
+  })
+
   it('reports orders as done, refused by fencing, failed or unknown', async () => {
     const { faults, orders } = await startEngine({})
     const outcomes: unknown[] = []
--- a/endpoints/http-dispatch/src/readJson.ts
+++ b/endpoints/http-dispatch/src/readJson.ts
@@ -2,6 +2,8 @@
 import type { Clock } from '@catkinferry/core.clock'
 import type { Result } from '@catkinferry/core.errors'
 import { createFailed, createOk, ErrorCode } from '@catkinferry/core.errors'
+import { createHeldBuffer } from '@catkinferry/core.memory-budget'
+import type { MemoryBudget } from '@catkinferry/core.memory-budget'
 import type { DurationMs } from '@catkinferry/core.types'
 import type { Dispatcher } from 'undici'
 import { buildCallFailure } from './failures.ts'
@@ -13,6 +15,8 @@
   readonly path: string
   readonly timeoutMs: DurationMs
   readonly maxBytes: number
+  /** Accounts for the body; its owner is `peer`. */
+  readonly budget: MemoryBudget
   /** Step and peer that a failure names. */
   readonly step: string
   readonly peer: string
@@ -33,9 +37,19 @@
   const { step, peer } = opts
   const endBeforeMs = opts.clock.getMonotonicMs() + opts.timeoutMs
   return await new Promise(resolve => {
-    const parts: Buffer[] = []
-    let bytes = 0
     let status = 0
+
+    function finish (result: Result<unknown>): void {
+      content.release()
+      resolve(result)
+    }
+
+    function failTooLarge (message: string): void {
+      call.cancel()
+      finish(createFailed({ code: ErrorCode.TOO_LARGE, message, step, peer }))
+    }
+
+    const content = createHeldBuffer({ budget: opts.budget, owner: peer, maxBytes: opts.maxBytes, onEvicted: () => failTooLarge('response was dropped: other endpoints need the memory') })
     const call = startHttpCall({
       dispatcher: opts.dispatcher,
       clock: opts.clock,
@@ -47,14 +61,11 @@
       handler: {
         onHead: value => { status = value },
         onData: data => {
-          bytes += data.length
-          parts.push(data)
-          if (bytes <= opts.maxBytes) return
-          call.cancel()
-          resolve(createFailed({ code: ErrorCode.TOO_LARGE, message: `response is over the limit of ${opts.maxBytes} bytes`, step, peer }))
+          const limit = content.add(data)
+          if (limit !== undefined) failTooLarge(`response is over the limit of ${opts.maxBytes} bytes or of the memory for responses (limit: ${limit})`)
         },
-        onEnd: () => { resolve(parseJson(opts, status, Buffer.concat(parts).toString('utf8'))) },
-        onFail: failure => { resolve(createFailed(buildCallFailure({ failure, step, peer }))) }
+        onEnd: () => finish(parseJson(opts, status, content.getText())),
+        onFail: failure => finish(createFailed(buildCallFailure({ failure, step, peer })))
       }
     })
   })
--- a/endpoints/http-dispatch/src/responseBudget.ts
+++ b/endpoints/http-dispatch/src/responseBudget.ts
@@ -7,7 +7,15 @@
 /** Room for two of the largest responses of one endpoint, and for four in all: about a fifth of a host with 350 MB. */
 const MEMORY = { maxBytes: 4 * MAX_RESPONSE_BYTES, maxOwnerBytes: 2 * MAX_RESPONSE_BYTES } as const
 
+/** Four of the largest status reports of an endpoint while they grow, and many more of usual ones in all. */
+const CONTROL_MEMORY = { maxBytes: 32 * 1024 * 1024, maxOwnerBytes: 8 * 1024 * 1024 } as const
+
 /** Creates the budget that all drivers of a process share. Owners are endpoints. */
 export function createResponseBudget (): MemoryBudget {
   return createMemoryBudget(MEMORY)
 }
+
+/** Creates the budget for responses to orders and polls, which large responses to attempts must not hold up. Owners are endpoints. */
+export function createControlBudget (): MemoryBudget {
+  return createMemoryBudget(CONTROL_MEMORY)
+}
--- a/endpoints/platform-driver/src/platformDriver.ts
+++ b/endpoints/platform-driver/src/platformDriver.ts
@@ -4,6 +4,8 @@
  * the zone's lease holder and its standby.
  */
 import type { Clock } from '@catkinferry/core.clock'
+import { createMemoryBudget } from '@catkinferry/core.memory-budget'
+import type { MemoryBudget } from '@catkinferry/core.memory-budget'
 import { createConnections, readJson } from '@catkinferry/endpoints.http-dispatch'
 import type { Connections } from '@catkinferry/endpoints.http-dispatch'
 import type { HostEvent } from '@catkinferry/host.events'
@@ -51,7 +53,7 @@
 /** Limit on the response body. Sufficient for the target size of 6,400 endpoints. */
 const MAX_LIST_BYTES = 8 * 1024 * 1024
 
-async function readList (clock: Clock, connections: Connections, url: string): Promise<HostEvent> {
+async function readList (clock: Clock, connections: Connections, budget: MemoryBudget, url: string): Promise<HostEvent> {
   const { origin, pathname, search } = new URL(url)
   const result = await readJson({
     dispatcher: connections.getShared(origin),
@@ -59,6 +61,7 @@
     path: pathname + search,
     timeoutMs: POLL_TIMEOUT_MS,
     maxBytes: MAX_LIST_BYTES,
+    budget,
     step: 'platform.poll',
     peer: origin
   })
@@ -70,6 +73,8 @@
 export function createPlatformDriver (opts: PlatformDriverOptions): PlatformDriver {
   const { clock, emit, source } = opts
   const connections = createConnections()
+  // One poll at a time; its list counts twice while it grows.
+  const budget = createMemoryBudget({ maxBytes: 2 * MAX_LIST_BYTES, maxOwnerBytes: 2 * MAX_LIST_BYTES })
   let polling = false
   return {
     poll: () => {
@@ -79,7 +84,7 @@
       }
       if (polling) return
       polling = true
-      void readList(clock, connections, source.url).then(event => {
+      void readList(clock, connections, budget, source.url).then(event => {
         polling = false
         emit(event)
       })
