Show what a core host holds of responses, and which it refused

What operators saw: a core host that refuses responses for their size told nothing about it; the order counted as unanswered, with no address or cause.

Open: the budgets of the drivers in daemon/main have no metrics yet.

--- a/daemon/fleet/src/fleetMetrics.ts
+++ b/daemon/fleet/src/fleetMetrics.ts
@@ -22,6 +22,8 @@
   adapter_refusals_before_load: { type: 'histogram', help: 'Refused callers of an adapter before it was loaded, where there were any; on the leader' },
   adapters_never_loaded: { type: 'gauge', help: 'Adapters refused four times or more over 8 s and not loaded since, by the most urgent priority of their callers; on the leader', labels: ['priority'] },
   list_reads: { type: 'counter', help: 'Reads of the platform\'s list, by outcome', labels: ['outcome'] },
+  control_response_bytes: { type: 'gauge', help: 'Bytes that a core host holds of responses to orders and of pages of the list' },
+  control_responses_refused: { type: 'counter', help: 'Responses to orders and pages of the list that were refused for their size: larger than their kind may be (message), by the limit of their address (owner) or of all (total), or dropped for another address (evicted)', labels: ['limit'] },
   commands: { type: 'counter', help: 'Commands of operators, by outcome', labels: ['outcome'] },
   account_units_asked: { type: 'counter', help: 'Units of their quota that accounts have asked for, less those given back; on the leader', labels: ['account'] },
   account_units_admitted: { type: 'counter', help: 'Units of their quota that accounts were admitted, less those given back; on the leader', labels: ['account'] },
