--- a/daemon/fleet/src/fleetMetrics.ts
+++ b/daemon/fleet/src/fleetMetrics.ts
@@ -22,6 +22,8 @@
   adapter_refusals_before_load: { type: 'histogram', help: 'Refused callers of an adapter before it was loaded, where there were any; on the leader' },
   adapters_never_loaded: { type: 'gauge', help: 'Adapters refused four times or more over 8 s and not loaded since, by the most urgent priority of their callers; on the leader', labels: ['priority'] },
   list_reads: { type: 'counter', help: 'Reads of the platform\'s list, by outcome', labels: ['outcome'] },
+  control_response_bytes: { type: 'gauge', help: 'Bytes that a core host holds of responses to orders and of pages of the list' },
+  control_responses_refused: { type: 'counter', help: 'Responses to orders and pages of the list that were refused for their size: larger than their kind may be (message), by the limit of their address (owner) or of all (total), or dropped for another address (evicted)', labels: ['limit'] },
   commands: { type: 'counter', help: 'Commands of operators, by outcome', labels: ['outcome'] },
   command_queued_ms: { type: 'histogram', help: 'Time that the first command of a log entry waited on the leader before it was appended, in milliseconds' },
   command_commit_ms: { type: 'histogram', help: 'Time from appending a log entry with commands to applying it, in milliseconds; on the leader' },
--- a/endpoints/engine-driver/src/engineDriver.ts
+++ b/endpoints/engine-driver/src/engineDriver.ts
@@ -4,8 +4,9 @@
  * or cancels one of them, and when a slow caller pauses an attempt.
  */
 import type { Clock } from '@catkinferry/core.clock'
+import type { MemoryBudget } from '@catkinferry/core.memory-budget'
 import type { AttemptId, EndpointId, OrderId } from '@catkinferry/core.types'
-import { createAttemptTable, createConnections } from '@catkinferry/endpoints.http-dispatch'
+import { createAttemptTable, createConnections, createControlBudget, createResponseBudget } from '@catkinferry/endpoints.http-dispatch'
 import type { ConnectionsOptions } from '@catkinferry/endpoints.http-dispatch'
 import type { AttemptStart, HostEvent, OrderSend } from '@catkinferry/host.events'
 import { startEngineAttempt } from './engineAttempt.ts'
@@ -16,6 +17,10 @@
   readonly clock: Clock
   readonly emit: (event: HostEvent) => void
   readonly connections?: ConnectionsOptions
+  /** Accounts for what is held of responses to attempts; shared by the drivers of a process. */
+  readonly budget?: MemoryBudget
+  /** Accounts for what is held of responses to orders and polls. */
+  readonly controlBudget?: MemoryBudget
 }
 
 export interface EngineDriver {
@@ -38,13 +43,15 @@
 export function createEngineDriver (opts: EngineDriverOptions): EngineDriver {
   const { clock, emit } = opts
   const connections = createConnections(opts.connections)
+  const budget = opts.budget ?? createResponseBudget()
+  const controlBudget = opts.controlBudget ?? createControlBudget()
   const attempts = createAttemptTable()
-  const orders = createOrders({ clock, emit, connections })
+  const orders = createOrders({ clock, emit, connections, budget: controlBudget })
   const polling = new Set<EndpointId>()
 
   return {
     startAttempt: start => {
-      const call = startEngineAttempt({ start, clock, emit, connections, onDone: () => attempts.remove(start.attemptId) })
+      const call = startEngineAttempt({ start, clock, emit, connections, budget, onDone: () => attempts.remove(start.attemptId) })
       attempts.put(start.attemptId, call)
     },
     cancelAttempt: attemptId => { attempts.cancel(attemptId) },
@@ -54,7 +61,7 @@
     pollEndpoint: (endpoint, url) => {
       if (polling.has(endpoint)) return
       polling.add(endpoint)
-      void pollEngine({ endpoint, url, clock, connections }).then(event => {
+      void pollEngine({ endpoint, url, clock, connections, budget: controlBudget }).then(event => {
         polling.delete(endpoint)
         emit(event)
       })
