Bound what an entry host holds of responses, by endpoint and in all

What operators saw: by reading, a limit of 1 MB on an event and of 256 KB on a buffered response bounds no host: both are per attempt, so what one endpoint or peer can make the host hold is the limit times its connections.

Change: a memory budget of the relay (core/memory-budget) counts, for each attempt, what is held of its response: bytes that are buffered before the caller gets any, the buffer of an event whose end has not come, remembered event IDs, and an error that is kept while another endpoint is tried. An endpoint or peer may have 16 MB, all together 48 MB. An attempt that exceeds the limit of its endpoint, or has to give way, ends like one whose endpoint sends bytes that are no response, with `hostReason` `memory`: it may be retried as the route allows. An error response that gives way is no longer sent to the caller, who gets 502. Metrics `catkinferry_memory_held_bytes` and `catkinferry_memory_refusals`.

All cases of endlessResponses.test.ts also assert that nothing is held in the end.

Not covered: what is held for callers that read slowly (bytes written to their responses beyond back pressure), and bodies of callers.

Ruled out: to count it as the caller's: an endpoint without end would then be limited per caller only.

--- a/daemon/fleet/src/entryHost.ts
+++ b/daemon/fleet/src/entryHost.ts
@@ -146,6 +146,7 @@
 function startMetrics (page: MetricsPage, relay: Relay, confirmation: ConfirmationGate): NodeJS.Timeout {
   return setInterval(() => {
     page.set('active_requests', relay.getActiveCount())
+    for (const [use, bytes] of Object.entries(relay.getHeldBytes())) page.set('memory_held_bytes', bytes, { use })
     page.set('confirmation_age_ms', confirmation.getAgeMs())
   }, METRICS_INTERVAL_MS)
 }
--- a/gateway/relay/src/arrival.ts
+++ b/gateway/relay/src/arrival.ts
@@ -160,6 +160,8 @@
     tried: new Set(),
     refusedBy: new Set(),
     errorResponse: undefined,
+    memory: state.responseMemory,
+    errorMemory: new Map(),
     lastEventId: progress.lastEventId,
     softwareVersion: forwarded?.softwareVersion,
     delivered: createDeliveredEvents(progress.lastEventId),
--- a/gateway/relay/src/attempt.ts
+++ b/gateway/relay/src/attempt.ts
@@ -15,7 +15,10 @@
 import { encodeForwarded, FORWARDED_HEADER, readOutcome } from './forwardedRequest.ts'
 import type { PeerOutcome } from './forwardedRequest.ts'
 import { selectEndToEnd } from './headers.ts'
+import { MemoryRefusal, openResponseMemory } from './responseMemory.ts'
+import type { ResponseMemory } from './responseMemory.ts'
 import { bufferPeerAnswer, discardResponse, forwardResponse } from './sendAnswer.ts'
+import { HeldUse } from './relayOptions.ts'
 import type { RelayOptions } from './relayOptions.ts'
 
 export type AttemptEnd =
@@ -47,6 +50,8 @@
   readonly isComplete: () => boolean
   /** The connection that carries the request, and whether it carried none before. */
   readonly connection: { readonly socket: Socket, readonly isFirst: boolean } | undefined
+  /** What is held of its response. Ends the attempt if that may not be held. */
+  readonly memory: ResponseMemory
   /** Called with the metadata of the response's head. */
   readonly onHead: (facts: AnswerFacts) => void
   /** Called before events of a stream are sent to the caller. */
@@ -87,6 +92,12 @@
 /** Error codes of the HTTP parser: the endpoint sent bytes that are no response. */
 const PARSER_ERROR_PREFIX = 'HPE_'
 
+const REFUSED_MEMORY: Readonly<Record<MemoryRefusal, string>> = {
+  [MemoryRefusal.OWNER]: 'the host holds as much of the responses of the endpoint as it may',
+  [MemoryRefusal.TOTAL]: 'the memory for responses is used up',
+  [MemoryRefusal.EVICTED]: 'the memory for responses is used up, and the endpoint has most of it'
+}
+
 /** Headers that tell a peer how far the request has come. All that the caller sent goes along. */
 function buildPeerHeaders ({ relay, exchange }: SendOptions): string[] {
   const { pool, routesVersion, deadlineAt, arrivedAt, tried, lastEventId, softwareVersion, resumableHead, chargedUnits } = exchange
@@ -136,6 +147,25 @@
   return new Promise(resolve => writeRequest(opts, resolve))
 }
 
+function openMemory ({ relay, exchange, target: { link } }: SendOptions, fail: (reason: string, isBroken: boolean, hostReason: HostEndReason) => void): ResponseMemory {
+  const memory: ResponseMemory = openResponseMemory({
+    budget: exchange.memory,
+    owner: link.address,
+    onRefused: limit => {
+      relay.observer.count('memory_refusals', { use: HeldUse.RESPONSES, limit })
+      if (exchange.errorMemory.get(memory) === exchange.errorResponse) exchange.errorResponse = undefined
+      fail(REFUSED_MEMORY[limit], false, HostEndReason.MEMORY)
+    }
+  })
+  return memory
+}
+
+/** An error response is held until the request has ended, as it is sent if no other endpoint succeeds. */
+function releaseMemory ({ ended, errorMemory }: Exchange, memory: ResponseMemory, end: AttemptEnd): void {
+  if (end.kind === 'failed' && ended === undefined) errorMemory.set(memory, end.response)
+  else memory.release()
+}
+
 function writeRequest (opts: SendOptions, resolve: (end: AttemptEnd) => void): void {
   const { exchange, exchange: { req, body, facts }, target, target: { link } } = opts
   let settled = false
@@ -159,9 +189,12 @@
   const outgoing = request({ ...parseAddress(link.address), ...agentOptions, method: req.method, path: req.url, headers: buildHeaders(opts), setHost: false })
   const connectLimit = startTurningLimit(CONNECT_TIMEOUT_MS, () => { if (!connected) fail('connection timed out', false) })
 
+  const memory = openMemory(opts, fail)
+
   function settle (end: AttemptEnd): void {
     if (settled) return
     settled = true
+    releaseMemory(exchange, memory, end)
     connectLimit.cancel()
     socketInUse?.off('error', onSocketError).off('end', onSocketEnd).off('data', countIdleBytes)
     exchange.live.delete(live)
@@ -218,12 +251,11 @@
     response = incoming
     idleBytes = 0
     incoming.on('data', () => { idleBytes = 0 })
-    const select = (): void => selectAttempt(exchange, live)
     const onBytes = (): void => {
       live.isDoubted = false
       opts.onBytes()
     }
-    receiveResponse({ exchange, target, request: outgoing, settle, isSettled: () => settled, connection, select, onHead: opts.onHead, onEvent: opts.onEvent, getNow: opts.relay.clock.getMonotonicMs, isComplete: () => incoming.complete && !socketFailed }, incoming, { ...opts, onBytes })
+    receiveResponse({ exchange, target, request: outgoing, settle, isSettled: () => settled, connection, select: () => selectAttempt(exchange, live), memory, onHead: opts.onHead, onEvent: opts.onEvent, getNow: opts.relay.clock.getMonotonicMs, isComplete: () => incoming.complete && !socketFailed }, incoming, { ...opts, onBytes })
   })
 }
 
--- a/gateway/relay/src/constants.ts
+++ b/gateway/relay/src/constants.ts
@@ -35,9 +35,19 @@
 /** Longest event ID after which a stream is resumed. Servers take 8 KB of headers or more; a forwarded request carries the ID in up to six bytes a character. */
 export const MAX_EVENT_ID_BYTES = 1024
 
-/** Event IDs of one stream that are remembered, as digests of about 100 bytes in memory; only streams whose IDs are not numbers need them. */
+/** Event IDs of one stream that are remembered, as digests; only streams whose IDs are not numbers need them. */
 export const MAX_REMEMBERED_IDS = 10_000
 
+/** Heap of a remembered event ID: its digest and the entry of a set. */
+export const REMEMBERED_ID_BYTES = 128
+
+/**
+ * Limits on what this host holds of the responses of one endpoint or peer, and of all: 64 responses that are buffered, at three
+ * endpoints. With the bodies of callers that leaves half of the smallest hosts, which have 210 MB.
+ */
+export const MAX_ENDPOINT_RESPONSE_BYTES = 64 * MAX_BUFFERED_RESPONSE_BYTES
+export const MAX_HELD_RESPONSE_BYTES = 3 * MAX_ENDPOINT_RESPONSE_BYTES
+
 /** Interval of the probes of an endpoint to which a connection failed; this host avoids it until one succeeds. */
 export const UNREACHABLE_MS = 1_000
 
--- a/gateway/relay/src/eventSplitter.ts
+++ b/gateway/relay/src/eventSplitter.ts
@@ -3,7 +3,7 @@
  * complete, and can be resumed after the last one. The relay creates one for each stream that it forwards.
  */
 import { hash } from 'node:crypto'
-import { MAX_EVENT_ID_BYTES, MAX_REMEMBERED_IDS } from './constants.ts'
+import { MAX_EVENT_ID_BYTES, MAX_REMEMBERED_IDS, REMEMBERED_ID_BYTES } from './constants.ts'
 
 const LINE_FEED = 10
 const CARRIAGE_RETURN = 13
@@ -27,6 +27,8 @@
   readonly takeRest: () => Buffer
   /** Bytes after the last complete event. */
   readonly getOpenBytes: () => number
+  /** Bytes in memory for the open event and for what is remembered of delivered ones. */
+  readonly getHeldBytes: () => number
   /** Whether the bytes so far end inside an event. */
   readonly isInsideEvent: () => boolean
   readonly hasEvents: () => boolean
@@ -55,6 +57,8 @@
 interface GrowingBytes {
   readonly append: (chunk: Buffer) => void
   readonly get: () => Buffer
+  /** Bytes in memory. */
+  readonly getCapacity: () => number
   /** Returns and clears the bytes. */
   readonly take: () => Buffer
 }
@@ -73,6 +77,7 @@
       length += chunk.length
     },
     get: () => buffer.subarray(0, length),
+    getCapacity: () => buffer.length,
     take: () => {
       const bytes = buffer.subarray(0, length)
       buffer = Buffer.alloc(0)
@@ -89,6 +94,8 @@
   readonly add: (id: string | undefined) => void
   /** Whether the stream can be resumed after its last event: a request can name that event, and all events with an id are remembered. */
   readonly isResumable: () => boolean
+  /** Bytes in memory. */
+  readonly getHeldBytes: () => number
 }
 
 function computeDigest (id: string): string {
@@ -130,7 +137,8 @@
       else isComplete = false
     },
     has: id => Number(id) <= lastNumber || (digests.size > 0 && digests.has(computeDigest(id))),
-    isResumable: () => endsWithId && isComplete
+    isResumable: () => endsWithId && isComplete,
+    getHeldBytes: () => digests.size * REMEMBERED_ID_BYTES
   }
 }
 
@@ -194,6 +202,7 @@
     },
     takeRest: rest.take,
     getOpenBytes: () => rest.get().length,
+    getHeldBytes: () => rest.getCapacity() + (delivered?.getHeldBytes() ?? 0),
     isInsideEvent: () => !rest.get().every(isLineEnd),
     hasEvents: () => hasEvents,
     isBehind: () => isBehind,
--- a/gateway/relay/src/exchange.ts
+++ b/gateway/relay/src/exchange.ts
@@ -2,10 +2,12 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Account, AdapterKey, AdapterName, EndpointId, ModelId, MonotonicMs, Pool, RequestTrait, Route } from '@catkinferry/core.types'
 import { RouteKind } from '@catkinferry/core.types'
+import type { MemoryBudget } from '@catkinferry/core.memory-budget'
 import type { RequestFacts } from './dialect.ts'
 import type { EndpointLink } from './endpointLinks.ts'
 import type { DeliveredEvents } from './eventSplitter.ts'
 import type { ForwardedFacts } from './forwardedRequest.ts'
+import type { ResponseMemory } from './responseMemory.ts'
 import type { ResponseHead } from './responseRole.ts'
 
 /** Why an exchange ended before its response was complete. `STOPPED`: the host stops; `CUT`: no attempt was left after the response had begun. */
@@ -21,7 +23,8 @@
   SILENT: 'silent',
   NO_RESPONSE: 'noResponse',
   EVENT_SIZE: 'eventSize',
-  WRONG_RESPONSE: 'wrongResponse'
+  WRONG_RESPONSE: 'wrongResponse',
+  MEMORY: 'memory'
 } as const
 export type HostEndReason = typeof HostEndReason[keyof typeof HostEndReason]
 
@@ -71,6 +74,10 @@
   readonly refusedBy: Set<EndpointId>
   /** Error response of an endpoint, sent to the caller if no other endpoint succeeds. */
   errorResponse: BufferedResponse | undefined
+  /** Budget for responses of endpoints and peers. */
+  readonly memory: MemoryBudget
+  /** What is held of the error responses. */
+  readonly errorMemory: Map<ResponseMemory, BufferedResponse>
   /** ID of the last server-sent event that the caller has, after which another endpoint would resume the stream. */
   lastEventId: string | undefined
   /** Version of the software that began the stream, where it goes on; undefined if it has not begun or may go on at any. */
--- a/gateway/relay/src/relay.ts
+++ b/gateway/relay/src/relay.ts
@@ -7,6 +7,7 @@
 import { startTimeLimit, TURN_INTERVAL_MS } from '@catkinferry/core.clock'
 import { ErrorCode } from '@catkinferry/core.errors'
 import type { Failure } from '@catkinferry/core.errors'
+import { createMemoryBudget } from '@catkinferry/core.memory-budget'
 import { formatWholeRequest } from '@catkinferry/core.types'
 import type { MonotonicMs } from '@catkinferry/core.types'
 import { createEndpointNotices, createRequestLimits } from '@catkinferry/routing.endpoint-notices'
@@ -14,7 +15,7 @@
 import type { Arrival } from './arrival.ts'
 import type { AttemptEnd } from './attempt.ts'
 import { countHostEnd, HostEndOutcome, reportLost } from './attemptReport.ts'
-import { MAX_FORWARDED_REQUESTS, MAX_NOT_RUN_ATTEMPTS, MAX_STARTUP_WAIT_MS, RETRY_AFTER_MS, STARTUP_WAIT_FRACTION } from './constants.ts'
+import { MAX_ENDPOINT_RESPONSE_BYTES, MAX_FORWARDED_REQUESTS, MAX_HELD_RESPONSE_BYTES, MAX_NOT_RUN_ATTEMPTS, MAX_STARTUP_WAIT_MS, RETRY_AFTER_MS, STARTUP_WAIT_FRACTION } from './constants.ts'
 import { createEndpointLinks } from './endpointLinks.ts'
 import { createEndpointPaths } from './endpointPaths.ts'
 import { EndReason, isRetryable } from './exchange.ts'
@@ -27,6 +28,7 @@
 import { sendFailure } from './ownAnswers.ts'
 import { findNextTarget, waitForTurn } from './nextTarget.ts'
 import { createBodyReader } from './readBody.ts'
+import { HeldUse } from './relayOptions.ts'
 import type { RelayOptions } from './relayOptions.ts'
 import { createPeerLinks } from './relayPeers.ts'
 import type { DrainTimes, RelayState } from './relayState.ts'
@@ -46,6 +48,8 @@
   readonly isServingPeers: () => boolean
   /** Number of responses that are not written out yet. */
   readonly getActiveCount: () => number
+  /** Bytes that are held for others, by use. */
+  readonly getHeldBytes: () => Readonly<Record<HeldUse, number>>
   /** When the latest request came that was not refused for want of time while the host stops. */
   readonly getLastTakenAt: () => MonotonicMs
   /** From now on closes each caller's connection after its current or next response, and refuses requests that may not end in time. */
@@ -90,6 +94,7 @@
     limits,
     allowance: createRetryAllowance({ ...opts.retryBudget, getEntryCount: opts.getEntryCount, getNow: opts.clock.getMonotonicMs }),
     bodies: createBodyReader(),
+    responseMemory: createMemoryBudget({ maxBytes: MAX_HELD_RESPONSE_BYTES, maxOwnerBytes: MAX_ENDPOINT_RESPONSE_BYTES }),
     answering: new Map(),
     exchanges: new Set(),
     forwardedCount: 0,
@@ -120,6 +125,7 @@
     handleForwarded: (req, res) => { void handleForwarded(state, req, res) },
     isServingPeers: () => isServingPeers(state),
     getActiveCount: () => state.answering.size,
+    getHeldBytes: () => ({ [HeldUse.RESPONSES]: state.responseMemory.getHeldBytes() }),
     getLastTakenAt: () => state.lastTakenAt,
     drain: times => {
       state.draining = true
@@ -290,6 +296,7 @@
     deadline.cancel()
     state.exchanges.delete(exchange)
     state.bodies.release(exchange)
+    for (const memory of exchange.errorMemory.keys()) memory.release()
   }
 }
 
--- a/gateway/relay/src/relayOptions.ts
+++ b/gateway/relay/src/relayOptions.ts
@@ -14,6 +14,10 @@
   readonly region: RegionId
 }
 
+/** What the bytes belong to that the relay holds for others. */
+export const HeldUse = { RESPONSES: 'responses' } as const
+export type HeldUse = typeof HeldUse[keyof typeof HeldUse]
+
 /** Records metrics; names are those of the metrics page. */
 export interface RelayObserver {
   readonly count: (name: string, labels?: Readonly<Record<string, string>>) => void
--- a/gateway/relay/src/relayState.ts
+++ b/gateway/relay/src/relayState.ts
@@ -1,5 +1,6 @@
 /** State of the relay of an entry host, shared by the functions that begin, attempt and finish requests. */
 import type { ServerResponse } from 'node:http'
+import type { MemoryBudget } from '@catkinferry/core.memory-budget'
 import type { EndpointNotices, RequestLimits } from '@catkinferry/routing.endpoint-notices'
 import type { Socket } from 'node:net'
 import type { MonotonicMs } from '@catkinferry/core.types'
@@ -37,6 +38,8 @@
   readonly limits: RequestLimits
   readonly allowance: RetryAllowance
   readonly bodies: BodyReader
+  /** Budget for responses of endpoints and peers. */
+  readonly responseMemory: MemoryBudget
   /** Responses that are not written out yet, with what the entry host said that has forwarded the request. */
   readonly answering: Map<ServerResponse, ForwardedFacts | undefined>
   /** Requests in progress. */
--- a/gateway/relay/src/sendAnswer.ts
+++ b/gateway/relay/src/sendAnswer.ts
@@ -61,12 +61,13 @@
 }
 
 /** Buffers the response that a peer gave itself. */
-export function bufferPeerAnswer ({ settle, request, isComplete }: Attempt, response: IncomingMessage, outcome: PeerOutcome): void {
+export function bufferPeerAnswer ({ settle, request, isComplete, memory }: Attempt, response: IncomingMessage, outcome: PeerOutcome): void {
   const chunks: Buffer[] = []
   let bytes = 0
   response.on('data', (chunk: Buffer) => {
-    chunks.push(chunk)
     bytes += chunk.length
+    if (!memory.resize(bytes)) return
+    chunks.push(chunk)
     if (bytes > MAX_DISCARDED_BYTES) request.destroy()
   })
   response.on('end', () => {
@@ -117,13 +118,14 @@
 }
 
 function bufferResponse (attempt: Attempt, response: IncomingMessage, endpoint: EndpointId): void {
-  const { exchange, settle, isSettled, request, isComplete } = attempt
+  const { exchange, settle, isSettled, request, isComplete, memory } = attempt
   const status = response.statusCode ?? 0
   const chunks: Buffer[] = []
   let bytes = 0
   const collect = (chunk: Buffer): void => {
-    chunks.push(chunk)
     bytes += chunk.length
+    if (!memory.resize(bytes)) return
+    chunks.push(chunk)
     if (bytes <= MAX_BUFFERED_RESPONSE_BYTES) return
     response.off('data', collect).off('end', finish)
     streamResponse(attempt, response, Buffer.concat(chunks))
@@ -232,25 +234,27 @@
 }
 
 function receiveChunk (state: StreamState, chunk: Buffer): void {
-  const { attempt: { isSettled }, splitter, isContinuation } = state
-  if (isSettled()) return
+  const { attempt: { isSettled, memory }, splitter, isContinuation } = state
+  if (isSettled() || (splitter !== undefined && !memory.resize(splitter.getHeldBytes() + chunk.length))) return
   const bytes = splitter === undefined ? chunk : splitter.add(chunk)
   if (isContinuation && splitter?.hasOtherText() === true) {
     loseStream(state, { reason: 'a response of no stated type in the middle of a stream has no events', hostReason: HostEndReason.WRONG_RESPONSE })
     return
   }
   writeChunk(state, bytes)
+  if (splitter !== undefined && !memory.resize(splitter.getHeldBytes())) return
   if ((splitter?.getOpenBytes() ?? 0) <= MAX_EVENT_BYTES) return
   loseStream(state, { reason: 'an event exceeds the size limit', hostReason: HostEndReason.EVENT_SIZE })
 }
 
 function streamResponse (attempt: Attempt, response: IncomingMessage, firstBytes: Buffer = Buffer.alloc(0)): void {
-  const { exchange, settle, isSettled, request, isComplete } = attempt
+  const { exchange, settle, isSettled, request, isComplete, memory } = attempt
   const { route, delivered, lastEventId, resumableHead } = exchange
   const head = readResponseHead(response)
   const splitter = isEventStream(route, head) ? createEventSplitter(route.resumable ? delivered : undefined, lastEventId, head.mediaType !== undefined) : undefined
   const state: StreamState = { attempt, response, head, isContinuation: resumableHead !== undefined, splitter, bytes: 0 }
   writeChunk(state, firstBytes)
+  memory.resize(splitter?.getHeldBytes() ?? 0)
   response.on('data', (chunk: Buffer) => receiveChunk(state, chunk))
   response.on('end', () => {
     if (!isComplete() || isSettled() || exchange.ended !== undefined) return
--- a/gateway/relay/test/endlessResponses.test.ts
+++ b/gateway/relay/test/endlessResponses.test.ts
@@ -3,7 +3,10 @@
 import type { AddressInfo, Socket } from 'node:net'
 import { expect } from 'earl'
 import { describe, it } from 'node:test'
-import { startTestRelay } from './testRelay.ts'
+import { createMemoryBudget } from '@catkinferry/core.memory-budget'
+import { MAX_ENDPOINT_RESPONSE_BYTES, MAX_EVENT_BYTES } from '../src/constants.ts'
+import { openResponseMemory } from '../src/responseMemory.ts'
+import { startRawEndpoint, startTestRelay } from './testRelay.ts'
 import type { CallResult, TestRelayOptions } from './testRelay.ts'
 
 const TIMEOUT_MS = 5_000
@@ -37,11 +40,13 @@
   server.listen(0, '127.0.0.1')
   await once(server, 'listening')
   const endpoint = { id: 'e1', address: `127.0.0.1:${(server.address() as AddressInfo).port}`, seen: [], close: () => { for (const socket of sockets) socket.destroy(); server.close() } }
-  const { call, close, lines } = await startTestRelay({ ...opts, endpoints: [endpoint], route: { timeoutMs: TIMEOUT_MS, ...opts.route } })
+  const { relay, call, close, lines } = await startTestRelay({ ...opts, endpoints: [endpoint], route: { timeoutMs: TIMEOUT_MS, ...opts.route } })
   const answer = await call({ headers: { 'X-Deadline': String(TIMEOUT_MS) } }).catch(() => undefined)
   for (let count = 0; count < 40 && sockets.some(socket => !socket.destroyed); count += 1) await new Promise(resolve => setTimeout(resolve, 25))
   const closed = sockets.every(socket => socket.destroyed)
+  const heldBytes = Object.values(relay.getHeldBytes())
   close()
+  expect(heldBytes.every(bytes => bytes === 0)).toEqual(true)
   return { answer, isExpired: lines.some(({ reason }) => reason === 'request deadline exceeded'), closed }
 }
 
@@ -93,3 +98,41 @@
     expect([isExpired, closed]).toEqual([true, true])
   })
 })
+
+/** A limit on one response bounds no process. Guards against endpoints that take the memory of the host with many responses within their limits. */
+describe('responses that do not end', () => {
+  const FITTING = MAX_ENDPOINT_RESPONSE_BYTES / MAX_EVENT_BYTES
+  const FURTHER = 4
+  const wait = (): Promise<void> => new Promise(resolve => { setTimeout(resolve, 25) })
+
+  it('of one endpoint are held up to a limit, and all bytes are given back', async () => {
+    const endpoint = await startRawEndpoint('e1', (socket, request) => {
+      const id = /x-id: (\w+)/i.exec(request)?.[1]
+      if (id !== undefined) socket.write(`HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nX-Stamp: s\r\nContent-Type: text/event-stream\r\n\r\n${'x'.repeat(MAX_EVENT_BYTES)}`)
+    })
+    const { relay, dial, close, counts, lines } = await startTestRelay({ endpoints: [endpoint], route: { kind: 'stream', timeoutMs: 60_000 }, maxConnections: 100 })
+    const refused = (): number => lines.filter(({ hostReason }) => hostReason === 'memory').length
+    let largest = 0
+    const sockets = Array.from({ length: FITTING + FURTHER }, () => dial())
+    for (const [index, socket] of sockets.entries()) socket.write(`GET /p/x HTTP/1.1\r\nHost: h.example\r\nX-Id: id${index}\r\n\r\n`)
+    while (refused() < FURTHER) {
+      largest = Math.max(largest, relay.getHeldBytes().responses)
+      await wait()
+    }
+    for (const socket of sockets) socket.destroy()
+    while (relay.getHeldBytes().responses > 0) await wait()
+    close()
+    expect([largest <= MAX_ENDPOINT_RESPONSE_BYTES, counts.filter(count => count === 'memory_refusals responses,owner').length >= FURTHER]).toEqual([true, true])
+  })
+
+  it('give way to those of other endpoints', () => {
+    const budget = createMemoryBudget({ maxBytes: 10, maxOwnerBytes: 8 })
+    const refusals: string[] = []
+    const open = (owner: string): ReturnType<typeof openResponseMemory> => openResponseMemory({ budget, owner, onRefused: refusal => refusals.push(`${owner} ${refusal}`) })
+    const [large, small, tooLarge] = [open('a'), open('b'), open('c')]
+    const results = [large.resize(8), small.resize(1), small.resize(4), large.resize(1), tooLarge.resize(9), small.resize(2)]
+    expect([results, refusals, budget.getHeldBytes()]).toEqual([[true, true, true, false, false, true], ['a evicted', 'c owner'], 2])
+    small.release()
+    expect(budget.getHeldBytes()).toEqual(0)
+  })
+})
