Simulate operators who send commands through cuts, pauses and elections

Its operator loses answers, goes on to another host after a second and keeps eight orders in progress.

Not simulated: slow or full disks, large configurations, entry hosts.

--- a/daemon/fleet/test/confirmationFleet.ts
+++ b/daemon/fleet/test/confirmationFleet.ts
@@ -10,7 +10,7 @@
 import { createOutbox } from '@catkinferry/host.core'
 import type { HostOutput, RunContext } from '@catkinferry/host.events'
 import type { HostId, RouteTable } from '@catkinferry/core.types'
-import type { DiskRequest, LogEntry, PeerMessage, StoredState } from '@catkinferry/wire.messages'
+import type { Command, CommandResult, DiskRequest, LogEntry, PeerMessage, StoredState } from '@catkinferry/wire.messages'
 import { createConfirmationGate } from '../src/confirmationGate.ts'
 import type { ConfirmationGate } from '../src/confirmationGate.ts'
 import { createCoreSystems } from '../src/coreSystems.ts'
@@ -35,6 +35,10 @@
   monotonicLagMs: number
   lastRunAt: number
   isStopped: boolean
+  /** The host runs this seldom; 0 if at each step. */
+  turnMs: number
+  /** Work that arrived from outside, done in the next run. */
+  tasks: Array<(context: RunContext) => void>
   isOlderRelease: boolean
   /** Bytes of the disk; entry hosts have none. */
   disk: { -readonly [Key in keyof StoredState]: StoredState[Key] }
@@ -64,18 +68,22 @@
   readonly older?: readonly HostId[]
   /** Undefined if the deployment does not bound the revocation time. */
   readonly revocationMs: number | undefined
+  /** Seeds the random numbers of all hosts. */
+  readonly seed?: number
 }
 
 export function createConfirmationFleet (opts: ConfirmationFleetOptions) {
   const cores = opts.cores ?? CORES
   const hosts = new Map<HostId, Host>()
   const cutLinks = new Set<string>()
+  /** Times at which links that were cut come back, by direction. */
+  const returnTimes = new Map<string, number>()
   const acknowledged: Array<{ readonly version: number, readonly at: number }> = []
   const logs: Array<{ readonly host: HostId, readonly message: string }> = []
   const sent: Array<{ readonly from: HostId, readonly to: HostId, readonly message: PeerMessage }> = []
   let now = 0
-  let seed = 1
-  const isCut = (from: HostId, to: HostId): boolean => cutLinks.has([from, to].toSorted().join(' '))
+  let seed = (opts.seed ?? 0) * 1_000 + 1
+  const isCut = (from: HostId, to: HostId): boolean => cutLinks.has([from, to].toSorted().join(' ')) || now < (returnTimes.get(`${from} ${to}`) ?? 0)
   const readMonotonic = (host: Host): number => now - host.monotonicLagMs
 
   function startCore (host: Host): void {
@@ -124,6 +132,7 @@
     }
     host.lastRunAt = monotonic
     act(context)
+    for (const task of host.tasks.splice(0)) task(context)
     while (host.inbox[0] !== undefined && host.inbox[0].at <= now) {
       const { from, message } = host.inbox.shift()!
       receive(host, from, message, context)
@@ -148,7 +157,7 @@
 
   const getHost = (name: HostId): Host => hosts.get(name)!
   for (const name of [...cores, ...opts.entries]) {
-    const host: Host = { name, inbox: [], monotonicLagMs: 0, lastRunAt: 0, isStopped: false, isOlderRelease: opts.older?.includes(name) === true, disk: { group: 'fleet', incarnation: `${name}#1`, hardState: { term: 0 }, entries: [] } }
+    const host: Host = { name, inbox: [], monotonicLagMs: 0, lastRunAt: 0, isStopped: false, turnMs: 0, tasks: [], isOlderRelease: opts.older?.includes(name) === true, disk: { group: 'fleet', incarnation: `${name}#1`, hardState: { term: 0 }, entries: [] } }
     hosts.set(name, host)
     if (cores.includes(name)) startCore(host)
     else startEntry(host)
@@ -156,7 +165,7 @@
 
   function runFor (ms: number, onStep: () => void = () => undefined): void {
     for (const end = now + ms; now < end; now += STEP_MS) {
-      for (const host of hosts.values()) if (!host.isStopped) runHost(host)
+      for (const host of hosts.values()) if (!host.isStopped && now - host.lastRunAt - host.monotonicLagMs >= host.turnMs) runHost(host)
       checkBound()
       onStep()
     }
@@ -177,6 +186,14 @@
     findLeader: (): HostId | undefined => [...hosts.values()].find(({ core, isStopped }) => !isStopped && core?.voter.isLeader() === true && core.voter.isInContact() && core.voter.getQuorumAgeMs(now) < 1_000)?.name,
     cut: (from: HostId, to: HostId) => { cutLinks.add([from, to].toSorted().join(' ')) },
     heal: () => cutLinks.clear(),
+    /** Heals all cuts; each direction of a link comes back after a time of its own, as connections do. */
+    healLinks: (chooseDelayMs: () => number) => {
+      for (const [from, to] of [...cutLinks].map(link => link.split(' ') as [HostId, HostId])) {
+        returnTimes.set(`${from} ${to}`, now + chooseDelayMs())
+        returnTimes.set(`${to} ${from}`, now + chooseDelayMs())
+      }
+      cutLinks.clear()
+    },
     stop: (name: HostId) => { getHost(name).isStopped = true },
     /** Goes on where it was stopped. `suspended`: the monotonic clock stood still for this long. */
     resume: (name: HostId, suspendedMs = 0) => {
@@ -184,10 +201,24 @@
       host.isStopped = false
       host.monotonicLagMs += suspendedMs
     },
+    /** A process that goes on after it was frozen runs its timers before it reads its sockets. */
+    resumeTimersFirst: (name: HostId) => {
+      const host = getHost(name)
+      host.isStopped = false
+      host.inbox.splice(0).forEach(item => host.inbox.push({ ...item, at: Math.max(item.at, now + 2 * STEP_MS) }))
+    },
+    /** Lets a host run only once in this time. */
+    setTurnMs: (name: HostId, turnMs: number) => { getHost(name).turnMs = turnMs },
+    /** Submits a command to a host; one that is stopped takes it when it goes on. */
+    submit: (through: HostId, command: Command, timeoutMs: number, onResult: (result: CommandResult) => void) => {
+      getHost(through).tasks.push(context => getHost(through).core?.commands.submit({ command, deadlineAt: context.now + timeoutMs, onOutcome: onResult }, context))
+    },
+    getNow: () => now,
     restart: (name: HostId) => {
       const host = getHost(name)
       host.isStopped = false
       host.inbox.length = 0
+      host.tasks.length = 0
       host.lastRunAt = readMonotonic(host)
       if (cores.includes(name)) startCore(host)
       else startEntry(host)
