Send waiting commands to the leader that the host's own voter follows

What operators saw: configurations and versions that were not acknowledged for seconds after the majority had a leader again.

Cause: the command client remembered who had answered it last, and chose others at random; it never asked the voter beside it, which knows the leader.

Change: the client follows the leader that the voter of its host follows: what waits for another host, or backs off, is sent to a new one at once, and the first send goes to the leader. A leader that does not answer is left for other voters as before. The functions of the resender take its state now, as those of the voter do.

Ruled out: a shorter time limit for commands (2.5 s): the host goes on for an operator who has left, and the next try finds it done.

--- a/daemon/fleet/src/coreSystems.ts
+++ b/daemon/fleet/src/coreSystems.ts
@@ -234,7 +234,7 @@
     commandSet: NEWEST_COMMAND_SET,
     getLeaderStatus: () => ({ leader: voter.getLeader(), inContact: voter.isInContact(), routesVersion: getRoutesVersion() })
   })
-  const commands = createCommandClient({ host, voters: () => listVoters(), random: createRandom(seed + 1) })
+  const commands = createCommandClient({ host, voters: () => listVoters(), getOwnLeader: voter.getLeader, random: createRandom(seed + 1) })
   const voterKeeper = createVoterKeeper({ self: host, voter, targetVoterCount: voterCount })
   const publisher = createStatePublisher({ state, zone })
   const leadership = createLeadership(voter)
--- a/host/core/src/systems.ts
+++ b/host/core/src/systems.ts
@@ -76,6 +76,7 @@
   const commands = createCommandClient({
     host: opts.self.host,
     voters: () => listVoters(opts),
+    getOwnLeader: () => voting?.voter.getLeader(),
     random: createSystemRandom(opts, 3)
   })
   const ledger = createLedgerClient({ client: commands, host: opts.self.host })
--- a/settings/command-client/src/commandClient.ts
+++ b/settings/command-client/src/commandClient.ts
@@ -1,12 +1,11 @@
 /** Submits commands and queries of a host to the voters: follows leader hints, resends to other voters, and reports `refused` only if nothing was committed. */
 import { ErrorCode } from '@catkinferry/core.errors'
 import type { Failure, Result } from '@catkinferry/core.errors'
-import type { Random } from '@catkinferry/core.random'
 import type { HostId, MonotonicMs } from '@catkinferry/core.types'
 import type { RunContext, System } from '@catkinferry/host.events'
 import type { Command, CommandMessage, CommandOutcome, CommandResult, Query } from '@catkinferry/wire.messages'
 import { createResender } from './resender.ts'
-import type { SendReport } from './resender.ts'
+import type { ResenderOptions, SendReport } from './resender.ts'
 
 /** Most commands in flight at once, and most queries; more are refused. */
 export const MAX_IN_FLIGHT = 10_000
@@ -56,7 +55,7 @@
 }
 
 /** Creates a client. `voters` lists the voters known to this host; `random` also makes the ids of sends unique. */
-export function createCommandClient (opts: { host: HostId, voters: () => readonly HostId[], random: Random }): CommandClient {
+export function createCommandClient (opts: ResenderOptions): CommandClient {
   const { host } = opts
   const commands = createResender<CommandOutcome>(opts)
   const queries = createResender<unknown>(opts)
--- a/settings/command-client/src/resender.ts
+++ b/settings/command-client/src/resender.ts
@@ -1,11 +1,13 @@
 /** Sends a request of the command client to the voters, and resends it to other voters until it is answered or its deadline passes. */
 import type { Random } from '@catkinferry/core.random'
 import { createDueTimes } from '@catkinferry/core.tables'
+import type { DueTimes } from '@catkinferry/core.tables'
 import type { HostId, MonotonicMs } from '@catkinferry/core.types'
 import type { RunContext } from '@catkinferry/host.events'
 import { createSendList, createSendRegister, isEverySendRefused } from './sendRegister.ts'
-import type { SendList } from './sendRegister.ts'
+import type { SendList, SendRegister } from './sendRegister.ts'
 import { createVoterChoice } from './voterChoice.ts'
+import type { VoterChoice, VoterChoiceOptions } from './voterChoice.ts'
 
 /** Time that the first send waits for an answer, and maximum for later sends; it doubles with each retry. */
 const FIRST_ANSWER_TIMEOUT_MS = 400
@@ -83,72 +85,99 @@
   return `${host}.${nonces.map(nonce => nonce.toString(NONCE_BASE)).join('')}`
 }
 
-/** Creates a resender without requests in flight. */
-export function createResender<Answer> (opts: { host: HostId, voters: () => readonly HostId[], random: Random }): Resender<Answer> {
-  const { random } = opts
-  const sendIdPrefix = createSendIdPrefix(opts.host, random)
-  const voterChoice = createVoterChoice(opts)
-  const inFlight = new Map<number, InFlightRequest<Answer>>()
-  const sends = createSendRegister<InFlightRequest<Answer>>()
-  const due = createDueTimes<number>()
-  let nextId = 1
+export interface ResenderOptions extends VoterChoiceOptions {
+  readonly random: Random
+}
 
-  function close (request: InFlightRequest<Answer>): void {
-    inFlight.delete(request.id)
-    due.clear(request.id)
-    sends.clear(request)
-  }
+interface ResenderState<Answer> {
+  readonly random: Random
+  readonly sendIdPrefix: string
+  readonly voterChoice: VoterChoice
+  readonly inFlight: Map<number, InFlightRequest<Answer>>
+  readonly sends: SendRegister<InFlightRequest<Answer>>
+  readonly due: DueTimes<number>
+}
 
-  function send (request: InFlightRequest<Answer>, context: RunContext): void {
-    const target = voterChoice.choose(request.lastTarget)
-    if (target === undefined) {
-      request.lastReason = 'no voter is known'
-      backOff(request, context)
-      return
-    }
-    const sendId = `${sendIdPrefix}.${request.id}.${request.sendCount++}`
-    Object.assign(request, { lastTarget: target, awaitingAnswer: true, lastReason: 'sent, but not answered' })
-    sends.add(request, sendId)
-    due.set(request.id, Math.min(request.deadlineAt, context.now + computeExponentialDelay(FIRST_ANSWER_TIMEOUT_MS, request.retryCount, MAX_ANSWER_TIMEOUT_MS)))
-    request.onReport?.({ kind: 'sent', peer: target, commandId: sendId }, context)
-    request.send(sendId, target, context)
-  }
+function close<Answer> ({ inFlight, due, sends }: ResenderState<Answer>, request: InFlightRequest<Answer>): void {
+  inFlight.delete(request.id)
+  due.clear(request.id)
+  sends.clear(request)
+}
 
-  function backOff (request: InFlightRequest<Answer>, context: RunContext): void {
-    request.awaitingAnswer = false
-    request.hintsFollowed = 0
-    due.set(request.id, Math.min(request.deadlineAt, context.now + computeNextBackoff(request, random)))
+function send<Answer> (state: ResenderState<Answer>, request: InFlightRequest<Answer>, context: RunContext): void {
+  const { voterChoice, sends, due, sendIdPrefix } = state
+  const target = voterChoice.choose(request.lastTarget)
+  if (target === undefined) {
+    request.lastReason = 'no voter is known'
+    backOff(state, request, context)
+    return
   }
+  const sendId = `${sendIdPrefix}.${request.id}.${request.sendCount++}`
+  Object.assign(request, { lastTarget: target, awaitingAnswer: true, lastReason: 'sent, but not answered' })
+  sends.add(request, sendId)
+  due.set(request.id, Math.min(request.deadlineAt, context.now + computeExponentialDelay(FIRST_ANSWER_TIMEOUT_MS, request.retryCount, MAX_ANSWER_TIMEOUT_MS)))
+  request.onReport?.({ kind: 'sent', peer: target, commandId: sendId }, context)
+  request.send(sendId, target, context)
+}
+
+function backOff<Answer> ({ due, random }: ResenderState<Answer>, request: InFlightRequest<Answer>, context: RunContext): void {
+  request.awaitingAnswer = false
+  request.hintsFollowed = 0
+  due.set(request.id, Math.min(request.deadlineAt, context.now + computeNextBackoff(request, random)))
+}
+
+function receiveRefusal<Answer> (state: ResenderState<Answer>, sendId: string, { leader, reason }: { leader?: HostId, reason: string }, context: RunContext): void {
+  const request = state.sends.find(sendId)
+  if (request === undefined || !request.openSends.delete(sendId)) return
+  request.lastReason = reason
+  request.onReport?.({ kind: 'refused', reason, leader }, context)
+  state.voterChoice.setLeader(leader)
+  if (leader !== undefined && leader !== request.lastTarget && request.hintsFollowed++ < MAX_HINTS) send(state, request, context)
+  else backOff(state, request, context)
+}
 
-  function receiveRefusal (sendId: string, { leader, reason }: { leader?: HostId, reason: string }, context: RunContext): void {
-    const request = sends.find(sendId)
-    if (request === undefined || !request.openSends.delete(sendId)) return
-    request.lastReason = reason
-    request.onReport?.({ kind: 'refused', reason, leader }, context)
-    voterChoice.setLeader(leader)
-    if (leader !== undefined && leader !== request.lastTarget && request.hintsFollowed++ < MAX_HINTS) send(request, context)
-    else backOff(request, context)
+function handleDue<Answer> (state: ResenderState<Answer>, request: InFlightRequest<Answer>, context: RunContext): void {
+  if (context.now >= request.deadlineAt) {
+    close(state, request)
+    request.onDeadline(isEverySendRefused(request), request.lastReason, context)
+    return
   }
+  if (request.awaitingAnswer) {
+    request.onReport?.({ kind: 'unanswered', peer: request.lastTarget }, context)
+    state.voterChoice.recordTimeout(request.lastTarget)
+    request.retryCount++
+  }
+  send(state, request, context)
+}
 
-  function handleDue (request: InFlightRequest<Answer>, context: RunContext): void {
-    if (context.now >= request.deadlineAt) {
-      close(request)
-      request.onDeadline(isEverySendRefused(request), request.lastReason, context)
-      return
-    }
-    if (request.awaitingAnswer) {
-      request.onReport?.({ kind: 'unanswered', peer: request.lastTarget }, context)
-      voterChoice.recordTimeout(request.lastTarget)
-      request.retryCount++
-    }
-    send(request, context)
+/** Sends what waits for another host, or backs off, to a leader of which the voter of this host has learnt. */
+function followNewLeader<Answer> (state: ResenderState<Answer>, context: RunContext): void {
+  const leader = state.voterChoice.takeNewLeader()
+  if (leader === undefined) return
+  for (const request of [...state.inFlight.values()]) {
+    const isWaitingForIt = request.awaitingAnswer && request.lastTarget === leader
+    if (!isWaitingForIt && context.now < request.deadlineAt) send(state, request, context)
   }
+}
 
+/** Creates a resender without requests in flight. */
+export function createResender<Answer> (opts: ResenderOptions): Resender<Answer> {
+  const state: ResenderState<Answer> = {
+    random: opts.random,
+    sendIdPrefix: createSendIdPrefix(opts.host, opts.random),
+    voterChoice: createVoterChoice(opts),
+    inFlight: new Map(),
+    sends: createSendRegister(),
+    due: createDueTimes()
+  }
+  const { inFlight, sends, due, voterChoice } = state
+  let nextId = 1
   return {
     begin: (resendable, context) => {
+      followNewLeader(state, context)
       const request = createInFlightRequest(resendable, nextId++)
       inFlight.set(request.id, request)
-      if (context.now < request.deadlineAt) send(request, context)
+      if (context.now < request.deadlineAt) send(state, request, context)
       else due.set(request.id, context.now)
     },
     receiveAnswer: (from, sendId, answer, context) => {
@@ -156,17 +185,18 @@
       const request = sends.find(sendId)
       if (request === undefined) return
       request.openSends.delete(sendId)
-      close(request)
+      close(state, request)
       request.onAnswer(answer, isEverySendRefused(request), context)
     },
-    receiveRefusal,
+    receiveRefusal: (sendId, refusal, context) => receiveRefusal(state, sendId, refusal, context),
     run: context => {
+      followNewLeader(state, context)
       for (const id of due.takeDue(context.now)) {
         const request = inFlight.get(id)
-        if (request !== undefined) handleDue(request, context)
+        if (request !== undefined) handleDue(state, request, context)
       }
     },
-    getNextAt: due.getNextAt,
+    getNextAt: () => inFlight.size > 0 && voterChoice.hasNewLeader() ? Number.NEGATIVE_INFINITY : due.getNextAt(),
     getSize: () => inFlight.size
   }
 }
--- a/settings/command-client/src/voterChoice.ts
+++ b/settings/command-client/src/voterChoice.ts
@@ -2,6 +2,13 @@
 import type { Random } from '@catkinferry/core.random'
 import type { HostId } from '@catkinferry/core.types'
 
+export interface VoterChoiceOptions {
+  readonly host: HostId
+  readonly voters: () => readonly HostId[]
+  /** Leader that the voter of this host follows, or is; undefined without a voter, or while it knows none. */
+  readonly getOwnLeader?: () => HostId | undefined
+}
+
 export interface VoterChoice {
   /** Returns a voter other than `last` if there is one; undefined if no voter is known. */
   readonly choose: (last: HostId | undefined) => HostId | undefined
@@ -10,12 +17,17 @@
   readonly recordAnswer: (voter: HostId) => void
   /** A voter that did not answer is no longer tried first. */
   readonly recordTimeout: (voter: HostId | undefined) => void
+  readonly hasNewLeader: () => boolean
+  /** Leader of which the voter of this host has learnt since the last call. It is tried first. */
+  readonly takeNewLeader: () => HostId | undefined
 }
 
 /** Creates a choice without a known leader. */
-export function createVoterChoice (opts: { host: HostId, voters: () => readonly HostId[], random: Random }): VoterChoice {
-  const { host, voters, random } = opts
+export function createVoterChoice ({ host, voters, random, getOwnLeader = () => undefined }: VoterChoiceOptions & { readonly random: Random }): VoterChoice {
   let leader: HostId | undefined
+  /** What the voter of this host knew at the last call of `takeNewLeader`. */
+  let ownLeader: HostId | undefined
+  const hasNewLeader = (): boolean => ![undefined, ownLeader].includes(getOwnLeader())
   return {
     choose: last => {
       const known = voters()
@@ -29,6 +41,14 @@
     recordAnswer: voter => { leader = voter },
     recordTimeout: voter => {
       if (leader === voter) leader = undefined
+    },
+    hasNewLeader,
+    takeNewLeader: () => {
+      const isNew = hasNewLeader()
+      ownLeader = getOwnLeader()
+      if (!isNew) return undefined
+      leader = ownLeader
+      return ownLeader
     }
   }
 }
--- a/settings/command-client/test/commandClient.test.ts
+++ b/settings/command-client/test/commandClient.test.ts
@@ -24,7 +24,7 @@
   readonly listSubmits: (kind: Command['kind']) => Submit[]
 }
 
-function createBench (voters: readonly HostId[] = ['v1', 'v2', 'v3']): Bench {
+function createBench (voters: readonly HostId[] = ['v1', 'v2', 'v3'], getOwnLeader?: () => HostId | undefined): Bench {
   let now = 0
   const sent: Sent[] = []
   const context: RunContext = {
@@ -33,7 +33,7 @@
     send: (to, message) => { sent.push({ to, message }) },
     emit: () => {}
   }
-  const client = createCommandClient({ host: 'h', voters: () => voters, random: createRandom(1) })
+  const client = createCommandClient({ host: 'h', voters: () => voters, getOwnLeader, random: createRandom(1) })
   return {
     client,
     ledger: createLedgerClient({ host: 'h', client }),
@@ -70,6 +70,30 @@
     expect(results).toEqual([{ kind: 'outcome', outcome: { kind: 'recorded' } }])
   })
 
+  // Guards against commands that wait for a leader of before, or a voter that is cut off, on a host whose own voter follows the new leader.
+  for (const [name, waitMs, refuses] of [['while it waits for another voter', 100, false], ['while it backs off after a refusal', 1, true]] as const) {
+    it(`sends a command at once to a leader of which the voter of its host learns ${name}`, () => {
+      let ownLeader: HostId | undefined = 'v1'
+      const bench = createBench(['h', 'v1', 'v2'], () => ownLeader)
+      bench.client.submit({ command, deadlineAt: 5_000, onOutcome: () => undefined }, bench.context)
+      const { to, commandId } = bench.getLastSubmit()
+      if (refuses) bench.client.receive('v1', { kind: 'command.refused', commandId, reason: 'notLeader' }, bench.context)
+      ownLeader = undefined
+      bench.advanceTo(waitMs)
+      ownLeader = 'v2'
+      bench.advanceTo(waitMs)
+      bench.advanceTo(waitMs + 100)
+      expect([to, ...bench.sent.slice(1).map(sent => sent.to)]).toEqual(['v1', 'v2'])
+    })
+  }
+
+  it('tries another voter if the leader that the voter of its host follows does not answer', () => {
+    const bench = createBench(['h', 'v1', 'v2'], () => 'v1')
+    bench.client.submit({ command, deadlineAt: 5_000, onOutcome: () => undefined }, bench.context)
+    bench.advanceTo(1_000)
+    expect(bench.sent.map(({ to }) => to === 'v1').slice(0, 2)).toEqual([true, false])
+  })
+
   it('fails a query that was sent and not answered with that reason', () => {
     const bench = createBench()
     const answers: string[] = []
