--- a/daemon/fleet/test/commandCalm.test.ts
+++ b/daemon/fleet/test/commandCalm.test.ts
@@ -11,9 +11,14 @@
 
 /** Guards against valid configurations and versions that are not acknowledged in the calm after cuts, pauses, restarts and elections. */
 describe('orders of an operator', () => {
-  for (const [name, maxLinkReturnMs] of [['at once', 0], ['late', LINK_RETURN_MS]] as const) {
-    it(`are acknowledged once calm has begun, with links that come back ${name}`, () => {
-      const slow = SEEDS.flatMap(seed => playCalm({ seed, commandTimeoutMs: COMMAND_TIMEOUT_MS, maxLinkReturnMs }).filter(({ ackMs }) => ackMs > ACK_BOUND_MS).map(order => ({ seed, ...order })))
+  const settings = [
+    { name: 'with links that come back at once', maxLinkReturnMs: 0 },
+    { name: 'with links that come back late', maxLinkReturnMs: LINK_RETURN_MS },
+    { name: 'while voters are replaced', maxLinkReturnMs: LINK_RETURN_MS, joiningCores: 3 }
+  ]
+  for (const { name, ...setting } of settings) {
+    it(`are acknowledged once calm has begun, ${name}`, () => {
+      const slow = SEEDS.flatMap(seed => playCalm({ seed, commandTimeoutMs: COMMAND_TIMEOUT_MS, ...setting }).filter(({ ackMs }) => ackMs > ACK_BOUND_MS).map(order => ({ seed, ...order })))
       expect(slow).toEqual([])
     })
   }
--- a/daemon/fleet/test/commandCalm.ts
+++ b/daemon/fleet/test/commandCalm.ts
@@ -12,6 +12,7 @@
 import type { ConfirmationFleet } from './confirmationFleet.ts'
 
 const START_MS = 5_000
+const SEED_CORES = 3
 const TROUBLE_MS = 12_000
 const CALM_MS = 14_000
 /** Orders that are sent later than this in the calm would not have their whole time. */
@@ -30,6 +31,8 @@
   readonly commandTimeoutMs: number
   /** Longest time until a link that was cut is up again. */
   readonly maxLinkReturnMs: number
+  /** Core hosts beyond the three that the settings name; they join, and the leader makes voters of them. Absent: all are named. */
+  readonly joiningCores?: number
   readonly onEvent?: (text: string) => void
 }
 
@@ -130,7 +133,7 @@
   halves: parts => {
     const first = parts.random.nextInt(0, parts.cores.length - 1)
     cutApart(parts, parts.cores.filter((_, index) => (index + first) % parts.cores.length < parts.cores.length / 2))
-    parts.agenda.add(parts.random.nextInt(500, 5_000), () => healLinks(parts))
+    parts.agenda.add(parts.random.nextInt(500, 9_000), () => healLinks(parts))
   },
   single: parts => {
     cutApart(parts, [parts.random.pick(parts.cores)])
@@ -169,11 +172,11 @@
   agenda.add(LOAD_INTERVAL_MS, () => loadLog(parts))
 }
 
-/** Plays one seed. Odd seeds have five core hosts, others three; every third loads the log; every fourth pauses hosts in the calm, too. */
-export function playCalm ({ seed, commandTimeoutMs, maxLinkReturnMs, onEvent }: CalmOptions): readonly OrderTimes[] {
+/** Plays one seed. Odd seeds have five core hosts, others three, if none joins; every third loads the log; every fourth pauses hosts in the calm, too. */
+export function playCalm ({ seed, commandTimeoutMs, maxLinkReturnMs, joiningCores, onEvent }: CalmOptions): readonly OrderTimes[] {
   const random = createRandom(seed)
-  const cores = Array.from({ length: seed % 2 === 0 ? 3 : 5 }, (_, index) => `c${index}`)
-  const fleet = createConfirmationFleet({ entries: [], cores, revocationMs: undefined, seed })
+  const cores = Array.from({ length: joiningCores === undefined ? seed % 2 === 0 ? 3 : 5 : SEED_CORES + joiningCores }, (_, index) => `c${index}`)
+  const fleet = createConfirmationFleet({ entries: [], cores, seeds: joiningCores === undefined ? cores : cores.slice(0, SEED_CORES), revocationMs: undefined, seed })
   const agenda = createAgenda(fleet.getNow)
   const report = (text: string): void => onEvent?.(`${fleet.getNow()} ${text}`)
   const parts: Parts = { fleet, agenda, random, cores, maxLinkReturnMs, report }
@@ -226,5 +229,6 @@
   fleet.runFor(maxLinkReturnMs, agenda.runDue)
   if (seed % 4 === 0) pauseInCalm()
   fleet.runFor(CALM_MS, agenda.runDue)
+  report(`${fleet.logs.filter(({ message }) => message === 'voter membership change proposed').length} changes of voters`)
   return orders
 }
--- a/daemon/fleet/test/confirmationFleet.ts
+++ b/daemon/fleet/test/confirmationFleet.ts
@@ -64,6 +64,8 @@
   readonly entries: readonly HostId[]
   /** Core hosts; `CORES` if absent. */
   readonly cores?: readonly HostId[]
+  /** Core hosts that the settings name; all if absent. The others join. */
+  readonly seeds?: readonly HostId[]
   /** Core hosts of an earlier release. */
   readonly older?: readonly HostId[]
   /** Undefined if the deployment does not bound the revocation time. */
@@ -74,6 +76,7 @@
 
 export function createConfirmationFleet (opts: ConfirmationFleetOptions) {
   const cores = opts.cores ?? CORES
+  const seeds = opts.seeds ?? cores
   const hosts = new Map<HostId, Host>()
   const cutLinks = new Set<string>()
   /** Times at which links that were cut come back, by direction. */
@@ -87,8 +90,8 @@
   const readMonotonic = (host: Host): number => now - host.monotonicLagMs
 
   function startCore (host: Host): void {
-    const settings = { name: host.name, host: host.name, zone: 'z', region: 'r', regionsByZone: new Map([['z', 'r']]), bootstrap: true, toleratedDiskLosses: Math.floor((cores.length - 1) / 2), times: { handOverMs: 0, graceMs: 1_000, listLagMs: 0 } } as unknown as FleetSettings
-    host.core = createCoreSystems({ settings, getSeeds: () => cores, stored: { ...host.disk }, seed: seed++, startedAt: readMonotonic(host), sendOrder: () => undefined, pollList: () => undefined })
+    const settings = { name: host.name, host: host.name, zone: 'z', region: 'r', regionsByZone: new Map([['z', 'r']]), bootstrap: seeds.includes(host.name), toleratedDiskLosses: Math.floor((cores.length - 1) / 2), times: { handOverMs: 0, graceMs: 1_000, listLagMs: 0 } } as unknown as FleetSettings
+    host.core = createCoreSystems({ settings, getSeeds: () => seeds, stored: { ...host.disk }, seed: seed++, startedAt: readMonotonic(host), sendOrder: () => undefined, pollList: () => undefined })
   }
 
   function startEntry (host: Host): void {
@@ -100,7 +103,7 @@
       sendHellos: () => membership.scheduleHellos(),
       clock: { getMonotonicMs: () => readMonotonic(host), getWallMs: () => 1_000_000 + now }
     })
-    const membership: FleetMembership = createFleetMembership({ self: { host: host.name, zone: 'z', region: 'r' }, role: 'entry', getSeeds: () => cores, getHeld: directory.getHeld, createConfirmId: gate.createConfirmId })
+    const membership: FleetMembership = createFleetMembership({ self: { host: host.name, zone: 'z', region: 'r' }, role: 'entry', getSeeds: () => seeds, getHeld: directory.getHeld, createConfirmId: gate.createConfirmId })
     host.entry = { membership, directory, gate }
   }
 
