--- a/endpoints/http-dispatch/src/responseBudget.ts
+++ b/endpoints/http-dispatch/src/responseBudget.ts
@@ -4,10 +4,10 @@
 
 /** Limit on the body of a response that is read whole. */
 export const MAX_RESPONSE_BYTES = 16 * 1024 * 1024
-/** Room for two of the largest responses of one endpoint, and for four in all: about a fifth of a host with 350 MB. */
+/** About a fifth of a host with 350 MB. A response counts up to twice while it grows, so that an endpoint has room for one of the largest. */
 const MEMORY = { maxBytes: 4 * MAX_RESPONSE_BYTES, maxOwnerBytes: 2 * MAX_RESPONSE_BYTES } as const
 
-/** Four of the largest status reports of an endpoint while they grow, and many more of usual ones in all. */
+/** About a tenth of such a host, and many times what the responses of one endpoint have. */
 const CONTROL_MEMORY = { maxBytes: 32 * 1024 * 1024, maxOwnerBytes: 8 * 1024 * 1024 } as const
 
 /** Creates the budget that all drivers of a process share. Owners are endpoints. */
