Bound what waits for callers to read it, by connection and in all

What operators saw: by reading, a caller that stops reading and keeps its connection open leaves up to 256 KB of a buffered response, or an event of 1 MB, in the host, also after its request has ended; nothing bounded the sum.

Change: a second budget of the relay counts what is written to a response beyond its back pressure until the caller has read it or has left: 2 MB a connection, 32 MB in all. Beyond that the connection that has most is reset, with a log line and `catkinferry_memory_refusals` (`use` `callers`). Streams are paused at back pressure as before, so that only a sum of many slow callers comes to the limit.

Tests: both new cases of endlessResponses.test.ts need the new count and cannot run on the code before, so they were not seen to fail there. The limit itself is tested with responses that are stand-ins, the counting with a connection that is not read.

Ruled out: one budget with the responses: many slow callers would then evict attempts at sound endpoints, which count as their failures.

--- a/gateway/relay/src/arrival.ts
+++ b/gateway/relay/src/arrival.ts
@@ -12,6 +12,7 @@
 import { choosePool } from '@catkinferry/routes.table'
 import { checkAccount, CheckOutcome, computePriority, takeUnits, UNAUTHENTICATED, UNCHECKED } from './accountCheck.ts'
 import type { AccountCheck } from './accountCheck.ts'
+import { createCallerQueue } from './callerQueue.ts'
 import { ACCOUNT_WAIT_MS, RETRY_AFTER_MS, STARTUP_WAIT_FRACTION } from './constants.ts'
 import { createDeliveredEvents } from './eventSplitter.ts'
 import { EndReason } from './exchange.ts'
@@ -161,6 +162,7 @@
     refusedBy: new Set(),
     errorResponse: undefined,
     memory: state.responseMemory,
+    queue: createCallerQueue(state, arrival.res, facts.requestId),
     errorMemory: new Map(),
     lastEventId: progress.lastEventId,
     softwareVersion: forwarded?.softwareVersion,
--- a/gateway/relay/src/constants.ts
+++ b/gateway/relay/src/constants.ts
@@ -43,11 +43,15 @@
 
 /**
  * Limits on what this host holds of the responses of one endpoint or peer, and of all: 64 responses that are buffered, at three
- * endpoints. With the bodies of callers that leaves half of the smallest hosts, which have 210 MB.
+ * endpoints. With what waits for callers and with their bodies that leaves a third of the smallest hosts, which have 210 MB.
  */
 export const MAX_ENDPOINT_RESPONSE_BYTES = 64 * MAX_BUFFERED_RESPONSE_BYTES
 export const MAX_HELD_RESPONSE_BYTES = 3 * MAX_ENDPOINT_RESPONSE_BYTES
 
+/** Limits on what waits for callers to read it: for one connection two of the largest events, and for all 128 responses that are buffered. */
+export const MAX_CALLER_QUEUE_BYTES = 2 * MAX_EVENT_BYTES
+export const MAX_CALLER_QUEUES_BYTES = 128 * MAX_BUFFERED_RESPONSE_BYTES
+
 /** Interval of the probes of an endpoint to which a connection failed; this host avoids it until one succeeds. */
 export const UNREACHABLE_MS = 1_000
 
--- a/gateway/relay/src/exchange.ts
+++ b/gateway/relay/src/exchange.ts
@@ -3,6 +3,7 @@
 import type { Account, AdapterKey, AdapterName, EndpointId, ModelId, MonotonicMs, Pool, RequestTrait, Route } from '@catkinferry/core.types'
 import { RouteKind } from '@catkinferry/core.types'
 import type { MemoryBudget } from '@catkinferry/core.memory-budget'
+import type { CallerQueue } from './callerQueue.ts'
 import type { RequestFacts } from './dialect.ts'
 import type { EndpointLink } from './endpointLinks.ts'
 import type { DeliveredEvents } from './eventSplitter.ts'
@@ -76,6 +77,8 @@
   errorResponse: BufferedResponse | undefined
   /** Budget for responses of endpoints and peers. */
   readonly memory: MemoryBudget
+  /** What waits for the caller to read it. */
+  readonly queue: CallerQueue
   /** What is held of the error responses. */
   readonly errorMemory: Map<ResponseMemory, BufferedResponse>
   /** ID of the last server-sent event that the caller has, after which another endpoint would resume the stream. */
--- a/gateway/relay/src/relay.ts
+++ b/gateway/relay/src/relay.ts
@@ -15,7 +15,7 @@
 import type { Arrival } from './arrival.ts'
 import type { AttemptEnd } from './attempt.ts'
 import { countHostEnd, HostEndOutcome, reportLost } from './attemptReport.ts'
-import { MAX_ENDPOINT_RESPONSE_BYTES, MAX_FORWARDED_REQUESTS, MAX_HELD_RESPONSE_BYTES, MAX_NOT_RUN_ATTEMPTS, MAX_STARTUP_WAIT_MS, RETRY_AFTER_MS, STARTUP_WAIT_FRACTION } from './constants.ts'
+import { MAX_CALLER_QUEUE_BYTES, MAX_CALLER_QUEUES_BYTES, MAX_ENDPOINT_RESPONSE_BYTES, MAX_FORWARDED_REQUESTS, MAX_HELD_RESPONSE_BYTES, MAX_NOT_RUN_ATTEMPTS, MAX_STARTUP_WAIT_MS, RETRY_AFTER_MS, STARTUP_WAIT_FRACTION } from './constants.ts'
 import { createEndpointLinks } from './endpointLinks.ts'
 import { createEndpointPaths } from './endpointPaths.ts'
 import { EndReason, isRetryable } from './exchange.ts'
@@ -94,6 +94,7 @@
     limits,
     allowance: createRetryAllowance({ ...opts.retryBudget, getEntryCount: opts.getEntryCount, getNow: opts.clock.getMonotonicMs }),
     bodies: createBodyReader(),
+    callerMemory: createMemoryBudget({ maxBytes: MAX_CALLER_QUEUES_BYTES, maxOwnerBytes: MAX_CALLER_QUEUE_BYTES }),
     responseMemory: createMemoryBudget({ maxBytes: MAX_HELD_RESPONSE_BYTES, maxOwnerBytes: MAX_ENDPOINT_RESPONSE_BYTES }),
     answering: new Map(),
     exchanges: new Set(),
@@ -125,7 +126,7 @@
     handleForwarded: (req, res) => { void handleForwarded(state, req, res) },
     isServingPeers: () => isServingPeers(state),
     getActiveCount: () => state.answering.size,
-    getHeldBytes: () => ({ [HeldUse.RESPONSES]: state.responseMemory.getHeldBytes() }),
+    getHeldBytes: () => ({ [HeldUse.RESPONSES]: state.responseMemory.getHeldBytes(), [HeldUse.CALLERS]: state.callerMemory.getHeldBytes() }),
     getLastTakenAt: () => state.lastTakenAt,
     drain: times => {
       state.draining = true
--- a/gateway/relay/src/relayState.ts
+++ b/gateway/relay/src/relayState.ts
@@ -40,6 +40,8 @@
   readonly bodies: BodyReader
   /** Budget for responses of endpoints and peers. */
   readonly responseMemory: MemoryBudget
+  /** Budget for what waits for callers to read it, by connection. */
+  readonly callerMemory: MemoryBudget
   /** Responses that are not written out yet, with what the entry host said that has forwarded the request. */
   readonly answering: Map<ServerResponse, ForwardedFacts | undefined>
   /** Requests in progress. */
--- a/gateway/relay/src/sendAnswer.ts
+++ b/gateway/relay/src/sendAnswer.ts
@@ -52,12 +52,13 @@
 }
 
 /** Sends a buffered response to the caller. `Retry-After` of an endpoint's 503 is meant for this host, not for the caller. */
-export function sendBufferedResponse ({ res }: Exchange, { status, rawHeaders, body, framed }: BufferedResponse): void {
+export function sendBufferedResponse ({ res, queue }: Exchange, { status, rawHeaders, body, framed }: BufferedResponse): void {
   const headers = selectEndToEnd(rawHeaders, new Set(status === UNAVAILABLE ? ['content-length', 'retry-after'] : ['content-length']))
   const isBodiless = status === NO_CONTENT || status === NOT_MODIFIED
   if (!framed) disableFraming(res)
   res.writeHead(status, isBodiless || !framed ? headers : [...headers, 'Content-Length', String(body.length)])
   res.end(isBodiless ? undefined : body)
+  queue.record()
 }
 
 /** Buffers the response that a peer gave itself. */
@@ -77,9 +78,10 @@
 }
 
 /** Sends the refusal of a peer to the caller, with its `Retry-After`. */
-export function sendPeerRefusal ({ res }: Exchange, { status, rawHeaders, body }: BufferedResponse): void {
+export function sendPeerRefusal ({ res, queue }: Exchange, { status, rawHeaders, body }: BufferedResponse): void {
   res.writeHead(status, [...selectEndToEnd(rawHeaders, PEER_HEADERS), 'Content-Length', String(body.length)])
   res.end(body)
+  queue.record()
 }
 
 type ResponseHandler = (attempt: Attempt, response: IncomingMessage, endpoint: EndpointId) => void
@@ -196,7 +198,9 @@
   if (splitter?.hasOtherText() === true) exchange.resumableHead = undefined
   state.bytes += chunk.length
   if (splitter !== undefined) exchange.lastEventId = splitter.getLastEventId()
-  if (!res.write(chunk)) waitForCaller(state, res)
+  if (res.write(chunk)) return
+  exchange.queue.record()
+  waitForCaller(state, res)
 }
 
 /** Pauses the response until the caller has read what was written. */
--- a/gateway/relay/test/endlessResponses.test.ts
+++ b/gateway/relay/test/endlessResponses.test.ts
@@ -1,9 +1,12 @@
-import { once } from 'node:events'
+import { EventEmitter, once } from 'node:events'
+import type { ServerResponse } from 'node:http'
 import { createServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
 import { expect } from 'earl'
 import { describe, it } from 'node:test'
 import { createMemoryBudget } from '@catkinferry/core.memory-budget'
+import { createLogger } from '@catkinferry/core.logger'
+import { createCallerQueue } from '../src/callerQueue.ts'
 import { MAX_ENDPOINT_RESPONSE_BYTES, MAX_EVENT_BYTES } from '../src/constants.ts'
 import { openResponseMemory } from '../src/responseMemory.ts'
 import { startRawEndpoint, startTestRelay } from './testRelay.ts'
@@ -136,3 +139,64 @@
     expect(budget.getHeldBytes()).toEqual(0)
   })
 })
+
+/** Guards against callers that stop reading and keep their connections open: what waited for them was bounded by response only. */
+describe('responses that callers do not read', () => {
+  interface SlowCaller extends EventEmitter {
+    writableLength: number
+    isReset: boolean
+  }
+
+  function createSlowCaller (port: number): SlowCaller {
+    const caller: SlowCaller = Object.assign(new EventEmitter(), {
+      writableLength: 0,
+      writableHighWaterMark: 1,
+      isReset: false,
+      socket: {
+        remoteAddress: '::1',
+        remotePort: port,
+        resetAndDestroy: () => {
+          caller.isReset = true
+          caller.emit('close')
+        }
+      }
+    })
+    return caller
+  }
+
+  it('are held up to a limit: the connection with most is reset', () => {
+    const callerMemory = createMemoryBudget({ maxBytes: 10, maxOwnerBytes: 6 })
+    const opts = { logger: createLogger({ level: 'error', write: () => undefined }), observer: { count: () => undefined, time: () => undefined } }
+    const callers = [1, 2, 3].map(createSlowCaller)
+    const queues = callers.map(caller => createCallerQueue({ opts, callerMemory }, caller as unknown as ServerResponse))
+    const write = (index: number, queuedBytes: number): readonly [number, string] => {
+      Object.assign(callers[index] ?? {}, { writableLength: queuedBytes })
+      queues[index]?.record()
+      return [callerMemory.getHeldBytes(), callers.filter(({ isReset }) => isReset).map(caller => callers.indexOf(caller)).join()]
+    }
+    expect([write(0, 5), write(1, 3), write(2, 4), write(1, 7)]).toEqual([[5, ''], [8, ''], [7, '0'], [4, '0,1']])
+    Object.assign(callers[2] ?? {}, { writableLength: 1 })
+    callers[2]?.emit('drain')
+    expect(callerMemory.getHeldBytes()).toEqual(1)
+    callers[2]?.emit('close')
+    expect(callerMemory.getHeldBytes()).toEqual(0)
+  })
+
+  it('are counted until the caller has left', async () => {
+    const endpoint = await startRawEndpoint('e1', (socket, request) => {
+      const write = (): void => { while (!socket.destroyed && socket.write(`data: ${CHUNK}\n\n`)); }
+      if (!request.includes('id1')) return
+      socket.write(`${EVENTS}\r\n`)
+      socket.on('drain', write)
+      write()
+    })
+    const { relay, dial, close } = await startTestRelay({ endpoints: [endpoint], route: { kind: 'stream', timeoutMs: 60_000 } })
+    const socket = dial()
+    socket.write('GET /p/x HTTP/1.1\r\nHost: h.example\r\nX-Id: id1\r\n\r\n')
+    const wait = (): Promise<void> => new Promise(resolve => { setTimeout(resolve, 25) })
+    while (relay.getHeldBytes().callers === 0) await wait()
+    socket.destroy()
+    while (relay.getHeldBytes().callers > 0) await wait()
+    close()
+  })
+})
