--- a/daemon/fleet/src/fleetMetrics.ts
+++ b/daemon/fleet/src/fleetMetrics.ts
@@ -40,7 +40,7 @@
   caller_connections_closed: { type: 'counter', help: 'Connections of callers and of other entry hosts that this host closed, by cause', labels: ['cause'] },
   caller_connections_unanswered: { type: 'counter', help: 'Connections of callers and of other entry hosts that closed with bytes to which nothing was answered, by what ended them', labels: ['cause'] },
   unanswered_requests: { type: 'counter', help: 'Requests that got no answer and were not passed on, because their connection had ended, by reason', labels: ['reason'] },
-  memory_held_bytes: { type: 'gauge', help: 'Bytes that an entry host holds for others, by use: responses of endpoints and peers', labels: ['use'] },
+  memory_held_bytes: { type: 'gauge', help: 'Bytes that an entry host holds for others, by use: responses of endpoints and peers, and what waits for callers to read it', labels: ['use'] },
   memory_refusals: { type: 'counter', help: 'Messages that an entry host ended because their bytes may not be held, by use and limit: of their owner, of all, or evicted for others', labels: ['use', 'limit'] },
   active_requests: { type: 'gauge', help: 'Requests under way' },
   log_lines_dropped: { type: 'gauge', help: 'Log lines dropped because the reader was too slow' }
