--- a/gateway/relay/test/testRelay.ts
+++ b/gateway/relay/test/testRelay.ts
@@ -161,6 +161,10 @@
   /** Questions to the core hosts for the origin of a stream. */
   readonly questions: ReadonlyArray<Parameters<RelayOptions['directory']['askOrigin']>[0]>
   readonly call: (call?: Call) => Promise<CallResult>
+  /** Replaces parts of the route table, as a newer configuration does. */
+  readonly changeTable: (changes: Partial<RouteTable>) => void
+  /** Replaces the endpoints; those of the same id keep all but their address. */
+  readonly changeEndpoints: (endpoints: readonly Endpoint[]) => void
   /** Opens a separate connection to the relay. */
   readonly dial: () => Socket
   readonly close: () => void
@@ -182,14 +186,15 @@
 const listParts = (traits: readonly string[]): string[] => traits.filter(trait => !isWholeRequest(trait))
 
 export async function startTestRelay (opts: TestRelayOptions): Promise<TestRelay> {
-  const table = buildTable(opts)
+  let table = buildTable(opts)
   const lines: TestRelay['lines'] = []
   const counts: string[] = []
   const health: string[] = []
   const questions: Array<Parameters<RelayOptions['directory']['askOrigin']>[0]> = []
   const clock = createSystemClock()
   const loop = createLoopWatch({ clock })
-  const rows: DirectoryEndpoint[] = opts.endpoints.map(({ id, address }, index) => ({ endpoint: id, softwareVersion: opts.softwareVersions?.[index], kind: 'engine', pool: 'pool', zone: 'z', region: 'r', ...opts.zones?.[index], address, leaving: false, suspect: opts.suspects?.includes(id) === true, models: ['m'], resident: new Set(opts.resident?.[id]?.map(adapter => `m/${adapter}`)) }))
+  const buildRows = (endpoints: readonly Endpoint[]): DirectoryEndpoint[] => endpoints.map(({ id, address }, index) => ({ endpoint: id, softwareVersion: opts.softwareVersions?.[index], kind: 'engine', pool: 'pool', zone: 'z', region: 'r', ...opts.zones?.[index], address, leaving: false, suspect: opts.suspects?.includes(id) === true, models: ['m'], resident: new Set(opts.resident?.[id]?.map(adapter => `m/${adapter}`)) }))
+  let rows = buildRows(opts.endpoints)
   const { announced } = opts
   const getRoutes = (): ActiveRoutes => {
     const accounts = opts.accounts?.()
@@ -263,6 +268,8 @@
     health,
     questions,
     call: (call = {}) => sendCall(port, agent, call),
+    changeTable: changes => { table = { ...table, version: table.version + 1, ...changes } },
+    changeEndpoints: endpoints => { rows = buildRows(endpoints) },
     dial: () => connect({ host: '127.0.0.1', port }).on('error', () => undefined),
     close: () => {
       agent.destroy()
