Ask the next peer if one refuses a stream that has begun

Callers saw: a stream that had begun was cut beside a change of the configuration, although another host could go on with it.

Cause: a host that reaches no endpoint for the rest of a stream asks its peers. One with a newer route table may refuse by that, with 413 for a smaller body limit or 401 for a key whose account has gone. The host took a refusal for the answer of all peers and looked only for endpoints of its own.

Change: after a refusal of a request that has begun, the next peer is asked, up to the limit of peers for a request. The peer that refused is not paused, since it serves others. Refusals of requests that have not begun are passed on as before.

Result: changedRoutes.test.ts, "a stream that has begun": both cases failed before (the stream broke off after its first event) and pass now.

--- a/gateway/relay/src/finishExchange.ts
+++ b/gateway/relay/src/finishExchange.ts
@@ -125,11 +125,6 @@
   selectAttempt(exchange, sound)
 }
 
-/** Whether the peer has refused a request that an attempt here has begun: it says only that it has not run it. */
-export function isRefusedAfterAttempt ({ tried, headSent }: Exchange, end: TakenEnd): boolean {
-  return end.kind === 'peerAnswered' && end.outcome === PeerOutcome.REFUSED && (headSent || tried.size > 0)
-}
-
 /** Answers the caller of a request that a peer has taken. */
 export function finishForwarded (state: RelayState, exchange: Exchange, end: TakenEnd): void {
   const { requestId } = exchange.facts
--- a/gateway/relay/src/forwardToPeer.ts
+++ b/gateway/relay/src/forwardToPeer.ts
@@ -105,6 +105,11 @@
   return isLostEarly && isRetryable(exchange) && countEndpointsLeft(exchange) > 0 && tryTakeRetry()
 }
 
+/** Whether the peer has refused a request that an attempt here has begun: it says only that it has not run it. */
+export function isRefusedAfterAttempt ({ tried, headSent }: Exchange, end: TakenEnd): boolean {
+  return end.kind === 'peerAnswered' && end.outcome === PeerOutcome.REFUSED && (headSent || tried.size > 0)
+}
+
 /** Asks peers one after the other until one takes the request. */
 export async function forwardToPeer (opts: ForwardOptions): Promise<ForwardEnd> {
   const { relay, peers, exchange, reason, isWanted = () => true } = opts
@@ -119,13 +124,20 @@
     const peerEnd = await sendToPeer(relay, exchange, link)
     const { end } = peerEnd
     relay.observer.count('forwards', { end: end.kind === 'peerAnswered' ? end.outcome : end.kind })
-    if (!isDeclined(end)) {
+    // A peer refuses by its own route table and load; one that has begun is lost unless another host goes on with it.
+    const isRefused = end.kind === 'peerAnswered' && isRefusedAfterAttempt(exchange, end)
+    if (!isDeclined(end) && !isRefused) {
       recordUsed(exchange, link, peerEnd.used)
       if (!mayRepeat(opts, peerEnd)) return end
       lost = end
     }
-    peers.pause(link)
-    relay.logger.info('peer did not take the request', { step: 'forward', requestId, peer: link.address, reason: describeDeclined(end) })
+    if (isRefused) {
+      // This host may still find an endpoint for it.
+      lost = undefined
+    } else {
+      peers.pause(link)
+      relay.logger.info('peer did not take the request', { step: 'forward', requestId, peer: link.address, reason: describeDeclined(end) })
+    }
     if (exchange.ended !== undefined || !isWanted()) return { kind: 'interrupted' }
   }
   return lost ?? { kind: 'notTaken' }
--- a/gateway/relay/test/changedRoutes.test.ts
+++ b/gateway/relay/test/changedRoutes.test.ts
@@ -4,8 +4,8 @@
 import { afterEach, describe, it } from 'node:test'
 import type { RouteTable } from '@catkinferry/core.types'
 import type { LoadAnswer } from '@catkinferry/fleet.directory'
-import { answerOk, buildAccount, startEndpoint, startTestRelay } from './testRelay.ts'
-import type { Endpoint, TestRelay, TestRelayOptions } from './testRelay.ts'
+import { answerOk, buildAccount, buildLostEndpoint, startEndpoint, startRawEndpoint, startTestRelay } from './testRelay.ts'
+import type { Call, Endpoint, TestRelay, TestRelayOptions } from './testRelay.ts'
 
 const LIMITS: RouteTable['limits'] = { maxHeaderBytes: 10_000, maxBodyBytes: 1_000_000, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 }
 const RETRIED = { kind: 'idempotent', maxEndpoints: 2 } as const
@@ -144,3 +144,34 @@
     })
   }
 })
+
+const EVENT = 'id: 1\ndata: a\n\n'
+
+/** What a newer configuration may have at a peer so that it refuses a stream that another host takes. */
+const REFUSALS: Readonly<Record<string, { readonly newer: Partial<TestRelayOptions>, readonly call?: Call }>> = {
+  'a smaller body limit': { newer: { maxBodyBytes: 1 } },
+  'no account of its key': { newer: { accounts: () => [] }, call: { headers: KEY } }
+}
+
+/** Guards against streams that are cut beside a change of the configuration: the peer that had the change refused them, and no other was asked. */
+describe('a stream that has begun', () => {
+  for (const [name, { newer, call = {} }] of Object.entries(REFUSALS)) {
+    it(`goes on at another peer if the first has ${name} in a newer route table`, async () => {
+      const broken = await startRawEndpoint('e1', (socket, text) => {
+        const id = /x-id: (\S+)/i.exec(text)?.[1] ?? ''
+        socket.write(`HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nX-Stamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n${EVENT.length.toString(16)}\r\n${EVENT}\r\n`, () => socket.resetAndDestroy())
+      })
+      const endpoint = await startEndpoint('e4', (req, res) => {
+        res.writeHead(200, { 'X-Id': String(req.headers['x-id']), 'X-Stamp': 's', 'Content-Type': 'text/event-stream' })
+        res.end('id: 2\ndata: b\n\n')
+      })
+      const route = { kind: 'stream', resumable: true, maxEndpoints: 3 } as const
+      const accounts: TestRelayOptions['accounts'] = newer.accounts === undefined ? undefined : () => [buildAccount('a')]
+      const first = await start({ endpoints: [endpoint], route, accounts, routesVersion: 2, ...newer })
+      const second = await start({ endpoints: [endpoint], route, accounts })
+      const entry = await start({ endpoints: [broken, ...['e2', 'e3'].map(buildLostEndpoint)], othersLoad: { e1: 0, e2: 3, e3: 3 }, route, accounts, peers: [first.peer, { ...second.peer, region: 'far' }] })
+      const { body, broken: isBroken } = await entry.call(call)
+      expect([body, isBroken]).toEqual([`${EVENT}id: 2\ndata: b\n\n`, false])
+    })
+  }
+})
