Let voters go on by themselves after their disk has failed

Seen: after the disk of a voter was full for a few seconds, it acknowledged nothing any more until its process was started again. Groups whose disks were full in turn, never two at once, accepted no change again. A host that started on a full disk ended with ENOSPC.

Cause: the queue of the durable log kept its first failure, and the log machine the role `failed`, for good. Only the core hosts of a fleet were started anew inside their process, after a probe of 4 KB that does not tell whether the folder can be opened; if the disk was full again by then, the process ended. They noticed the failure by a timer of metrics. Opening a folder always began a new segment.

Change: the durable log keeps the unanswered requests, cuts the segment at the end of its last successful sync, opens the folder again and writes them to a new segment. The voter is told when the disk fails and when it works again; in between it is inactive and takes no entries. Both programs use it, and the restarting core host is gone. Opening a folder that holds a log begins with a failed disk if there is no room. A host waits if the folder cannot be locked or created. A stop of the platform's program ends a start that waits.

Changed tests: "fails every request after a failed sync" demanded that the failure be kept for good. What it guards, that no later sync of the file counts, is now checked at every operation: the test's disk never makes durable what was written before a failed sync. "reports a full disk" checks the same entries and reason; the answer comes with the report or at the end. `waitUntilWritable` and its test give way to `openWhenWritable`, tested in the same table. The disk of the simulated network holds failed writes instead of refusing them.

Ruled out: starting the voter anew from the disk, and a voter that goes on while its disk is full; see docs/decisions/durability.md.

--- a/consensus/durable-log/src/segmentWriter.ts
+++ b/consensus/durable-log/src/segmentWriter.ts
@@ -14,8 +14,12 @@
   readonly write: (records: readonly SegmentRecord[], lastIndex: number) => Promise<void>
   /** Writes a snapshot to a temporary file; other writes may go on meanwhile. */
   readonly prepareSnapshot: (snapshot: Snapshot) => Promise<void>
+  /** Removes the temporary file of a snapshot that could not be written. */
+  readonly dropSnapshot: (snapshot: Snapshot) => Promise<void>
   /** Gives a prepared snapshot its final name, then removes the former snapshot and the segments that it covers. */
   readonly finishSnapshot: (snapshot: Snapshot, log: { readonly nextIndex: number }) => Promise<void>
+  /** Cuts off what was written to the current segment after its last sync; for use before the folder is opened again. */
+  readonly discardUnsynced: () => Promise<void>
   readonly close: () => Promise<void>
 }
 
@@ -34,21 +38,32 @@
 
 /** Creates a segment that holds only its header. */
 export async function writeSegmentHeader (opts: SegmentOptions & { readonly sequence: number }): Promise<void> {
-  const file = await openSegment(opts)
+  const { file } = await openSegment(opts)
   await file.close()
 }
 
-async function openSegment (opts: SegmentOptions & { readonly sequence: number }): Promise<AppendFile> {
+interface OpenSegment {
+  readonly file: AppendFile
+  readonly syncedBytes: number
+}
+
+async function openSegment (opts: SegmentOptions & { readonly sequence: number }): Promise<OpenSegment> {
   const { fs, folder, identity, sequence, nextIndex, hardState } = opts
   const header: SegmentHeader = { ...identity, kind: 'segment', sequence, nextIndex, hardState }
+  const block = encodeBlock(encodeValue(header))
   const name = formatSegmentName(sequence)
   const temporary = `${folder}/${name}${TEMPORARY_SUFFIX}`
   const file = await fs.createFile(temporary)
-  await file.write(encodeBlock(encodeValue(header)))
-  await file.sync()
-  await fs.rename(temporary, `${folder}/${name}`)
-  await fs.syncFolder(folder)
-  return file
+  try {
+    await file.write(block)
+    await file.sync()
+    await fs.rename(temporary, `${folder}/${name}`)
+    await fs.syncFolder(folder)
+  } catch (error) {
+    await file.close().catch(() => undefined)
+    throw error
+  }
+  return { file, syncedBytes: block.byteLength }
 }
 
 /** Begins a new segment after those that were read, and removes those that the snapshot covers. */
@@ -56,14 +71,16 @@
   const { fs, folder, identity } = opts
   const closed = [...opts.segments]
   let { hardState } = opts
-  let current = { sequence: (closed.at(-1)?.sequence ?? 0) + 1, lastIndex: 0, bytes: 0 }
-  let file = await openSegment({ ...opts, sequence: current.sequence })
+  let current = { sequence: (closed.at(-1)?.sequence ?? 0) + 1, lastIndex: 0 }
+  let { file, syncedBytes } = await openSegment({ ...opts, sequence: current.sequence })
 
   async function beginSegment (nextIndex: number): Promise<void> {
+    const next = await openSegment({ fs, folder, identity, hardState, nextIndex, sequence: current.sequence + 1 })
     await file.close()
     closed.push({ name: formatSegmentName(current.sequence), sequence: current.sequence, lastIndex: current.lastIndex })
-    current = { sequence: current.sequence + 1, lastIndex: 0, bytes: 0 }
-    file = await openSegment({ fs, folder, identity, hardState, nextIndex, sequence: current.sequence })
+    current = { sequence: current.sequence + 1, lastIndex: 0 }
+    file = next.file
+    syncedBytes = next.syncedBytes
   }
 
   /** Removes the oldest segments first, so that the remaining ones never have a gap. */
@@ -86,10 +103,11 @@
       const block = encodeBlock(encodeValue(records))
       await file.write(block)
       await file.sync()
-      current.bytes += block.byteLength
-      if (current.bytes >= MAX_SEGMENT_BYTES) await beginSegment(lastIndex + 1)
+      syncedBytes += block.byteLength
+      if (syncedBytes >= MAX_SEGMENT_BYTES) await beginSegment(lastIndex + 1)
     },
     prepareSnapshot: snapshot => writeTemporaryFile({ fs, folder, name: formatSnapshotName(snapshot.lastIndex), blocks: encodeSnapshotBlocks(identity, snapshot) }),
+    dropSnapshot: ({ lastIndex }) => fs.removeFile(`${folder}/${formatSnapshotName(lastIndex)}${TEMPORARY_SUFFIX}`),
     finishSnapshot: async (snapshot, { nextIndex }) => {
       const name = formatSnapshotName(snapshot.lastIndex)
       await renameTemporaryFile({ fs, folder, name })
@@ -98,6 +116,10 @@
       await beginSegment(nextIndex)
       await removeCoveredSegments(nextIndex === snapshot.lastIndex + 1 ? Number.MAX_SAFE_INTEGER : snapshot.lastIndex)
     },
+    discardUnsynced: async () => {
+      await file.close().catch(() => undefined)
+      await fs.truncateFile(`${folder}/${formatSegmentName(current.sequence)}`, syncedBytes)
+    },
     close: () => file.close()
   }
 }
--- a/consensus/durable-log/test/durableLog.test.ts
+++ b/consensus/durable-log/test/durableLog.test.ts
@@ -2,12 +2,13 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { describe, it } from 'node:test'
-import type { DiskRequest, LogEntry, StoredState } from '@catkinferry/wire.messages'
+import type { DiskAnswer, DiskRequest, LogEntry, StoredState } from '@catkinferry/wire.messages'
 import { CatkinferryError } from '@catkinferry/core.errors'
+import { createLogger } from '@catkinferry/core.logger'
 import { createRandom } from '@catkinferry/core.random'
 import { expect } from 'earl'
 import fc from 'fast-check'
-import { openDurableLog } from '../src/index.ts'
+import { openDurableLog, openWhenWritable } from '../src/index.ts'
 import { createMemoryFiles } from './memoryFiles.ts'
 import type { MemoryFiles } from './memoryFiles.ts'
 
@@ -119,28 +120,74 @@
 })
 
 describe('a failing disk', () => {
-  it('fails every request after a failed sync, even if later syncs would succeed', async () => {
-    const files = createMemoryFiles(createRandom(1))
-    const log = await openDurableLog({ ...OWNER, fs: files.fs })
-    files.setFault({ at: files.getOperations() + 1, kind: 'syncFails' })
-    const first = await log.execute({ kind: 'append', writeId: 1, entries: createEntries(1, 1, 1) })
-    const second = await log.execute({ kind: 'append', writeId: 2, entries: createEntries(2, 2, 1) })
-    const reason = 'a write or sync failed: EIO: i/o error, fdatasync'
-    expect([first, second]).toEqual([{ writeId: 1, ok: false, reason }, { writeId: 2, ok: false, reason }])
-  })
+  // Guards against a voter that acknowledges nothing any more after its disk was full, or a sync failed, for a moment.
+  for (const kind of ['diskFull', 'syncFails'] as const) {
+    it(`that works again gets every request, and loses none that was answered: ${kind} at any operation`, async () => {
+      const probe = createMemoryFiles(createRandom(1))
+      await writeAll(probe)
+      for (let at = 1; at <= probe.getOperations(); at++) {
+        const files = createMemoryFiles(createRandom(at))
+        files.setFault({ at, until: at + 4, kind })
+        const lines: string[] = []
+        const logger = createLogger({ level: 'info', write: line => { lines.push(line) } })
+        const log = await openWhenWritable({ ...OWNER, fs: files.fs, retryMs: 1, logger }).catch(async (error: unknown) => {
+          // A failed sync may be damage of the device: the host does not wait for it when it starts.
+          expect([kind, (error as Error).message]).toEqual(['syncFails', 'EIO: i/o error, fdatasync'])
+          return await openDurableLog({ ...OWNER, fs: files.fs, retryMs: 1 })
+        })
+        expect(lines.map(line => JSON.parse(line).message ?? JSON.parse(line).msg)).toEqual(kind === 'diskFull' && lines.length > 0 ? ['the disk of the data folder is full; the host starts once there is room', 'the disk of the data folder has room again'] : [])
+        const states: DiskAnswer[] = []
+        log.watch(answer => states.push(answer))
+        for (const request of REQUESTS) {
+          const execute = async (): Promise<boolean> => (await log.execute(request)).ok
+          // A snapshot that does not fit is dropped and taken again later.
+          while (!(await execute())) expect(request.kind).toEqual('snapshot')
+        }
+        expect(states.map(({ ok }) => ok).slice(-1)).toEqual(states.length === 0 ? [] : [true])
+        files.crash()
+        expect({ at, found: describeStored(await reopen(files)) }).toEqual({ at, found: describeStored(applyRequests(REQUESTS)) })
+      }
+    })
+  }
 
-  it('reports a full disk and keeps what was answered before', async () => {
+  it('is reported, keeps what was answered, and acknowledges nothing meanwhile', async () => {
     const files = createMemoryFiles(createRandom(1))
-    const log = await openDurableLog({ ...OWNER, fs: files.fs })
+    const log = await openDurableLog({ ...OWNER, fs: files.fs, retryMs: 1 })
     await log.execute({ kind: 'append', writeId: 1, entries: createEntries(1, 3, 1) })
     files.setFault({ at: files.getOperations() + 1, kind: 'diskFull' })
-    const answer = await log.execute({ kind: 'append', writeId: 2, entries: createEntries(4, 6, 1) })
-    expect(answer).toEqual({ writeId: 2, ok: false, reason: 'the disk is full (ENOSPC): ENOSPC: no space left on device, write' })
+    const failed = new Promise<DiskAnswer>(resolve => log.watch(resolve))
+    const answers = [log.execute({ kind: 'append', writeId: 2, entries: createEntries(4, 6, 1) }), log.execute({ kind: 'hardState', writeId: 3, state: { term: 2 } })]
+    const reason = 'the disk is full (ENOSPC): ENOSPC: no space left on device, write'
+    expect(await failed).toEqual({ writeId: 0, ok: false, reason })
+    const before = files.getOperations()
+    while (files.getOperations() < before + 10) await new Promise(resolve => setImmediate(resolve))
     await log.close()
+    expect(await Promise.all(answers)).toEqual([{ writeId: 2, ok: false, reason }, { writeId: 3, ok: false, reason }])
     files.setFault(undefined)
     expect((await reopen(files)).entries.map(({ index }) => index)).toEqual([1, 2, 3])
   })
 
+  // Guards against a process that ends because its disk is full when it starts.
+  it('needs no room to open a folder that holds a log, and refuses to create one, naming the folder', async () => {
+    const files = createMemoryFiles(createRandom(1))
+    files.setFault({ at: 1, kind: 'diskFull' })
+    const { code, message } = await getFailure(openDurableLog({ ...OWNER, fs: files.fs }))
+    expect([code, message.startsWith("the data folder 'data' cannot be opened: the disk is full (ENOSPC)")]).toEqual(['ERR_CATKINFERRY_DISK_FAILED', true])
+    files.setFault(undefined)
+    await writeAll(files)
+    files.crash()
+    files.setFault({ at: files.getOperations() + 1, kind: 'diskFull' })
+    const log = await openDurableLog({ ...OWNER, fs: files.fs, retryMs: 1 })
+    expect(describeStored(log.stored)).toEqual(describeStored(applyRequests(REQUESTS)))
+    const states: DiskAnswer[] = []
+    log.watch(answer => states.push(answer))
+    files.setFault(undefined)
+    expect(await log.execute({ kind: 'hardState', writeId: 1, state: { term: 9 } })).toEqual({ writeId: 1, ok: true })
+    expect(states.map(({ ok }) => ok)).toEqual([false, true])
+    await log.close()
+    expect((await reopen(files)).hardState).toEqual({ term: 9 })
+  })
+
   it('syncs many waiting requests at once', async () => {
     const files = createMemoryFiles(createRandom(1))
     const log = await openDurableLog({ ...OWNER, fs: files.fs })
--- a/consensus/durable-log/test/memoryFiles.ts
+++ b/consensus/durable-log/test/memoryFiles.ts
@@ -5,6 +5,8 @@
 interface Inode {
   data: Buffer
   synced: number
+  /** A sync has failed: what was written before it can be read, but no later sync makes it durable. */
+  isDropped?: boolean
 }
 
 type FolderChange = (names: Map<string, Inode>) => void
@@ -13,6 +15,8 @@
   /** Number of the operation, counted from 1, at which the fault happens. */
   readonly at: number
   readonly kind: 'kill' | 'syncFails' | 'diskFull'
+  /** The disk is full until this operation, by default until the fault is taken back. */
+  readonly until?: number
 }
 
 const SECTOR_BYTES = 512
@@ -33,7 +37,7 @@
   function countOperation (kind: 'write' | 'sync' | 'folder', applyPart: () => void = () => undefined): void {
     if (isKilled) throw new Error('killed')
     operations++
-    if (fault === undefined || operations < fault.at) return
+    if (fault === undefined || operations < fault.at || operations >= (fault.until ?? Infinity)) return
     if (fault.kind === 'kill') {
       applyPart()
       isKilled = true
@@ -75,8 +79,13 @@
           append(data)
         },
         sync: async () => {
-          countOperation('sync')
-          inode.synced = inode.data.byteLength
+          try {
+            countOperation('sync')
+          } catch (error) {
+            inode.isDropped = true
+            throw error
+          }
+          if (inode.isDropped !== true) inode.synced = inode.data.byteLength
         },
         close: async () => undefined
       }
@@ -93,7 +102,8 @@
       countOperation('sync')
       const inode = getInode(path)
       inode.data = inode.data.subarray(0, bytes)
-      inode.synced = bytes
+      inode.synced = Math.min(inode.synced, bytes)
+      if (inode.synced === bytes) inode.isDropped = false
     },
     syncFolder: async () => {
       countOperation('sync')
--- a/consensus/log-machine/src/machine.ts
+++ b/consensus/log-machine/src/machine.ts
@@ -4,6 +4,7 @@
  */
 import type { Result } from '@catkinferry/core.errors'
 import type { HostId, MonotonicMs } from '@catkinferry/core.types'
+import { DISK_STATE_WRITE_ID } from '@catkinferry/wire.messages'
 import type { ConsensusMessage, DiskAnswer, LogEntry, LogPayload, Membership, Snapshot } from '@catkinferry/wire.messages'
 import { PAUSE_THRESHOLD_MS, PAUSE_GRACE_MS } from './constants.ts'
 import { saveSnapshot, sendDeferred } from './disk.ts'
@@ -13,8 +14,8 @@
 import type { MembershipStep } from './membershipChanges.ts'
 import { beginRead } from './reads.ts'
 import { addLeaderEntry, receiveAppendAnswer, sendAppends, updateCommit } from './replication.ts'
-import { applySavedSnapshot, receiveSnapshotAnswer, receiveSnapshotChunk } from './snapshots.ts'
-import { createState, getMembership, Role } from './state.ts'
+import { applySavedSnapshot, dropSnapshot, receiveSnapshotAnswer, receiveSnapshotChunk } from './snapshots.ts'
+import { computeElectionAt, createState, getMembership, Role } from './state.ts'
 import type { LogMachineOptions, MachineContext, MachineState, PendingWrite } from './state.ts'
 import { beginTransfer, continueTransfer } from './transfer.ts'
 
@@ -82,18 +83,34 @@
 }
 
 function receiveDisk (state: MachineState, answer: DiskAnswer, context: MachineContext): void {
-  if (state.role === Role.FAILED) return
   if (!answer.ok) {
-    elections.resetToFollower(state, { term: state.term }, context)
-    state.role = Role.FAILED
-    state.failure = answer.reason
-    state.deferredMessages = []
-    return
+    if (!dropSnapshot(state, answer.writeId)) failDisk(state, answer.reason, context)
+  } else if (answer.writeId === DISK_STATE_WRITE_ID) {
+    recoverDisk(state, context)
+  } else {
+    finishWrites(state, answer.writeId, context)
+    if (state.role === Role.FAILED) return
+    sendDeferred(state, context)
+    elections.tryBecomeLeader(state, context)
+    updateCommit(state, context)
   }
-  finishWrites(state, answer.writeId, context)
-  sendDeferred(state, context)
-  elections.tryBecomeLeader(state, context)
-  updateCommit(state, context)
+}
+
+/** Makes this voter inactive: it takes no entries, which would pile up in memory, and another voter leads meanwhile. */
+function failDisk (state: MachineState, reason: string, context: MachineContext): void {
+  if (state.role === Role.FAILED) return
+  elections.resetToFollower(state, { term: state.term }, context)
+  state.role = Role.FAILED
+  state.failure = reason
+  state.deferredMessages = []
+}
+
+/** Goes on as a follower. Writes that the failure interrupted have kept their order; what depends on them waits for their answers. */
+function recoverDisk (state: MachineState, context: MachineContext): void {
+  if (state.role !== Role.FAILED) return
+  state.role = Role.FOLLOWER
+  state.failure = undefined
+  state.electionAt = computeElectionAt(state, context.now)
 }
 
 /**
--- a/consensus/log-machine/src/snapshots.ts
+++ b/consensus/log-machine/src/snapshots.ts
@@ -114,6 +114,15 @@
   if (incomingSnapshot.term === state.term) sendSnapshotAnswer(state, incomingSnapshot.from, snapshot, { nextOffset: snapshot.data.byteLength, done: true }, context)
 }
 
+/** Forgets a snapshot that the disk has dropped: the leader sends its own again, and this voter's is followed by a later one. Returns false if the write is no snapshot. */
+export function dropSnapshot (state: MachineState, writeId: number): boolean {
+  const write = state.pendingWrites.find(pending => pending.writeId === writeId)
+  if (write?.snapshot === undefined) return false
+  state.pendingWrites = state.pendingWrites.filter(pending => pending !== write)
+  if (write.replacesState === true) state.incomingSnapshot = undefined
+  return true
+}
+
 function dropCompacted (state: MachineState, index: number): void {
   if (index < state.log.getFirstIndex()) return
   state.log.compactTo(index)
--- a/consensus/voter/src/voter.ts
+++ b/consensus/voter/src/voter.ts
@@ -335,10 +335,12 @@
 function reportRole (state: VoterState, context: RunContext): void {
   const { role, term, failure } = state.machine.getState()
   if (role === state.reportedRole) return
+  const hasRecovered = state.reportedRole === Role.FAILED
   state.reportedRole = role
   context.emit({ kind: 'metric', type: 'gauge', name: 'voter.leader', value: role === Role.LEADER ? 1 : 0 })
+  if (hasRecovered) context.emit({ kind: 'log', level: 'info', message: 'the disk accepts writes again; this voter is active', fields: { step: 'disk' } })
   if (role === Role.FAILED) {
-    context.emit({ kind: 'log', level: 'error', message: 'disk write failed; this voter acknowledges nothing until its process is restarted', fields: { step: 'disk', reason: failure } })
+    context.emit({ kind: 'log', level: 'error', message: 'disk write failed; this voter acknowledges nothing until the disk accepts writes', fields: { step: 'disk', reason: failure } })
   } else if (role === Role.LEADER) {
     context.emit({ kind: 'log', level: 'info', message: 'this voter became the leader', fields: { step: 'election', term } })
   }
--- a/daemon/fleet/src/coreHost.ts
+++ b/daemon/fleet/src/coreHost.ts
@@ -44,8 +44,6 @@
   readonly stop: () => Promise<void>
   /** Rejects when the host fails. */
   readonly failed: Promise<never>
-  /** Resolves with the reason when the disk fails; this voter is inactive from then on. */
-  readonly diskFailed: Promise<string>
 }
 
 const GROUP = 'fleet'
@@ -80,17 +78,15 @@
   }
 }
 
-/** Starts a core host. Rejects if the data folder cannot be opened or the address cannot be bound. A damaged folder is replaced by an empty one. */
+/** Starts a core host. Waits while the disk has no room for a new data folder. Rejects if the folder cannot be opened or the address cannot be bound. A damaged folder is replaced by an empty one. */
 export async function startCoreHost (opts: CoreHostOptions): Promise<CoreHost> {
   const { settings, clock, logger, metrics, page, platform } = opts
   const { dataFolder, host } = settings
   if (dataFolder === undefined) throw new Error('a core host needs a data folder')
-  const log = await openDataFolder({ folder: dataFolder, host, group: GROUP, logger })
-  logger.info('opened the data folder', { step: 'start', incarnation: log.stored.incarnation, term: log.stored.hardState.term, entries: log.stored.entries.length, snapshotIndex: log.stored.snapshot?.lastIndex, bootstrap: settings.bootstrap, seeds: opts.getSeeds() })
   let onFailed: (error: unknown) => void = () => undefined
   const failed = new Promise<never>((_resolve, reject) => { onFailed = reject })
-  let onDiskFailed: (reason: string) => void = () => undefined
-  const diskFailed = new Promise<string>(resolve => { onDiskFailed = resolve })
+  const log = await openDataFolder({ folder: dataFolder, host, group: GROUP, logger, onBroken: error => onFailed(error) })
+  logger.info('opened the data folder', { step: 'start', incarnation: log.stored.incarnation, term: log.stored.hardState.term, entries: log.stored.entries.length, snapshotIndex: log.stored.snapshot?.lastIndex, bootstrap: settings.bootstrap, seeds: opts.getSeeds() })
   let isReadingList = false
 
   function pollList (): void {
@@ -115,7 +111,7 @@
     logger,
     metrics,
     systems,
-    disk: { request: (request, onAnswer) => { void log.execute(request).then(onAnswer) }, close: log.close },
+    disk: { request: (request, onAnswer) => { void log.execute(request).then(onAnswer) }, watch: log.watch, close: log.close },
     onDiskAnswer: systems.receiveDisk,
     onCrash: onFailed
   })
@@ -126,14 +122,11 @@
     accountMetrics.update(systems.quotas.takeTotals())
     loadMetrics.update(systems.placement.takeLoadCounts(clock.getMonotonicMs()))
     page.set('leader', systems.voter.isLeader() ? 1 : 0)
-    const { failure } = systems.voter.getStatus()
-    if (failure !== undefined) onDiskFailed(failure)
     page.set('routes_version', systems.getRoutesVersion())
   }, METRICS_INTERVAL_MS)
 
   return {
     failed,
-    diskFailed,
     submit: (command, deadlineMs) => new Promise(resolve => {
       const packed = packCommand(command)
       node.shell.emit(context => systems.commands.submit({ command: packed, deadlineAt: context.now + deadlineMs, onOutcome: resolve }, context))
--- a/daemon/fleet/src/dataFolder.ts
+++ b/daemon/fleet/src/dataFolder.ts
@@ -1,6 +1,6 @@
-/** Opens the data folder of a core host. A damaged folder is moved aside; after a disk failure it can be probed until it is writable. */
-import { mkdir, readdir, rename, rm, writeFile } from 'node:fs/promises'
-import { createFileOperations, openDurableLog } from '@catkinferry/consensus.durable-log'
+/** Opens the data folder of a core host. A damaged folder is moved aside. */
+import { mkdir, readdir, rename, rm } from 'node:fs/promises'
+import { createFileOperations, openWhenWritable } from '@catkinferry/consensus.durable-log'
 import type { DurableLog } from '@catkinferry/consensus.durable-log'
 import { CatkinferryError, ErrorCode } from '@catkinferry/core.errors'
 import type { Logger } from '@catkinferry/core.logger'
@@ -11,24 +11,21 @@
   readonly host: HostId
   readonly group: string
   readonly logger: Logger
+  /** Called after a failure of the open folder that waiting cannot mend. */
+  readonly onBroken?: (error: unknown) => void
 }
 
 /** Subfolder that keeps the files of a damaged folder for inspection. Only the most recent ones are kept. */
 const DAMAGED_FOLDER = 'damaged'
-/** File that is written to find out whether the disk accepts writes, its size, and the interval between two tries. */
-const PROBE_FILE = 'probe'
-const PROBE_BYTES = 4_096
-const PROBE_INTERVAL_MS = 500
-
 /** Opens the folder without a lock: the platform runs only one process per folder. */
-async function tryOpen ({ folder, host, group }: DataFolderOptions): Promise<DurableLog> {
+async function tryOpen (opts: DataFolderOptions): Promise<DurableLog> {
   const fs = { ...createFileOperations(), listFolder: listFiles, takeLock: async () => async () => undefined }
-  return await openDurableLog({ folder, host, group, fs })
+  return await openWhenWritable({ ...opts, fs })
 }
 
 async function listFiles (folder: string): Promise<string[]> {
   const names = await readdir(folder)
-  return names.filter(name => name !== DAMAGED_FOLDER && name !== PROBE_FILE)
+  return names.filter(name => name !== DAMAGED_FOLDER)
 }
 
 async function moveDamagedFiles (folder: string): Promise<void> {
@@ -52,19 +49,3 @@
     return await tryOpen(opts)
   }
 }
-
-/** Resolves with true once the disk accepts writes, with false if `isStopped` returns true first. */
-export async function waitUntilWritable (folder: string, isStopped: () => boolean): Promise<boolean> {
-  const file = `${folder}/${PROBE_FILE}`
-  while (!isStopped()) {
-    try {
-      await writeFile(file, Buffer.alloc(PROBE_BYTES), { flush: true })
-      await rm(file, { force: true })
-      return true
-    } catch {
-      // The disk still fails. The failure was logged when it began.
-      await new Promise(resolve => setTimeout(resolve, PROBE_INTERVAL_MS))
-    }
-  }
-  return false
-}
--- a/daemon/fleet/src/fleetNode.ts
+++ b/daemon/fleet/src/fleetNode.ts
@@ -127,6 +127,7 @@
     shell,
     open: async () => {
       await links.open()
+      disk?.watch(answer => { shell.emit(context => opts.onDiskAnswer?.(answer, context)) })
       shell.start()
     },
     close: async () => {
--- a/daemon/fleet/src/index.ts
+++ b/daemon/fleet/src/index.ts
@@ -1,7 +1,7 @@
 /** Entry hosts and core hosts, which find each other through seed addresses. */
+export { startCoreHost } from './coreHost.ts'
+export type { CoreHost } from './coreHost.ts'
 export type { CoreHostOptions, FleetPlatform } from './coreHost.ts'
-export { startRestartingCoreHost } from './restartingCoreHost.ts'
-export type { RestartingCoreHost } from './restartingCoreHost.ts'
 export { startEntryHost } from './entryHost.ts'
 export type { EntryHost, EntryHostOptions } from './entryHost.ts'
 export type { FleetSettings, FleetTimes } from './fleetSettings.ts'
--- a/daemon/fleet/test/dataFolder.test.ts
+++ b/daemon/fleet/test/dataFolder.test.ts
@@ -4,7 +4,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { describe, it } from 'node:test'
-import { openDataFolder, waitUntilWritable } from '../src/dataFolder.ts'
+import { openDataFolder } from '../src/dataFolder.ts'
 
 function createFixture () {
   const lines: string[] = []
@@ -44,12 +44,3 @@
     await third.close()
   })
 })
-
-describe('waitUntilWritable', () => {
-  it('resolves for a writable folder and gives up when the host stops', async () => {
-    const { folder } = createFixture()
-    expect(await waitUntilWritable(folder, () => false)).toEqual(true)
-    let checks = 0
-    expect(await waitUntilWritable(join(folder, 'missing'), () => ++checks > 1)).toEqual(false)
-  })
-})
--- a/daemon/fleet/test/failingPlatform.test.ts
+++ b/daemon/fleet/test/failingPlatform.test.ts
@@ -9,7 +9,7 @@
 import { createMetrics } from '@catkinferry/core.metrics'
 import { createMetricsPage } from '@catkinferry/core.metrics-page'
 import type { ListedEndpoint, RouteTable } from '@catkinferry/core.types'
-import { FLEET_METRICS, METRICS_PREFIX, startRestartingCoreHost } from '../src/index.ts'
+import { FLEET_METRICS, METRICS_PREFIX, startCoreHost } from '../src/index.ts'
 import type { FleetSettings } from '../src/index.ts'
 
 const IP = `127.58.${process.pid % 250}.10`
@@ -31,7 +31,7 @@
     const folder = await mkdtemp(join(tmpdir(), 'catkinferry-failing-platform-'))
     const lines: string[] = []
     const calls = { reads: 0, orders: 0 }
-    const core = await startRestartingCoreHost({
+    const core = await startCoreHost({
       settings: { ...SETTINGS, dataFolder: folder },
       getSeeds: () => SETTINGS.seeds,
       clock: createSystemClock(),
--- a/daemon/main/src/daemon.ts
+++ b/daemon/main/src/daemon.ts
@@ -174,6 +174,7 @@
     throw error
   })
   shell.start()
+  opts.disk?.watch(answer => control.emit({ kind: 'disk.answer', answer }))
   store.add(startHeapReports(metrics))
   logger.info('serving', { step: 'start', callerUrl: caller.url, operatorUrl: operator.url })
   return {
--- a/daemon/main/src/startHost.ts
+++ b/daemon/main/src/startHost.ts
@@ -1,6 +1,7 @@
 /** Builds a host from its settings and starts it, for `catkinferryd` and for `catkinferry dev`. */
 import { randomInt } from 'node:crypto'
-import { openDurableLog } from '@catkinferry/consensus.durable-log'
+import { openWhenWritable } from '@catkinferry/consensus.durable-log'
+import type { FileOperations } from '@catkinferry/consensus.durable-log'
 import { createSystemClock } from '@catkinferry/core.clock'
 import type { Clock } from '@catkinferry/core.clock'
 import { createLogger } from '@catkinferry/core.logger'
@@ -22,6 +23,8 @@
   readonly config: Config
   /** Called with each log line. */
   readonly writeLog: (line: string) => void
+  /** File operations of the data folder; tests inject failures of the disk. */
+  readonly fs?: FileOperations
 }
 
 const MAX_SEED = 2 ** 31 - 1
@@ -38,11 +41,13 @@
   return config.peers.map(peer => ({ ...peer, voter: config.voters.includes(peer.host), leaseVoter: config.leaseVoters.includes(peer.host) }))
 }
 
-async function openDisk (config: Config): Promise<{ readonly disk: Disk, readonly stored: StoredState } | undefined> {
+async function openDisk ({ config, fs }: StartHostOptions, logger: Logger): Promise<{ readonly disk: Disk, readonly stored: StoredState } | undefined> {
   if (!config.voters.includes(config.host) || config.dataFolder === undefined) return undefined
-  const log = await openDurableLog({ folder: config.dataFolder, host: config.host, group: config.group })
+  const onBroken = (error: unknown): void => { logger.error('the data folder is unusable; this voter is inactive until it is replaced', { step: 'disk', cause: error }) }
+  const log = await openWhenWritable({ folder: config.dataFolder, host: config.host, group: config.group, fs, logger, onBroken })
   const disk: Disk = {
     request: (request, onAnswer) => { void log.execute(request).then(onAnswer) },
+    watch: log.watch,
     close: log.close
   }
   return { disk, stored: log.stored }
@@ -86,7 +91,7 @@
   const { config } = opts
   const clock = createSystemClock()
   const logger = createLogger({ level: config.logs.level, fields: { host: config.host }, write: opts.writeLog })
-  const opened = await openDisk(config)
+  const opened = await openDisk(opts, logger)
   const core = createCore(config, clock, opened?.stored)
   const metrics = openMetrics(config, logger)
   return await startDaemon({
--- a/daemon/main/test/threeHosts.test.ts
+++ b/daemon/main/test/threeHosts.test.ts
@@ -1,3 +1,5 @@
+import { createFileOperations } from '@catkinferry/consensus.durable-log'
+import type { FileOperations } from '@catkinferry/consensus.durable-log'
 import type { OperatorCall, OperatorReply } from '@catkinferry/core.types'
 import type { Config } from '@catkinferry/daemon.config'
 import { startFakeEngine, startFakeService } from '@catkinferry/testing.fakes'
@@ -17,6 +19,20 @@
 const HOSTS = ['a-1', 'a-2', 'a-3'] as const
 const LOCATION = { zone: 'a', region: 'r' }
 
+/** File operations of a disk that is full while its host is among `fullHosts`. */
+function createDisk (host: string, fullHosts: ReadonlySet<string>): FileOperations {
+  const fs = createFileOperations()
+  const createFile: FileOperations['createFile'] = async path => {
+    const file = await fs.createFile(path)
+    const write = async (data: Uint8Array): Promise<void> => {
+      if (fullHosts.has(host)) throw Object.assign(new Error('ENOSPC: no space left on device, write'), { code: 'ENOSPC' })
+      await file.write(data)
+    }
+    return { ...file, write }
+  }
+  return { ...fs, createFile }
+}
+
 async function findFreePort (): Promise<number> {
   const server = createServer()
   server.listen(0, '127.0.0.1')
@@ -29,13 +45,15 @@
 
 describe('three hosts over loopback', () => {
   const daemons = new Map<string, Daemon>()
+  const fullHosts = new Set<string>()
+  const logLines: string[] = []
   let configs: Config[]
   let folder: string
   let engine: FakeEngine
   let service: FakeService
 
   async function start (config: Config): Promise<void> {
-    daemons.set(config.host, await startHost({ config, writeLog: () => undefined }))
+    daemons.set(config.host, await startHost({ config, writeLog: line => { logLines.push(line) }, fs: createDisk(config.host, fullHosts) }))
   }
 
   function getDaemon (host: string): Daemon {
@@ -125,6 +143,25 @@
     expect([...service.runs]).toEqual([[headers['idempotency-key'], 1]])
   })
 
+  // Guards against a group whose disks were full one after the other and that accepts no change any more, though all have room.
+  it('accepts changes while the disk of each host is full in turn, and after that', async () => {
+    const submit = async (host: string, name: string): Promise<OperatorReply> => await sendOperatorCall(host, { kind: 'settings.change', changeId: name, changes: [{ path: `models/${name}`, expectedRevision: 0, values: { pool: 'demo' } }], dryRun: false, deadlineMs: 20_000 })
+    const waitForLine = async (host: string, text: string): Promise<void> => {
+      while (!logLines.some(line => line.includes(text) && line.includes(`"${host}"`))) await sleep(20)
+    }
+    for (const [at, host] of HOSTS.entries()) {
+      fullHosts.add(host)
+      const other = HOSTS[(at + 1) % HOSTS.length] ?? host
+      expect([host, await submit(other, `during-${host}`)]).toEqual([host, expect.subset({ ok: true })])
+      await waitForLine(host, 'disk write failed')
+      const answer = await complete(host)
+      expect([host, answer.status, (await answer.text()).trimEnd().endsWith('[DONE]')]).toEqual([host, 200, true])
+      fullHosts.delete(host)
+      await waitForLine(host, 'the disk accepts writes again')
+      expect([host, await submit(host, `after-${host}`)]).toEqual([host, expect.subset({ ok: true })])
+    }
+  })
+
   it('continues to serve and to accept changes after one host stops', async () => {
     const daemon = getDaemon('a-1')
     daemon.stop()
--- a/testing/network/src/fakeDisk.ts
+++ b/testing/network/src/fakeDisk.ts
@@ -1,5 +1,6 @@
 /** Simulated disk of a voter: synced writes survive a crash, writes in flight are lost. */
 import type { DiskAnswer, DiskRequest, HardState, LogEntry, Snapshot, StoredState } from '@catkinferry/wire.messages'
+import { DISK_STATE_WRITE_ID } from '@catkinferry/wire.messages'
 import type { Scheduler } from './scheduler.ts'
 
 export interface FakeDisk {
@@ -22,6 +23,8 @@
   let wipes = 0
   let epoch = 0
   let failing = false
+  /** Writes that wait since the disk has failed. */
+  let held: { request: DiskRequest, answer: (answer: DiskAnswer) => void }[] = []
   let syncMs = DEFAULT_SYNC_MS
   let lastDoneAt = 0
   let hardState: HardState = { term: 0 }
@@ -41,6 +44,30 @@
     }
   }
 
+  function write (request: DiskRequest, answer: (answer: DiskAnswer) => void): void {
+    handlers[request.kind](request as never)
+    answer({ writeId: request.writeId, ok: true })
+  }
+
+  function hold (request: DiskRequest, answer: (answer: DiskAnswer) => void): void {
+    const reason = 'sync failed'
+    if (request.kind === 'snapshot') {
+      answer({ writeId: request.writeId, ok: false, reason })
+      return
+    }
+    held.push({ request, answer })
+    if (held.length === 1) answer({ writeId: DISK_STATE_WRITE_ID, ok: false, reason })
+  }
+
+  function setFailing (value: boolean): void {
+    failing = value
+    if (failing) return
+    const waiting = held
+    held = []
+    for (const { request, answer } of waiting) write(request, answer)
+    waiting[0]?.answer({ writeId: DISK_STATE_WRITE_ID, ok: true })
+  }
+
   return {
     execute: (request, answer) => {
       const startEpoch = epoch
@@ -48,28 +75,26 @@
       lastDoneAt = Math.max(lastDoneAt, opts.scheduler.getNow() + syncMs)
       opts.scheduler.add(lastDoneAt - opts.scheduler.getNow(), () => {
         if (startEpoch !== epoch) return
-        if (failing) {
-          answer({ writeId: request.writeId, ok: false, reason: 'sync failed' })
-          return
-        }
-        handlers[request.kind](request as never)
-        answer({ writeId: request.writeId, ok: true })
+        if (failing) hold(request, answer)
+        else write(request, answer)
       })
     },
     read: () => ({ group: opts.group, incarnation: `${opts.host}-disk-${wipes}`, hardState, snapshot, entries: [...entries] }),
     crash: () => {
       epoch++
+      held = []
       lastDoneAt = 0
     },
     wipe: () => {
       epoch++
+      held = []
       wipes++
       hardState = { term: 0 }
       snapshot = undefined
       entries = []
     },
     isWiped: () => wipes > 0,
-    setFailing: value => { failing = value },
+    setFailing,
     setSyncMs: ms => { syncMs = ms },
     restoreSpeed: () => { syncMs = DEFAULT_SYNC_MS }
   }
--- a/wire/messages/src/consensus.ts
+++ b/wire/messages/src/consensus.ts
@@ -58,6 +58,10 @@
   readonly data: Uint8Array
 }
 
+/** Write ID of the answers that tell the state of the disk: not `ok` once it has failed, `ok` once it accepts writes again. */
+export const DISK_STATE_WRITE_ID = 0
+
+/** An answer to a write, or the state of the disk. While the disk has failed, writes wait; a snapshot that is answered as failed was dropped. */
 export type DiskAnswer =
   | { readonly writeId: number, readonly ok: true }
   | { readonly writeId: number, readonly ok: false, readonly reason: string }
