Count log lines that could not be written

Seen: lines were missing from a log whose disk had been full for a moment, and neither the log nor `log_lines_dropped` told of them.

Cause: a write that failed for good was taken for done.

Change: its lines count as dropped, and are reported once a write succeeds, together with those of a report that was itself lost.

Test: lineWriter.test.ts, "counts the lines that a full disk did not take, and does not fail", 0 of 3 before, 3 after.

--- a/core/logger/src/lineWriter.ts
+++ b/core/logger/src/lineWriter.ts
@@ -1,4 +1,4 @@
-/** Writes log lines to a file descriptor without blocking the process; lines that exceed the buffer limit are dropped and counted. */
+/** Writes log lines to a file descriptor without blocking the process; lines that exceed the buffer limit or cannot be written are dropped and counted. */
 import { write } from 'node:fs'
 
 export interface LineWriter {
@@ -40,12 +40,15 @@
     return text
   }
 
-  function writeAll (bytes: Buffer): void {
+  function writeAll (bytes: Buffer, onLost: () => void): void {
     write(opts.descriptor, bytes, 0, bytes.length, null, (error, written) => {
       const isTemporary = error?.code === 'EAGAIN'
-      if (isTemporary) setTimeout(() => writeAll(bytes), opts.flushIntervalMs).unref()
-      else if (error === null && written < bytes.length) writeAll(bytes.subarray(written))
-      else finishWrite()
+      if (isTemporary) setTimeout(() => writeAll(bytes, onLost), opts.flushIntervalMs).unref()
+      else if (error === null && written < bytes.length) writeAll(bytes.subarray(written), onLost)
+      else {
+        if (error !== null) onLost()
+        finishWrite()
+      }
     })
   }
 
@@ -60,7 +63,12 @@
     timer = undefined
     if (writing || lines.length === 0) return
     writing = true
-    writeAll(Buffer.from(takeBuffered()))
+    const { length } = lines
+    const reportedBefore = reportedDropped
+    writeAll(Buffer.from(takeBuffered()), () => {
+      dropped += length
+      reportedDropped = reportedBefore
+    })
   }
 
   return {
--- a/core/logger/test/lineWriter.test.ts
+++ b/core/logger/test/lineWriter.test.ts
@@ -27,6 +27,14 @@
     expect(writer.getDropped()).toEqual(1)
   })
 
+  // Guards against lines that are lost uncounted while the disk of the log is full.
+  it('counts the lines that a full disk did not take, and does not fail', async () => {
+    const writer = createLineWriter({ descriptor: openSync('/dev/full', 'w'), maxBytes: 1_000, flushIntervalMs: 5 })
+    for (let count = 0; count < 3; count += 1) writer.write('line\n')
+    await writer.close()
+    expect(writer.getDropped()).toEqual(3)
+  })
+
   it('neither blocks nor exceeds its buffer when nobody reads, and counts the dropped lines', async () => {
     const child = spawn(process.execPath, ['-e', 'setInterval(() => undefined, 1000)'], { stdio: ['pipe', 'ignore', 'ignore'] })
     children.push(child)
