End catkinferry dev with one line if its disk is full

Seen: `catkinferry dev` on a full disk ended with an uncaught ENOSPC and a stack trace.

Cause: errors of the start were not caught, and the log file was a stream without a listener for errors. Such a stream would also have ended the host when the disk filled later; that is by reading.

Change: an error of the start is printed as one line, exit code 1. A user who tries the software needs an answer rather than a host that waits, so `startHost` waits for the disk only if it may. The log is written by the writer that hosts of a fleet use, which drops and counts lines.

Test: devHost.test.ts, "ends with one line that names the folder if the disk has no room for its data" (new; the code before has no way to inject the failure).

--- a/cli/main/src/dev.ts
+++ b/cli/main/src/dev.ts
@@ -1,9 +1,10 @@
 /** `catkinferry dev`: runs one host that is its own voter, with two fake engines and data in a temporary folder. Tests start this host too. */
-import { createWriteStream } from 'node:fs'
-import { mkdtemp, rm } from 'node:fs/promises'
+import { mkdtemp, open, rm } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
+import type { FileOperations } from '@catkinferry/consensus.durable-log'
+import { createLineWriter } from '@catkinferry/core.logger'
 import { createDisposableStore } from '@catkinferry/core.tables'
 import type { DisposableStore } from '@catkinferry/core.tables'
 import type { Config } from '@catkinferry/daemon.config'
@@ -19,6 +20,8 @@
   /** Stops after the first answer. */
   readonly once: boolean
   readonly print: (line: string) => void
+  /** File operations of the data folder; tests inject failures of the disk. */
+  readonly fs?: FileOperations
 }
 
 /** Ports of the development host; 0 picks a free one. */
@@ -43,6 +46,10 @@
 const READY_TIMEOUT_MS = 20_000
 const READY_POLL_INTERVAL_MS = 50
 const CHANGE_DEADLINE_MS = 10_000
+/** Log lines that wait to be written; some thousands. */
+const MAX_LOG_BYTES = 1024 * 1024
+/** How long lines are collected for one write; short enough to follow the log as it is written. */
+const LOG_FLUSH_MS = 100
 const DEFAULT_PORTS: DevPorts = { caller: 8080, operator: 8081 }
 
 function buildConfig (opts: { readonly folder: string, readonly urls: readonly string[], readonly ports: DevPorts }): Config {
@@ -77,15 +84,22 @@
 }
 
 /** Starts the host, and the engines unless their URLs are given. `store` disposes of the engines, the log file and the folder. */
-export async function startDevHost (ports: DevPorts, engineUrls?: readonly string[]): Promise<DevHost> {
+export async function startDevHost (ports: DevPorts, engineUrls?: readonly string[], fs?: FileOperations): Promise<DevHost> {
   const store = createDisposableStore()
   const folder = await mkdtemp(join(tmpdir(), 'catkinferry-dev-'))
   store.add(async () => { await rm(folder, { recursive: true, force: true }) })
   const urls = engineUrls ?? await startEngines(store)
-  const log = createWriteStream(join(folder, 'log.jsonl'))
-  store.add(async () => await new Promise(resolve => log.end(() => resolve())))
-  const daemon = await startHost({ config: buildConfig({ folder, urls, ports }), writeLog: line => { log.write(line) } })
-  return { daemon, folder, store }
+  const file = await open(join(folder, 'log.jsonl'), 'w')
+  store.add(async () => await file.close())
+  const log = createLineWriter({ descriptor: file.fd, maxBytes: MAX_LOG_BYTES, flushIntervalMs: LOG_FLUSH_MS })
+  store.add(log.close)
+  try {
+    const daemon = await startHost({ config: buildConfig({ folder, urls, ports }), writeLog: log.write, waitsForDisk: false, fs })
+    return { daemon, folder, store }
+  } catch (error) {
+    await store.dispose()
+    throw error
+  }
 }
 
 /** Creates the demo model, adapter and version. */
@@ -149,7 +163,8 @@
 }
 
 export async function runDev (opts: DevOptions): Promise<ExitCode> {
-  const host = await startDevHost(opts.once ? { caller: 0, operator: 0 } : DEFAULT_PORTS)
+  const host = await startDevHost(opts.once ? { caller: 0, operator: 0 } : DEFAULT_PORTS, undefined, opts.fs).catch((error: unknown) => { opts.print((error as Error).message) })
+  if (host === undefined) return ExitCode.REFUSED
   const { daemon } = host
   try {
     await createDemoAdapter(daemon.operatorUrl)
--- a/cli/main/test/devHost.test.ts
+++ b/cli/main/test/devHost.test.ts
@@ -1,11 +1,22 @@
 import type { CliFlags } from '../src/commandContext.ts'
+import { createFileOperations } from '@catkinferry/consensus.durable-log'
+import type { FileOperations } from '@catkinferry/consensus.durable-log'
 import { expect } from 'earl'
 import { after, before, describe, it } from 'node:test'
-import { createDemoAdapter, startDevHost, waitUntilReady } from '../src/dev.ts'
+import { createDemoAdapter, runDev, startDevHost, waitUntilReady } from '../src/dev.ts'
 import type { DevHost } from '../src/dev.ts'
 import { sendFirstRequest } from '../src/firstRequest.ts'
 import { ExitCode, runCli } from '../src/index.ts'
 
+// Guards against a stack trace in place of what is wrong.
+it('ends with one line that names the folder if the disk has no room for its data', async () => {
+  const lines: string[] = []
+  const createFile: FileOperations['createFile'] = () => Promise.reject(Object.assign(new Error('ENOSPC: no space left on device, open'), { code: 'ENOSPC' }))
+  const code = await runDev({ once: true, print: line => { lines.push(line) }, fs: { ...createFileOperations(), createFile } })
+  expect([code, lines.length]).toEqual([ExitCode.REFUSED, 1])
+  expect(lines[0]).toEqual(expect.regex(/^the data folder '.*\/data' cannot be opened: the disk is full \(ENOSPC\)/))
+})
+
 describe('dev host', () => {
   let host: DevHost
   let stopped = false
--- a/daemon/main/src/startHost.ts
+++ b/daemon/main/src/startHost.ts
@@ -1,6 +1,6 @@
 /** Builds a host from its settings and starts it, for `catkinferryd` and for `catkinferry dev`. */
 import { randomInt } from 'node:crypto'
-import { openWhenWritable } from '@catkinferry/consensus.durable-log'
+import { openDurableLog, openWhenWritable } from '@catkinferry/consensus.durable-log'
 import type { FileOperations } from '@catkinferry/consensus.durable-log'
 import { createSystemClock } from '@catkinferry/core.clock'
 import type { Clock } from '@catkinferry/core.clock'
@@ -25,6 +25,8 @@
   readonly writeLog: (line: string) => void
   /** File operations of the data folder; tests inject failures of the disk. */
   readonly fs?: FileOperations
+  /** False: rejects with `DISK_FAILED` if the disk has no room for the data folder, instead of waiting for it. */
+  readonly waitsForDisk?: boolean
 }
 
 const MAX_SEED = 2 ** 31 - 1
@@ -41,10 +43,11 @@
   return config.peers.map(peer => ({ ...peer, voter: config.voters.includes(peer.host), leaseVoter: config.leaseVoters.includes(peer.host) }))
 }
 
-async function openDisk ({ config, fs }: StartHostOptions, logger: Logger): Promise<{ readonly disk: Disk, readonly stored: StoredState } | undefined> {
+async function openDisk ({ config, fs, waitsForDisk }: StartHostOptions, logger: Logger): Promise<{ readonly disk: Disk, readonly stored: StoredState } | undefined> {
   if (!config.voters.includes(config.host) || config.dataFolder === undefined) return undefined
   const onBroken = (error: unknown): void => { logger.error('the data folder is unusable; this voter is inactive until it is replaced', { step: 'disk', cause: error }) }
-  const log = await openWhenWritable({ folder: config.dataFolder, host: config.host, group: config.group, fs, logger, onBroken })
+  const folder = { folder: config.dataFolder, host: config.host, group: config.group, fs, onBroken }
+  const log = waitsForDisk === false ? await openDurableLog(folder) : await openWhenWritable({ ...folder, logger })
   const disk: Disk = {
     request: (request, onAnswer) => { void log.execute(request).then(onAnswer) },
     watch: log.watch,
