--- a/consensus/voter/src/voter.ts
+++ b/consensus/voter/src/voter.ts
@@ -351,8 +351,9 @@
   state.reportedRole = role
   state.reportedLeader = leader
   if (role !== reportedRole) context.emit({ kind: 'metric', type: 'gauge', name: 'voter.leader', value: role === Role.LEADER ? 1 : 0 })
+  if (role !== reportedRole && reportedRole === Role.FAILED) context.emit({ kind: 'log', level: 'info', message: 'the disk accepts writes again; this voter is active', fields: { step: 'disk' } })
   if (role !== reportedRole && role === Role.FAILED) {
-    context.emit({ kind: 'log', level: 'error', message: 'disk write failed; this voter acknowledges nothing until its process is restarted', fields: { step: 'disk', reason: failure } })
+    context.emit({ kind: 'log', level: 'error', message: 'disk write failed; this voter acknowledges nothing until the disk accepts writes', fields: { step: 'disk', reason: failure } })
   } else if (role !== reportedRole && role === Role.LEADER) {
     context.emit({ kind: 'log', level: 'info', message: 'this voter became the leader', fields: { step: 'election', term } })
   } else if (reportedRole === Role.LEADER && role !== Role.LEADER) {
--- a/gateway/relay/src/relay.ts
+++ b/gateway/relay/src/relay.ts
@@ -76,6 +76,15 @@
   noRoom: { code: ErrorCode.NO_CAPACITY, message: 'request body buffer is full', step: 'body', ran: 'no', retryAfterMs: RETRY_AFTER_MS }
 }
 
+function beginDrain (state: RelayState, times: DrainTimes | undefined): void {
+  state.draining = true
+  state.drainTimes = times
+  state.lateCheck ??= setInterval(refuseLate, LATE_CHECK_MS, state)
+  state.lateCheck.unref()
+  const lastBySocket = new Map([...state.answering.keys()].map(res => [res.req.socket, res]))
+  for (const res of lastBySocket.values()) closeConnectionAfter(state, res)
+}
+
 /** Creates a relay. The HTTP server calls `handle` for each request. */
 export function createRelay (opts: RelayOptions): Relay {
   const links = createEndpointLinks(opts)
@@ -134,14 +143,7 @@
     getActiveCount: () => state.answering.size,
     getHeldBytes: () => ({ [HeldUse.RESPONSES]: state.responseMemory.getHeldBytes(), [HeldUse.CALLERS]: state.callerMemory.getHeldBytes() }),
     getLastTakenAt: () => state.lastTakenAt,
-    drain: times => {
-      state.draining = true
-      state.drainTimes = times
-      state.lateCheck ??= setInterval(refuseLate, LATE_CHECK_MS, state)
-      state.lateCheck.unref()
-      const lastBySocket = new Map([...state.answering.keys()].map(res => [res.req.socket, res]))
-      for (const res of lastBySocket.values()) closeConnectionAfter(state, res)
-    },
+    drain: times => beginDrain(state, times),
     endQuarantined: () => {
       for (const exchange of state.exchanges) {
         const reason = findQuarantine(state, exchange.traits)
