Take idle limits below 0 for 0

Callers saw: with a configuration whose idle_timeout_ms is below -1000, which the check lets pass, no request on any entry host got more than one answer: the host ended by an exception as it sent the first response.

Cause: the HTTP server sets the timeout of a socket to the limit and a second after each response, and throws a RangeError for a negative one, outside of any handler. The tests of odd limits had -1 and 0, which the second makes positive.

Change: a negative limit counts as 0, at the place where limits that are too large for a timer are bounded. Connections then stay open for the margin of 1 s. A negative header limit does not throw, and is left as it is.

Not run with a whole host.

--- a/daemon/fleet/src/callerServer.ts
+++ b/daemon/fleet/src/callerServer.ts
@@ -91,7 +91,8 @@
   return {
     address: `${bound.address}:${bound.port}`,
     setLimits: ({ headerTimeoutMs, idleTimeoutMs }) => {
-      const idleMs = Math.min(idleTimeoutMs, MAX_LIMIT_MS)
+      // Configurations may have limits below 0, with which the HTTP server throws as it sets the timeout of a socket.
+      const idleMs = Math.max(0, Math.min(idleTimeoutMs, MAX_LIMIT_MS))
       idleLimits.set(idleMs)
       headerLimits.set(Math.min(headerTimeoutMs, MAX_LIMIT_MS))
       server.keepAliveTimeout = idleMs
--- a/daemon/fleet/test/callerServer.test.ts
+++ b/daemon/fleet/test/callerServer.test.ts
@@ -213,6 +213,11 @@
       expect(await measureClose([1_500, 100]) >= 1_500).toEqual(true)
     })
 
+    // Guards against an entry host that ends by an exception at its first response: a configuration had an idle limit below -1 s.
+    it('keeps idle connections for a while if it is negative', async () => {
+      expect(await measureClose([-5_000]) >= 500).toEqual(true)
+    })
+
     it('keeps connections that are idle already for the new limit when it is raised', async () => {
       expect(await measureClose([200, 2_500]) >= 2_500).toEqual(true)
     })
