Keep the certificate in use while its files do not fit together

Seen: a host that read its certificate files while they were being replaced ended with "key values mismatch".

Cause: the new certificate and key were put in force without a check, in a timer; Node.js throws if they do not belong together. Files that could not be read were passed over without a log line.

Change: the files are put in force only if a TLS context can be made of them. A failure is logged once until it changes, and an update as well.

Test: peerLinks.test.ts, "keep the certificate in use while the files do not fit together, ...": uncaught "key values mismatch" before, passes after, with the other two tests with certificates.

--- a/wire/peer-links/src/certificates.ts
+++ b/wire/peer-links/src/certificates.ts
@@ -1,6 +1,8 @@
 /** Reads the TLS certificate files of this host, and checks that a peer's certificate names the peer. */
 import { readFileSync } from 'node:fs'
+import { createSecureContext } from 'node:tls'
 import type { DetailedPeerCertificate, PeerCertificate, TLSSocket } from 'node:tls'
+import type { Logger } from '@catkinferry/core.logger'
 import type { HostId } from '@catkinferry/core.types'
 
 /** Paths of PEM files, read again when they change. */
@@ -18,7 +20,7 @@
 
 export interface CertificateStore {
   readonly get: () => TlsMaterial
-  /** Reads the files again; returns whether they have changed. If a file is unreadable, the contents read before stay in use. */
+  /** Reads the files again; returns whether they have changed. If one is unreadable, or they do not fit together, the contents read before stay in use. */
   readonly update: () => boolean
 }
 
@@ -27,17 +29,27 @@
 }
 
 /** Reads the files; throws if one is unreadable. */
-export function createCertificateStore (files: TlsFiles): CertificateStore {
+export function createCertificateStore (files: TlsFiles, logger: Logger): CertificateStore {
   let material = readMaterial(files)
+  /** The last failure, which is logged once. */
+  let reported = ''
   return {
     get: () => material,
     update: () => {
       try {
         const next = readMaterial(files)
         const changed = next.cert !== material.cert || next.key !== material.key || next.ca !== material.ca
-        if (changed) material = next
+        if (changed) {
+          createSecureContext(next)
+          material = next
+          logger.info('certificates were updated', { step: 'certificates' })
+        }
+        reported = ''
         return changed
-      } catch {
+      } catch (error) {
+        const { message } = error as Error
+        if (message !== reported) logger.warn('cannot use the certificate files; keeping the certificate in use', { step: 'certificates', cause: error })
+        reported = message
         return false
       }
     }
--- a/wire/peer-links/src/peerLinks.ts
+++ b/wire/peer-links/src/peerLinks.ts
@@ -82,7 +82,7 @@
 export function createPeerLinks (opts: PeerLinksOptions): PeerLinks {
   checkAddresses(opts)
   const { getMonotonicMs } = createSystemClock()
-  const certificates = opts.tls === undefined ? undefined : createCertificateStore(opts.tls)
+  const certificates = opts.tls === undefined ? undefined : createCertificateStore(opts.tls, opts.logger)
   const silenceTimeoutMs = opts.silenceTimeoutMs ?? SILENCE_TIMEOUT_MS
   const pingIntervalMs = opts.pingIntervalMs ?? PING_INTERVAL_MS
   const links = new Map<HostId, { readonly link: OutgoingLink, readonly address: string }>()
--- a/wire/peer-links/test/peerLinks.test.ts
+++ b/wire/peer-links/test/peerLinks.test.ts
@@ -199,4 +199,22 @@
       return b.received.length > 0
     })
   })
+
+  // Guards against a process that ends because it read certificate files that were being replaced.
+  it('keep the certificate in use while the files do not fit together, with one log line, and take the next one that does', async () => {
+    const folder = await createTlsFolder()
+    const [certA, certB, nextB] = [createCertificate('a'), createCertificate('b'), createCertificate('b')]
+    const tlsA = await writeTls(folder, 'a', certA, [certA, certB, nextB])
+    const tlsB = await writeTls(folder, 'b', certB, [certA])
+    const b = await createHost('b', { tls: tlsB, certificateCheckMs: 20, peers: [{ host: 'a', address: '127.0.0.1:1' }] })
+    const countLines = (text: string): number => b.lines.filter(line => line.includes(text)).length
+    await writeTls(folder, 'b', { ...nextB, private: certB.private }, [certA])
+    await waitFor(() => countLines('cannot use the certificate files') === 1)
+    const a = await createHost('a', { tls: tlsA, peers: [{ host: 'b', address: `127.0.0.1:${b.port}` }] })
+    a.links.send('b', createMessage(1))
+    await waitFor(() => b.received.length === 1)
+    expect(countLines('cannot use the certificate files')).toEqual(1)
+    await writeTls(folder, 'b', nextB, [certA])
+    await waitFor(() => countLines('certificates were updated') === 1)
+  })
 })
