Let catkinferryd serve while its log cannot be written

Seen: `catkinferryd` whose standard output is a file on a full disk ended with an unhandled ENOSPC.

Cause: log lines were written to the stream of the standard output, which has no listener for errors.

Change: the daemon uses the line writer that the hosts of a fleet use: writes do not block, and lines that cannot be written are counted as dropped.

--- a/daemon/main/src/main.ts
+++ b/daemon/main/src/main.ts
@@ -1,6 +1,7 @@
 /** Entry point of `catkinferryd`: parses the command line and runs the host until it stops. */
 import meow from 'meow'
 import { CatkinferryError } from '@catkinferry/core.errors'
+import { createLineWriter } from '@catkinferry/core.logger'
 import { formatProblems, loadConfig } from '@catkinferry/daemon.config'
 import type { Config } from '@catkinferry/daemon.config'
 import type { Daemon } from './daemon.ts'
@@ -10,6 +11,12 @@
 
 const DEFAULT_FILE = '/etc/catkinferry/host.yaml'
 
+const STDOUT = 1
+/** Log lines that wait to be written, some thousands; further ones are dropped. */
+const MAX_LOG_BYTES = 1024 * 1024
+/** How long lines are collected for one write; short enough to follow the log as it is written. */
+const LOG_FLUSH_MS = 100
+
 const cli = meow(`
   Usage: catkinferryd [--config FILE]
          catkinferryd --check FILE
@@ -38,8 +45,9 @@
 }
 
 async function serve (config: Config): Promise<number> {
+  const log = createLineWriter({ descriptor: STDOUT, maxBytes: MAX_LOG_BYTES, flushIntervalMs: LOG_FLUSH_MS })
   try {
-    const daemon = await startHost({ config, writeLog: line => process.stdout.write(line) })
+    const daemon = await startHost({ config, writeLog: log.write })
     stopOnSignals(daemon)
     await daemon.stopped
     return ExitCode.OK
@@ -51,6 +59,8 @@
       printError(error instanceof Error ? error.stack ?? error.message : String(error))
     }
     return ExitCode.FAILED
+  } finally {
+    await log.close()
   }
 }
 
--- a/daemon/main/test/threeHosts.test.ts
+++ b/daemon/main/test/threeHosts.test.ts
@@ -5,16 +5,14 @@
 import { startFakeEngine, startFakeService } from '@catkinferry/testing.fakes'
 import type { FakeEngine, FakeService } from '@catkinferry/testing.fakes'
 import { expect } from 'earl'
-import { once } from 'node:events'
 import { mkdtemp, rm } from 'node:fs/promises'
-import { createServer } from 'node:net'
-import type { AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { after, before, describe, it } from 'node:test'
 import { startHost } from '../src/index.ts'
 import type { Daemon } from '../src/index.ts'
+import { findFreePort } from './freePort.ts'
 
 const HOSTS = ['a-1', 'a-2', 'a-3'] as const
 const LOCATION = { zone: 'a', region: 'r' }
@@ -33,16 +31,6 @@
   return { ...fs, createFile }
 }
 
-async function findFreePort (): Promise<number> {
-  const server = createServer()
-  server.listen(0, '127.0.0.1')
-  await once(server, 'listening')
-  const { port } = server.address() as AddressInfo
-  server.close()
-  await once(server, 'close')
-  return port
-}
-
 describe('three hosts over loopback', () => {
   const daemons = new Map<string, Daemon>()
   const fullHosts = new Set<string>()
