Limit remembered event IDs by stream and in all, apart from responses

Change: IDs have a limit of their own, 131,072 for all streams of a host (16 MB). A stream whose IDs are not remembered goes on and counts as one that cannot be resumed. Nothing gives way: what is remembered keeps events from coming twice in a stream that goes on. Given back when the request ends; held bytes are `memory_held_bytes` with `use` `eventIds`.

Test: "exceed the limit of all streams is delivered and not resumed" needs the new limit and was not run on the code before.

Weighed: a memory budget with eviction: digests that give way while an endpoint sends the stream again would let events come twice.

--- a/daemon/fleet/src/fleetMetrics.ts
+++ b/daemon/fleet/src/fleetMetrics.ts
@@ -33,7 +33,7 @@
   confirmation_age_ms: { type: 'gauge', help: 'Time in milliseconds since the route table was last known to be the newest; 0 if keys need no confirmation' },
   late_turn_ms: { type: 'histogram', help: 'How late the event loop of an entry host turned, where it was over 50 ms late, in milliseconds' },
   caller_connections_closed: { type: 'counter', help: 'Connections of callers and of other entry hosts that this host closed, by cause', labels: ['cause'] },
-  memory_held_bytes: { type: 'gauge', help: 'Bytes that an entry host holds for others, by use: responses of endpoints and peers, and what waits for callers to read it', labels: ['use'] },
+  memory_held_bytes: { type: 'gauge', help: 'Bytes that an entry host holds for others, by use: responses of endpoints and peers, what waits for callers to read it, and remembered event IDs', labels: ['use'] },
   memory_refusals: { type: 'counter', help: 'Messages that an entry host ended because their bytes may not be held, by use and limit: of their owner, of all, or evicted for others', labels: ['use', 'limit'] },
   active_requests: { type: 'gauge', help: 'Requests under way' },
   log_lines_dropped: { type: 'gauge', help: 'Log lines dropped because the reader was too slow' }
--- a/gateway/relay/src/arrival.ts
+++ b/gateway/relay/src/arrival.ts
@@ -166,7 +166,7 @@
     errorMemory: new Map(),
     lastEventId: progress.lastEventId,
     softwareVersion: forwarded?.softwareVersion,
-    delivered: createDeliveredEvents(progress.lastEventId),
+    delivered: createDeliveredEvents(progress.lastEventId, state.eventIds),
     headSent: false,
     resumableHead: forwarded?.resumableHead,
     isUnframed: false,
--- a/gateway/relay/src/constants.ts
+++ b/gateway/relay/src/constants.ts
@@ -41,9 +41,12 @@
 /** Heap of a remembered event ID: its digest and the entry of a set. */
 export const REMEMBERED_ID_BYTES = 128
 
+/** Event IDs of all streams that are remembered: as much memory as one endpoint may have for its responses. */
+export const MAX_REMEMBERED_IDS_IN_ALL = 16 * 1024 * 1024 / REMEMBERED_ID_BYTES
+
 /**
  * Limits on what this host holds of the responses of one endpoint or peer, and of all: 64 responses that are buffered, at three
- * endpoints. With what waits for callers and with their bodies that leaves a third of the smallest hosts, which have 210 MB.
+ * endpoints. With event IDs, what waits for callers and their bodies that leaves a quarter of the smallest hosts, which have 210 MB.
  */
 export const MAX_ENDPOINT_RESPONSE_BYTES = 64 * MAX_BUFFERED_RESPONSE_BYTES
 export const MAX_HELD_RESPONSE_BYTES = 3 * MAX_ENDPOINT_RESPONSE_BYTES
--- a/gateway/relay/src/eventSplitter.ts
+++ b/gateway/relay/src/eventSplitter.ts
@@ -3,7 +3,7 @@
  * complete, and can be resumed after the last one. The relay creates one for each stream that it forwards.
  */
 import { hash } from 'node:crypto'
-import { MAX_EVENT_ID_BYTES, MAX_REMEMBERED_IDS, REMEMBERED_ID_BYTES } from './constants.ts'
+import { MAX_EVENT_ID_BYTES, MAX_REMEMBERED_IDS, MAX_REMEMBERED_IDS_IN_ALL, REMEMBERED_ID_BYTES } from './constants.ts'
 
 const LINE_FEED = 10
 const CARRIAGE_RETURN = 13
@@ -27,7 +27,7 @@
   readonly takeRest: () => Buffer
   /** Bytes after the last complete event. */
   readonly getOpenBytes: () => number
-  /** Bytes in memory for the open event and for what is remembered of delivered ones. */
+  /** Bytes in memory for the open event. */
   readonly getHeldBytes: () => number
   /** Whether the bytes so far end inside an event. */
   readonly isInsideEvent: () => boolean
@@ -94,10 +94,31 @@
   readonly add: (id: string | undefined) => void
   /** Whether the stream can be resumed after its last event: a request can name that event, and all events with an id are remembered. */
   readonly isResumable: () => boolean
-  /** Bytes in memory. */
+  /** Gives back what the events took of the limit of all streams. */
+  readonly release: () => void
+}
+
+/** Limit on the event IDs that are remembered for all streams together. */
+export interface IdLimit {
+  readonly tryTake: () => boolean
+  readonly release: (count: number) => void
   readonly getHeldBytes: () => number
 }
 
+/** Nothing gives way at the limit: what is remembered keeps events from coming twice in a stream that goes on. */
+export function createIdLimit (maxIds = MAX_REMEMBERED_IDS_IN_ALL): IdLimit {
+  let count = 0
+  return {
+    tryTake: () => {
+      if (count >= maxIds) return false
+      count += 1
+      return true
+    },
+    release: released => { count -= released },
+    getHeldBytes: () => count * REMEMBERED_ID_BYTES
+  }
+}
+
 function computeDigest (id: string): string {
   return hash('sha256', id, 'base64url')
 }
@@ -116,19 +137,27 @@
  * `lastEventId`: last event that the caller has from an earlier request. Numeric IDs increase; others are compared one by one, by
  * their digests: an ID may be a slice of a text, which it would keep in memory.
  */
-export function createDeliveredEvents (lastEventId?: string): DeliveredEvents {
+export function createDeliveredEvents (lastEventId?: string, limit = createIdLimit()): DeliveredEvents {
   const digests = new Set<string>()
+  let takenCount = 0
   let lastNumber = Number.NEGATIVE_INFINITY
   let endsWithId = true
   let isComplete = true
-  const remember = (id: string): void => {
+  const addNumber = (id: string): boolean => {
     const number = Number(id)
-    if (!Number.isNaN(number)) lastNumber = Math.max(lastNumber, number)
-    else if (digests.size < MAX_REMEMBERED_IDS) digests.add(computeDigest(id))
-    else isComplete = false
+    if (Number.isNaN(number)) return false
+    lastNumber = Math.max(lastNumber, number)
+    return true
+  }
+  const remember = (id: string): void => {
+    if (addNumber(id)) return
+    if (isComplete && takenCount < MAX_REMEMBERED_IDS && limit.tryTake()) {
+      takenCount += 1
+      digests.add(computeDigest(id))
+    } else isComplete = false
   }
   // Came in a header, so a header can carry it.
-  if (lastEventId !== undefined) remember(lastEventId)
+  if (lastEventId !== undefined && !addNumber(lastEventId)) digests.add(computeDigest(lastEventId))
   return {
     add: id => {
       endsWithId = id !== undefined
@@ -138,7 +167,10 @@
     },
     has: id => Number(id) <= lastNumber || (digests.size > 0 && digests.has(computeDigest(id))),
     isResumable: () => endsWithId && isComplete,
-    getHeldBytes: () => digests.size * REMEMBERED_ID_BYTES
+    release: () => {
+      limit.release(takenCount)
+      takenCount = 0
+    }
   }
 }
 
@@ -202,7 +234,7 @@
     },
     takeRest: rest.take,
     getOpenBytes: () => rest.get().length,
-    getHeldBytes: () => rest.getCapacity() + (delivered?.getHeldBytes() ?? 0),
+    getHeldBytes: rest.getCapacity,
     isInsideEvent: () => !rest.get().every(isLineEnd),
     hasEvents: () => hasEvents,
     isBehind: () => isBehind,
--- a/gateway/relay/src/relay.ts
+++ b/gateway/relay/src/relay.ts
@@ -18,6 +18,7 @@
 import { MAX_CALLER_QUEUE_BYTES, MAX_CALLER_QUEUES_BYTES, MAX_ENDPOINT_RESPONSE_BYTES, MAX_FORWARDED_REQUESTS, MAX_HELD_RESPONSE_BYTES, MAX_NOT_RUN_ATTEMPTS, MAX_STARTUP_WAIT_MS, RETRY_AFTER_MS, STARTUP_WAIT_FRACTION } from './constants.ts'
 import { createEndpointLinks } from './endpointLinks.ts'
 import { createEndpointPaths } from './endpointPaths.ts'
+import { createIdLimit } from './eventSplitter.ts'
 import { EndReason, isRetryable } from './exchange.ts'
 import type { Exchange } from './exchange.ts'
 import { CutCause, cutResponse, describeEnd, END_FAILURES, finishExchange, finishForwarded, finishQuarantined, finishWithFailure, finishWithoutRetry, isRefusedAfterAttempt, reportEnd } from './finishExchange.ts'
@@ -94,6 +95,7 @@
     limits,
     allowance: createRetryAllowance({ ...opts.retryBudget, getEntryCount: opts.getEntryCount, getNow: opts.clock.getMonotonicMs }),
     bodies: createBodyReader(),
+    eventIds: createIdLimit(),
     callerMemory: createMemoryBudget({ maxBytes: MAX_CALLER_QUEUES_BYTES, maxOwnerBytes: MAX_CALLER_QUEUE_BYTES }),
     responseMemory: createMemoryBudget({ maxBytes: MAX_HELD_RESPONSE_BYTES, maxOwnerBytes: MAX_ENDPOINT_RESPONSE_BYTES }),
     answering: new Map(),
@@ -126,7 +128,7 @@
     handleForwarded: (req, res) => { void handleForwarded(state, req, res) },
     isServingPeers: () => isServingPeers(state),
     getActiveCount: () => state.answering.size,
-    getHeldBytes: () => ({ [HeldUse.RESPONSES]: state.responseMemory.getHeldBytes(), [HeldUse.CALLERS]: state.callerMemory.getHeldBytes() }),
+    getHeldBytes: () => ({ [HeldUse.RESPONSES]: state.responseMemory.getHeldBytes(), [HeldUse.CALLERS]: state.callerMemory.getHeldBytes(), [HeldUse.EVENT_IDS]: state.eventIds.getHeldBytes() }),
     getLastTakenAt: () => state.lastTakenAt,
     drain: times => {
       state.draining = true
@@ -298,6 +300,7 @@
     state.exchanges.delete(exchange)
     state.bodies.release(exchange)
     for (const memory of exchange.errorMemory.keys()) memory.release()
+    exchange.delivered.release()
   }
 }
 
--- a/gateway/relay/src/relayOptions.ts
+++ b/gateway/relay/src/relayOptions.ts
@@ -15,7 +15,7 @@
 }
 
 /** What the bytes belong to that the relay holds for others. */
-export const HeldUse = { RESPONSES: 'responses', CALLERS: 'callers' } as const
+export const HeldUse = { RESPONSES: 'responses', CALLERS: 'callers', EVENT_IDS: 'eventIds' } as const
 export type HeldUse = typeof HeldUse[keyof typeof HeldUse]
 
 /** Records metrics; names are those of the metrics page. */
--- a/gateway/relay/src/relayState.ts
+++ b/gateway/relay/src/relayState.ts
@@ -6,6 +6,7 @@
 import type { MonotonicMs } from '@catkinferry/core.types'
 import type { EndpointLinks } from './endpointLinks.ts'
 import type { EndpointPaths } from './endpointPaths.ts'
+import type { IdLimit } from './eventSplitter.ts'
 import type { Exchange } from './exchange.ts'
 import type { ForwardedFacts } from './forwardedRequest.ts'
 import type { BodyReader } from './readBody.ts'
@@ -40,6 +41,7 @@
   readonly bodies: BodyReader
   /** Budget for responses of endpoints and peers. */
   readonly responseMemory: MemoryBudget
+  readonly eventIds: IdLimit
   /** Budget for what waits for callers to read it, by connection. */
   readonly callerMemory: MemoryBudget
   /** Responses that are not written out yet, with what the entry host said that has forwarded the request. */
--- a/gateway/relay/test/eventSplitter.test.ts
+++ b/gateway/relay/test/eventSplitter.test.ts
@@ -3,7 +3,7 @@
 import { setFlagsFromString } from 'node:v8'
 import { runInNewContext } from 'node:vm'
 import { MAX_EVENT_BYTES, MAX_EVENT_ID_BYTES, MAX_REMEMBERED_IDS } from '../src/constants.ts'
-import { createDeliveredEvents, createEventSplitter } from '../src/eventSplitter.ts'
+import { createDeliveredEvents, createEventSplitter, createIdLimit } from '../src/eventSplitter.ts'
 import type { DeliveredEvents, EventSplitter } from '../src/eventSplitter.ts'
 
 setFlagsFromString('--expose-gc')
@@ -67,6 +67,18 @@
     })
   }
 
+  // Guards against streams that are cut because of their IDs, and against events that come twice: what is remembered stays so.
+  it('exceed the limit of all streams is delivered and not resumed', () => {
+    const limit = createIdLimit(3)
+    const [first, second] = [createDeliveredEvents(undefined, limit), createDeliveredEvents(undefined, limit)]
+    addEvents(first, 2, 16)
+    addEvents(second, 2, 16)
+    expect([first.isResumable(), second.isResumable(), second.has('x-0-'.padEnd(16, 'y'))]).toEqual([true, false, true])
+    first.release()
+    second.release()
+    expect(limit.getHeldBytes()).toEqual(0)
+  })
+
   // Guards against a few bytes of ID that keep the whole text of their event in memory, as a slice of it.
   it('are remembered takes no memory for their data', () => {
     const data = Buffer.from(`data: ${'d'.repeat(64 * 1024)}\n\n`)
