Answer requests for a tunnel

Callers saw: a whole request with the method CONNECT got no answer; its connection was closed, and no line of the host named it.

Cause: the HTTP server of Node.js destroys the connection of such a request if the program does not take it.

Change: it gets 501 and the end of its connection, after the responses of requests before it, as bytes that are no request do.

Result: callerServer.test.ts, "refuses a request for a tunnel, and ends its connection", failed before (nothing received) and passes; all 48 tests of callerServer, callerConnections and httpServer pass.

--- a/daemon/fleet/src/callerServer.ts
+++ b/daemon/fleet/src/callerServer.ts
@@ -13,6 +13,7 @@
 import type { CallerLimits, DurationMs, MonotonicMs } from '@catkinferry/core.types'
 import { CloseCause, closeGracefully, createConnections, cutConnection, hasArriving } from './callerConnections.ts'
 import type { Connection, ConnectionsOptions } from './callerConnections.ts'
+import { TUNNEL_REQUESTED } from './clientErrors.ts'
 import { createLimitHistory, LIMIT_OVERLAP_MS } from './idleLimits.ts'
 
 /** Limits until the first configuration arrives. */
@@ -76,6 +77,7 @@
   })
   // Without a listener, the HTTP server would destroy connections at its own idle timeout.
   server.on('timeout', () => undefined)
+  server.on('connect', (_req, socket) => connections.handleError(socket as Socket, TUNNEL_REQUESTED))
   server.on('clientError', ({ code }: NodeJS.ErrnoException, socket) => connections.handleError(socket as Socket, code))
 
   const isClosable = (connection: Connection): boolean => {
--- a/daemon/fleet/test/callerServer.test.ts
+++ b/daemon/fleet/test/callerServer.test.ts
@@ -302,6 +302,16 @@
     expect(results.filter(text => !text.endsWith('no room'))).toEqual([])
   })
 
+  // Guards against a request that ends without an answer: the HTTP server destroys the connection of one that asks for a tunnel.
+  it('refuses a request for a tunnel, and ends its connection', async () => {
+    const opened = await open(res => res.end('ok'))
+    const socket = await dial(opened)
+    const got = collect(socket)
+    socket.write('CONNECT a:1 HTTP/1.1\r\nHost: h\r\n\r\n')
+    await once(socket, 'close')
+    expect(got.text.split('\r\n', 2)).toEqual(['HTTP/1.1 501 Not Implemented', 'Connection: close'])
+  })
+
   // Guards against resets of connections that the kernel had accepted and the program had not.
   it('serves connections that were opened before it stopped accepting', async () => {
     const opened = await open(res => {
