Open a data folder again although the disk fails once more meanwhile

Cause (found by a review, with two single failures): opening the folder may remove the segment of the writer before, and fail after that; each later try cut that segment again, which no longer exists, and took the error for one that passes.

Change: once the segment is cut, the former writer is given up.

--- a/consensus/durable-log/src/writeQueue.ts
+++ b/consensus/durable-log/src/writeQueue.ts
@@ -112,6 +112,8 @@
   try {
     await probeDisk(opts)
     await state.current?.writer.discardUnsynced()
+    // Opening may remove the segment of the former writer, also if it fails later.
+    state.current = undefined
     state.current = await opts.reopen()
     state.isReopenDue = false
     dropSnapshots(state, state.current.terms.getBaseIndex())
--- a/consensus/durable-log/test/durableLog.test.ts
+++ b/consensus/durable-log/test/durableLog.test.ts
@@ -12,6 +12,9 @@
 import { createMemoryFiles } from './memoryFiles.ts'
 import type { MemoryFiles } from './memoryFiles.ts'
 
+/** Operations after a failure among which the second one falls: more than opening the folder takes. */
+const SECOND_FAULT_GAP = 16
+
 const OWNER = { folder: 'data', host: 'a', group: 'g' }
 const MEMBERSHIP = { voters: [{ host: 'a', incarnation: 'x' }], learners: [] }
 
@@ -150,6 +153,25 @@
     })
   }
 
+  // Guards against a voter that stays inactive for good because its disk failed once more while its folder was opened again.
+  it('that fails a second time while the folder is opened again gets every request', async () => {
+    const probe = createMemoryFiles(createRandom(1))
+    await writeAll(probe)
+    const opened = createMemoryFiles(createRandom(1))
+    await openDurableLog({ ...OWNER, fs: opened.fs })
+    for (let at = opened.getOperations() + 1; at <= probe.getOperations(); at++) {
+      for (let gap = 1; gap <= SECOND_FAULT_GAP; gap++) {
+        const files = createMemoryFiles(createRandom(at))
+        const log = await openDurableLog({ ...OWNER, fs: files.fs, retryMs: 0 })
+        files.setFault({ at, kind: 'operationFails', again: at + gap })
+        for (const request of REQUESTS) while (!(await log.execute(request)).ok) expect(request.kind).toEqual('snapshot')
+        await log.close()
+        files.setFault(undefined)
+        expect({ at, gap, found: describeStored(await reopen(files)) }).toEqual({ at, gap, found: describeStored(applyRequests(REQUESTS)) })
+      }
+    }
+  })
+
   it('is reported, keeps what was answered, and acknowledges nothing meanwhile', async () => {
     const files = createMemoryFiles(createRandom(1))
     const log = await openDurableLog({ ...OWNER, fs: files.fs, retryMs: 1 })
--- a/consensus/durable-log/test/memoryFiles.ts
+++ b/consensus/durable-log/test/memoryFiles.ts
@@ -14,7 +14,9 @@
 export interface Fault {
   /** Number of the operation, counted from 1, at which the fault happens. */
   readonly at: number
-  readonly kind: 'kill' | 'syncFails' | 'diskFull'
+  readonly kind: 'kill' | 'syncFails' | 'diskFull' | 'operationFails'
+  /** Number of a second operation that fails. */
+  readonly again?: number
   /** The disk is full until this operation, by default until the fault is taken back. */
   readonly until?: number
 }
@@ -43,6 +45,7 @@
       isKilled = true
       throw new Error('killed')
     }
+    if (fault.kind === 'operationFails' && [fault.at, fault.again].includes(operations)) throw Object.assign(new Error('EIO: i/o error'), { code: 'EIO' })
     if (fault.kind === 'syncFails' && kind === 'sync') {
       fault = undefined
       throw Object.assign(new Error('EIO: i/o error, fdatasync'), { code: 'EIO' })
@@ -61,7 +64,7 @@
 
   function getInode (path: string): Inode {
     const inode = names.get(path)
-    if (inode === undefined) throw new Error(`no file ${path}`)
+    if (inode === undefined) throw Object.assign(new Error(`ENOENT: no such file, ${path}`), { code: 'ENOENT' })
     return inode
   }
 
