Send commands also to a voter that leads now and was asked before it led

Found by a review: what a host had sent to a voter that then became the leader was skipped, or went to another voter, as the last target is left out; it waited for the time limit of the send, 0.4 s to 3 s. All that waits is sent to the leader now. Two cases of the table are new, both fail on the code before.

--- a/settings/command-client/src/resender.ts
+++ b/settings/command-client/src/resender.ts
@@ -105,13 +105,16 @@
 }
 
 function send<Answer> (state: ResenderState<Answer>, request: InFlightRequest<Answer>, context: RunContext): void {
-  const { voterChoice, sends, due, sendIdPrefix } = state
-  const target = voterChoice.choose(request.lastTarget)
+  const target = state.voterChoice.choose(request.lastTarget)
   if (target === undefined) {
     request.lastReason = 'no voter is known'
     backOff(state, request, context)
     return
   }
+  sendTo(state, request, target, context)
+}
+
+function sendTo<Answer> ({ sends, due, sendIdPrefix }: ResenderState<Answer>, request: InFlightRequest<Answer>, target: HostId, context: RunContext): void {
   const sendId = `${sendIdPrefix}.${request.id}.${request.sendCount++}`
   Object.assign(request, { lastTarget: target, awaitingAnswer: true, lastReason: 'sent, but not answered' })
   sends.add(request, sendId)
@@ -150,14 +153,11 @@
   send(state, request, context)
 }
 
-/** Sends what waits for another host, or backs off, to a leader of which the voter of this host has learnt. */
+/** Sends what waits to a leader of which the voter of this host has learnt. What was sent to that voter before it led may have been passed on to its predecessor. */
 function followNewLeader<Answer> (state: ResenderState<Answer>, context: RunContext): void {
   const leader = state.voterChoice.takeNewLeader()
   if (leader === undefined) return
-  for (const request of [...state.inFlight.values()]) {
-    const isWaitingForIt = request.awaitingAnswer && request.lastTarget === leader
-    if (!isWaitingForIt && context.now < request.deadlineAt) send(state, request, context)
-  }
+  for (const request of [...state.inFlight.values()]) if (context.now < request.deadlineAt) sendTo(state, request, leader, context)
 }
 
 /** Creates a resender without requests in flight. */
--- a/settings/command-client/test/commandClient.test.ts
+++ b/settings/command-client/test/commandClient.test.ts
@@ -71,19 +71,24 @@
   })
 
   // Guards against commands that wait for a leader of before, or a voter that is cut off, on a host whose own voter follows the new leader.
-  for (const [name, waitMs, refuses] of [['while it waits for another voter', 100, false], ['while it backs off after a refusal', 1, true]] as const) {
+  for (const { name, waitMs, refuses, first, newLeader } of [
+    { name: 'while it waits for another voter', waitMs: 100, refuses: false, first: 'v1', newLeader: 'v2' },
+    { name: 'while it backs off after a refusal', waitMs: 1, refuses: true, first: 'v1', newLeader: 'v2' },
+    { name: 'which has the command from before it led', waitMs: 100, refuses: false, first: 'h', newLeader: 'h' },
+    { name: 'which has refused the command before it led', waitMs: 1, refuses: true, first: 'h', newLeader: 'h' }
+  ]) {
     it(`sends a command at once to a leader of which the voter of its host learns ${name}`, () => {
-      let ownLeader: HostId | undefined = 'v1'
+      let ownLeader: HostId | undefined = first === 'h' ? undefined : first
       const bench = createBench(['h', 'v1', 'v2'], () => ownLeader)
       bench.client.submit({ command, deadlineAt: 5_000, onOutcome: () => undefined }, bench.context)
       const { to, commandId } = bench.getLastSubmit()
-      if (refuses) bench.client.receive('v1', { kind: 'command.refused', commandId, reason: 'notLeader' }, bench.context)
+      if (refuses) bench.client.receive(first, { kind: 'command.refused', commandId, reason: 'notLeader' }, bench.context)
       ownLeader = undefined
       bench.advanceTo(waitMs)
-      ownLeader = 'v2'
+      ownLeader = newLeader
       bench.advanceTo(waitMs)
       bench.advanceTo(waitMs + 100)
-      expect([to, ...bench.sent.slice(1).map(sent => sent.to)]).toEqual(['v1', 'v2'])
+      expect([to, ...bench.sent.slice(1).map(sent => sent.to)]).toEqual([first, newLeader])
     })
   }
 
