--- a/core/memory-budget/src/memoryBudget.ts
+++ b/core/memory-budget/src/memoryBudget.ts
@@ -99,9 +99,13 @@
       return {
         add: bytes => {
           const limit = entry.isOpen ? findLimit(entry, bytes) : MemoryLimit.TOTAL
-          if (limit === undefined) adjust(entry, bytes)
-          else release(entry)
-          return limit
+          if (limit === undefined && entry.isOpen) {
+            adjust(entry, bytes)
+            return undefined
+          }
+          // The holder of an evicted message may have released this one, too.
+          release(entry)
+          return limit ?? MemoryLimit.TOTAL
         },
         trim: bytes => adjust(entry, -Math.min(bytes, entry.bytes)),
         release: () => release(entry)
--- a/core/memory-budget/test/memoryBudget.test.ts
+++ b/core/memory-budget/test/memoryBudget.test.ts
@@ -24,6 +24,13 @@
     expect([evicted, budget.getHeldBytes(), budget.getEvictedCount()]).toEqual([['large'], 45, 1])
   })
 
+  it('holds nothing for a message that was released while another gave way to it', () => {
+    const budget = createMemoryBudget({ maxBytes: 100, maxOwnerBytes: 90 })
+    const holding = budget.open('sound', ignoreEviction)
+    budget.open('faulty', holding.release).add(80)
+    expect([holding.add(30), budget.getHeldBytes()]).toEqual([MemoryLimit.TOTAL, 0])
+  })
+
   it('refuses the owner that would hold most itself', () => {
     const budget = createMemoryBudget({ maxBytes: 100, maxOwnerBytes: 100 })
     budget.open('sound', ignoreEviction).add(30)
