Probe a failed disk with the size of what waits, and close files of failed attempts

Found by a review with trials: with room for the probe of 4 KB and not for what waits, each try left a segment and read the folder again (50 tries, 50 segments); tries that failed after a segment was begun left its file open (51 segments, 49 handles). An error that Node.js raises itself, such as for an argument out of range, counted as one that passes and was tried again for ever. The tests of durable-log pass; none of them is of these three cases.

--- a/consensus/durable-log/src/durableLog.ts
+++ b/consensus/durable-log/src/durableLog.ts
@@ -100,7 +100,12 @@
 
   async function openWriter (): Promise<OpenedFolder> {
     const writer = await createSegmentWriter({ fs, folder, identity, hardState, nextIndex: terms.getLastIndex() + 1, segments: replayed.segments, snapshotIndex: base })
-    for (const name of listSnapshotNames(names).slice(0, -1)) await fs.removeFile(`${folder}/${name}`)
+    try {
+      for (const name of listSnapshotNames(names).slice(0, -1)) await fs.removeFile(`${folder}/${name}`)
+    } catch (error) {
+      await writer.close().catch(() => undefined)
+      throw error
+    }
     return { writer, terms }
   }
 
--- a/consensus/durable-log/src/segmentWriter.ts
+++ b/consensus/durable-log/src/segmentWriter.ts
@@ -76,11 +76,12 @@
 
   async function beginSegment (nextIndex: number): Promise<void> {
     const next = await openSegment({ fs, folder, identity, hardState, nextIndex, sequence: current.sequence + 1 })
-    await file.close()
+    const former = file
     closed.push({ name: formatSegmentName(current.sequence), sequence: current.sequence, lastIndex: current.lastIndex })
     current = { sequence: current.sequence + 1, lastIndex: 0 }
     file = next.file
     syncedBytes = next.syncedBytes
+    await former.close()
   }
 
   /** Removes the oldest segments first, so that the remaining ones never have a gap. */
@@ -91,7 +92,10 @@
     }
   }
 
-  await removeCoveredSegments(opts.snapshotIndex)
+  await removeCoveredSegments(opts.snapshotIndex).catch(async (error: unknown) => {
+    await file.close().catch(() => undefined)
+    throw error
+  })
   let snapshotName = opts.snapshotIndex === 0 ? undefined : formatSnapshotName(opts.snapshotIndex)
 
   return {
--- a/consensus/durable-log/src/writeQueue.ts
+++ b/consensus/durable-log/src/writeQueue.ts
@@ -6,6 +6,7 @@
 import { CatkinferryError } from '@catkinferry/core.errors'
 import { DISK_STATE_WRITE_ID } from '@catkinferry/wire.messages'
 import type { DiskAnswer, DiskRequest, Snapshot } from '@catkinferry/wire.messages'
+import { encodeValue } from './blocks.ts'
 import type { FileOperations } from './fileOperations.ts'
 import { TEMPORARY_SUFFIX } from './formats.ts'
 import { isDiskFull } from './isDiskFull.ts'
@@ -17,9 +18,9 @@
 const MAX_BATCH_REQUESTS = 1_024
 /** Time between two attempts to open the folder again; a fraction of what a change of settings may take. */
 const DEFAULT_RETRY_MS = 500
-/** Written before the folder is read again, so that a disk that stays full costs little. The smallest block of most file systems. */
+/** Written before the folder is read again, with the size of what waits, so that a disk that stays full costs little. The smallest block of most file systems. */
 const PROBE_FILE = 'probe'
-const PROBE_BYTES = 4_096
+const MIN_PROBE_BYTES = 4_096
 
 export interface OpenedFolder {
   readonly writer: SegmentWriter
@@ -53,9 +54,13 @@
   return (opened as Partial<OpenedFolder>).writer !== undefined
 }
 
+/** Codes of errors that Node.js raises itself, such as for an invalid argument. */
+const RUNTIME_CODE_PREFIX = 'ERR_'
+
 /** Whether the cause is the disk: other errors are faults of the folder or of this program, which waiting does not mend. */
 function isPassing (error: unknown): boolean {
-  return !(error instanceof CatkinferryError) && typeof (error as NodeJS.ErrnoException).code === 'string'
+  const { code } = error as NodeJS.ErrnoException
+  return !(error instanceof CatkinferryError) && typeof code === 'string' && !code.startsWith(RUNTIME_CODE_PREFIX)
 }
 
 export function formatDiskFailure (error: unknown): string {
@@ -96,8 +101,10 @@
   state.listener({ writeId: DISK_STATE_WRITE_ID, ok: true })
 }
 
-async function probeDisk ({ fs, folder }: WriteQueueOptions): Promise<void> {
-  await writeTemporaryFile({ fs, folder, name: PROBE_FILE, blocks: [Buffer.alloc(PROBE_BYTES)] })
+async function probeDisk ({ opts: { fs, folder }, pending }: QueueState): Promise<void> {
+  const waiting = takeBatch(pending.filter(({ request }) => request.kind !== 'snapshot')).map(({ request }) => request)
+  const bytes = MIN_PROBE_BYTES + encodeValue(waiting).byteLength
+  await writeTemporaryFile({ fs, folder, name: PROBE_FILE, blocks: [Buffer.alloc(bytes)] })
   await fs.removeFile(`${folder}/${PROBE_FILE}${TEMPORARY_SUFFIX}`)
 }
 
@@ -110,7 +117,7 @@
   await sleep(opts.retryMs ?? DEFAULT_RETRY_MS, undefined, { signal: closing.signal }).catch(() => undefined)
   if (closing.signal.aborted) return
   try {
-    await probeDisk(opts)
+    await probeDisk(state)
     await state.current?.writer.discardUnsynced()
     // Opening may remove the segment of the former writer, also if it fails later.
     state.current = undefined
