--- a/cli/main/src/dev.ts
+++ b/cli/main/src/dev.ts
@@ -46,9 +46,9 @@
 const READY_TIMEOUT_MS = 20_000
 const READY_POLL_INTERVAL_MS = 50
 const CHANGE_DEADLINE_MS = 10_000
-/** Log lines that wait to be written; some thousands. */
+/** Bytes of log lines that wait to be written; further lines are dropped. */
 const MAX_LOG_BYTES = 1024 * 1024
-/** How long lines are collected for one write; short enough to follow the log as it is written. */
+/** How long lines are collected for one write. */
 const LOG_FLUSH_MS = 100
 const DEFAULT_PORTS: DevPorts = { caller: 8080, operator: 8081 }
 
--- a/consensus/durable-log/src/openWhenWritable.ts
+++ b/consensus/durable-log/src/openWhenWritable.ts
@@ -5,7 +5,7 @@
 import { openDurableLog } from './durableLog.ts'
 import type { DurableLog, DurableLogOptions } from './durableLog.ts'
 
-/** Time between two attempts; a fraction of the time in which a host is expected to start. */
+/** Time between two attempts. */
 const OPEN_RETRY_MS = 500
 
 export interface OpenWhenWritableOptions extends DurableLogOptions {
--- a/consensus/durable-log/src/writeQueue.ts
+++ b/consensus/durable-log/src/writeQueue.ts
@@ -16,7 +16,7 @@
 
 /** Maximum requests that share one sync. */
 const MAX_BATCH_REQUESTS = 1_024
-/** Time between two attempts to open the folder again; a fraction of what a change of settings may take. */
+/** Time between two attempts to open the folder again. */
 const DEFAULT_RETRY_MS = 500
 /** Written before the folder is read again, with the size of what waits, so that a disk that stays full costs little. The smallest block of most file systems. */
 const PROBE_FILE = 'probe'
--- a/daemon/fleet/src/dataFolder.ts
+++ b/daemon/fleet/src/dataFolder.ts
@@ -17,6 +17,7 @@
 
 /** Subfolder that keeps the files of a damaged folder for inspection. Only the most recent ones are kept. */
 const DAMAGED_FOLDER = 'damaged'
+
 /** Opens the folder without a lock: the platform runs only one process per folder. */
 async function tryOpen (opts: DataFolderOptions): Promise<DurableLog> {
   const fs = { ...createFileOperations(), listFolder: listFiles, takeLock: async () => async () => undefined }
--- a/daemon/main/src/main.ts
+++ b/daemon/main/src/main.ts
@@ -12,9 +12,9 @@
 const DEFAULT_FILE = '/etc/catkinferry/host.yaml'
 
 const STDOUT = 1
-/** Log lines that wait to be written, some thousands; further ones are dropped. */
+/** Bytes of log lines that wait to be written; further lines are dropped. */
 const MAX_LOG_BYTES = 1024 * 1024
-/** How long lines are collected for one write; short enough to follow the log as it is written. */
+/** How long lines are collected for one write. */
 const LOG_FLUSH_MS = 100
 
 const cli = meow(`
