Refuse certificate files that are empty while they are replaced

Cause: Node.js takes an empty text in `cert`, `key` or `ca` for an option that is not set. A host that read its files between the truncation and the write took them, logged "certificates were updated", and served with no certificate, no key or the system's trust. If the files then did not fit together, it kept that material. The test "keep the certificate in use ..." writes its files one after the other beside a check each 20 ms, and waits without a limit for exactly one such line, or for a message over a link that can no longer open. The fault itself is shown.

Change: each of the three files has to contain something in PEM format. The three cases of an empty file failed before. The test replaces one file at a time by a rename, so that it asserts exact counts of a settled state, and its waits end after a minute.

--- a/wire/peer-links/src/certificates.ts
+++ b/wire/peer-links/src/certificates.ts
@@ -28,6 +28,16 @@
   return { cert: readFileSync(certFile, 'utf8'), key: readFileSync(keyFile, 'utf8'), ca: readFileSync(caFile, 'utf8') }
 }
 
+const PEM_BEGIN = '-----BEGIN '
+
+/** Throws if the files do not fit together. Node.js takes an empty text for an option that is not set, so a file that is being written would pass. */
+function checkMaterial (material: TlsMaterial): void {
+  for (const [file, text] of Object.entries(material)) {
+    if (!text.includes(PEM_BEGIN)) throw new Error(`the file for '${file}' contains nothing in PEM format`)
+  }
+  createSecureContext(material)
+}
+
 /** Reads the files; throws if one is unreadable. */
 export function createCertificateStore (files: TlsFiles, logger: Logger): CertificateStore {
   let material = readMaterial(files)
@@ -40,7 +50,7 @@
         const next = readMaterial(files)
         const changed = next.cert !== material.cert || next.key !== material.key || next.ca !== material.ca
         if (changed) {
-          createSecureContext(next)
+          checkMaterial(next)
           material = next
           logger.info('certificates were updated', { step: 'certificates' })
         }
--- a/wire/peer-links/test/peerLinks.test.ts
+++ b/wire/peer-links/test/peerLinks.test.ts
@@ -1,5 +1,5 @@
 import { once } from 'node:events'
-import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { mkdtemp, rename, rm, writeFile } from 'node:fs/promises'
 import { connect, createServer } from 'node:net'
 import type { Server, Socket, AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
@@ -25,8 +25,15 @@
 
 const createMessage = (round: number): PeerMessage => ({ kind: 'settings.ask', after: round })
 
+/** A hang ends the test, and not only the run of all tests. */
+const MAX_WAIT_MS = 60_000
+
 async function waitFor (isDone: () => boolean): Promise<void> {
-  while (!isDone()) await new Promise(resolve => setTimeout(resolve, 5))
+  const startedAt = performance.now()
+  while (!isDone()) {
+    if (performance.now() - startedAt > MAX_WAIT_MS) throw new Error(`waited ${MAX_WAIT_MS} ms for: ${isDone}`)
+    await new Promise(resolve => setTimeout(resolve, 5))
+  }
 }
 
 async function createHost (self: string, opts: Partial<PeerLinksOptions> = {}): Promise<Host> {
@@ -96,6 +103,14 @@
   return tls
 }
 
+/** What replaces one of the files while the others stay. */
+const UNFIT_FILES: readonly [state: string, file: 'certFile' | 'keyFile' | 'caFile', getText: (next: ReturnType<typeof createCertificate>) => string][] = [
+  ['the key is not that of the certificate', 'certFile', next => next.cert],
+  ['the certificate file is empty', 'certFile', () => ''],
+  ['the key file is empty', 'keyFile', () => ''],
+  ['the file of trusted certificates is empty', 'caFile', () => '']
+]
+
 describe('peer links', () => {
   it('deliver messages in order and notify when they are up', async () => {
     const b = await createHost('b', { peers: [{ host: 'a', address: '127.0.0.1:1' }] })
@@ -200,21 +215,25 @@
     })
   })
 
-  // Guards against a process that ends because it read certificate files that were being replaced.
-  it('keep the certificate in use while the files do not fit together, with one log line, and take the next one that does', async () => {
-    const folder = await createTlsFolder()
-    const [certA, certB, nextB] = [createCertificate('a'), createCertificate('b'), createCertificate('b')]
-    const tlsA = await writeTls(folder, 'a', certA, [certA, certB, nextB])
-    const tlsB = await writeTls(folder, 'b', certB, [certA])
-    const b = await createHost('b', { tls: tlsB, certificateCheckMs: 20, peers: [{ host: 'a', address: '127.0.0.1:1' }] })
-    const countLines = (text: string): number => b.lines.filter(line => line.includes(text)).length
-    await writeTls(folder, 'b', { ...nextB, private: certB.private }, [certA])
-    await waitFor(() => countLines('cannot use the certificate files') === 1)
-    const a = await createHost('a', { tls: tlsA, peers: [{ host: 'b', address: `127.0.0.1:${b.port}` }] })
-    a.links.send('b', createMessage(1))
-    await waitFor(() => b.received.length === 1)
-    expect(countLines('cannot use the certificate files')).toEqual(1)
-    await writeTls(folder, 'b', nextB, [certA])
-    await waitFor(() => countLines('certificates were updated') === 1)
-  })
+  // Guards against a process that ends, or accepts no peer, because it read certificate files that were being replaced.
+  for (const [state, file, getText] of UNFIT_FILES) {
+    it(`keep the certificate in use while ${state}, with one log line, and take the next one that fits`, async () => {
+      const folder = await createTlsFolder()
+      const [certA, certB, nextB] = [createCertificate('a'), createCertificate('b'), createCertificate('b')]
+      const tlsA = await writeTls(folder, 'a', certA, [certA, certB, nextB])
+      const tlsB = await writeTls(folder, 'b', certB, [certA])
+      const b = await createHost('b', { tls: tlsB, certificateCheckMs: 20, peers: [{ host: 'a', address: '127.0.0.1:1' }] })
+      const countLines = (text: string): number => b.lines.filter(line => line.includes(text)).length
+      await writeFile(join(folder, 'next'), getText(nextB))
+      await rename(join(folder, 'next'), tlsB[file])
+      await waitFor(() => countLines('cannot use the certificate files') > 0)
+      const a = await createHost('a', { tls: tlsA, peers: [{ host: 'b', address: `127.0.0.1:${b.port}` }] })
+      a.links.send('b', createMessage(1))
+      await waitFor(() => b.received.length === 1)
+      expect([countLines('cannot use the certificate files'), countLines('certificates were updated')]).toEqual([1, 0])
+      await writeTls(folder, 'b', nextB, [certA])
+      await waitFor(() => countLines('certificates were updated') > 0)
+      expect(countLines('certificates were updated')).toEqual(1)
+    })
+  }
 })
