Bound the time of a test file

Cause: nothing bounded a test that waits without a limit, so one that hung kept the whole run from ending, and from saying which file it was.

Change: the runner ends a file after 20 minutes as failed.

--- a/scripts/runTests.ts
+++ b/scripts/runTests.ts
@@ -9,6 +9,9 @@
 import { judgeResults, parseKnownRed } from './knownRed.ts'
 import type { TestResult } from './knownRed.ts'
 
+/** Limit for a test file: one that hangs fails, and the others still run. The longest, the fault matrix, takes about 5 minutes. */
+const MAX_FILE_MS = 20 * 60_000
+
 const SKIPPED_FOLDERS = new Set(['node_modules', 'target', 'dist', '.git'])
 
 async function listTestFiles (folder: string): Promise<string[]> {
@@ -33,7 +36,7 @@
 const folder = await mkdtemp(join(tmpdir(), 'catkinferry-tests-'))
 const resultsFile = join(folder, 'results')
 const code = await runNode([
-  '--import', 'tsx', '--test',
+  '--import', 'tsx', '--test', `--test-timeout=${MAX_FILE_MS}`,
   '--test-reporter', 'tap', '--test-reporter-destination', 'stdout',
   '--test-reporter', './scripts/resultReporter.mjs', '--test-reporter-destination', resultsFile,
   ...files
