Refuse certificate files that are cut short, or not complete at the start

Cause: a file of trusted certificates that is half written contains a complete certificate and the beginning of another. Node.js ignores the rest from there, so the host trusted fewer peers until it read the file again. And the files that a host starts with were not checked at all: with an empty one it served without a certificate or key, or with the trust of the system, until the next check.

Change: each certificate that begins in a file has to end there, and the files are checked as well when the host starts, which fails as with a file that cannot be read.

Failed before: the case of the file that is half written (waited a minute), and the start with each empty and with the half-written file. The start with a key that is not that of the certificate failed already.

--- a/wire/peer-links/src/certificates.ts
+++ b/wire/peer-links/src/certificates.ts
@@ -28,19 +28,27 @@
   return { cert: readFileSync(certFile, 'utf8'), key: readFileSync(keyFile, 'utf8'), ca: readFileSync(caFile, 'utf8') }
 }
 
-const PEM_BEGIN = '-----BEGIN '
+const PEM_BEGIN = /^-----BEGIN /gm
+const PEM_END = /^-----END /gm
 
-/** Throws if the files do not fit together. Node.js takes an empty text for an option that is not set, so a file that is being written would pass. */
+function countMatches (text: string, pattern: RegExp): number {
+  return text.match(pattern)?.length ?? 0
+}
+
+/** Throws if a file is not complete or the files do not fit together. Node.js takes an empty text for an option that is not set, and ignores the rest of a list of certificates from the first that is cut. */
 function checkMaterial (material: TlsMaterial): void {
   for (const [file, text] of Object.entries(material)) {
-    if (!text.includes(PEM_BEGIN)) throw new Error(`the file for '${file}' contains nothing in PEM format`)
+    const begun = countMatches(text, PEM_BEGIN)
+    if (begun === 0) throw new Error(`the file for '${file}' contains nothing in PEM format`)
+    if (begun !== countMatches(text, PEM_END)) throw new Error(`the file for '${file}' is cut short`)
   }
   createSecureContext(material)
 }
 
-/** Reads the files; throws if one is unreadable. */
+/** Reads the files; throws if one is unreadable or not complete, or if they do not fit together. */
 export function createCertificateStore (files: TlsFiles, logger: Logger): CertificateStore {
   let material = readMaterial(files)
+  checkMaterial(material)
   /** The last failure, which is logged once. */
   let reported = ''
   return {
--- a/wire/peer-links/test/peerLinks.test.ts
+++ b/wire/peer-links/test/peerLinks.test.ts
@@ -108,7 +108,8 @@
   ['the key is not that of the certificate', 'certFile', next => next.cert],
   ['the certificate file is empty', 'certFile', () => ''],
   ['the key file is empty', 'keyFile', () => ''],
-  ['the file of trusted certificates is empty', 'caFile', () => '']
+  ['the file of trusted certificates is empty', 'caFile', () => ''],
+  ['the file of trusted certificates is half written', 'caFile', next => `${next.cert}\n${next.cert.slice(0, next.cert.length / 2)}`]
 ]
 
 describe('peer links', () => {
@@ -235,5 +236,15 @@
       await waitFor(() => countLines('certificates were updated') > 0)
       expect(countLines('certificates were updated')).toEqual(1)
     })
+
+    // Guards against a host that starts without a certificate, or with the trust of the system, because it read a file that was being replaced.
+    it(`do not start while ${state}`, async () => {
+      const folder = await createTlsFolder()
+      const [own, next] = [createCertificate('a'), createCertificate('a')]
+      const tls = await writeTls(folder, 'a', own, [own])
+      await writeFile(tls[file], getText(next))
+      const started = await createHost('a', { tls }).then(() => 'started', () => 'refused')
+      expect(started).toEqual('refused')
+    })
   }
 })
