Wait for the next leader when a host answers that it does not lead

Callers got 503 "this host is not the leader" or "leadership has changed" about 0.7 s after their adapter was asked for, with most of their deadline left.

Cause: an entry host could not tell a refusal by a host that does not lead from one by the leader. Both ended the wait once less than the retry pause (0.3 s) was left of the time for a load to begin (two latency objectives), although only the leader can tell that the fleet cannot load the adapter in time.

Such refusals now say so (`load.refused` with `isLeading` false). Refusals by the leader, and those of hosts of earlier releases, end the wait as before.

--- a/fleet/directory/src/loadRequests.ts
+++ b/fleet/directory/src/loadRequests.ts
@@ -58,11 +58,16 @@
 /** Time after which a caller may retry whose load request reached its deadline. */
 const RETRY_AFTER_MS = 300
 
-/** When the request is refused if no leader is known, or refuses it. */
+/** When the request is refused if no leader is known, or the leader refuses it. */
 function getWaitUntil ({ request: { askedAt, waitMs } }: RequestRow): MonotonicMs {
   return askedAt + waitMs
 }
 
+/** Whether the caller is refused. A host that does not lead cannot tell that the load would fail, so its refusal is final only if no time is left to ask again. */
+function isFinal (row: RequestRow, { isLeading = true, retryAfterMs }: Extract<Answer, { kind: 'load.refused' }>, now: MonotonicMs): boolean {
+  return isLeading ? getWaitUntil(row) - now <= retryAfterMs : row.request.deadlineAt - now <= RETRY_PAUSE_MS
+}
+
 /** Creates an empty table of requests. */
 export function createLoadRequests (): LoadRequests {
   const rows = new Map<number, RequestRow>()
@@ -89,8 +94,8 @@
       const row = rows.get(answer.askId)
       if (row === undefined) return false
       if (answer.kind === 'load.given') finish(row, { kind: 'given', endpoint: answer.endpoint, adapterKey: answer.adapterKey ?? '' })
-      else if (getWaitUntil(row) - now > answer.retryAfterMs) row.sendAt = now + RETRY_PAUSE_MS
-      else finish(row, { kind: 'refused', reason: answer.reason, retryAfterMs: answer.retryAfterMs })
+      else if (isFinal(row, answer, now)) finish(row, { kind: 'refused', reason: answer.reason, retryAfterMs: answer.retryAfterMs })
+      else row.sendAt = now + RETRY_PAUSE_MS
       return true
     },
     run: (context, leader) => {
--- a/fleet/directory/test/directory.test.ts
+++ b/fleet/directory/test/directory.test.ts
@@ -106,6 +106,36 @@
     expect(answers).toEqual([{ kind: 'given', endpoint: 'e1', adapterKey: 'm/a@1' }])
   })
 
+  // Guards against a refusal by a host that does not lead, which ended the wait with most of the deadline left as if the leader had refused the load.
+  for (const { title, refusal, expected } of [
+    { title: 'wait for the next leader while hosts answer that they do not lead', refusal: { isLeading: false }, expected: [{ kind: 'given', endpoint: 'e1', adapterKey: 'm/a@1' }] },
+    { title: 'are refused at once when the leader refuses them and the wait for a load is nearly over', refusal: {}, expected: [{ kind: 'refused', reason: 'r', retryAfterMs: 300 }] }
+  ]) {
+    it(title, () => {
+      const fixture = createFixture()
+      const answers: LoadAnswer[] = []
+      fixture.directory.requestLoad({ ...request, waitMs: 1_000 }, answer => answers.push(answer))
+      fixture.runFor(800)
+      fixture.receive({ kind: 'load.refused', askId: 1, reason: 'r', retryAfterMs: 300, ...refusal })
+      fixture.runFor(100)
+      fixture.receive({ kind: 'load.given', askId: 1, endpoint: 'e1', adapterKey: 'm/a@1' })
+      expect(answers).toEqual(expected as LoadAnswer[])
+    })
+  }
+
+  it('are refused at their deadline while hosts answer that they do not lead', () => {
+    const fixture = createFixture()
+    const answers: LoadAnswer[] = []
+    fixture.directory.requestLoad({ ...request, waitMs: 1_000 }, answer => answers.push(answer))
+    const refuseFor = (ms: number): void => {
+      for (const until = fixture.getNow() + ms; fixture.getNow() < until; fixture.runFor(100)) fixture.receive({ kind: 'load.refused', askId: 1, reason: 'r', retryAfterMs: 300, isLeading: false })
+    }
+    refuseFor(1_900)
+    expect(answers).toEqual([])
+    refuseFor(200)
+    expect(answers.map(({ kind }) => kind)).toEqual(['refused'])
+  })
+
   it('are refused at their deadline without a leader, and do not keep the run loop busy', () => {
     const fixture = createFixture()
     const answers: LoadAnswer[] = []
--- a/fleet/placement/src/placement.ts
+++ b/fleet/placement/src/placement.ts
@@ -24,7 +24,7 @@
 import type { LoadCountTotals } from './loadCounts.ts'
 import { createLoadHistory } from './loadHistory.ts'
 import { createLoadPolls } from './loadPolls.ts'
-import { addRequest, refuseWaiter, runRequests } from './placementRequests.ts'
+import { addRequest, refuseAsFollower, refuseWaiter, runRequests } from './placementRequests.ts'
 
 export type { OrderCall, PlacementOptions } from './placementState.ts'
 
@@ -113,7 +113,7 @@
   const { workId, waitMs = remainingMs, onTimeMs = remainingMs } = request
   const waiter: Waiter = { host: from, askId, askedAt: context.now, waitMs, deadlineAt: context.now + remainingMs, priority, onTimeUntil: context.now + onTimeMs, workId, isReturning: workId !== undefined && state.history.wasRefused(workId, context.now) }
   if (state.term === undefined) {
-    refuseWaiter(waiter, 'this host is not the leader', REFUSED_RETRY_MS, context)
+    refuseAsFollower(waiter, 'this host is not the leader', context)
     return
   }
   if (adapter === undefined) {
@@ -252,7 +252,7 @@
 function refuseForNewLeader (state: PlacementState, waiters: readonly Waiter[], context: RunContext): void {
   for (const waiter of waiters) {
     state.loadCounts.recordOutcome(LoadRequestOutcome.LEADER_CHANGED, waiter.priority)
-    refuseWaiter(waiter, 'leadership has changed', REFUSED_RETRY_MS, context)
+    refuseAsFollower(waiter, 'leadership has changed', context)
   }
 }
 
--- a/fleet/placement/src/placementRequests.ts
+++ b/fleet/placement/src/placementRequests.ts
@@ -78,6 +78,11 @@
   context.send(host, { kind: 'load.refused', askId, reason, retryAfterMs })
 }
 
+/** Refuses a waiter that another host may still serve: this one does not lead. */
+export function refuseAsFollower ({ host, askId }: Waiter, reason: string, context: RunContext): void {
+  context.send(host, { kind: 'load.refused', askId, reason, retryAfterMs: REFUSED_RETRY_MS, isLeading: false })
+}
+
 /** Refuses the waiters that `choose` selects, and remembers their work. */
 function refuseWaiters (state: PlacementState, request: PlacementRequest, opts: { readonly choose: (waiter: Waiter) => boolean, readonly reason: string, readonly backlog?: LoadBacklog }, context: RunContext): void {
   const refused = request.waiters.filter(opts.choose)
--- a/fleet/placement/test/placement.test.ts
+++ b/fleet/placement/test/placement.test.ts
@@ -127,7 +127,8 @@
     expect(requests.map(({ askId }) => findAnswer(fleet, askId)?.kind)).toEqual(requests.map(() => 'load.given'))
   })
 
-  it('refuses waiting requests when leadership changes', () => {
+  // Guards against entry hosts that take a refusal for the leader's, and no longer wait for the next one.
+  it('refuses waiting requests when leadership changes, and says that it does not lead', () => {
     const fleet = createFakeEngines({ ids: ['e1'], slots: 4 })
     fleet.runFor(1_000)
     const request = buildLoadRequest('a')
@@ -135,7 +136,9 @@
     fleet.runFor(20)
     fleet.setTerm(undefined)
     fleet.runFor(200)
-    expect(findAnswer(fleet, request.askId)?.kind).toEqual('load.refused')
+    const late = buildLoadRequest('b')
+    fleet.receive(late)
+    for (const { askId } of [request, late]) expect(findAnswer(fleet, askId)).toEqual(expect.subset({ kind: 'load.refused', isLeading: false }))
     const { length } = fleet.orders
     fleet.runFor(3_000)
     expect(fleet.orders.length).toEqual(length)
