Make the simulated fleet a package of testing

Cause: the model of core hosts and entry hosts on virtual time, the operator who sends commands to them, and the program that prints how long acknowledgements take lay among the tests of daemon/fleet.

Change: they are `testing/fleet`; daemon/fleet keeps the tests, and exports the systems of a core host and the confirmation gate, which the fleet drives. `commandCalm` is named by what it does.

--- a/daemon/fleet/src/index.ts
+++ b/daemon/fleet/src/index.ts
@@ -1,4 +1,8 @@
 /** Entry hosts and core hosts, which find each other through seed addresses. */
+export { createConfirmationGate } from './confirmationGate.ts'
+export type { ConfirmationGate } from './confirmationGate.ts'
+export { createCoreSystems } from './coreSystems.ts'
+export type { CoreSystems } from './coreSystems.ts'
 export { startCoreHost } from './coreHost.ts'
 export type { CoreHost } from './coreHost.ts'
 export type { CoreHostOptions, FleetPlatform } from './coreHost.ts'
--- a/daemon/fleet/test/commandCalm.test.ts
+++ b/daemon/fleet/test/acknowledgements.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'earl'
 import { describe, it } from 'node:test'
-import { playCalm } from './commandCalm.ts'
+import { measureAcknowledgements } from '@catkinferry/testing.fleet'
 
 const ACK_BOUND_MS = 5_000
 const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8]
@@ -18,7 +18,7 @@
   ]
   for (const { name, ...setting } of settings) {
     it(`are acknowledged once calm has begun, ${name}`, () => {
-      const slow = SEEDS.flatMap(seed => playCalm({ seed, commandTimeoutMs: COMMAND_TIMEOUT_MS, ...setting }).filter(({ ackMs }) => ackMs > ACK_BOUND_MS).map(order => ({ seed, ...order })))
+      const slow = SEEDS.flatMap(seed => measureAcknowledgements({ seed, commandTimeoutMs: COMMAND_TIMEOUT_MS, ...setting }).filter(({ ackMs }) => ackMs > ACK_BOUND_MS).map(order => ({ seed, ...order })))
       expect(slow).toEqual([])
     })
   }
--- a/daemon/fleet/test/busyLeader.test.ts
+++ b/daemon/fleet/test/busyLeader.test.ts
@@ -2,11 +2,11 @@
 import { createOutbox } from '@catkinferry/host.core'
 import type { RunContext } from '@catkinferry/host.events'
 import { packCommand } from '@catkinferry/settings.replicated-state'
+import { buildTable } from '@catkinferry/testing.fleet'
 import { expect } from 'earl'
 import { describe, it } from 'node:test'
 import { createCoreSystems } from '../src/coreSystems.ts'
 import type { FleetSettings } from '../src/fleetSettings.ts'
-import { buildTable } from './confirmationFleet.ts'
 
 const SELF = '127.0.0.1:7380'
 const SETTINGS = { name: 'core-0', host: SELF, zone: 'z', region: 'r', regionsByZone: new Map([['z', 'r']]), bootstrap: true, toleratedDiskLosses: 0, times: { handOverMs: 0, graceMs: 1_000, listLagMs: 0 } } as unknown as FleetSettings
--- a/daemon/fleet/test/confirmation.test.ts
+++ b/daemon/fleet/test/confirmation.test.ts
@@ -1,14 +1,14 @@
 import { expect } from 'earl'
 import { describe, it } from 'node:test'
 import type { HostId } from '@catkinferry/core.types'
-import { CORES, createConfirmationFleet, REVOCATION_MS } from './confirmationFleet.ts'
-import type { ConfirmationFleet } from './confirmationFleet.ts'
+import { CORES, createSimulatedFleet, REVOCATION_MS } from '@catkinferry/testing.fleet'
+import type { SimulatedFleet } from '@catkinferry/testing.fleet'
 
 const OUTDATED_LINE = 'the route table was not confirmed in time; requests with keys are not served'
 
 /** A fleet that has run version 1 of the routes for a while, and its leader. */
-function createStarted (older: readonly HostId[] = []): { fleet: ConfirmationFleet, leader: HostId, followers: readonly HostId[] } {
-  const fleet = createConfirmationFleet({ entries: ['e0', 'e1'], older, revocationMs: REVOCATION_MS })
+function createStarted (older: readonly HostId[] = []): { fleet: SimulatedFleet, leader: HostId, followers: readonly HostId[] } {
+  const fleet = createSimulatedFleet({ entries: ['e0', 'e1'], older, revocationMs: REVOCATION_MS })
   fleet.runFor(6_000)
   const leader = fleet.findLeader()
   if (leader === undefined) throw new Error('no leader')
@@ -17,7 +17,7 @@
   return { fleet, leader, followers: CORES.filter(core => core !== leader) }
 }
 
-function cutFromOthers (fleet: ConfirmationFleet, host: HostId, except: readonly HostId[] = []): void {
+function cutFromOthers (fleet: SimulatedFleet, host: HostId, except: readonly HostId[] = []): void {
   for (const core of CORES) if (core !== host && !except.includes(core)) fleet.cut(host, core)
 }
 
--- a/daemon/fleet/test/confirmationCost.test.ts
+++ b/daemon/fleet/test/confirmationCost.test.ts
@@ -4,8 +4,8 @@
 import type { PeerMessage } from '@catkinferry/wire.messages'
 import { encodeCompact } from '@catkinferry/wire.messages'
 import { encodeFrame } from '@catkinferry/wire.frames'
-import { createConfirmationFleet, REVOCATION_MS } from './confirmationFleet.ts'
-import type { ConfirmationFleet } from './confirmationFleet.ts'
+import { createSimulatedFleet, REVOCATION_MS } from '@catkinferry/testing.fleet'
+import type { SimulatedFleet } from '@catkinferry/testing.fleet'
 
 const MEASURED_MS = 4_000
 const CORE_HOSTS: readonly HostId[] = ['10.1.0.2:7000', '10.2.0.2:7000', '10.3.0.2:7000', '10.4.0.2:7000', '10.5.0.2:7000', '10.6.0.2:7000']
@@ -16,7 +16,7 @@
 }
 
 /** Messages and bytes a second that a host sends and receives. */
-function measureCost (sent: ConfirmationFleet['sent'], host: HostId): Cost {
+function measureCost (sent: SimulatedFleet['sent'], host: HostId): Cost {
   const own = sent.filter(({ from, to }) => from === host || to === host)
   const countBytes = (message: PeerMessage): number => {
     const frame = encodeFrame(encodeCompact(message))
@@ -29,7 +29,7 @@
 /** Costs of an entry host, the leader and a follower. The entry hosts start one after the other. */
 function measureFleet (entryCount: number, revocationMs: number | undefined): Readonly<Record<'entry' | 'leader' | 'follower', Cost>> {
   const entries = Array.from({ length: entryCount }, (_, id) => `10.${1 + id % 6}.${1 + Math.floor(id / 200)}.${id % 200}:7000`)
-  const fleet = createConfirmationFleet({ entries, cores: CORE_HOSTS, revocationMs })
+  const fleet = createSimulatedFleet({ entries, cores: CORE_HOSTS, revocationMs })
   for (const entry of entries) fleet.stop(entry)
   fleet.runFor(3_000)
   const stopped = [...entries]
--- a/daemon/fleet/test/confirmationGate.test.ts
+++ b/daemon/fleet/test/confirmationGate.test.ts
@@ -1,12 +1,12 @@
 import type { Route, RouteTable } from '@catkinferry/core.types'
 import type { HostOutput, RunContext } from '@catkinferry/host.events'
+import { buildTable } from '@catkinferry/testing.fleet'
 import { install } from '@sinonjs/fake-timers'
 import type { Clock as FakeClock } from '@sinonjs/fake-timers'
 import { expect } from 'earl'
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import { createConfirmationGate } from '../src/confirmationGate.ts'
 import { createReadiness } from '../src/readiness.ts'
-import { buildTable } from './confirmationFleet.ts'
 
 const REVOCATION_MS = 5_000
 const MAX_AGE_MS = 4_800
--- a/daemon/fleet/test/commandCalm.ts
+++ b/testing/fleet/src/acknowledgements.ts
@@ -8,8 +8,8 @@
 import { createRandom } from '@catkinferry/core.random'
 import type { Random } from '@catkinferry/core.random'
 import type { Command } from '@catkinferry/wire.messages'
-import { buildTable, createConfirmationFleet } from './confirmationFleet.ts'
-import type { ConfirmationFleet } from './confirmationFleet.ts'
+import { buildTable, createSimulatedFleet } from './simulatedFleet.ts'
+import type { SimulatedFleet } from './simulatedFleet.ts'
 
 const START_MS = 5_000
 const SEED_CORES = 3
@@ -25,7 +25,7 @@
 /** Interval of the commands that load the log, where it is loaded. */
 const LOAD_INTERVAL_MS = 20
 
-export interface CalmOptions {
+export interface AcknowledgementOptions {
   readonly seed: number
   /** As in the operator API. */
   readonly commandTimeoutMs: number
@@ -63,7 +63,7 @@
 }
 
 interface Parts {
-  readonly fleet: ConfirmationFleet
+  readonly fleet: SimulatedFleet
   readonly agenda: Agenda
   readonly random: Random
   readonly cores: readonly HostId[]
@@ -105,26 +105,26 @@
 }
 
 /** Pauses as short as those that a sound host may show, twice in a row. */
-function pauseTwice ({ fleet, agenda, random, report }: Parts, host: HostId): void {
-  const pause = (): void => {
+function stopTwice ({ fleet, agenda, random, report }: Parts, host: HostId): void {
+  const stop = (): void => {
     const pauseMs = random.nextInt(400, 1_500)
     report(`${host} pauses for ${pauseMs} ms`)
     fleet.stop(host)
     agenda.add(pauseMs, () => fleet.resumeTimersFirst(host))
   }
-  pause()
-  agenda.add(1_500 + random.nextInt(50, 1_000), pause)
+  stop()
+  agenda.add(1_500 + random.nextInt(50, 1_000), stop)
 }
 
 function findLeader ({ fleet, random, cores }: Parts): HostId {
   return fleet.findLeader() ?? random.pick(cores)
 }
 
-function cutApart ({ fleet, cores }: Parts, side: readonly HostId[]): void {
+function disconnectFromOthers ({ fleet, cores }: Parts, side: readonly HostId[]): void {
   for (const from of side) for (const to of cores) if (!side.includes(to)) fleet.cut(from, to)
 }
 
-function healLinks ({ fleet, random, maxLinkReturnMs }: Parts): void {
+function restoreLinks ({ fleet, random, maxLinkReturnMs }: Parts): void {
   if (maxLinkReturnMs === 0) fleet.heal()
   else fleet.healLinks(() => random.nextInt(0, maxLinkReturnMs))
 }
@@ -132,26 +132,26 @@
 const TROUBLES: Readonly<Record<string, (parts: Parts) => void>> = {
   halves: parts => {
     const first = parts.random.nextInt(0, parts.cores.length - 1)
-    cutApart(parts, parts.cores.filter((_, index) => (index + first) % parts.cores.length < parts.cores.length / 2))
-    parts.agenda.add(parts.random.nextInt(500, 9_000), () => healLinks(parts))
+    disconnectFromOthers(parts, parts.cores.filter((_, index) => (index + first) % parts.cores.length < parts.cores.length / 2))
+    parts.agenda.add(parts.random.nextInt(500, 9_000), () => restoreLinks(parts))
   },
   single: parts => {
-    cutApart(parts, [parts.random.pick(parts.cores)])
-    parts.agenda.add(parts.random.nextInt(300, 3_000), () => healLinks(parts))
+    disconnectFromOthers(parts, [parts.random.pick(parts.cores)])
+    parts.agenda.add(parts.random.nextInt(300, 3_000), () => restoreLinks(parts))
   },
   leaderCut: parts => {
-    cutApart(parts, [findLeader(parts)])
-    parts.agenda.add(parts.random.nextInt(300, 3_000), () => healLinks(parts))
+    disconnectFromOthers(parts, [findLeader(parts)])
+    parts.agenda.add(parts.random.nextInt(300, 3_000), () => restoreLinks(parts))
   },
-  leaderPause: parts => pauseTwice(parts, findLeader(parts)),
-  pause: parts => pauseTwice(parts, parts.random.pick(parts.cores)),
+  leaderPause: parts => stopTwice(parts, findLeader(parts)),
+  pause: parts => stopTwice(parts, parts.random.pick(parts.cores)),
   neededPause: parts => {
     const leader = findLeader(parts)
     const others = parts.cores.filter(core => core !== leader)
     const minority = Math.floor((parts.cores.length - 1) / 2)
-    for (const core of others.slice(0, minority)) cutApart(parts, [core])
-    parts.agenda.add(parts.random.nextInt(1_000, 4_000), () => healLinks(parts))
-    pauseTwice(parts, others[minority]!)
+    for (const core of others.slice(0, minority)) disconnectFromOthers(parts, [core])
+    parts.agenda.add(parts.random.nextInt(1_000, 4_000), () => restoreLinks(parts))
+    stopTwice(parts, others[minority]!)
   },
   slow: parts => {
     const host = findLeader(parts)
@@ -173,10 +173,10 @@
 }
 
 /** Plays one seed. Odd seeds have five core hosts, others three, if none joins; every third loads the log; every fourth pauses hosts in the calm, too. */
-export function playCalm ({ seed, commandTimeoutMs, maxLinkReturnMs, joiningCores, onEvent }: CalmOptions): readonly OrderTimes[] {
+export function measureAcknowledgements ({ seed, commandTimeoutMs, maxLinkReturnMs, joiningCores, onEvent }: AcknowledgementOptions): readonly OrderTimes[] {
   const random = createRandom(seed)
   const cores = Array.from({ length: joiningCores === undefined ? seed % 2 === 0 ? 3 : 5 : SEED_CORES + joiningCores }, (_, index) => `c${index}`)
-  const fleet = createConfirmationFleet({ entries: [], cores, seeds: joiningCores === undefined ? cores : cores.slice(0, SEED_CORES), revocationMs: undefined, seed })
+  const fleet = createSimulatedFleet({ entries: [], cores, seeds: joiningCores === undefined ? cores : cores.slice(0, SEED_CORES), revocationMs: undefined, seed })
   const agenda = createAgenda(fleet.getNow)
   const report = (text: string): void => onEvent?.(`${fleet.getNow()} ${text}`)
   const parts: Parts = { fleet, agenda, random, cores, maxLinkReturnMs, report }
@@ -206,16 +206,16 @@
   }
 
   function endTroubles (): void {
-    healLinks(parts)
+    restoreLinks(parts)
     for (const core of cores) {
       fleet.setTurnMs(core, 0)
       fleet.resumeTimersFirst(core)
     }
   }
 
-  function pauseInCalm (): void {
-    pauseTwice(parts, random.nextInt(0, 1) === 0 ? findLeader(parts) : random.pick(cores))
-    agenda.add(random.nextInt(4_000, 6_000), pauseInCalm)
+  function stopInCalm (): void {
+    stopTwice(parts, random.nextInt(0, 1) === 0 ? findLeader(parts) : random.pick(cores))
+    agenda.add(random.nextInt(4_000, 6_000), stopInCalm)
   }
 
   agenda.add(START_MS, addOrders)
@@ -227,7 +227,7 @@
   })
   endTroubles()
   fleet.runFor(maxLinkReturnMs, agenda.runDue)
-  if (seed % 4 === 0) pauseInCalm()
+  if (seed % 4 === 0) stopInCalm()
   fleet.runFor(CALM_MS, agenda.runDue)
   report(`${fleet.logs.filter(({ message }) => message === 'voter membership change proposed').length} changes of voters`)
   return orders
