Give tests one wait with a limit

Cause: six test files had a wait of their own, and eight more loops of a line; most had no limit, so a state that was never reached let the whole run hang and did not say what was missing.

Tests of daemon, wire, consensus, endpoints and platform use it; the engine driver's waits for events are built on it. Loops in gateway/relay/test, in newLeader.test.ts, and those whose steps act and do not wait are as before.

--- a/consensus/durable-log/test/durableLog.test.ts
+++ b/consensus/durable-log/test/durableLog.test.ts
@@ -6,6 +6,7 @@
 import { CatkinferryError } from '@catkinferry/core.errors'
 import { createLogger } from '@catkinferry/core.logger'
 import { createRandom } from '@catkinferry/core.random'
+import { waitFor } from '@catkinferry/testing.fakes'
 import { expect } from 'earl'
 import fc from 'fast-check'
 import { openDurableLog, openWhenWritable } from '../src/index.ts'
@@ -182,7 +183,7 @@
     const reason = 'the disk is full (ENOSPC): ENOSPC: no space left on device, write'
     expect(await failed).toEqual({ writeId: 0, ok: false, reason })
     const before = files.getOperations()
-    while (files.getOperations() < before + 10) await new Promise(resolve => setImmediate(resolve))
+    await waitFor('the log has tried ten operations again', () => files.getOperations() >= before + 10, { pollMs: 1 })
     await log.close()
     expect(await Promise.all(answers)).toEqual([{ writeId: 2, ok: false, reason }, { writeId: 3, ok: false, reason }])
     files.setFault(undefined)
--- a/daemon/fleet/test/callerConnections.test.ts
+++ b/daemon/fleet/test/callerConnections.test.ts
@@ -1,3 +1,4 @@
+import { waitFor } from '@catkinferry/testing.fakes'
 import { expect } from 'earl'
 import { once } from 'node:events'
 import { createServer } from 'node:http'
@@ -31,10 +32,6 @@
     runCount = 0
   })
 
-  async function waitFor (isTrue: () => boolean): Promise<void> {
-    while (!isTrue()) await sleep(5)
-  }
-
   async function listen (handle: RequestListener): Promise<Socket> {
     const connections = createConnections({
       getNow: () => performance.now(),
@@ -72,7 +69,7 @@
     req.on('end', () => {
       runCount += 1
       if (begins) res.write('begun ')
-      void waitFor(() => closed.length > 0).then(() => sleep(100)).then(() => { res.end('whole') })
+      void waitFor('a connection is closed', () => closed.length > 0).then(() => sleep(100)).then(() => { res.end('whole') })
     })
   }
 
@@ -88,12 +85,12 @@
         const caller = await listen(handleUntilFailure(begins))
         const got = collect(caller)
         caller.write(WHOLE)
-        await waitFor(() => runCount === 1)
+        await waitFor('the request runs', () => runCount === 1)
         for (const part of behind) {
           caller.write(part)
           await sleep(20)
         }
-        await waitFor(() => got.hasEnded)
+        await waitFor('the host ends the connection', () => got.hasEnded)
         const [head = '', body] = got.text.split('\r\n\r\n', 2)
         expect([head.split('\r\n', 1), head.includes('Connection: close'), got.text.split('HTTP/1.1').length - 1]).toEqual([['HTTP/1.1 200 OK'], !begins, 1])
         expect([body, runCount, closed]).toEqual([begins ? '6\r\nbegun \r\n5\r\nwhole\r\n0' : 'whole', 1, [cause]])
@@ -105,7 +102,7 @@
     const caller = await listen(handleUntilFailure(false))
     const got = collect(caller)
     caller.write(`${WHOLE}${WHOLE}${POST}Con`)
-    await waitFor(() => got.hasEnded)
+    await waitFor('the host ends the connection', () => got.hasEnded)
     expect([got.text.split('200 OK').length - 1, got.text.endsWith('whole'), got.text.split('HTTP/1.1').length - 1, runCount]).toEqual([2, true, 2, 2])
   })
 
@@ -113,11 +110,11 @@
     const caller = await listen((req, res) => {
       req.resume()
       res.write('begun ')
-      void waitFor(() => closed.length > 0).then(() => sleep(100)).then(() => { res.end('whole') })
+      void waitFor('a connection is closed', () => closed.length > 0).then(() => sleep(100)).then(() => { res.end('whole') })
     })
     const got = collect(caller)
     caller.write(`${POST}Content-Length: 4\r\n\r\nab`)
-    await waitFor(() => got.hasEnded)
+    await waitFor('the host ends the connection', () => got.hasEnded)
     expect([got.text.endsWith('whole\r\n0\r\n\r\n'), got.text.split('HTTP/1.1').length - 1]).toEqual([true, 1])
   })
 
@@ -136,12 +133,12 @@
       })
       const got = collect(caller)
       caller.write(`${WHOLE}${rest}`)
-      await waitFor(() => !name.startsWith('after') || closed.length > 0)
+      await waitFor('the connection is closed, if the rest comes after that', () => !name.startsWith('after') || closed.length > 0)
       await sleep(50)
       expect(aborted).toEqual(0)
       caller.end()
-      await waitFor(() => aborted === 1)
-      await waitFor(() => got.hasEnded)
+      await waitFor('the request is aborted', () => aborted === 1)
+      await waitFor('the host ends the connection', () => got.hasEnded)
       expect([got.text, closed]).toEqual(['', [...counted]])
     })
   }
@@ -167,9 +164,9 @@
       })
       const got = collect(caller)
       caller.write(handled)
-      await waitFor(() => got.hasEnded)
+      await waitFor('the host ends the connection', () => got.hasEnded)
       caller.end(sent)
-      await waitFor(() => got.hasClosed && (expected.bytes === undefined || unanswered.length > 0))
+      await waitFor('the connection is closed, and its bytes are reported', () => got.hasClosed && (expected.bytes === undefined || unanswered.length > 0))
       expect([lateCauses, unanswered.map(({ cause, before, after }) => [cause, before, after]), runCount]).toEqual([[...expected.late], expected.bytes === undefined ? [] : [[...expected.bytes]], handled === WHOLE ? 1 : 0])
     })
   }
@@ -184,9 +181,9 @@
       const caller = await listen(handleUntilFailure(false))
       const got = collect(caller)
       caller.write(first)
-      await waitFor(() => got.text !== '')
+      await waitFor('bytes of the response arrive', () => got.text !== '')
       caller.end(rest)
-      await waitFor(() => got.hasClosed)
+      await waitFor('the connection is closed', () => got.hasClosed)
       await sleep(50)
       expect([got.text.startsWith('HTTP/1.1 408 '), got.text.split('HTTP/1.1').length - 1, runCount, closed]).toEqual([true, 1, 0, [CloseCause.REQUEST_TIMEOUT]])
     })
--- a/daemon/fleet/test/failingPlatform.test.ts
+++ b/daemon/fleet/test/failingPlatform.test.ts
@@ -3,12 +3,12 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { describe, it } from 'node:test'
-import { setTimeout as sleep } from 'node:timers/promises'
 import { createSystemClock } from '@catkinferry/core.clock'
 import { createLogger } from '@catkinferry/core.logger'
 import { createMetrics } from '@catkinferry/core.metrics'
 import { createMetricsPage } from '@catkinferry/core.metrics-page'
 import type { ListedEndpoint, RouteTable } from '@catkinferry/core.types'
+import { waitFor } from '@catkinferry/testing.fakes'
 import { FLEET_METRICS, METRICS_PREFIX, startCoreHost } from '../src/index.ts'
 import type { FleetSettings } from '../src/index.ts'
 
@@ -18,12 +18,6 @@
 const TABLE: RouteTable = { version: 1, routes: [], pools: [{ name: 'p', healthPath: '/', maxConnections: 1, engine: { batchLimit: 1, weightsMb: 1, adapterPlaces: 4, modelLoadsPerSecond: 10, models: [{ model: 'm', weightsMb: 1, loadMs: 1, adapterMb: 1 }] } }], limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } }
 const ENGINE: ListedEndpoint = { endpoint: 'e1', pool: 'p', zone: 'z', address: '10.0.0.1:1', leaving: false, bornAt: 1, models: [] }
 const MAX_WAIT_MS = 15_000
-const POLL_MS = 20
-
-async function waitFor (check: () => boolean): Promise<boolean> {
-  for (const end = Date.now() + MAX_WAIT_MS; !check() && Date.now() < end;) await sleep(POLL_MS)
-  return check()
-}
 
 describe('a leading core host', () => {
   // Guards against a process that ends, or never reads the list again, because a read of the list or an order rejects.
@@ -51,7 +45,7 @@
     })
     try {
       await core.submit({ kind: 'routes.replace', table: TABLE, document: '{}' }, MAX_WAIT_MS)
-      expect(await waitFor(() => calls.reads >= 4 && calls.orders >= 2)).toEqual(true)
+      await waitFor('four reads of the list and two orders', () => calls.reads >= 4 && calls.orders >= 2, { maxMs: MAX_WAIT_MS })
       for (const message of ['failed to read the list of endpoints', 'order was not confirmed']) expect(lines.some(line => line.includes(message))).toEqual(true)
     } finally {
       await core.stop()
--- a/daemon/fleet/test/pausedDeadlines.test.ts
+++ b/daemon/fleet/test/pausedDeadlines.test.ts
@@ -3,6 +3,7 @@
 import { createMetrics } from '@catkinferry/core.metrics'
 import { createDirectory } from '@catkinferry/fleet.directory'
 import type { Directory, DirectoryMessage } from '@catkinferry/fleet.directory'
+import { waitFor } from '@catkinferry/testing.fakes'
 import type { FleetMessage, PeerMessage } from '@catkinferry/wire.messages'
 import { createPeerLinks } from '@catkinferry/wire.peer-links'
 import type { PeerLinks } from '@catkinferry/wire.peer-links'
@@ -75,8 +76,7 @@
     await started.open()
     // A link is opened for its first message.
     links.send(host, { kind: 'fleet.announced', after: 0, sequence: 0, versions: [] })
-    const isUp = (): boolean => links.listStatus().every(({ up }) => up)
-    while (!isUp()) await sleep(10)
+    await waitFor('the link is up', () => links.listStatus().every(({ up }) => up))
     await sleep(100)
     return directory
   }
--- a/daemon/main/test/daemon.test.ts
+++ b/daemon/main/test/daemon.test.ts
@@ -2,7 +2,7 @@
 import { createLogger } from '@catkinferry/core.logger'
 import { createMetrics } from '@catkinferry/core.metrics'
 import type { Config } from '@catkinferry/daemon.config'
-import { startFakeEngine } from '@catkinferry/testing.fakes'
+import { startFakeEngine, waitFor } from '@catkinferry/testing.fakes'
 import type { FakeEngine } from '@catkinferry/testing.fakes'
 import { expect } from 'earl'
 import { afterEach, beforeEach, describe, it } from 'node:test'
@@ -71,7 +71,7 @@
     const answer = await complete(1_000_000, controller.signal)
     await answer.body?.getReader().read()
     controller.abort()
-    while (engine.runs[0]?.ended !== 'cut') await new Promise(resolve => setTimeout(resolve, 5))
+    await waitFor('the run at the engine is cut', () => engine.runs[0]?.ended === 'cut')
     expect(host.seen.includes('caller.gone')).toEqual(true)
   })
 
--- a/daemon/main/test/fullLog.test.ts
+++ b/daemon/main/test/fullLog.test.ts
@@ -1,3 +1,4 @@
+import { waitFor } from '@catkinferry/testing.fakes'
 import { expect } from 'earl'
 import { spawn } from 'node:child_process'
 import { once } from 'node:events'
@@ -5,7 +6,6 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { it } from 'node:test'
-import { setTimeout as sleep } from 'node:timers/promises'
 import { findFreePort } from './freePort.ts'
 
 const MAIN = join(import.meta.dirname, '../src/main.ts')
@@ -33,15 +33,12 @@
   let errors = ''
   child.stderr?.on('data', chunk => { errors += String(chunk) })
   const ended = once(child, 'exit')
-  const serve = async (): Promise<string> => {
-    while (child.exitCode === null) {
-      const answer = await fetch(`http://127.0.0.1:${caller}/readyz`).catch(() => undefined)
-      if (answer !== undefined) return 'serves'
-      await sleep(POLL_MS)
-    }
-    return errors
-  }
-  expect(await serve()).toEqual('serves')
+  let isServing = false
+  await waitFor('the host serves or ends', async () => {
+    isServing = await fetch(`http://127.0.0.1:${caller}/readyz`).then(() => true, () => false)
+    return isServing || child.exitCode !== null
+  }, { pollMs: POLL_MS })
+  expect([isServing, errors]).toEqual([true, ''])
   child.kill('SIGTERM')
   expect([await ended, errors]).toEqual([[0, null], ''])
   await log.close()
--- a/daemon/main/test/threeHosts.test.ts
+++ b/daemon/main/test/threeHosts.test.ts
@@ -2,13 +2,12 @@
 import type { FileOperations } from '@catkinferry/consensus.durable-log'
 import type { OperatorCall, OperatorReply } from '@catkinferry/core.types'
 import type { Config } from '@catkinferry/daemon.config'
-import { startFakeEngine, startFakeService } from '@catkinferry/testing.fakes'
+import { startFakeEngine, startFakeService, waitFor } from '@catkinferry/testing.fakes'
 import type { FakeEngine, FakeService } from '@catkinferry/testing.fakes'
 import { expect } from 'earl'
 import { mkdtemp, rm } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { setTimeout as sleep } from 'node:timers/promises'
 import { after, before, describe, it } from 'node:test'
 import { startHost } from '../src/index.ts'
 import type { Daemon } from '../src/index.ts'
@@ -61,12 +60,11 @@
   }
 
   async function waitUntilReady (host: string): Promise<void> {
-    for (;;) {
+    await waitFor(`${host} is ready`, async () => {
       const answer = await fetch(`${getDaemon(host).callerUrl}/readyz`)
       await answer.text()
-      if (answer.ok) return
-      await sleep(20)
-    }
+      return answer.ok
+    })
   }
 
   before(async () => {
@@ -135,7 +133,7 @@
   it('accepts changes while the disk of each host is full in turn, and after that', async () => {
     const submit = async (host: string, name: string): Promise<OperatorReply> => await sendOperatorCall(host, { kind: 'settings.change', changeId: name, changes: [{ path: `models/${name}`, expectedRevision: 0, values: { pool: 'demo' } }], dryRun: false, deadlineMs: 20_000 })
     const waitForLine = async (host: string, text: string): Promise<void> => {
-      while (!logLines.some(line => line.includes(text) && line.includes(`"${host}"`))) await sleep(20)
+      await waitFor(`the line '${text}' of ${host}`, () => logLines.some(line => line.includes(text) && line.includes(`"${host}"`)))
     }
     for (const [at, host] of HOSTS.entries()) {
       fullHosts.add(host)
--- a/endpoints/engine-driver/test/engineDriver.test.ts
+++ b/endpoints/engine-driver/test/engineDriver.test.ts
@@ -1,7 +1,7 @@
 import { createSystemClock } from '@catkinferry/core.clock'
 import type { AdapterWork } from '@catkinferry/core.types'
 import type { AttemptStart, HostEvent, OrderSend } from '@catkinferry/host.events'
-import { createPeakBudget, startEndlessServer, startFakeEngine } from '@catkinferry/testing.fakes'
+import { createPeakBudget, startEndlessServer, startFakeEngine, waitFor } from '@catkinferry/testing.fakes'
 import type { FakeEngine, FakeEngineOptions } from '@catkinferry/testing.fakes'
 import { expect } from 'earl'
 import { createServer } from 'node:net'
@@ -18,13 +18,11 @@
   let engine: FakeEngine | undefined
   let driver: EngineDriver
   let events: HostEvent[]
-  let waiting: { readonly isDone: () => boolean, readonly resolve: () => void } | undefined
 
-  /** Waits until an event of this kind was emitted. */
-  async function waitFor (kind: HostEvent['kind']): Promise<HostEvent> {
-    const isDone = (): boolean => events.some(event => event.kind === kind)
-    if (!isDone()) await new Promise<void>(resolve => { waiting = { isDone, resolve } })
-    return events.find(event => event.kind === kind) as HostEvent
+  async function waitForEvent (kind: HostEvent['kind']): Promise<HostEvent> {
+    const find = (): HostEvent | undefined => events.find(event => event.kind === kind)
+    await waitFor(`the event ${kind}`, () => find() !== undefined)
+    return find() as HostEvent
   }
 
   async function startEngine (opts: FakeEngineOptions): Promise<FakeEngine> {
@@ -45,12 +43,7 @@
 
   beforeEach(() => {
     events = []
-    waiting = undefined
-    const emit = (event: HostEvent): void => {
-      events.push(event)
-      if (waiting?.isDone() === true) waiting.resolve()
-    }
-    driver = createEngineDriver({ clock, emit })
+    driver = createEngineDriver({ clock, emit: event => { events.push(event) } })
   })
 
   afterEach(async () => {
@@ -62,7 +55,7 @@
   it('emits a stream as started, chunks in order and ended, each with its echo', async () => {
     await startEngine({})
     driver.startAttempt(buildStart({}))
-    await waitFor('attempt.ended')
+    await waitForEvent('attempt.ended')
     const echo = { attemptId: 'r1.0', adapter: 'a', version: '1' }
     expect(events.map(({ kind }) => kind)).toEqual(['attempt.started', 'attempt.chunk', 'attempt.chunk', 'attempt.chunk', 'attempt.ended'])
     expect(events.flatMap(event => event.kind === 'attempt.chunk' ? [event.index] : [])).toEqual([0, 1, 2])
@@ -72,7 +65,7 @@
   it('resumes a stream from a chunk', async () => {
     await startEngine({})
     driver.startAttempt(buildStart({ resumeFrom: 2 }))
-    await waitFor('attempt.ended')
+    await waitForEvent('attempt.ended')
     expect(events.flatMap(event => event.kind === 'attempt.chunk' ? [event.index] : [])).toEqual([2])
   })
 
@@ -96,7 +89,7 @@
       server.listen(0, '127.0.0.1')
       await once(server, 'listening')
       driver.startAttempt({ ...buildStart({ resumeFrom: 2 }), url: `http://127.0.0.1:${(server.address() as AddressInfo).port}` })
-      await waitFor('attempt.failed')
+      await waitForEvent('attempt.failed')
       expect(events.map(({ kind }) => kind)).toEqual(['attempt.failed'])
     })
   }
@@ -137,61 +130,61 @@
   it('emits a non-streamed response as one chunk with its token count', async () => {
     await startEngine({})
     driver.startAttempt(buildStart({ work: { stream: false }, freshConnection: true }))
-    await waitFor('attempt.ended')
+    await waitForEvent('attempt.ended')
     expect(events[1]).toEqual(expect.subset({ kind: 'attempt.chunk', index: 0, tokens: 3 }))
   })
 
   it('emits the echo of another attempt unchanged', async () => {
     await startEngine({ faults: { crossedAttemptId: 'r9.0', wrongVersion: '2' } })
     driver.startAttempt(buildStart({}))
-    const started = await waitFor('attempt.started')
+    const started = await waitForEvent('attempt.started')
     expect(started).toEqual(expect.subset({ attemptId: 'r1.0', echo: { attemptId: 'r9.0', adapter: 'a', version: '2' } }))
   })
 
   it('reports that nothing was sent if the connection is refused', async () => {
     driver.startAttempt({ ...buildStart({}), url: 'http://127.0.0.1:1' })
-    expect(await waitFor('attempt.failed')).toEqual(expect.subset({ sent: false, failure: expect.subset({ ran: 'no', peer: 'e1' }) }))
+    expect(await waitForEvent('attempt.failed')).toEqual(expect.subset({ sent: false, failure: expect.subset({ ran: 'no', peer: 'e1' }) }))
   })
 
   it('sends no attempt after its send deadline', async () => {
     const { runs } = await startEngine({})
     driver.startAttempt(buildStart({ sendBeforeMs: clock.getMonotonicMs() - 1 }))
-    expect(await waitFor('attempt.failed')).toEqual(expect.subset({ sent: false }))
+    expect(await waitForEvent('attempt.failed')).toEqual(expect.subset({ sent: false }))
     expect(runs).toEqual([])
   })
 
   it('reports a stream without the end marker as failed after sending', async () => {
     await startEngine({ faults: { cutAfterChunks: 1 } })
     driver.startAttempt(buildStart({}))
-    expect(await waitFor('attempt.failed')).toEqual(expect.subset({ sent: true }))
+    expect(await waitForEvent('attempt.failed')).toEqual(expect.subset({ sent: true }))
     expect(events.some(({ kind }) => kind === 'attempt.ended')).toEqual(false)
   })
 
   it('fails a stalled stream after the progress timeout', async () => {
     await startEngine({ faults: { silentAfterChunks: 1 } })
     driver.startAttempt(buildStart({ progressTimeoutMs: 50 }))
-    expect(await waitFor('attempt.failed')).toEqual(expect.subset({ sent: true, failure: expect.subset({ code: 'ERR_CATKINFERRY_STREAM_CUT' }) }))
+    expect(await waitForEvent('attempt.failed')).toEqual(expect.subset({ sent: true, failure: expect.subset({ code: 'ERR_CATKINFERRY_STREAM_CUT' }) }))
   })
 
   it('aborts an attempt at its time limit', async () => {
     await startEngine({ faults: { silentAfterChunks: 1 } })
     driver.startAttempt(buildStart({ endBeforeMs: clock.getMonotonicMs() + 50 }))
-    expect(await waitFor('attempt.failed')).toEqual(expect.subset({ failure: expect.subset({ code: 'ERR_CATKINFERRY_DEADLINE' }) }))
+    expect(await waitForEvent('attempt.failed')).toEqual(expect.subset({ failure: expect.subset({ code: 'ERR_CATKINFERRY_DEADLINE' }) }))
   })
 
   it('distinguishes a refusal because the adapter is not loaded from a failure', async () => {
     await startEngine({ resident: [] })
     driver.startAttempt(buildStart({}))
-    expect(await waitFor('attempt.failed')).toEqual(expect.subset({ refused: 'notResident', sent: true, failure: expect.subset({ ran: 'no' }) }))
+    expect(await waitForEvent('attempt.failed')).toEqual(expect.subset({ refused: 'notResident', sent: true, failure: expect.subset({ ran: 'no' }) }))
   })
 
   it('aborts the request at the engine when an attempt is cancelled, without further events', async () => {
     const { runs } = await startEngine({ tokenMs: 5 })
     driver.startAttempt(buildStart({ work: { body: { prompt: 'x', max_tokens: 10_000 } } }))
-    await waitFor('attempt.chunk')
+    await waitForEvent('attempt.chunk')
     driver.cancelAttempt('r1.0')
     const seen = events.length
-    while (runs[0]?.ended !== 'cut') await new Promise(resolve => setTimeout(resolve, 5))
+    await waitFor('the run at the engine is cut', () => runs[0]?.ended === 'cut')
     expect(events.length).toEqual(seen)
   })
 
@@ -200,11 +193,11 @@
     const server = await startEndlessServer('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n', `4000\r\n${'x'.repeat(0x4000)}\r\n`)
     t.after(server.close)
     const budget = createPeakBudget({ maxBytes: 0x400000, maxOwnerBytes: 0x200000 })
-    driver = createEngineDriver({ clock, controlBudget: budget, emit: event => { events.push(event); waiting?.resolve() } })
+    driver = createEngineDriver({ clock, controlBudget: budget, emit: event => { events.push(event) } })
     driver.sendOrder(buildOrder({ url: `http://${server.address}` }))
-    expect(await waitFor('order.result')).toEqual(expect.subset({ outcome: { kind: 'unknown' } }))
+    expect(await waitForEvent('order.result')).toEqual(expect.subset({ outcome: { kind: 'unknown' } }))
     driver.pollEndpoint('e1', `http://${server.address}`)
-    await waitFor('endpoint.unreachable')
+    await waitForEvent('endpoint.unreachable')
     expect([budget.getPeakBytes() > 0x100000, budget.getPeakBytes() <= 0x200000, budget.getHeldBytes()]).toEqual([true, true, 0])
   })
 
@@ -215,7 +208,7 @@
       if (orderId === 'o3') faults.loadFails = true
       if (orderId === 'o4') faults.loseOrderAnswers = true
       driver.sendOrder(buildOrder({ orderId, fencing, order: { kind: 'load', adapterKey: `${orderId}@1` } }))
-      const result = await waitFor('order.result')
+      const result = await waitForEvent('order.result')
       outcomes.push(result.kind === 'order.result' ? result.outcome.kind : undefined)
       events.length = 0
     }
@@ -237,21 +230,21 @@
     const [error] = await failed as [NodeJS.ErrnoException]
     server.close()
     expect(error.code).toEqual('ECONNRESET')
-    expect(await waitFor('order.result')).toEqual({ kind: 'order.result', orderId: 'o1', endpoint: 'e1', outcome: { kind: 'unknown' } })
+    expect(await waitForEvent('order.result')).toEqual({ kind: 'order.result', orderId: 'o1', endpoint: 'e1', outcome: { kind: 'unknown' } })
   })
 
   it('sends no order after its send deadline', async () => {
     const { orders } = await startEngine({})
     driver.sendOrder(buildOrder({ sendBeforeMs: clock.getMonotonicMs() - 1 }))
-    expect(await waitFor('order.result')).toEqual(expect.subset({ outcome: { kind: 'notSent' } }))
+    expect(await waitForEvent('order.result')).toEqual(expect.subset({ outcome: { kind: 'notSent' } }))
     expect(orders).toEqual([])
   })
 
   it('emits the report, and reports an unreachable engine', async () => {
     await startEngine({ slots: 3 })
     driver.pollEndpoint('e1', engine?.url ?? '')
-    expect(await waitFor('endpoint.report')).toEqual(expect.subset({ endpoint: 'e1', report: expect.subset({ resident: ['a@1'], slots: 3, checksFencing: true }) }))
+    expect(await waitForEvent('endpoint.report')).toEqual(expect.subset({ endpoint: 'e1', report: expect.subset({ resident: ['a@1'], slots: 3, checksFencing: true }) }))
     driver.pollEndpoint('e2', 'http://127.0.0.1:1')
-    expect(await waitFor('endpoint.unreachable')).toEqual({ kind: 'endpoint.unreachable', endpoint: 'e2' })
+    expect(await waitForEvent('endpoint.unreachable')).toEqual({ kind: 'endpoint.unreachable', endpoint: 'e2' })
   })
 })
--- a/wire/peer-links/test/loopPauses.test.ts
+++ b/wire/peer-links/test/loopPauses.test.ts
@@ -2,6 +2,7 @@
 import { afterEach, describe, it } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { createLogger } from '@catkinferry/core.logger'
+import { waitFor } from '@catkinferry/testing.fakes'
 import type { PeerMessage } from '@catkinferry/wire.messages'
 import { createPeerLinks } from '../src/index.ts'
 import type { PeerLinks } from '../src/index.ts'
@@ -29,13 +30,13 @@
   const sender = create('a')
   sender.setPeers([{ host: 'b', address: `127.0.0.1:${port}` }])
   sender.send('b', { kind: 'settings.ask', after: 1 })
-  while (received.length === 0) await sleep(5)
+  await waitFor('the first message arrives', () => received.length > 0)
   return { sender, received, lines }
 }
 
 async function sendAgain (sender: PeerLinks, received: readonly PeerMessage[]): Promise<void> {
   sender.send('b', { kind: 'settings.ask', after: 2 })
-  while (received.length < 2) await sleep(5)
+  await waitFor('the second message arrives', () => received.length >= 2)
 }
 
 function blockLoop (ms: number): void {
--- a/wire/peer-links/test/peerLinks.test.ts
+++ b/wire/peer-links/test/peerLinks.test.ts
@@ -7,6 +7,7 @@
 import { afterEach, describe, it } from 'node:test'
 import { CatkinferryError } from '@catkinferry/core.errors'
 import { createLogger } from '@catkinferry/core.logger'
+import { waitFor } from '@catkinferry/testing.fakes'
 import type { PeerMessage } from '@catkinferry/wire.messages'
 import { expect } from 'earl'
 import { generate } from 'selfsigned'
@@ -25,17 +26,6 @@
 
 const createMessage = (round: number): PeerMessage => ({ kind: 'settings.ask', after: round })
 
-/** A hang ends the test, and not only the run of all tests. */
-const MAX_WAIT_MS = 60_000
-
-async function waitFor (isDone: () => boolean): Promise<void> {
-  const startedAt = performance.now()
-  while (!isDone()) {
-    if (performance.now() - startedAt > MAX_WAIT_MS) throw new Error(`waited ${MAX_WAIT_MS} ms for: ${isDone}`)
-    await new Promise(resolve => setTimeout(resolve, 5))
-  }
-}
-
 async function createHost (self: string, opts: Partial<PeerLinksOptions> = {}): Promise<Host> {
   const received: Host['received'] = []
   const lines: string[] = []
@@ -117,7 +107,7 @@
     const ups: boolean[] = []
     const a = await createHost('a', { peers: [{ host: 'b', address: `127.0.0.1:${b.port}` }], onLink: (_host, up) => { ups.push(up) } })
     for (let round = 0; round < 100; round++) a.links.send('b', createMessage(round))
-    await waitFor(() => b.received.length === 100)
+    await waitFor('all messages arrive', () => b.received.length === 100)
     expect(b.received.map(({ from, message }) => [from, 'after' in message && message.after])).toEqual(Array.from({ length: 100 }, (_, round) => ['a', round]))
     expect(ups).toEqual([true])
   })
@@ -127,11 +117,11 @@
     const proxy = await createProxy(b.port)
     const a = await createHost('a', { peers: [{ host: 'b', address: `127.0.0.1:${proxy.port}` }] })
     a.links.send('b', createMessage(1))
-    await waitFor(() => b.received.length === 1)
+    await waitFor('a message arrives', () => b.received.length === 1)
     proxy.silence()
-    await waitFor(() => a.links.listStatus()[0]?.opened === 2)
+    await waitFor('the link is opened again', () => a.links.listStatus()[0]?.opened === 2)
     a.links.send('b', createMessage(2))
-    await waitFor(() => b.received.length === 2)
+    await waitFor('the second message arrives', () => b.received.length === 2)
     expect(proxy.getConnections()).toEqual(2)
     expect(a.lines.some(line => line.includes('nothing was received for'))).toEqual(true)
   })
@@ -141,11 +131,11 @@
     const first = await createHost('b', { peers })
     const a = await createHost('a', { peers: [{ host: 'b', address: `127.0.0.1:${first.port}` }] })
     a.links.send('b', createMessage(1))
-    await waitFor(() => first.received.length === 1)
+    await waitFor('a message arrives', () => first.received.length === 1)
     await first.links.close()
-    await waitFor(() => a.links.listStatus()[0]?.up === false)
+    await waitFor('the link is down', () => a.links.listStatus()[0]?.up === false)
     const second = await createHost('b', { peers, listen: `127.0.0.1:${first.port}` })
-    await waitFor(() => {
+    await waitFor('a message arrives after the restart', () => {
       a.links.send('b', createMessage(2))
       return second.received.length > 0
     })
@@ -161,7 +151,7 @@
     const raw = connect(b.port, '127.0.0.1', () => raw.write('GET / HTTP/1.1\r\n\r\n'))
     raw.on('error', () => undefined)
     for (const reason of ["it belongs to group 'other', not to 'g'", "host 'c' is not in the settings", 'is over the limit of']) {
-      await waitFor(() => b.lines.some(line => line.includes(reason)))
+      await waitFor(`a refusal because ${reason}`, () => b.lines.some(line => line.includes(reason)))
     }
     expect(b.received).toEqual([])
   })
@@ -191,10 +181,10 @@
     const peers = [{ host: 'b', address: `127.0.0.1:${b.port}` }]
     const a = await createHost('a', { tls: tlsA, peers })
     a.links.send('b', createMessage(1))
-    await waitFor(() => b.received.length === 1)
+    await waitFor('a message arrives', () => b.received.length === 1)
     const impostor = await createHost('c', { tls: tlsA, peers })
     impostor.links.send('b', createMessage(2))
-    await waitFor(() => b.lines.some(line => line.includes("the certificate does not name host 'c'")))
+    await waitFor('the impostor is refused', () => b.lines.some(line => line.includes("the certificate does not name host 'c'")))
     expect(b.received.length).toEqual(1)
   })
 
@@ -206,10 +196,10 @@
     const b = await createHost('b', { tls: tlsB, certificateCheckMs: 20, peers: [{ host: 'a', address: '127.0.0.1:1' }] })
     const a = await createHost('a', { tls: tlsA, peers: [{ host: 'b', address: `127.0.0.1:${b.port}` }] })
     a.links.send('b', createMessage(1))
-    await waitFor(() => b.lines.some(line => line.includes('the TLS handshake of a peer failed')))
+    await waitFor('the handshake fails', () => b.lines.some(line => line.includes('the TLS handshake of a peer failed')))
     expect(b.received).toEqual([])
     await writeTls(folder, 'b', certB, [certA, certB])
-    await waitFor(() => {
+    await waitFor('a message arrives after the change of the certificates', () => {
       a.links.send('b', createMessage(2))
       return b.received.length > 0
     })
@@ -226,13 +216,13 @@
       const countLines = (text: string): number => b.lines.filter(line => line.includes(text)).length
       await writeFile(join(folder, 'next'), getText(nextB))
       await rename(join(folder, 'next'), tlsB[file])
-      await waitFor(() => countLines('cannot use the certificate files') > 0)
+      await waitFor('the files are refused', () => countLines('cannot use the certificate files') > 0)
       const a = await createHost('a', { tls: tlsA, peers: [{ host: 'b', address: `127.0.0.1:${b.port}` }] })
       a.links.send('b', createMessage(1))
-      await waitFor(() => b.received.length === 1)
+      await waitFor('a message arrives', () => b.received.length === 1)
       expect([countLines('cannot use the certificate files'), countLines('certificates were updated')]).toEqual([1, 0])
       await writeTls(folder, 'b', nextB, [certA])
-      await waitFor(() => countLines('certificates were updated') > 0)
+      await waitFor('the next certificate is taken', () => countLines('certificates were updated') > 0)
       expect(countLines('certificates were updated')).toEqual(1)
     })
   }
