Find free ports of tests in one place

Cause: the search for a free port stood in daemon/main/test and twice in daemon/fleet/test.

Change: `findFreePort` of testing/fakes.

--- a/daemon/fleet/test/malformedMessages.test.ts
+++ b/daemon/fleet/test/malformedMessages.test.ts
@@ -1,28 +1,16 @@
 import { createSystemClock } from '@catkinferry/core.clock'
 import { createLogger } from '@catkinferry/core.logger'
 import { createMetrics } from '@catkinferry/core.metrics'
+import { findFreePort } from '@catkinferry/testing.fakes'
 import type { PeerMessage } from '@catkinferry/wire.messages'
 import { createPeerLinks } from '@catkinferry/wire.peer-links'
 import { expect } from 'earl'
-import { once } from 'node:events'
-import { createServer } from 'node:net'
-import type { AddressInfo } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { describe, it } from 'node:test'
 import { createDirectory } from '@catkinferry/fleet.directory'
 import type { DirectoryMessage } from '@catkinferry/fleet.directory'
 import { createFleetNode } from '../src/fleetNode.ts'
 
-async function findFreeAddress (): Promise<string> {
-  const server = createServer()
-  server.listen(0, '127.0.0.1')
-  await once(server, 'listening')
-  const { port } = server.address() as AddressInfo
-  server.close()
-  await once(server, 'close')
-  return `127.0.0.1:${port}`
-}
-
 /** A message without its fields, or of a kind that the host does not handle, made the handler throw and ended the process. */
 describe('a host of the fleet', () => {
   it('goes on after messages that it cannot handle', async () => {
@@ -31,7 +19,7 @@
     const clock = createSystemClock()
     const logger = createLogger({ level: 'info', write: line => lines.push(line) })
     const directory = createDirectory({ getEntryCount: () => 1, listCoreHosts: () => [], epoch: 1, getLeader: () => undefined, onRoutes: () => undefined })
-    const host = await findFreeAddress()
+    const host = `127.0.0.1:${await findFreePort()}`
     const node = createFleetNode({
       host,
       clock,
@@ -41,7 +29,7 @@
       onCrash: error => { crashes.push(error) }
     })
     await node.open()
-    const sender = await findFreeAddress()
+    const sender = `127.0.0.1:${await findFreePort()}`
     const links = createPeerLinks({ self: sender, group: 'fleet', peers: [{ host, address: host }], listen: sender, allowInsecure: true, acceptUnknown: true, logger, onMessage: () => undefined, onLink: () => undefined })
     await links.open()
     await sleep(200)
--- a/daemon/fleet/test/pausedDeadlines.test.ts
+++ b/daemon/fleet/test/pausedDeadlines.test.ts
@@ -3,14 +3,11 @@
 import { createMetrics } from '@catkinferry/core.metrics'
 import { createDirectory } from '@catkinferry/fleet.directory'
 import type { Directory, DirectoryMessage } from '@catkinferry/fleet.directory'
-import { waitFor } from '@catkinferry/testing.fakes'
+import { findFreePort, waitFor } from '@catkinferry/testing.fakes'
 import type { FleetMessage, PeerMessage } from '@catkinferry/wire.messages'
 import { createPeerLinks } from '@catkinferry/wire.peer-links'
 import type { PeerLinks } from '@catkinferry/wire.peer-links'
 import { expect } from 'earl'
-import { once } from 'node:events'
-import { createServer } from 'node:net'
-import type { AddressInfo } from 'node:net'
 import { afterEach, describe, it } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { createFleetNode } from '../src/fleetNode.ts'
@@ -19,16 +16,6 @@
 const DEADLINE_MS = 300
 const PAUSE_MS = 500
 
-async function findFreeAddress (): Promise<string> {
-  const server = createServer()
-  server.listen(0, '127.0.0.1')
-  await once(server, 'listening')
-  const { port } = server.address() as AddressInfo
-  server.close()
-  await once(server, 'close')
-  return `127.0.0.1:${port}`
-}
-
 describe('a host whose event loop stands still past the deadline of a question to the leader', () => {
   let node: FleetNode | undefined
   let leaderLinks: PeerLinks | undefined
@@ -40,7 +27,7 @@
 
   /** Starts a host, and a leader that answers its questions just before the event loop stands still. */
   async function start (buildAnswer: (message: FleetMessage) => FleetMessage | undefined): Promise<Directory> {
-    const [host, leader] = [await findFreeAddress(), await findFreeAddress()]
+    const [host, leader] = [`127.0.0.1:${await findFreePort()}`, `127.0.0.1:${await findFreePort()}`]
     const logger = createLogger({ level: 'error', write: () => undefined })
     const directory = createDirectory({ getEntryCount: () => 1, listCoreHosts: () => [leader], epoch: 1, getLeader: () => leader, onRoutes: () => undefined })
     const started = createFleetNode({
--- a/daemon/main/test/fullLog.test.ts
+++ b/daemon/main/test/fullLog.test.ts
@@ -1,4 +1,4 @@
-import { waitFor } from '@catkinferry/testing.fakes'
+import { findFreePort, waitFor } from '@catkinferry/testing.fakes'
 import { expect } from 'earl'
 import { spawn } from 'node:child_process'
 import { once } from 'node:events'
@@ -6,7 +6,6 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { it } from 'node:test'
-import { findFreePort } from './freePort.ts'
 
 const MAIN = join(import.meta.dirname, '../src/main.ts')
 const POLL_MS = 50
--- a/daemon/main/test/threeHosts.test.ts
+++ b/daemon/main/test/threeHosts.test.ts
@@ -2,7 +2,7 @@
 import type { FileOperations } from '@catkinferry/consensus.durable-log'
 import type { OperatorCall, OperatorReply } from '@catkinferry/core.types'
 import type { Config } from '@catkinferry/daemon.config'
-import { startFakeEngine, startFakeService, waitFor } from '@catkinferry/testing.fakes'
+import { findFreePort, startFakeEngine, startFakeService, waitFor } from '@catkinferry/testing.fakes'
 import type { FakeEngine, FakeService } from '@catkinferry/testing.fakes'
 import { expect } from 'earl'
 import { mkdtemp, rm } from 'node:fs/promises'
@@ -11,7 +11,6 @@
 import { after, before, describe, it } from 'node:test'
 import { startHost } from '../src/index.ts'
 import type { Daemon } from '../src/index.ts'
-import { findFreePort } from './freePort.ts'
 
 const HOSTS = ['a-1', 'a-2', 'a-3'] as const
 const LOCATION = { zone: 'a', region: 'r' }
