Share the raw server of tests

Cause: tests whose endpoint writes bytes of their own each opened a server, kept its connections and closed them; the server that writes without end did so, too.

--- a/endpoints/engine-driver/test/engineDriver.test.ts
+++ b/endpoints/engine-driver/test/engineDriver.test.ts
@@ -1,7 +1,7 @@
 import { createSystemClock } from '@catkinferry/core.clock'
 import type { AdapterWork } from '@catkinferry/core.types'
 import type { AttemptStart, HostEvent, OrderSend } from '@catkinferry/host.events'
-import { createPeakBudget, startEndlessServer, startFakeEngine, waitFor } from '@catkinferry/testing.fakes'
+import { createPeakBudget, startEndlessServer, startFakeEngine, startRawServer, waitFor } from '@catkinferry/testing.fakes'
 import type { FakeEngine, FakeEngineOptions } from '@catkinferry/testing.fakes'
 import { expect } from 'earl'
 import { createServer } from 'node:net'
@@ -80,15 +80,9 @@
     ['an error event', '200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 21\r\n\r\ndata: {"error":"x"}\n\n']
   ] as const) {
     it(`fails a resumed stream that is answered with ${name}`, async t => {
-      const server = createServer(socket => {
-        t.after(() => socket.destroy())
-        socket.on('error', () => undefined)
-        socket.once('data', () => socket.write(`HTTP/1.1 ${response}`))
-      })
-      t.after(() => server.close())
-      server.listen(0, '127.0.0.1')
-      await once(server, 'listening')
-      driver.startAttempt({ ...buildStart({ resumeFrom: 2 }), url: `http://127.0.0.1:${(server.address() as AddressInfo).port}` })
+      const server = await startRawServer(socket => { socket.once('data', () => socket.write(`HTTP/1.1 ${response}`)) })
+      t.after(server.close)
+      driver.startAttempt({ ...buildStart({ resumeFrom: 2 }), url: `http://${server.address}` })
       await waitForEvent('attempt.failed')
       expect(events.map(({ kind }) => kind)).toEqual(['attempt.failed'])
     })
--- a/endpoints/http-dispatch/test/cutResponses.test.ts
+++ b/endpoints/http-dispatch/test/cutResponses.test.ts
@@ -1,12 +1,12 @@
 /** Responses of an endpoint that stop at each of their bytes, in the head, in the body, in the size of a chunk and in a trailer. */
 import { expect } from 'earl'
-import { once } from 'node:events'
-import { createServer } from 'node:net'
-import type { AddressInfo, Server, Socket } from 'node:net'
+import type { Socket } from 'node:net'
 import { after, before, describe, it } from 'node:test'
 import { createSystemClock } from '@catkinferry/core.clock'
 import { createConnections, startHttpCall } from '@catkinferry/endpoints.http-dispatch'
 import type { Connections } from '@catkinferry/endpoints.http-dispatch'
+import { startRawServer } from '@catkinferry/testing.fakes'
+import type { RawServer } from '@catkinferry/testing.fakes'
 
 const TIME_LIMIT_MS = 60_000
 /** Time in which a caller reads what came before the reset. */
@@ -30,19 +30,16 @@
 }
 
 describe('a call whose response stops in the middle', () => {
-  let server: Server
+  let server: RawServer
   let connections: Connections
   let respond: (socket: Socket, path: string) => void = () => undefined
   const clock = createSystemClock()
 
   before(async () => {
     connections = createConnections()
-    server = createServer(socket => {
-      socket.on('error', () => undefined)
+    server = await startRawServer(socket => {
       socket.on('data', data => respond(socket, String(data).split(' ')[1] ?? ''))
     })
-    server.listen(0, '127.0.0.1')
-    await once(server, 'listening')
   })
   after(async () => {
     await connections.close()
@@ -51,7 +48,7 @@
 
   /** Whether the call ended as complete, and the body that came until then. */
   async function call (path: string, isFresh: boolean): Promise<{ readonly isComplete: boolean, readonly body: string }> {
-    const origin = `http://127.0.0.1:${(server.address() as AddressInfo).port}`
+    const origin = `http://${server.address}`
     const fresh = isFresh ? connections.openFresh(origin) : undefined
     const now = clock.getMonotonicMs()
     let body = ''
