--- a/gateway/relay/test/testRelay.ts
+++ b/gateway/relay/test/testRelay.ts
@@ -2,7 +2,7 @@
 import { once } from 'node:events'
 import { Agent, createServer, request } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import { connect, createServer as createTcpServer } from 'node:net'
+import { connect } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
 import { createKeyIndex, hashKey } from '@catkinferry/accounts.keys'
 import { createLoopWatch, createSystemClock } from '@catkinferry/core.clock'
@@ -14,6 +14,7 @@
 import { createRelay } from '@catkinferry/gateway.relay'
 import type { AccountGate, Relay, RelayDialect, RelayOptions } from '@catkinferry/gateway.relay'
 import { createRouteMatcher } from '@catkinferry/routes.table'
+import { startRawServer } from '@catkinferry/testing.fakes'
 import type { RelayPeer } from '@catkinferry/wire.messages'
 
 export const dialect: RelayDialect = {
@@ -101,15 +102,8 @@
 
 /** Starts an endpoint that writes raw bytes. */
 export async function startRawEndpoint (id: string, onData: (socket: Socket, text: string) => void): Promise<Endpoint> {
-  const sockets = new Set<Socket>()
-  const server = createTcpServer(socket => {
-    sockets.add(socket)
-    socket.on('error', () => undefined)
-    socket.on('data', chunk => onData(socket, chunk.toString()))
-  })
-  server.listen(0, '127.0.0.1')
-  await once(server, 'listening')
-  return { id, address: `127.0.0.1:${(server.address() as AddressInfo).port}`, seen: [], close: () => { for (const socket of sockets) socket.destroy(); server.close() } }
+  const { address, close } = await startRawServer(socket => { socket.on('data', chunk => onData(socket, chunk.toString())) })
+  return { id, address, seen: [], close }
 }
 
 export interface TestRelayOptions {
