Move the message dispatcher of core hosts to a file of its own

The tests of the daemon that drive the systems of core hosts (confirmation, service versions, leaders, malformed messages) pass.

--- a/daemon/fleet/src/coreSystems.ts
+++ b/daemon/fleet/src/coreSystems.ts
@@ -4,9 +4,9 @@
 import { createQuotas } from '@catkinferry/accounts.quotas'
 import type { Quotas } from '@catkinferry/accounts.quotas'
 import { createVoter } from '@catkinferry/consensus.voter'
-import type { Voter, VoterMessage } from '@catkinferry/consensus.voter'
+import type { Voter } from '@catkinferry/consensus.voter'
 import { createRandom } from '@catkinferry/core.random'
-import type { DiskAnswer, FleetMessage, HeldState, PeerMessage, StoredState } from '@catkinferry/wire.messages'
+import type { DiskAnswer, FleetMessage, HeldState, StoredState } from '@catkinferry/wire.messages'
 import { FleetRole, NEWEST_COMMAND_SET } from '@catkinferry/wire.messages'
 import type { HostId, MonotonicMs, ZoneId } from '@catkinferry/core.types'
 import { createFleetMembership } from '@catkinferry/fleet.membership'
@@ -14,17 +14,18 @@
 import { createPlacement } from '@catkinferry/fleet.placement'
 import type { Placement, PlacementOptions } from '@catkinferry/fleet.placement'
 import { createQuarantine } from '@catkinferry/fleet.quarantine'
-import type { Quarantine, QuarantineMessage } from '@catkinferry/fleet.quarantine'
+import type { Quarantine } from '@catkinferry/fleet.quarantine'
 import { createStreamOrigins, createVersionRecord } from '@catkinferry/fleet.stream-origins'
-import type { StreamOrigins, StreamOriginsMessage, VersionRecord, VersionRecordOptions } from '@catkinferry/fleet.stream-origins'
+import type { VersionRecord, VersionRecordOptions } from '@catkinferry/fleet.stream-origins'
 import { createVoterKeeper } from '@catkinferry/fleet.voter-keeper'
 import type { RunContext } from '@catkinferry/host.events'
 import { createCommandClient } from '@catkinferry/settings.command-client'
-import type { CommandClient, CommandClientMessage } from '@catkinferry/settings.command-client'
+import type { CommandClient } from '@catkinferry/settings.command-client'
 import { createReplicatedState } from '@catkinferry/settings.replicated-state'
 import type { ReplicatedState } from '@catkinferry/settings.replicated-state'
 import type { FleetSettings } from './fleetSettings.ts'
 import type { NodeSystems } from './fleetNode.ts'
+import { createDispatcher } from './messageDispatcher.ts'
 import { createStatePublisher } from './statePublisher.ts'
 import type { StatePublisher } from './statePublisher.ts'
 
@@ -80,58 +81,6 @@
   }
 }
 
-type MessageFamily = 'consensus' | 'voter' | 'client' | 'membership' | 'placement' | 'use' | 'quarantine' | 'origins'
-
-const FAMILY_BY_KIND: Readonly<Record<string, MessageFamily>> = {
-  'command.submit': 'voter',
-  'query.ask': 'voter',
-  'command.outcome': 'client',
-  'command.refused': 'client',
-  'query.answer': 'client',
-  'fleet.hello': 'membership',
-  'fleet.welcome': 'membership',
-  'load.ask': 'placement',
-  'fleet.slots': 'placement',
-  'fleet.use': 'use',
-  'fleet.slotUse': 'placement',
-  'fleet.crashes': 'quarantine',
-  'fleet.soundParts': 'quarantine',
-  'fleet.streamOrigins': 'origins',
-  'fleet.originAsk': 'origins'
-}
-
-interface Receivers {
-  readonly voter: Voter
-  readonly commands: CommandClient
-  readonly placement: Placement
-  readonly quotas: Quotas
-  readonly quarantine: Quarantine
-  readonly origins: StreamOrigins
-  readonly receiveMembership: (from: HostId, message: Extract<FleetMessage, { kind: 'fleet.hello' | 'fleet.welcome' }>, context: RunContext) => void
-}
-
-/** Dispatches each peer message to the system that handles its kind. */
-function createDispatcher ({ voter, commands, placement, quotas, quarantine, origins, receiveMembership }: Receivers): NodeSystems['receive'] {
-  const byFamily: Readonly<Record<MessageFamily, (from: HostId, message: never, context: RunContext) => void>> = {
-    consensus: (from, message: VoterMessage, context) => voter.receive(from, message, context),
-    voter: (from, message: VoterMessage, context) => voter.receive(from, message, context),
-    client: (from, message: CommandClientMessage, context) => commands.receive(from, message, context),
-    membership: receiveMembership,
-    placement: (from, message: Extract<FleetMessage, { kind: 'load.ask' | 'fleet.slots' | 'fleet.slotUse' }>, context) => placement.receive(from, message, context),
-    use: (from, message: Extract<FleetMessage, { kind: 'fleet.use' }>, context) => {
-      placement.receive(from, message, context)
-      quotas.receive(from, message, context)
-    },
-    quarantine: (from, message: QuarantineMessage, context) => quarantine.receive(from, message, context),
-    origins: (from, message: StreamOriginsMessage, context) => origins.receive(from, message, context)
-  }
-  return (from, message: PeerMessage, context) => {
-    const family = message.kind.startsWith('consensus.') ? 'consensus' : FAMILY_BY_KIND[message.kind]
-    if (family === undefined) context.emit({ kind: 'log', level: 'warn', message: 'dropped a message of an unknown kind', fields: { step: 'receive', peer: from, kind: message.kind } })
-    else byFamily[family](from, message as never, context)
-  }
-}
-
 /** All hosts that apply the log. */
 function listMembers (voter: Voter): readonly HostId[] {
   const { voters, learners } = voter.getStatus().membership
