Stop reading a connection on which many requests wait

What callers saw: a caller that sends requests on one connection without waiting for their answers fills the memory of its host, and the requests of all others end with it. So did requests that it sends behind the end of a connection, for the second in which the host still reads it.

Cause: the HTTP server parses all that arrives, and keeps each request until it is answered. Nothing but unsent response bytes stops it.

Change: the connections of a fleet's host pass what arrives to the parser in parts of 2 KiB, and only while 8 requests or fewer wait for the one that is answered. No request is refused. The time limit of a request that is not read whole for this reason runs anew once it may be read. Behind the end of a connection, a few requests are reported one by one and the rest as bytes.

Ruled out: pausing the socket at the limit without holding anything. One read was then parsed to its end, and a caller that leaves was not noticed while requests wait. It still is not if it sent more than is held.

--- a/daemon/fleet/src/callerConnections.ts
+++ b/daemon/fleet/src/callerConnections.ts
@@ -2,12 +2,16 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { DurationMs, MonotonicMs } from '@catkinferry/core.types'
-import { answerClientError, INCOMPLETE_AT_END, REQUEST_TIMEOUT } from './clientErrors.ts'
+import { answerClientError, INCOMPLETE_AT_END, REQUEST_TIMEOUT, TUNNEL_REQUESTED } from './clientErrors.ts'
+import { createConnectionInput } from './connectionInput.ts'
+import type { ConnectionInput } from './connectionInput.ts'
 
 /** Idle connections stay open for so much longer than callers are told, as a request may be on its way at the limit. */
 const IDLE_MARGIN_MS = 1_000
 /** How long a connection is still read after its end was sent. Closing it with unread bytes would reset it, which can destroy the last response on its way. */
 const LINGER_MS = 1_000
+/** Requests of one connection that are read while an earlier one is answered. They are answered in their order, so more would only wait. */
+const MAX_WAITING_REQUESTS = 8
 
 /** Why this host closed a connection of a caller. */
 export const CloseCause = {
@@ -51,6 +55,7 @@
 
 export interface Connection {
   readonly socket: Socket
+  readonly input: ConnectionInput
   /** Responses that are not completely sent. */
   readonly pending: Set<ServerResponse>
   /** A request behind those in flight has failed: the connection ends after their responses. */
@@ -69,6 +74,8 @@
   /** When its end was sent, and how many bytes had arrived then. */
   endedAt: MonotonicMs | undefined
   endBytes: number
+  /** Requests that arrived after that. */
+  lateCount: number
   readonly getNow: () => MonotonicMs
 }
 
@@ -96,11 +103,18 @@
   connection.endedAt = connection.getNow()
   connection.endBytes = socket.bytesRead
   socket.end()
+  connection.input.update()
   const timer = setTimeout(() => socket.destroy(), LINGER_MS)
   timer.unref()
   socket.once('close', () => clearTimeout(timer))
 }
 
+/** Discards what arrives after the end of a connection once that is many requests: the HTTP server keeps each until the connection closes. */
+function ignoreFlood (connection: Connection): void {
+  connection.lateCount += 1
+  if (connection.lateCount >= MAX_WAITING_REQUESTS) connection.input.ignore()
+}
+
 /** Ends a response that is not complete so that it does not look complete: without chunks, only a reset shows it. */
 export function cutConnection (connection: Connection): void {
   const { socket, pending } = connection
@@ -108,17 +122,10 @@
   else closeGracefully(connection)
 }
 
-/** Discards what still arrives. Without a listener, the parser of the HTTP server reads the socket itself, and would go on to complete requests. */
-function ignoreInput (socket: Socket): void {
-  socket.removeAllListeners('data')
-  socket.on('data', () => undefined)
-  socket.resume()
-}
-
 /** Called when a request has failed before it had arrived whole. Callers take what is sent next for the answer to the first request in flight, so those are answered first. */
 function endAfterPending (connection: Connection, code: string | undefined): void {
-  const { socket, pending } = connection
-  ignoreInput(socket)
+  const { socket, input, pending } = connection
+  input.ignore()
   // The request that failed has no response in flight, unless that began before the request had arrived.
   const last = [...pending].filter(({ headersSent, req }) => headersSent || req.complete).at(-1)
   if (last === undefined) {
@@ -213,6 +220,24 @@
   }
 }
 
+/** Calls `onExpired` for each connection whose latest request does not arrive whole. Returns a function that is called when its time limit has passed, before its socket is read. */
+function createExpiry ({ getNow, findHeaderLimit, onExpired }: Pick<ConnectionsOptions, 'getNow' | 'findHeaderLimit'> & { readonly onExpired: (connection: Connection) => void }): (connection: Connection) => void {
+  return connection => {
+    const { socket, input, latest } = connection
+    const wasComplete = latest?.complete !== false
+    const check = (): void => {
+      const hasArrived = connection.latest !== latest || (!wasComplete && connection.latest?.complete === true)
+      if (hasArrived || socket.destroyed || connection.isClosing) return
+      // While bytes are held, the rest of the request is not read. What was on its way then has the limit of a head, or as long as they were held.
+      const held = input.getHeld()
+      const leftMs = held.until + Math.max(held.ms, findHeaderLimit()) - getNow()
+      if (leftMs > 0) setTimeout(() => setImmediate(check), Math.ceil(leftMs)).unref()
+      else onExpired(connection)
+    }
+    setImmediate(check)
+  }
+}
+
 export function createConnections ({ getNow, findIdleLimit, findHeaderLimit, onClose, onLateRequest, onUnanswered }: ConnectionsOptions): Connections {
   const connections = new Map<Socket, Connection>()
   const startIdle = createIdleWatch({
@@ -225,26 +250,24 @@
     }
   })
 
+  const expireRequest = createExpiry({
+    getNow,
+    findHeaderLimit,
+    onExpired: connection => {
+      recordClose(connection, CloseCause.REQUEST_TIMEOUT)
+      endAfterPending(connection, REQUEST_TIMEOUT)
+    }
+  })
+
   function recordClose (connection: Connection, cause: CloseCause): void {
     connection.closeCause ??= cause
     onClose(cause)
   }
 
-  /** Called when a request has not arrived whole in time, before its socket is read. */
-  function expireRequest (connection: Connection): void {
-    const { socket, latest } = connection
-    const wasComplete = latest?.complete !== false
-    setImmediate(() => {
-      const hasArrived = connection.latest !== latest || (!wasComplete && connection.latest?.complete === true)
-      if (hasArrived || socket.destroyed || connection.isClosing) return
-      recordClose(connection, CloseCause.REQUEST_TIMEOUT)
-      endAfterPending(connection, REQUEST_TIMEOUT)
-    })
-  }
-
   return {
     add: socket => {
-      const connection: Connection = { socket, pending: new Set(), latest: undefined, idleSince: getNow(), idleBytes: 0, arrivingSince: undefined, idleTimer: undefined, isClosing: false, closeCause: undefined, endedAt: undefined, endBytes: 0, getNow }
+      const input = createConnectionInput({ socket, mayParse: () => connection.isClosing || connection.pending.size <= MAX_WAITING_REQUESTS, getNow })
+      const connection: Connection = { socket, input, pending: new Set(), latest: undefined, idleSince: getNow(), idleBytes: 0, arrivingSince: undefined, idleTimer: undefined, isClosing: false, closeCause: undefined, endedAt: undefined, endBytes: 0, lateCount: 0, getNow }
       connections.set(socket, connection)
       socket.once('close', () => {
         connections.delete(socket)
@@ -261,12 +284,14 @@
       const connection = connections.get(req.socket)
       if (connection === undefined || connection.isClosing) {
         onLateRequest?.(req, connection === undefined ? { cause: EndCause.CALLER, ageMs: 0 } : describeEnd(connection))
+        if (connection !== undefined) ignoreFlood(connection)
         return false
       }
       connection.latest = req
       connection.pending.add(res)
       res.once('close', () => {
         connection.pending.delete(res)
+        connection.input.update()
         if (!connection.socket.destroyed) startIdle(connection)
       })
       req.once('close', () => {
@@ -276,7 +301,12 @@
     },
     handleError: (socket, code) => {
       const connection = connections.get(socket)
-      if (connection === undefined || connection.isClosing) return
+      if (connection === undefined) return
+      if (connection.isClosing) {
+        // The HTTP server has taken its parser away.
+        if (code === TUNNEL_REQUESTED) connection.input.ignore()
+        return
+      }
       if (code === REQUEST_TIMEOUT) {
         expireRequest(connection)
         return
--- a/daemon/fleet/test/callerConnections.test.ts
+++ b/daemon/fleet/test/callerConnections.test.ts
@@ -174,6 +174,22 @@
     })
   }
 
+  // Guards against a caller that fills the memory of its host behind the end of its connection: all that it sent there was parsed and kept.
+  it('reports few of many requests that arrive after the last response, and the bytes of all', async () => {
+    const caller = await listen((req, res) => {
+      req.resume()
+      res.shouldKeepAlive = false
+      res.end('whole')
+    })
+    const got = collect(caller)
+    caller.write(WHOLE)
+    await waitFor(() => got.hasEnded)
+    caller.end(WHOLE.repeat(1_000))
+    await waitFor(() => unanswered.length > 0)
+    // 8, and what was parsed at once with the last of these.
+    expect([lateCauses.length <= 8 + 2_048 / WHOLE.length, unanswered.map(({ cause, after }) => [cause, after])]).toEqual([true, [[EndCause.RESPONSE, 1_000 * WHOLE.length]]])
+  })
+
   // Guards against a request that is passed on after its caller was told that it has not run: the rest of its body arrived while the connection was still read.
   for (const [name, first, rest] of [
     ['body', `${POST}Content-Length: 4\r\n\r\nab`, 'cd'],
