Compare event IDs that are numbers exactly

What callers saw: an event is missing from a stream that goes on at another endpoint, though nothing was cut. With IDs above 2^53 or fractions of many digits, the event after the last one that was delivered was taken for that. Found beside it: behind an event with the ID "Infinity", all events were dropped.

Cause: such IDs were compared as doubles, which round them.

Change: integers and decimal fractions are compared by their digits; other notations of finite numbers as before; what is not finite, or has more digits than a request can carry, counts as a text.

Tests: the four new cases of eventSplitter.test.ts failed before.

Weighed: IDs beyond 2^53 as texts. A stream may have 10,000 of these at most to be resumed, and those of an earlier response are not known.

--- a/gateway/relay/src/eventSplitter.ts
+++ b/gateway/relay/src/eventSplitter.ts
@@ -133,6 +133,27 @@
   return id.length <= MAX_EVENT_ID_BYTES && HEADER_VALUE.test(id)
 }
 
+const DECIMAL = /^(-?\d+|\d+\.\d+)$/
+
+/** An event ID that is a number, in a form that compares exactly: doubles round numbers above 2^53, and fractions of 16 digits. */
+interface NumericId {
+  readonly whole: bigint | number
+  /** Digits behind the point, without zeros at their end. */
+  readonly fraction: string
+}
+
+function parseNumericId (id: string): NumericId | undefined {
+  // A caller or endpoint may send any number of digits, whose conversion takes more than linear time.
+  if (id.length > MAX_EVENT_ID_BYTES) return undefined
+  if (!DECIMAL.test(id)) return Number.isFinite(Number(id)) ? { whole: Number(id), fraction: '' } : undefined
+  const [whole = '', fraction = ''] = id.split('.')
+  return { whole: BigInt(whole), fraction: fraction.replace(/0+$/, '') }
+}
+
+function isAtMost (left: NumericId, right: NumericId): boolean {
+  return left.whole < right.whole || (left.whole <= right.whole && left.fraction <= right.fraction)
+}
+
 /**
  * `lastEventId`: last event that the caller has from an earlier request. Numeric IDs increase; others are compared one by one, by
  * their digests: an ID may be a slice of a text, which it would keep in memory.
@@ -140,13 +161,13 @@
 export function createDeliveredEvents (lastEventId?: string, limit = createIdLimit()): DeliveredEvents {
   const digests = new Set<string>()
   let takenCount = 0
-  let lastNumber = Number.NEGATIVE_INFINITY
+  let lastNumber: NumericId = { whole: Number.NEGATIVE_INFINITY, fraction: '' }
   let endsWithId = true
   let isComplete = true
   const addNumber = (id: string): boolean => {
-    const number = Number(id)
-    if (Number.isNaN(number)) return false
-    lastNumber = Math.max(lastNumber, number)
+    const number = parseNumericId(id)
+    if (number === undefined) return false
+    if (!isAtMost(number, lastNumber)) lastNumber = { ...number, fraction: copyText(number.fraction) ?? '' }
     return true
   }
   const remember = (id: string): void => {
@@ -165,7 +186,10 @@
       if (isUsableId(id)) remember(id)
       else isComplete = false
     },
-    has: id => Number(id) <= lastNumber || (digests.size > 0 && digests.has(computeDigest(id))),
+    has: id => {
+      const number = parseNumericId(id)
+      return number === undefined ? digests.size > 0 && digests.has(computeDigest(id)) : isAtMost(number, lastNumber)
+    },
     isResumable: () => endsWithId && isComplete,
     release: () => {
       limit.release(takenCount)
--- a/gateway/relay/test/eventSplitter.test.ts
+++ b/gateway/relay/test/eventSplitter.test.ts
@@ -24,6 +24,21 @@
     })
   }
 
+  // Guards against an event that is dropped although its caller does not have it: its ID was rounded to that of the event before.
+  for (const [name, ids] of [
+    ['numbers above 2^53', ['9007199254740991', '9007199254740992', '9007199254740993', '9007199254740994']],
+    ['numbers with many digits', ['99999999999999999998', '99999999999999999999', '100000000000000000000', '100000000000000000001']],
+    ['fractions with many digits', ['1767225600.1234567', '1767225600.12345678', '1767225600.12345679', '1767225601']],
+    ['a word for a number', ['1', 'Infinity', '2', '3']]
+  ] as const) {
+    it(`is delivered whole, and once, if its event IDs are ${name}`, () => {
+      const delivered = createDeliveredEvents()
+      const first = createEventSplitter(delivered).add(buildEvents(ids.slice(0, 2)))
+      const again = createEventSplitter(delivered, ids[1]).add(buildEvents(ids))
+      expect(Buffer.concat([first, again]).toString()).toEqual(buildEvents(ids).toString())
+    })
+  }
+
   // Guards against an event that comes twice: only the first of several events was found, so the stream was resumed after that.
   for (const [name, lineEnd] of [['line feeds', '\n'], ['both', '\r\n'], ['carriage returns', '\r']] as const) {
     it(`is delivered once if its lines end with ${name}`, () => {
