Pass time by turns in the tests of attempts beside each other

Seen: six tests of chainedAttempts.test.ts and lostAttempts.test.ts failed once each at load averages of 15 to 41.

Cause, by reading, with the runs below: the relay, the endpoints, the caller and the test share a process and ran on its real clock. When the process stands still, the relay counts that out of an endpoint's silence (0.6 s, 0.3 s of overlap) and notices it later, while the times of the test go on: - chainedAttempts, all three cases: other requests are steered by load after 50 ms, 150 ms and 50 ms, before the one under test has reached its endpoint; then `c` never runs, nothing makes `a` answer, and the deadline of 5 s passes - lostAttempts: "is replaced before its first byte" has 1.1 s for a takeover that begins after 0.6 s; "goes on if it is heard from before its replacement" resumes after 0.8 s, which is before a late replacement; "ends with its replacement when the caller leaves" leaves after 0.85 s and looks 0.1 s later.

Change: `startTurnClock` replaces the timers and clocks of a test file. Time passes by 1 ms with each turn of the event loop, after which the sockets are read, so it stands still with the process. What the tests assert is unchanged, except that `LATE_MS` of chainedAttempts, which allowed for late timers, is 50 ms and no longer 400 ms. Pauses of the process are the subject of loopPauses.test.ts, which stays on the real clock.

--- a/gateway/relay/test/chainedAttempts.test.ts
+++ b/gateway/relay/test/chainedAttempts.test.ts
@@ -10,6 +10,9 @@
 import { formatEvent } from './stallingEndpoint.ts'
 import { answerOk, startEndpoint, startTestRelay } from './testRelay.ts'
 import type { CallResult, Endpoint, TestRelay, TestRelayOptions } from './testRelay.ts'
+import { startTurnClock } from './turnClock.ts'
+
+startTurnClock()
 
 const REPEATABLE = { kind: 'idempotent', resumable: false, maxEndpoints: 6, timeoutMs: 6_000 } as const
 const RESUMABLE = { kind: 'stream', resumable: true, maxEndpoints: 6, timeoutMs: 6_000 } as const
@@ -19,8 +22,8 @@
 const EVENTS = formatEvent(1) + formatEvent(2)
 const STREAM = `HTTP/1.1 200 OK\r\nX-Id: id1\r\nX-Stamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n${EVENTS.length.toString(16)}\r\n${EVENTS}\r\n0\r\n\r\n`
 
-/** Timers of a loaded machine run late; without the limit the attempts overlap for 1.5 s or more. */
-const LATE_MS = 400
+/** Turns of the event loop until an endpoint sees what the relay did; without the limit the attempts overlap for 1.5 s or more. */
+const LATE_MS = 50
 
 interface Received {
   readonly id: string
--- a/gateway/relay/test/lostAttempts.test.ts
+++ b/gateway/relay/test/lostAttempts.test.ts
@@ -5,6 +5,9 @@
 import { isHealthCheck, startStallingEndpoint, WHOLE_STREAM, writeEvents } from './stallingEndpoint.ts'
 import { answerOk, buildLostEndpoint, startEndpoint, startTestRelay } from './testRelay.ts'
 import type { CallResult, Endpoint, TestRelay, TestRelayOptions } from './testRelay.ts'
+import { startTurnClock } from './turnClock.ts'
+
+startTurnClock()
 
 const STREAM = { kind: 'stream', resumable: true, maxEndpoints: 3, timeoutMs: 6_000 } as const
 const IDEMPOTENT = { kind: 'idempotent', resumable: false, maxEndpoints: 3, timeoutMs: 6_000 } as const
