Pass time by turns in the tests of notices, quarantine and surplus responses

Seen: six tests of these files failed once each at load averages of 16 to 35.

Change: these files use `startTurnClock`. What they assert is unchanged.

--- a/gateway/relay/test/notices.test.ts
+++ b/gateway/relay/test/notices.test.ts
@@ -3,6 +3,9 @@
 import { afterEach, describe, it } from 'node:test'
 import { answerOk, startEndpoint, startTestRelay } from './testRelay.ts'
 import type { TestRelay, TestRelayOptions } from './testRelay.ts'
+import { startTurnClock } from './turnClock.ts'
+
+startTurnClock()
 
 /**
  * Endpoints announce in their responses that they are leaving, or that they want no requests for a while. The list of
--- a/gateway/relay/test/quarantine.test.ts
+++ b/gateway/relay/test/quarantine.test.ts
@@ -5,6 +5,9 @@
 import { EVENTS, formatEvent, formatHead, WHOLE_STREAM, writeEvents } from './stallingEndpoint.ts'
 import { answerOk, startEndpoint, startRawEndpoint, startTestRelay } from './testRelay.ts'
 import type { TestRelay, TestRelayOptions } from './testRelay.ts'
+import { startTurnClock } from './turnClock.ts'
+
+startTurnClock()
 
 let testRelay: TestRelay | undefined
 
--- a/gateway/relay/test/surplusResponses.test.ts
+++ b/gateway/relay/test/surplusResponses.test.ts
@@ -4,6 +4,9 @@
 import { describe, it } from 'node:test'
 import { startRawEndpoint, startTestRelay } from './testRelay.ts'
 import type { CallResult } from './testRelay.ts'
+import { startTurnClock } from './turnClock.ts'
+
+startTurnClock()
 
 /**
  * A faulty endpoint may send a response twice, late, or bytes that are no response. Connections are used again, so such bytes
