Pass time by turns in the tests of the relay, of endless responses and of a host's own ends

Seen: six tests of relay.test.ts, endlessResponses.test.ts and endedByHost.test.ts failed once each at load averages of 16 to 41.

Change: these files use `startTurnClock`. The endless body without a length has a deadline of 0.1 s and no longer of 0.4 s: each turn reads up to some MB, and 400 turns made more than a string of the test caller holds (512 MB). What the tests assert is unchanged.

--- a/gateway/relay/test/endedByHost.test.ts
+++ b/gateway/relay/test/endedByHost.test.ts
@@ -5,6 +5,9 @@
 import { formatEvent, formatHead, isHealthCheck, WHOLE_STREAM, writeEvents } from './stallingEndpoint.ts'
 import { answerOk, buildLostEndpoint, startEndpoint, startTestRelay } from './testRelay.ts'
 import type { TestRelay, TestRelayOptions } from './testRelay.ts'
+import { startTurnClock } from './turnClock.ts'
+
+startTurnClock()
 
 const RESUMABLE = { kind: 'stream', resumable: true, maxEndpoints: 4, timeoutMs: 6_000 } as const
 const HEADERS = { 'X-Deadline': '5000' }
--- a/gateway/relay/test/endlessResponses.test.ts
+++ b/gateway/relay/test/endlessResponses.test.ts
@@ -11,6 +11,9 @@
 import { openResponseMemory } from '../src/responseMemory.ts'
 import { startRawEndpoint, startTestRelay } from './testRelay.ts'
 import type { CallResult, TestRelayOptions } from './testRelay.ts'
+import { startTurnClock } from './turnClock.ts'
+
+startTurnClock()
 
 const TIMEOUT_MS = 5_000
 const HEAD = 'HTTP/1.1 200 OK\r\nX-Id: id1\r\nX-Stamp: s\r\n'
@@ -97,7 +100,7 @@
   })
 
   it('in a body without a length end at the deadline', async () => {
-    const { isExpired, closed } = await callEndless(`${HEAD}\r\n`, CHUNK, { route: { timeoutMs: 400 } })
+    const { isExpired, closed } = await callEndless(`${HEAD}\r\n`, CHUNK, { route: { timeoutMs: 100 } })
     expect([isExpired, closed]).toEqual([true, true])
   })
 })
--- a/gateway/relay/test/relay.test.ts
+++ b/gateway/relay/test/relay.test.ts
@@ -2,6 +2,9 @@
 import { afterEach, describe, it } from 'node:test'
 import { answerOk, startEndpoint, startRawEndpoint, startTestRelay } from './testRelay.ts'
 import type { TestRelay, TestRelayOptions } from './testRelay.ts'
+import { startTurnClock } from './turnClock.ts'
+
+startTurnClock()
 
 let testRelay: TestRelay | undefined
 
