Pass time by turns in the tests of attempts in doubt

Seen: "takes a retry for each replacement that was sent" failed once at a load average of 24.

The relay takes pauses of the process from the silence, so after one the event came before the replacement.

Change: the file uses `startTurnClock`. What it asserts is unchanged.

--- a/gateway/relay/test/doubtedAttempts.test.ts
+++ b/gateway/relay/test/doubtedAttempts.test.ts
@@ -17,6 +17,9 @@
 import { formatEvent, formatHead, isHealthCheck } from './stallingEndpoint.ts'
 import { answerOk, buildLostEndpoint, startEndpoint, startTestRelay } from './testRelay.ts'
 import type { Endpoint, TestRelay, TestRelayOptions } from './testRelay.ts'
+import { startTurnClock } from './turnClock.ts'
+
+startTurnClock()
 
 const REPEATABLE = { kind: 'idempotent', resumable: false, maxEndpoints: 3, timeoutMs: 6_000 } as const
 const RESUMABLE = { kind: 'stream', resumable: true, maxEndpoints: 3, timeoutMs: 6_000 } as const
