Take a refusal for one by its status, whatever the size of its body

What callers saw: none yet; found by reading. A request that may not be repeated ended as one that may have run, although the engine or service had refused it, if the refusal's body was over 64 KiB (a service's: 16 MiB) or gave way to other responses.

The body says nothing about that: 404, 429, 503, 400 and 422 of an engine and 429 of a service count as "not run" with any body, so the head decides.

Change: such a response fails as too large with the outcome of its status. That an engine is leaving is told by the body only, and is not known then.

Relay: decides by the head of an endpoint's response already, which names what has not run in a header of its own.

--- a/endpoints/engine-driver/src/answerReader.ts
+++ b/endpoints/engine-driver/src/answerReader.ts
@@ -41,21 +41,37 @@
 
 /** Statuses with which an engine states that it did not start the work. */
 const REFUSALS: Readonly<Record<number, Refused>> = { 404: 'notResident', 429: 'busy', 503: 'busy' }
+const BAD_REQUESTS: ReadonlySet<number> = new Set([400, 422])
+
+interface Outcome {
+  readonly refused?: Refused
+  readonly ran: Failure['ran']
+}
 
 function emitFailure (opts: AnswerReaderOptions, failure: Pick<Failure, 'code' | 'message' | 'ran'>, refused?: Refused): void {
   const { attemptId, endpoint, emit } = opts
   emit({ kind: 'attempt.failed', attemptId, failure: { ...failure, step: 'attempt.answer', peer: endpoint }, sent: true, refused })
 }
 
-/** Collects a body. What exceeds a limit fails like a response that is none, whatever its status says. */
+/** Whether the work was done, by the status alone. */
+function readOutcome (status: number): Outcome {
+  const refused = REFUSALS[status]
+  return { refused, ran: refused !== undefined || BAD_REQUESTS.has(status) ? 'no' : 'unknown' }
+}
+
+/** Collects a body. One that exceeds a limit fails the attempt, with the outcome that its status states. */
 function createCollector (opts: AnswerReaderOptions, maxBytes: number): HeldBuffer & Pick<AnswerReader, 'read'> {
-  const { budget, endpoint, onEvicted } = opts
+  const { budget, endpoint, status, onEvicted } = opts
+  const fail = (message: string): void => {
+    const { ran, refused } = readOutcome(status)
+    emitFailure(opts, { code: ErrorCode.TOO_LARGE, message, ran }, refused)
+  }
   const content = createHeldBuffer({
     budget,
     owner: endpoint,
     maxBytes,
     onEvicted: () => {
-      emitFailure(opts, { code: ErrorCode.TOO_LARGE, message: 'response was dropped: other endpoints need the memory', ran: 'unknown' })
+      fail('response was dropped: other endpoints need the memory')
       onEvicted()
     }
   })
@@ -64,7 +80,7 @@
     read: data => {
       const limit = content.add(data)
       if (limit === undefined) return 'ok'
-      emitFailure(opts, { code: ErrorCode.TOO_LARGE, message: `response is over the limit of ${maxBytes} bytes or of the memory for responses (limit: ${limit})`, ran: 'unknown' })
+      fail(`response is over the limit of ${maxBytes} bytes or of the memory for responses (limit: ${limit})`)
       return 'failed'
     }
   }
@@ -97,10 +113,8 @@
     release: collector.release,
     end: () => {
       const text = collector.getText()
-      const refused = text.includes('"leaving"') ? 'leaving' : REFUSALS[opts.status]
-      const badRequest = opts.status === 400 || opts.status === 422
-      const code = badRequest ? ErrorCode.BAD_REQUEST : ErrorCode.ENDPOINT_FAILED
-      const ran = refused !== undefined || badRequest ? 'no' : 'unknown'
+      const { refused, ran }: Outcome = text.includes('"leaving"') ? { refused: 'leaving', ran: 'no' } : readOutcome(opts.status)
+      const code = BAD_REQUESTS.has(opts.status) ? ErrorCode.BAD_REQUEST : ErrorCode.ENDPOINT_FAILED
       emitFailure(opts, { code, message: `status ${opts.status}: ${text.slice(0, MAX_QUOTED_CHARACTERS)}`, ran }, refused)
     }
   }
--- a/endpoints/service-driver/src/serviceDriver.ts
+++ b/endpoints/service-driver/src/serviceDriver.ts
@@ -66,10 +66,16 @@
     fresh?.close()
   }
 
+  /** A refusal is one by its status, whatever becomes of its body. */
+  function fail (code: ErrorCode, message: string): void {
+    const isRefused = status === TOO_MANY_REQUESTS
+    emit({ kind: 'attempt.failed', attemptId, sent: true, failure: { code, message, step: 'attempt.answer', peer: endpoint, ran: isRefused ? 'no' : 'unknown' }, refused: isRefused ? 'busy' : undefined })
+  }
+
   function failTooLarge (message: string): void {
     call.cancel()
     finish()
-    emit({ kind: 'attempt.failed', attemptId, sent: true, failure: { code: ErrorCode.TOO_LARGE, message, step: 'attempt.answer', peer: endpoint, ran: 'unknown' } })
+    fail(ErrorCode.TOO_LARGE, message)
   }
 
   const handler: CallHandler = {
@@ -86,8 +92,7 @@
       const text = content.getText()
       finish()
       if (status === TOO_MANY_REQUESTS) {
-        const failure = { code: ErrorCode.ENDPOINT_FAILED, message: `status ${status}`, step: 'attempt.answer', peer: endpoint, ran: 'no' as const }
-        emit({ kind: 'attempt.failed', attemptId, sent: true, failure, refused: 'busy' })
+        fail(ErrorCode.ENDPOINT_FAILED, `status ${status}`)
         return
       }
       emit({ kind: 'attempt.started', attemptId, echo, status, contentType })
