--- a/gateway/relay/src/attempt.ts
+++ b/gateway/relay/src/attempt.ts
@@ -8,13 +8,13 @@
 import { startTurningLimit } from '@catkinferry/core.clock'
 import { isUsableEndpoint, parseAddress } from '@catkinferry/core.types'
 import type { MonotonicMs } from '@catkinferry/core.types'
+import { buildHeaders } from './attemptHeaders.ts'
 import { CONNECT_TIMEOUT_MS, HEARD_RECENTLY_MS, MAX_FRAMING_BYTES, MAX_HEAD_BYTES } from './constants.ts'
 import type { AnswerFacts } from './dialect.ts'
-import { countEndpointsLeft, HostEndReason, selectAttempt } from './exchange.ts'
+import { HostEndReason, selectAttempt } from './exchange.ts'
 import type { BufferedResponse, Exchange, LiveAttempt, Target } from './exchange.ts'
-import { encodeForwarded, FORWARDED_HEADER, readOutcome } from './forwardedRequest.ts'
+import { readOutcome } from './forwardedRequest.ts'
 import type { PeerOutcome } from './forwardedRequest.ts'
-import { selectEndToEnd } from './headers.ts'
 import { MemoryRefusal, openResponseMemory } from './responseMemory.ts'
 import type { ResponseMemory } from './responseMemory.ts'
 import { bufferPeerAnswer, discardResponse, forwardResponse } from './sendAnswer.ts'
@@ -98,40 +98,6 @@
   [MemoryRefusal.EVICTED]: 'the memory for responses is used up, and the endpoint has most of it'
 }
 
-/** Headers that tell a peer how far the request has come. All that the caller sent goes along. */
-function buildPeerHeaders ({ relay, exchange }: SendOptions): string[] {
-  const { pool, routesVersion, deadlineAt, arrivedAt, tried, lastEventId, softwareVersion, resumableHead, chargedUnits } = exchange
-  const now = relay.clock.getMonotonicMs()
-  const left = countEndpointsLeft(exchange)
-  const maxEndpoints = Math.min(left, 1)
-  return [FORWARDED_HEADER, encodeForwarded({ waitedMs: now - arrivedAt, remainingMs: Math.max(0, deadlineAt - now), routesVersion, pool: pool.name, maxEndpoints, furtherEndpoints: left - maxEndpoints, tried: [...tried], lastEventId, softwareVersion, resumableHead, ...(chargedUnits === undefined ? {} : { isCharged: true }) })]
-}
-
-function buildEndpointHeaders ({ relay, exchange, target }: SendOptions): readonly string[] {
-  const { route, facts, deadlineAt, lastEventId, account } = exchange
-  return relay.dialect.buildHeaders({
-    endpoint: target.endpoint,
-    remainingMs: Math.max(1, Math.floor(deadlineAt - relay.clock.getMonotonicMs())),
-    priority: route.priority,
-    hasModel: facts.model !== undefined,
-    version: target.version,
-    lastEventId,
-    account: account?.name
-  })
-}
-
-function buildHeaders (opts: SendOptions): string[] {
-  const { relay: { dialect, directory }, exchange: { req, body, hasAccounts }, target: { isPeer = false } } = opts
-  // Accounts may have come into force since the request arrived.
-  const dropsKey = hasAccounts || directory.getRoutes()?.table.accounts !== undefined
-  const own = isPeer ? buildPeerHeaders(opts) : buildEndpointHeaders(opts)
-  const hasBody = body.length > 0 || req.headers['content-length'] !== undefined || req.headers['transfer-encoding'] !== undefined
-  const dropped = new Set(['content-length', FORWARDED_HEADER, ...(isPeer ? [] : dialect.reservedHeaders), ...(dropsKey && !isPeer ? dialect.accountHeaders : [])])
-  const headers = [...selectEndToEnd(req.rawHeaders, dropped), ...own]
-  if (hasBody) headers.push('Content-Length', String(body.length))
-  return headers
-}
-
 /** While paths are in doubt, an old connection may lead nowhere; opening a new one shows whether the path works before anything is sent. */
 function closeDoubtful ({ relay, target: { link }, isInDoubt }: SendOptions): void {
   if (!isInDoubt || relay.clock.getMonotonicMs() - link.heardAt <= HEARD_RECENTLY_MS) return
