--- a/gateway/relay/test/changedRoutes.test.ts
+++ b/gateway/relay/test/changedRoutes.test.ts
@@ -4,6 +4,7 @@
 import { afterEach, describe, it } from 'node:test'
 import type { RouteTable } from '@catkinferry/core.types'
 import type { LoadAnswer } from '@catkinferry/fleet.directory'
+import { waitFor } from '@catkinferry/testing.fakes'
 import { answerOk, buildAccount, buildLostEndpoint, startEndpoint, startRawEndpoint, startTestRelay } from './testRelay.ts'
 import type { Call, Endpoint, TestRelay, TestRelayOptions } from './testRelay.ts'
 
@@ -134,7 +135,7 @@
       const relay = await start({ endpoints: [former], maxConnections: 4, route: RETRIED })
       const answers = Array.from({ length: 7 }, () => relay.call())
       await former.waitForRequest()
-      while (former.seen.length < 4) await new Promise(resolve => setTimeout(resolve, 5))
+      await waitFor('all connections are in use', () => former.seen.length >= 4)
       relay.changeEndpoints([next])
       if (isClosed) former.close()
       else former.release()
--- a/gateway/relay/test/lateRequests.test.ts
+++ b/gateway/relay/test/lateRequests.test.ts
@@ -5,6 +5,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { createSystemClock } from '@catkinferry/core.clock'
 import type { LoadAnswer } from '@catkinferry/fleet.directory'
+import { waitFor } from '@catkinferry/testing.fakes'
 import type { RelayPeer } from '@catkinferry/wire.messages'
 import { answerOk, startEndpoint, startTestRelay } from './testRelay.ts'
 import type { Call, CallResult, TestRelay, TestRelayOptions } from './testRelay.ts'
@@ -100,7 +101,7 @@
     const relay = await start({ endpoints: [endpoint], resident: {}, route: { ...TIMES, kind: 'nonIdempotent', objectiveMs: DEADLINE_MS }, requestLoad: () => new Promise(resolve => { answers.push(resolve) }) })
     await relay.call(CALL)
     const answer = relay.call({ headers: { ...CALL.headers, 'X-Model': 'a' } })
-    while (answers.length === 0) await sleep(1)
+    await waitFor('a load is asked for', () => answers.length > 0, { pollMs: 1 })
     drain(relay, LITTLE_MS)
     setTimeout(() => answers[0]?.({ kind: 'given', endpoint: 'e1', adapterKey: 'm/a@1' }), LITTLE_MS / 2)
     expect([await describeAnswer(relay, answer), endpoint.seen.length]).toEqual([REFUSED, 1])
--- a/gateway/relay/test/stoppingHost.test.ts
+++ b/gateway/relay/test/stoppingHost.test.ts
@@ -2,6 +2,7 @@
 import { once } from 'node:events'
 import { afterEach, describe, it } from 'node:test'
 import { UnansweredReason } from '@catkinferry/gateway.relay'
+import { waitFor } from '@catkinferry/testing.fakes'
 import { answerOk, startEndpoint, startTestRelay } from './testRelay.ts'
 import type { TestRelay, TestRelayOptions } from './testRelay.ts'
 
@@ -48,12 +49,12 @@
     const { dial, lines, counts } = await start({ endpoints: [], waitUntilReady: () => new Promise(resolve => { finishWaits.push(resolve) }) })
     const sockets = Array.from({ length: 50 }, dial)
     for (const socket of sockets) socket.write('GET /p/x HTTP/1.1\r\nHost: h.example\r\nX-Id: id7\r\n\r\n')
-    while (finishWaits.length < sockets.length) await new Promise(resolve => setTimeout(resolve, 5))
+    await waitFor('all requests wait for routes', () => finishWaits.length >= sockets.length)
     for (const socket of sockets) socket.destroy()
     await Promise.all(sockets.map(socket => once(socket, 'close')))
     await new Promise(resolve => setTimeout(resolve, 50))
     for (const finishWait of finishWaits) finishWait()
-    while (counts.filter(count => count === 'unanswered_requests closed').length < sockets.length) await new Promise(resolve => setTimeout(resolve, 5))
+    await waitFor('all requests are counted', () => counts.filter(count => count === 'unanswered_requests closed').length >= sockets.length)
     const logged = lines.filter(({ reason }) => reason === UnansweredReason.CLOSED)
     expect([logged.length < sockets.length, logged[0]?.requestId]).toEqual([true, 'id7'])
   })
--- a/gateway/relay/test/unframed.test.ts
+++ b/gateway/relay/test/unframed.test.ts
@@ -3,6 +3,7 @@
 import { afterEach, describe, it } from 'node:test'
 import type { Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
+import { waitFor } from '@catkinferry/testing.fakes'
 import { startEndpoint, startRawEndpoint, startTestRelay } from './testRelay.ts'
 import type { CallResult, Endpoint, TestRelay, TestRelayOptions } from './testRelay.ts'
 
@@ -157,7 +158,7 @@
   it('are not passed on once the caller has left', async () => {
     const { socket, received } = await sendAhead(() => socket.destroy())
     const { relay } = testRelay as TestRelay
-    while (received.length === 0 || relay.getActiveCount() > 0) await sleep(5)
+    await waitFor('no request is in progress', () => received.length > 0 && relay.getActiveCount() === 0)
     await sleep(50)
     expect(received).toEqual(['id1'])
   })
@@ -166,7 +167,7 @@
     const { socket, received } = await sendAhead((endpointSocket, id) => { endpointSocket.write(`HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nX-Stamp: s\r\nContent-Length: 3\r\n\r\n${id}`) })
     let text = ''
     socket.on('data', chunk => { text += String(chunk) })
-    while (!text.endsWith('id2')) await once(socket, 'data')
+    await waitFor('the second response ends', () => text.endsWith('id2'))
     expect([received, text.split('200 OK').length - 1]).toEqual([['id1', 'id2'], 2])
   })
 })
