Count the entry hosts that a host may forward requests to

Metric catkinferry_relay_peers. The leader names peers at intervals of 2 s; a host that is cut off before that, or that no peer is left for, refuses what it cannot serve itself, and nothing told so.

--- a/daemon/fleet/src/entryHost.ts
+++ b/daemon/fleet/src/entryHost.ts
@@ -143,11 +143,12 @@
 }
 
 /** Sets the gauges at intervals. */
-function startMetrics (page: MetricsPage, relay: Relay, confirmation: ConfirmationGate): NodeJS.Timeout {
+function startMetrics (page: MetricsPage, relay: Relay, confirmation: ConfirmationGate, membership: FleetMembership): NodeJS.Timeout {
   return setInterval(() => {
     page.set('active_requests', relay.getActiveCount())
     for (const [use, bytes] of Object.entries(relay.getHeldBytes())) page.set('memory_held_bytes', bytes, { use })
     page.set('confirmation_age_ms', confirmation.getAgeMs())
+    page.set('relay_peers', membership.listRelayPeers().length)
   }, METRICS_INTERVAL_MS)
 }
 
@@ -199,7 +200,7 @@
   const systems = buildSystems({ membership, directory, confirmation, loop, onRun: readiness.resolveWaiting })
   const node = createFleetNode({ host, bindIp: settings.bindIp, clock, logger, metrics, systems, onCrash: onFailed })
   await node.open()
-  const metricsTimer = startMetrics(page, relay, confirmation)
+  const metricsTimer = startMetrics(page, relay, confirmation, membership)
 
   return {
     failed,
--- a/daemon/fleet/src/fleetMetrics.ts
+++ b/daemon/fleet/src/fleetMetrics.ts
@@ -42,6 +42,7 @@
   unanswered_requests: { type: 'counter', help: 'Requests that got no answer and were not passed on, because their connection had ended, by reason', labels: ['reason'] },
   memory_held_bytes: { type: 'gauge', help: 'Bytes that an entry host holds for others, by use: responses of endpoints and peers, what waits for callers to read it, and remembered event IDs', labels: ['use'] },
   memory_refusals: { type: 'counter', help: 'Messages that an entry host ended because their bytes may not be held, by use and limit: of their owner, of all, or evicted for others', labels: ['use', 'limit'] },
+  relay_peers: { type: 'gauge', help: 'Other entry hosts that this one knows and may forward requests to' },
   active_requests: { type: 'gauge', help: 'Requests under way' },
   log_lines_dropped: { type: 'gauge', help: 'Log lines dropped because the reader was too slow' }
 }
