Name the disk to operators whose command a voter cannot write

What callers saw: an operator of a single voter with a full disk was told 'the change was not accepted: notLeader' (503, ERR_CATKINFERRY_NO_QUORUM), that the answer was lost, or 'no leader is known' for a read. The log line of the voter named the error and not the folder.

Cause: a voter whose disk has failed steps down and refuses like any voter without a leader.

Change: it refuses with the reason diskFailed and a failure (ERR_CATKINFERRY_DISK_FAILED) that names host, folder and error, with a hint. The command client keeps the last failure that a voter named, as other voters may refuse for want of a leader later, and gives it on with a refusal, with an unknown outcome and with the answer to a read. The field is optional, and hosts of an earlier release ignore it.

--- a/consensus/durable-log/src/writeQueue.ts
+++ b/consensus/durable-log/src/writeQueue.ts
@@ -91,7 +91,7 @@
     state.opts.onBroken?.(error)
   }
   if (state.failure !== undefined) return
-  state.failure = formatDiskFailure(error)
+  state.failure = `data folder '${state.opts.folder}': ${formatDiskFailure(error)}`
   state.listener({ writeId: DISK_STATE_WRITE_ID, ok: false, reason: state.failure })
 }
 
--- a/consensus/voter/src/voter.ts
+++ b/consensus/voter/src/voter.ts
@@ -183,7 +183,22 @@
 
 function refuseSubmit (state: VoterState, { origin, commandId }: Pick<Submission, 'origin' | 'commandId'>, reason: 'notLeader' | 'busy', context: RunContext): void {
   const { leader } = state.machine.getState()
-  context.send(origin, { kind: 'command.refused', commandId, reason, ...(leader === undefined ? {} : { leader }) })
+  const failure = findDiskFailure(state)
+  const cause = failure === undefined ? { reason } : { reason: 'diskFailed' as const, failure }
+  context.send(origin, { kind: 'command.refused', commandId, ...cause, ...(leader === undefined ? {} : { leader }) })
+}
+
+/** Returns the failure of the disk, as told to the operator whose command or query waits for it. */
+function findDiskFailure ({ machine, opts: { host } }: VoterState): Failure | undefined {
+  const { failure } = machine.getState()
+  if (failure === undefined) return undefined
+  return {
+    code: ErrorCode.DISK_FAILED,
+    message: `the log of host '${host}' cannot be written: ${failure}`,
+    step: 'disk',
+    peer: host,
+    hint: 'free space on the disk of that folder, or repair it; the host goes on by itself unless its log says that the folder is unusable'
+  }
 }
 
 /** Answers from local state, which may lag, unless the query is `fresh`: then the leader answers it by a linearizable read. */
@@ -220,7 +235,7 @@
 
 function sendQueryFailure (state: VoterState, { origin, queryId }: QueryRequest, message: string, context: RunContext): void {
   const { leader } = state.machine.getState()
-  const failure: Failure = { code: ErrorCode.NO_QUORUM, message, step: 'read', peer: state.opts.host }
+  const failure: Failure = findDiskFailure(state) ?? { code: ErrorCode.NO_QUORUM, message, step: 'read', peer: state.opts.host }
   context.send(origin, { kind: 'query.answer', queryId, answer: undefined, failure, ...(leader === undefined ? {} : { leader }) })
 }
 
--- a/gateway/operator-api/src/operatorApi.ts
+++ b/gateway/operator-api/src/operatorApi.ts
@@ -51,6 +51,7 @@
   [ErrorCode.OVER_LIMIT]: 429,
   [ErrorCode.NO_QUORUM]: 503,
   [ErrorCode.NOT_SERVING]: 503,
+  [ErrorCode.DISK_FAILED]: 503,
   [ErrorCode.SHUTTING_DOWN]: 503,
   [ErrorCode.OUTCOME_UNKNOWN]: 504
 }
--- a/host/core/src/operatorCommands.ts
+++ b/host/core/src/operatorCommands.ts
@@ -18,16 +18,17 @@
   readonly context: RunContext
 }
 
-function createUnknownFailure (changeId: string): Failure {
+function createUnknownFailure (changeId: string, cause: Failure | undefined): Failure {
   return {
     code: ErrorCode.OUTCOME_UNKNOWN,
     step: 'change',
-    message: `the answer was lost; the change ${changeId} may or may not have been accepted`,
+    message: `the answer was lost; the change ${changeId} may or may not have been accepted${cause === undefined ? '' : `; ${cause.message}`}`,
     hint: `resend it with change id ${changeId}: it is applied at most once, and a resend gets the original outcome`
   }
 }
 
-function createRefusedFailure (reason: string): Failure {
+function createRefusedFailure (reason: string, cause: Failure | undefined): Failure {
+  if (cause !== undefined) return { ...cause, message: `the change was not accepted: ${cause.message}` }
   return {
     code: ErrorCode.NO_QUORUM,
     step: 'change',
@@ -56,8 +57,8 @@
     deadlineAt: context.now + deadlineMs,
     onOutcome: (result, replyContext) => {
       if (result.kind === 'outcome') reply(formatOutcome(result.outcome), replyContext)
-      else if (result.kind === 'refused') reply({ ok: false, failure: createRefusedFailure(result.reason), outcome: 'refused' }, replyContext)
-      else reply({ ok: false, failure: createUnknownFailure(changeId), outcome: 'unknown' }, replyContext)
+      else if (result.kind === 'refused') reply({ ok: false, failure: createRefusedFailure(result.reason, result.failure), outcome: 'refused' }, replyContext)
+      else reply({ ok: false, failure: createUnknownFailure(changeId, result.failure), outcome: 'unknown' }, replyContext)
     }
   }, context)
 }
--- a/settings/command-client/src/commandClient.ts
+++ b/settings/command-client/src/commandClient.ts
@@ -71,7 +71,10 @@
       deadlineAt,
       onReport: logFields === undefined ? undefined : (report, ctx) => logReport(logFields, report, ctx),
       send: (commandId, to, ctx) => { ctx.send(to, { kind: 'command.submit', commandId, origin: host, command, hops: 0 }) },
-      onDeadline: (everySendRefused, reason, ctx) => { onOutcome(everySendRefused ? { kind: 'refused', reason } : { kind: 'unknown' }, ctx, everySendRefused) },
+      onDeadline: (everySendRefused, { reason, failure }, ctx) => {
+        const cause = failure === undefined ? {} : { failure }
+        onOutcome(everySendRefused ? { kind: 'refused', reason, ...cause } : { kind: 'unknown', ...cause }, ctx, everySendRefused)
+      },
       onAnswer: (outcome, settled, ctx) => { onOutcome({ kind: 'outcome', outcome }, ctx, settled) }
     }, context)
   }
@@ -85,17 +88,17 @@
     queries.begin({
       deadlineAt,
       send: (queryId, to, ctx) => { ctx.send(to, { kind: 'query.ask', queryId, origin: host, query, fresh, hops: 0 }) },
-      onDeadline: (_everySendRefused, reason, ctx) => { onAnswer({ ok: false, failure: { ...NO_QUORUM, message: `${NO_QUORUM.message}: ${reason}` } }, ctx) },
+      onDeadline: (_everySendRefused, { reason, failure }, ctx) => { onAnswer({ ok: false, failure: failure ?? { ...NO_QUORUM, message: `${NO_QUORUM.message}: ${reason}` } }, ctx) },
       onAnswer: (value, _settled, ctx) => { onAnswer({ ok: true, value }, ctx) }
     }, context)
   }
 
   const handlers: { readonly [Kind in CommandClientMessage['kind']]: (from: HostId, message: Extract<CommandClientMessage, { kind: Kind }>, context: RunContext) => void } = {
     'command.outcome': (from, { commandId, outcome }, context) => { commands.receiveAnswer(from, commandId, outcome, context) },
-    'command.refused': (_from, { commandId, reason, leader }, context) => { commands.receiveRefusal(commandId, { leader, reason }, context) },
+    'command.refused': (_from, { commandId, reason, failure, leader }, context) => { commands.receiveRefusal(commandId, { leader, reason, failure }, context) },
     'query.answer': (from, { queryId, answer, failure, leader }, context) => {
       if (failure === undefined) queries.receiveAnswer(from, queryId, answer, context)
-      else queries.receiveRefusal(queryId, { leader, reason: failure.message }, context)
+      else queries.receiveRefusal(queryId, { leader, reason: failure.message, failure: failure.code === ErrorCode.NO_QUORUM ? undefined : failure }, context)
     }
   }
 
--- a/settings/command-client/src/resender.ts
+++ b/settings/command-client/src/resender.ts
@@ -1,4 +1,5 @@
 /** Sends a request of the command client to the voters, and resends it to other voters until it is answered or its deadline passes. */
+import type { Failure } from '@catkinferry/core.errors'
 import type { Random } from '@catkinferry/core.random'
 import { createDueTimes } from '@catkinferry/core.tables'
 import type { DueTimes } from '@catkinferry/core.tables'
@@ -24,17 +25,24 @@
 /** What became of one send of a request, for logs. */
 export type SendReport =
   | { readonly kind: 'sent', readonly peer: HostId, readonly commandId: string }
-  | { readonly kind: 'refused', readonly reason: string, readonly leader?: HostId }
+  | { readonly kind: 'refused', readonly reason: string, readonly failure?: Failure, readonly leader?: HostId }
   | { readonly kind: 'unanswered', readonly peer?: HostId }
 
+/** The refusal of a send. `failure` names a cause that is not the election of a leader. */
+export interface Refusal {
+  readonly leader?: HostId
+  readonly reason: string
+  readonly failure?: Failure
+}
+
 /** A request and its callbacks. `Answer` is the type of the answer that settles it. */
 export interface ResendableRequest<Answer> {
   /** Infinity: the request is resent until it is answered. */
   readonly deadlineAt: MonotonicMs
   readonly send: (sendId: string, to: HostId, context: RunContext) => void
   readonly onReport?: (report: SendReport, context: RunContext) => void
-  /** Called at the deadline. `reason` is that of the last refusal, or why nothing was sent. */
-  readonly onDeadline: (everySendRefused: boolean, reason: string, context: RunContext) => void
+  /** Called at the deadline. `reason` is that of the last refusal, or why nothing was sent; `failure` the last one that a refusal named. */
+  readonly onDeadline: (everySendRefused: boolean, refusal: Omit<Refusal, 'leader'>, context: RunContext) => void
   /** `settled`: every other send was refused, so that the request can have no further effect. */
   readonly onAnswer: (answer: Answer, settled: boolean, context: RunContext) => void
 }
@@ -47,6 +55,7 @@
   hintsFollowed: number
   lastTarget?: HostId
   lastReason: string
+  lastFailure?: Failure
   /** True while an answer is awaited, false while backing off. */
   awaitingAnswer: boolean
 }
@@ -56,7 +65,7 @@
   /** A voter settled a send. */
   readonly receiveAnswer: (from: HostId, sendId: string, answer: Answer, context: RunContext) => void
   /** A voter refused a send. */
-  readonly receiveRefusal: (sendId: string, refusal: { leader?: HostId, reason: string }, context: RunContext) => void
+  readonly receiveRefusal: (sendId: string, refusal: Refusal, context: RunContext) => void
   readonly run: (context: RunContext) => void
   readonly getNextAt: () => MonotonicMs | undefined
   readonly getSize: () => number
@@ -129,11 +138,13 @@
   due.set(request.id, Math.min(request.deadlineAt, context.now + computeNextBackoff(request, random)))
 }
 
-function receiveRefusal<Answer> (state: ResenderState<Answer>, sendId: string, { leader, reason }: { leader?: HostId, reason: string }, context: RunContext): void {
+function receiveRefusal<Answer> (state: ResenderState<Answer>, sendId: string, { leader, reason, failure }: Refusal, context: RunContext): void {
   const request = state.sends.find(sendId)
   if (request === undefined || !request.openSends.delete(sendId)) return
   request.lastReason = reason
-  request.onReport?.({ kind: 'refused', reason, leader }, context)
+  // Other voters may refuse for want of a leader, which they have because of this failure.
+  request.lastFailure = failure ?? request.lastFailure
+  request.onReport?.({ kind: 'refused', reason, failure, leader }, context)
   state.voterChoice.setLeader(leader)
   if (leader !== undefined && leader !== request.lastTarget && request.hintsFollowed++ < MAX_HINTS) send(state, request, context)
   else backOff(state, request, context)
@@ -142,7 +153,7 @@
 function handleDue<Answer> (state: ResenderState<Answer>, request: InFlightRequest<Answer>, context: RunContext): void {
   if (context.now >= request.deadlineAt) {
     close(state, request)
-    request.onDeadline(isEverySendRefused(request), request.lastReason, context)
+    request.onDeadline(isEverySendRefused(request), { reason: request.lastReason, failure: request.lastFailure }, context)
     return
   }
   if (request.awaitingAnswer) {
--- a/settings/command-client/test/commandClient.test.ts
+++ b/settings/command-client/test/commandClient.test.ts
@@ -1,3 +1,4 @@
+import { ErrorCode } from '@catkinferry/core.errors'
 import { createRandom } from '@catkinferry/core.random'
 import type { HostId } from '@catkinferry/core.types'
 import type { RunContext } from '@catkinferry/host.events'
@@ -92,6 +93,22 @@
     })
   }
 
+  // Guards against an operator who is not told of a full disk because another voter, which has no leader for that reason, refused last.
+  it('names the cause of a refusal, also if another voter refuses without one later', () => {
+    const bench = createBench()
+    const failure = { code: ErrorCode.DISK_FAILED, message: 'the disk is full', step: 'disk' }
+    const results: CommandResult[] = []
+    bench.client.submit({ command, deadlineAt: 2_000, onOutcome: result => results.push(result) }, bench.context)
+    const first = bench.getLastSubmit()
+    bench.client.receive(first.to, { kind: 'command.refused', commandId: first.commandId, reason: 'diskFailed', failure }, bench.context)
+    while (results.length === 0) {
+      bench.advanceTo(bench.client.getNextAt() ?? Infinity)
+      const { to, commandId } = bench.getLastSubmit()
+      bench.client.receive(to, { kind: 'command.refused', commandId, reason: 'notLeader' }, bench.context)
+    }
+    expect([results, bench.sent.length > 1]).toEqual([[{ kind: 'refused', reason: 'notLeader', failure }], true])
+  })
+
   it('tries another voter if the leader that the voter of its host follows does not answer', () => {
     const bench = createBench(['h', 'v1', 'v2'], () => 'v1')
     bench.client.submit({ command, deadlineAt: 5_000, onOutcome: () => undefined }, bench.context)
--- a/wire/messages/src/commands.ts
+++ b/wire/messages/src/commands.ts
@@ -74,20 +74,23 @@
   | { readonly kind: 'adapter.announced', readonly version: number }
   | { readonly kind: 'recorded' }
 
-/** Result of a submission, as far as the submitting host can know. */
+/** Result of a submission, as far as the submitting host can know. `failure` is the last one that a voter named as the cause of a refusal. */
 export type CommandResult =
   | { readonly kind: 'outcome', readonly outcome: CommandOutcome }
   /** It is certain that the command was not and will not be committed. */
-  | { readonly kind: 'refused', readonly reason: string }
+  | { readonly kind: 'refused', readonly reason: string, readonly failure?: Failure }
   /** The answer was lost or the deadline passed: the command may have been committed, or may still be. */
-  | { readonly kind: 'unknown' }
+  | { readonly kind: 'unknown', readonly failure?: Failure }
+
+/** Why a voter refuses a command: it does not lead, its limits are reached, or it cannot write its log, which `failure` describes. */
+export type CommandRefusal = 'notLeader' | 'busy' | 'diskFailed'
 
 /** Submissions and queries, sent by any host to a voter, which forwards them to the leader; and the answers. */
 export type CommandMessage =
   | { readonly kind: 'command.submit', readonly commandId: string, readonly origin: HostId, readonly command: Command, readonly hops: number }
   | { readonly kind: 'command.outcome', readonly commandId: string, readonly outcome: CommandOutcome }
-  /** It is certain that this submission does not commit the command. */
-  | { readonly kind: 'command.refused', readonly commandId: string, readonly reason: 'notLeader' | 'busy', readonly leader?: HostId }
+  /** It is certain that this submission does not commit the command. Without `failure`, the voter names no cause but `reason`. */
+  | { readonly kind: 'command.refused', readonly commandId: string, readonly reason: CommandRefusal, readonly failure?: Failure, readonly leader?: HostId }
   | { readonly kind: 'query.ask', readonly queryId: string, readonly origin: HostId, readonly query: Query, readonly fresh: boolean, readonly hops: number }
   | { readonly kind: 'query.answer', readonly queryId: string, readonly answer: unknown, readonly failure?: Failure, readonly leader?: HostId }
 
