--- a/daemon/fleet/src/connectionInput.ts
+++ b/daemon/fleet/src/connectionInput.ts
@@ -78,7 +78,7 @@
   }
 
   const receive = (chunk: Buffer): void => {
-    // Most requests come by themselves.
+    // Fast path: most connections have one request at a time.
     if (chunk.length <= PART_BYTES && heldBytes === 0 && !isParsing && mayParse()) {
       for (const parse of parsers) parse(chunk)
       return
--- a/daemon/fleet/test/connectionInput.test.ts
+++ b/daemon/fleet/test/connectionInput.test.ts
@@ -14,7 +14,7 @@
 const MAX_READ = 9 + 2_048 / 34
 /** Two pieces of 64 KiB that a read of a socket returns, and what the stream of the socket reads ahead. */
 const MAX_READ_BYTES = 4 * 65_536
-/** The rules of retries give a host half a second to notice that a caller has left. */
+/** Time in which a host must notice that a caller has left. */
 const NOTICE_MS = 500
 
 const buildRequest = (index: number): string => `GET /${String(index).padStart(6, '0')} HTTP/1.1\r\nHost: h\r\n\r\n`
@@ -122,7 +122,7 @@
     const { caller, waiting, goOn, settle } = await open()
     caller.write(Array.from({ length: 8_000 }, (_, index) => buildRequest(index)).join(''))
     await settle()
-    // The limit of before counts for 5 s; the HTTP server looks for expired requests each second.
+    // Past the time limit of a request, 5 s, and the next check of the HTTP server, which looks for expired requests each second.
     await sleep(7_000)
     expect(waiting.length <= MAX_READ).toEqual(true)
     expect(await goOn(8_000)).toEqual(listPaths(8_000))
--- a/scripts/runTests.ts
+++ b/scripts/runTests.ts
@@ -9,7 +9,7 @@
 import { judgeResults, parseKnownRed } from './knownRed.ts'
 import type { TestResult } from './knownRed.ts'
 
-/** Limit for a test file: one that hangs fails, and the others still run. The longest, the fault matrix, takes about 5 minutes. */
+/** Time limit of a test file: one that hangs fails, and the others still run. */
 const MAX_FILE_MS = 20 * 60_000
 
 const SKIPPED_FOLDERS = new Set(['node_modules', 'target', 'dist', '.git'])
