--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -4,7 +4,7 @@
 import { runCase, Verdict, waitFor } from '../lib/deployment.mjs'
 import { buildConfiguration, createOperator } from '../lib/operator.mjs'
 
-const CHANGES = Number(process.env.CHANGES ?? 300)
+const CHANGES = Number(process.env.CHANGES ?? 240)
 const EXTRA_ROUTES = 240
 const CHANGE_INTERVAL_MS = 60
 /** Bandwidth between the two regions of the site. */
@@ -14,7 +14,7 @@
 const BACK_MS = 5_000
 const SETTLE_MS = 4_000
 /** `recovery_s` is 12, `contact_ms` 3,000. */
-const READ_MS = 30_000
+const READ_MS = 20_000
 const MARMARA = ['core-marmara-a', 'core-marmara-b']
 const ANKARA = 'core-ankara-a'
 const CORES = [...MARMARA, ANKARA]
