--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -80,6 +80,7 @@
   const ends = []
   const runs = []
   let isClosing = false
+  process.once('exit', () => { for (const { process: child } of nodes.values()) child?.kill('SIGKILL') })
 
   const listed = []
   for (const [index, { service, zone, ...behaviour }] of replicas.entries()) {
