--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -19,7 +19,10 @@
 const ANKARA = 'core-ankara-a'
 const CORES = [...MARMARA, ANKARA]
 
-await runCase(fileURLToPath(new URL('.', import.meta.url)), async ({ record, hasTrouble, start }) => {
+/** With `TROUBLE=0` the case does the same without the disruption. */
+const hasTrouble = process.env.TROUBLE !== '0'
+
+await runCase({ folder: fileURLToPath(new URL('.', import.meta.url)), hasTrouble }, async ({ record, start }) => {
   const deployment = await start({
     machines: [
       { name: MARMARA[0], machineClass: 'core', zone: 'marmara-a' },
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -197,9 +197,8 @@
 }
 
 /** Runs a case: `play` returns a verdict. Ends the process with it, also if the case could not run. */
-export async function runCase (folder, play) {
+export async function runCase ({ folder, hasTrouble }, play) {
   const record = createRecord(folder)
-  const hasTrouble = process.env.TROUBLE !== '0'
   record(hasTrouble ? 'with the disruption' : 'without the disruption')
   let deployment
   const end = async (verdict, reason) => {
@@ -211,7 +210,7 @@
   setTimeout(() => { end(Verdict.NOT_RUN, 'the case took too long') }, WATCHDOG_MS).unref()
   for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => { end(Verdict.NOT_RUN, `ended by ${signal}`) })
   try {
-    const { verdict, reason } = await play({ record, hasTrouble, start: async opts => { deployment = await startDeployment({ ...opts, record }); return deployment } })
+    const { verdict, reason } = await play({ record, start: async opts => { deployment = await startDeployment({ ...opts, record }); return deployment } })
     await end(verdict, reason)
   } catch (error) {
     record(`error: ${error.stack}`)
