Tell the end of a process from the end of its response

Cause: a kernel closes the connections of a killed process in order. A host took that for the end of a response without length or chunks, and passed such responses on in the same form, so that callers could not tell the end of the host either.

Now callers and peers get chunks or a length, and a response that ended with its connection is completed only if another connection to its endpoint is still open 20 ms later, or a new one can be opened. Without that it is lost: resumed or repeated where that is allowed, broken off visibly elsewhere. A last encoding other than chunked counts as none. The service driver of catkinferryd, which had the same fault, checks the same. Both sides go together: framing may be completed only by who knows that the endpoint completed the response.

A request sent ahead behind such a response was to be dropped unrun, as the connection ended; it is to be answered now. continuedStreams.test.ts let a living endpoint stand for a crashed one; its endpoint's process ends now, and a case where it lives is added.

--- a/endpoints/service-driver/src/serviceDriver.ts
+++ b/endpoints/service-driver/src/serviceDriver.ts
@@ -9,7 +9,8 @@
 import type { MemoryBudget } from '@catkinferry/core.memory-budget'
 import type { AnswerEcho, AttemptId, ServiceWork } from '@catkinferry/core.types'
 import { buildCallFailure, createAttemptTable, createConnections, createResponseBudget, MAX_RESPONSE_BYTES, startHttpCall } from '@catkinferry/endpoints.http-dispatch'
-import type { CallHandler, Connections, ConnectionsOptions, HttpCall } from '@catkinferry/endpoints.http-dispatch'
+import type { CallHandler, Connections, ConnectionsOptions, HttpCall, HttpCallOptions } from '@catkinferry/endpoints.http-dispatch'
+import { isAliveAfterEnd, isFramed } from '@catkinferry/endpoints.liveness'
 import type { AttemptStart, HostEvent } from '@catkinferry/host.events'
 
 export interface ServiceDriverOptions {
@@ -30,6 +31,14 @@
 
 /** A service answers with this status instead of running the request, so another endpoint may. A response with any other status is passed on. */
 const TOO_MANY_REQUESTS = 429
+/** Limit on opening a connection that shows whether a service lives on. */
+const PROBE_TIMEOUT_MS = 300
+const DEFAULT_PORTS: Readonly<Record<string, string>> = { 'http:': '80', 'https:': '443' }
+
+function getAddress (url: string): string {
+  const { hostname, port, protocol } = new URL(url)
+  return `${hostname}:${port === '' ? DEFAULT_PORTS[protocol] : port}`
+}
 
 function buildHeaders (start: AttemptStart, work: ServiceWork): Record<string, string> {
   const headers: Record<string, string> = { 'x-catkinferry-attempt': start.attemptId }
@@ -50,15 +59,32 @@
   readonly onDone: () => void
 }
 
+function startCall ({ start, clock }: ServiceAttemptOptions, dispatcher: HttpCallOptions['dispatcher'], handler: CallHandler): HttpCall {
+  const work = start.work as ServiceWork
+  return startHttpCall({
+    dispatcher,
+    clock,
+    method: work.method,
+    path: work.path,
+    headers: buildHeaders(start, work),
+    body: work.body === '' ? undefined : work.body,
+    sendBeforeMs: start.sendBeforeMs,
+    endBeforeMs: start.endBeforeMs,
+    handler
+  })
+}
+
 function startServiceAttempt (opts: ServiceAttemptOptions): HttpCall {
-  const { start, clock, emit } = opts
+  const { start, emit } = opts
   const { attemptId, endpoint } = start
-  const work = start.work as ServiceWork
+  const { method } = start.work as ServiceWork
   const fresh = start.freshConnection ? opts.httpConnections.openFresh(start.url) : undefined
   const content = createHeldBuffer({ budget: opts.budget, owner: endpoint, maxBytes: MAX_RESPONSE_BYTES, onEvicted: () => failTooLarge('response was dropped: other endpoints need the memory') })
   let echo: AnswerEcho = { attemptId }
   let status = 0
   let contentType: string | undefined
+  let endsWithConnection = false
+  let isCancelled = false
 
   function finish (): void {
     content.release()
@@ -73,15 +99,41 @@
   }
 
   function failTooLarge (message: string): void {
+    isCancelled = true
     call.cancel()
     finish()
     fail(ErrorCode.TOO_LARGE, message)
   }
 
+  function complete (): void {
+    const text = content.getText()
+    finish()
+    if (status === TOO_MANY_REQUESTS) {
+      fail(ErrorCode.ENDPOINT_FAILED, `status ${status}`)
+      return
+    }
+    emit({ kind: 'attempt.started', attemptId, echo, status, contentType })
+    emit({ kind: 'attempt.chunk', attemptId, echo, index: 0, data: text, tokens: 0 })
+    emit({ kind: 'attempt.ended', attemptId, echo, chunks: 1 })
+  }
+
+  /** The connection also ends when the process of the service does. */
+  async function confirmEnd (): Promise<void> {
+    const isAlive = await isAliveAfterEnd({ address: getAddress(start.url), timeoutMs: PROBE_TIMEOUT_MS })
+    if (isCancelled) return
+    if (isAlive) {
+      complete()
+      return
+    }
+    finish()
+    fail(ErrorCode.ENDPOINT_FAILED, 'the service ended with the connection of a response without length or chunks')
+  }
+
   const handler: CallHandler = {
     onHead: (value, headers) => {
       status = value
       contentType = headers['content-type'] as string | undefined
+      endsWithConnection = !isFramed({ status, headers, method })
       echo = buildEcho(attemptId, headers['x-catkinferry-attempt'])
     },
     onData: data => {
@@ -89,35 +141,19 @@
       if (limit !== undefined) failTooLarge(`response is over the limit of ${MAX_RESPONSE_BYTES} bytes or of the memory for responses (limit: ${limit})`)
     },
     onEnd: () => {
-      const text = content.getText()
-      finish()
-      if (status === TOO_MANY_REQUESTS) {
-        fail(ErrorCode.ENDPOINT_FAILED, `status ${status}`)
-        return
-      }
-      emit({ kind: 'attempt.started', attemptId, echo, status, contentType })
-      emit({ kind: 'attempt.chunk', attemptId, echo, index: 0, data: text, tokens: 0 })
-      emit({ kind: 'attempt.ended', attemptId, echo, chunks: 1 })
+      if (endsWithConnection && status !== TOO_MANY_REQUESTS) void confirmEnd()
+      else complete()
     },
     onFail: failure => {
       finish()
       emit({ kind: 'attempt.failed', attemptId, sent: failure.sent, failure: buildCallFailure({ failure, step: 'attempt.dispatch', peer: endpoint }) })
     }
   }
-  const call = startHttpCall({
-    dispatcher: fresh?.dispatcher ?? opts.httpConnections.getShared(start.url),
-    clock,
-    method: work.method,
-    path: work.path,
-    headers: buildHeaders(start, work),
-    body: work.body === '' ? undefined : work.body,
-    sendBeforeMs: start.sendBeforeMs,
-    endBeforeMs: start.endBeforeMs,
-    handler
-  })
+  const call = startCall(opts, fresh?.dispatcher ?? opts.httpConnections.getShared(start.url), handler)
   return {
     ...call,
     cancel: () => {
+      isCancelled = true
       call.cancel()
       content.release()
       fresh?.close()
--- a/endpoints/service-driver/test/serviceDriver.test.ts
+++ b/endpoints/service-driver/test/serviceDriver.test.ts
@@ -1,7 +1,7 @@
 import { createSystemClock } from '@catkinferry/core.clock'
 import type { MemoryBudget } from '@catkinferry/core.memory-budget'
 import type { AttemptStart, HostEvent } from '@catkinferry/host.events'
-import { createPeakBudget, startEndlessServer, startFakeService } from '@catkinferry/testing.fakes'
+import { createPeakBudget, startEndlessServer, startFakeService, startRawServer } from '@catkinferry/testing.fakes'
 import type { FakeFaults, FakeService } from '@catkinferry/testing.fakes'
 import { expect } from 'earl'
 import { describe, it } from 'node:test'
@@ -64,6 +64,17 @@
     })
   }
 
+  // Guards against a response that is passed on as complete because the process of its service was killed: the kernel closes its connections in order.
+  for (const [name, head, isKilled] of [['lives on', '', false], ['is killed', '', true], ['is killed, behind a last encoding that is not chunked', 'Transfer-Encoding: identity\r\n', true], ['is killed, behind a response with a length', 'Content-Length: 3\r\n', true]] as const) {
+    const isWhole = !isKilled || head.startsWith('Content-Length')
+    it(`${isWhole ? 'completes' : 'fails'} an attempt whose response ends with its connection if the service ${name}`, async t => {
+      const server = await startRawServer(socket => { socket.on('data', () => socket.end(`HTTP/1.1 200 OK\r\n${head}Connection: close\r\n\r\nall`, () => { if (isKilled) server.close() })) })
+      t.after(server.close)
+      const { events } = await runAttempt({}, `http://${server.address}`)
+      expect(events.at(-1)).toEqual(isWhole ? expect.subset({ kind: 'attempt.ended' }) : expect.subset({ kind: 'attempt.failed', sent: true, failure: expect.subset({ ran: 'unknown' }) }))
+    })
+  }
+
   it('reports that a call may have run if its response was lost', async () => {
     const { events, service } = await runAttempt({ cutAfterChunks: 0 })
     expect(events).toEqual([expect.subset({ kind: 'attempt.failed', sent: true, failure: expect.subset({ ran: 'unknown' }) })])
--- a/gateway/relay/src/endpointLinks.ts
+++ b/gateway/relay/src/endpointLinks.ts
@@ -133,6 +133,12 @@
   return Object.keys(agent.freeSockets).length > 0
 }
 
+/** Ends of connections are read at once, except where a response is paused. */
+export function hasOpenConnection ({ agent, pausedStreams }: EndpointLink): boolean {
+  const lists = [agent.freeSockets, pausedStreams === 0 ? agent.sockets : {}].flatMap(sockets => Object.values(sockets))
+  return lists.some(sockets => sockets?.some(socket => !socket.connecting && socket.readyState === 'open') === true)
+}
+
 export function recordFirstByte (link: EndpointLink, firstByteMs: DurationMs): void {
   const averageMs = link.firstByteMs ?? firstByteMs
   link.firstByteMs = averageMs + (firstByteMs - averageMs) * SMOOTHING_FACTOR
--- a/gateway/relay/src/endpointPaths.ts
+++ b/gateway/relay/src/endpointPaths.ts
@@ -3,11 +3,12 @@
  * off from all. Reports endpoints to the directory only for what is not explained by this host's own paths.
  */
 import type { EndpointId, MonotonicMs } from '@catkinferry/core.types'
-import { MIN_DOUBT_ENDPOINTS, MIN_DOUBT_SHARE, STALL_MS, UNREACHABLE_MS } from './constants.ts'
+import { probeConnection } from '@catkinferry/endpoints.liveness'
+import { CONNECT_TIMEOUT_MS, MIN_DOUBT_ENDPOINTS, MIN_DOUBT_SHARE, STALL_MS, UNREACHABLE_MS } from './constants.ts'
 import type { EndpointLink, EndpointLinks } from './endpointLinks.ts'
 import { createPathWatch, PathState } from './pathWatch.ts'
 import type { PathWatch, ProbeTarget } from './pathWatch.ts'
-import { probeConnection, probeHealth } from './probeEndpoint.ts'
+import { probeHealth } from './probeEndpoint.ts'
 import type { RelayOptions } from './relayOptions.ts'
 
 export interface EndpointPaths extends PathWatch {
@@ -86,7 +87,7 @@
     }
     link.probeAt = Infinity
     const hasReturned = unlisted.delete(link)
-    const isOpen = await probeConnection({ address: link.address, localIp })
+    const isOpen = await probeConnection({ address: link.address, localIp, timeoutMs: CONNECT_TIMEOUT_MS })
     if (!isOpen) {
       link.probeAt = clock.getMonotonicMs() + UNREACHABLE_MS
       if (hasReturned) reportUnreachable(link)
@@ -142,7 +143,7 @@
   const { recordUnreachable, probeDue } = createUnreachableProbes({ relay, links, recordTrouble })
 
   async function probeSilent (link: EndpointLink): Promise<void> {
-    const isOpen = await probeConnection({ address: link.address, localIp })
+    const isOpen = await probeConnection({ address: link.address, localIp, timeoutMs: CONNECT_TIMEOUT_MS })
     if (!link.silent) return
     if (isOpen) {
       reportStall(link)
--- a/gateway/relay/src/exchange.ts
+++ b/gateway/relay/src/exchange.ts
@@ -35,7 +35,6 @@
   readonly rawHeaders: readonly string[]
   readonly body: Buffer
   /** False if the response had neither a length nor chunked encoding and ended with its connection. */
-  readonly framed: boolean
   readonly endpoint: EndpointId
 }
 
@@ -90,7 +89,7 @@
   headSent: boolean
   /** Head of a stream of which the caller has the beginning, from here or from the host that has forwarded the request, and that another endpoint may go on with. */
   resumableHead: ResponseHead | undefined
-  /** The response to the caller has neither a length nor chunks, so it ends with its connection. */
+  /** The response to the caller has no length, and the caller takes no chunks, so it ends with its connection. */
   isUnframed: boolean
   /** Time in ms from arrival to the head of the latest response. */
   firstByteMs: number | undefined
--- a/gateway/relay/src/probeEndpoint.ts
+++ b/gateway/relay/src/probeEndpoint.ts
@@ -1,9 +1,8 @@
-/** Probes of the path from this host to an endpoint. */
+/** Health checks that show whether the path from this host to an endpoint works. */
 import { get } from 'node:http'
-import { connect } from 'node:net'
 import { startTurningLimit } from '@catkinferry/core.clock'
 import { isConnectable, parseAddress } from '@catkinferry/core.types'
-import { CONNECT_TIMEOUT_MS, PROBE_TIMEOUT_MS } from './constants.ts'
+import { PROBE_TIMEOUT_MS } from './constants.ts'
 
 /** Other characters make Node.js throw. */
 const REQUEST_PATH = /^\/[\x21-\x7e]*$/
@@ -28,19 +27,3 @@
     })
   })
 }
-
-/** Whether a connection to the endpoint can be opened. */
-export function probeConnection (opts: { readonly address: string, readonly localIp?: string }): Promise<boolean> {
-  if (!isConnectable(opts.address)) return Promise.resolve(false)
-  return new Promise(resolve => {
-    const socket = connect({ ...parseAddress(opts.address), localAddress: opts.localIp })
-    const finish = (isOpen: boolean): void => {
-      limit.cancel()
-      socket.destroy()
-      resolve(isOpen)
-    }
-    const limit = startTurningLimit(CONNECT_TIMEOUT_MS, () => finish(false))
-    socket.on('connect', () => finish(true))
-    socket.on('error', () => finish(false))
-  })
-}
--- a/gateway/relay/src/sendAnswer.ts
+++ b/gateway/relay/src/sendAnswer.ts
@@ -14,6 +14,7 @@
 import { OUTCOME_HEADER } from './forwardedRequest.ts'
 import type { PeerOutcome } from './forwardedRequest.ts'
 import { selectEndToEnd } from './headers.ts'
+import { isFramedResponse, watchEnd } from './responseEnd.ts'
 import { findResponseRole, isEventStream, readResponseHead, ResponseRole } from './responseRole.ts'
 import type { ResponseHead } from './responseRole.ts'
 
@@ -24,13 +25,9 @@
 const NO_CONTENT = 204
 const NOT_MODIFIED = 304
 const UNAVAILABLE = 503
+const HTTP_1_0 = '1.0'
 
-/** Whether a response has a length or chunked encoding. Any other ends with its connection, so truncation cannot be detected. */
-function isFramed ({ headers, statusCode }: IncomingMessage): boolean {
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined || statusCode === NO_CONTENT || statusCode === NOT_MODIFIED
-}
-
-/** Ends a response that has begun so that it does not look complete: one without a length or chunks ends with its connection, so that must be reset. */
+/** Ends a response that has begun so that it does not look complete: one that ends with its connection must be reset. */
 export function abortResponse ({ res, isUnframed }: Exchange): void {
   if (isUnframed && res.socket !== null) res.socket.resetAndDestroy()
   else res.destroy()
@@ -45,24 +42,18 @@
   })
 }
 
-/** Keeps the response to the caller unframed too: a body that may be truncated must not look complete. */
-function disableFraming (res: ServerResponse): void {
-  res.useChunkedEncodingByDefault = false
-  res.shouldKeepAlive = false
-}
-
 /** Sends a buffered response to the caller. `Retry-After` of an endpoint's 503 is meant for this host, not for the caller. */
-export function sendBufferedResponse ({ res, queue }: Exchange, { status, rawHeaders, body, framed }: BufferedResponse): void {
+export function sendBufferedResponse ({ res, queue }: Exchange, { status, rawHeaders, body }: BufferedResponse): void {
   const headers = selectEndToEnd(rawHeaders, new Set(status === UNAVAILABLE ? ['content-length', 'retry-after'] : ['content-length']))
   const isBodiless = status === NO_CONTENT || status === NOT_MODIFIED
-  if (!framed) disableFraming(res)
-  res.writeHead(status, isBodiless || !framed ? headers : [...headers, 'Content-Length', String(body.length)])
+  res.writeHead(status, isBodiless ? headers : [...headers, 'Content-Length', String(body.length)])
   res.end(isBodiless ? undefined : body)
   queue.record()
 }
 
 /** Buffers the response that a peer gave itself. */
-export function bufferPeerAnswer ({ settle, request, isComplete, memory }: Attempt, response: IncomingMessage, outcome: PeerOutcome): void {
+export function bufferPeerAnswer (attempt: Attempt, response: IncomingMessage, outcome: PeerOutcome): void {
+  const { settle, request, isComplete, memory } = attempt
   const chunks: Buffer[] = []
   let bytes = 0
   response.on('data', (chunk: Buffer) => {
@@ -72,7 +63,8 @@
     if (bytes > MAX_DISCARDED_BYTES) request.destroy()
   })
   response.on('end', () => {
-    if (isComplete()) settle({ kind: 'peerAnswered', outcome, response: { status: response.statusCode ?? 0, rawHeaders: response.rawHeaders, body: Buffer.concat(chunks), framed: true, endpoint: '' } })
+    const isWhole = isComplete() && isFramedResponse(attempt, response)
+    if (isWhole) settle({ kind: 'peerAnswered', outcome, response: { status: response.statusCode ?? 0, rawHeaders: response.rawHeaders, body: Buffer.concat(chunks), endpoint: '' } })
   })
   response.on('close', () => settle({ kind: 'lost', reason: 'response of the peer truncated', isBroken: true }))
 }
@@ -101,7 +93,7 @@
   const { status, mediaType = 'no stated type' } = readResponseHead(response)
   if (status >= FIRST_ERROR_STATUS) {
     discardResponse(request, response)
-    settle({ kind: 'failed', response: { status, rawHeaders: response.rawHeaders, body: Buffer.alloc(0), framed: isFramed(response), endpoint } })
+    settle({ kind: 'failed', response: { status, rawHeaders: response.rawHeaders, body: Buffer.alloc(0), endpoint } })
     return
   }
   settle({ kind: 'lost', reason: `response with status ${status} and ${mediaType} in the middle of a stream`, hostReason: HostEndReason.WRONG_RESPONSE })
@@ -120,7 +112,7 @@
 }
 
 function bufferResponse (attempt: Attempt, response: IncomingMessage, endpoint: EndpointId): void {
-  const { exchange, settle, isSettled, request, isComplete, memory } = attempt
+  const { exchange, settle, memory } = attempt
   const status = response.statusCode ?? 0
   const chunks: Buffer[] = []
   let bytes = 0
@@ -129,36 +121,36 @@
     if (!memory.resize(bytes)) return
     chunks.push(chunk)
     if (bytes <= MAX_BUFFERED_RESPONSE_BYTES) return
-    response.off('data', collect).off('end', finish)
+    response.off('data', collect)
+    watch.stop()
     streamResponse(attempt, response, Buffer.concat(chunks))
   }
   const finish = (): void => {
-    if (!isComplete() || isSettled()) return
-    const buffered: BufferedResponse = { status, rawHeaders: response.rawHeaders, body: Buffer.concat(chunks), framed: isFramed(response), endpoint }
+    const buffered: BufferedResponse = { status, rawHeaders: response.rawHeaders, body: Buffer.concat(chunks), endpoint }
     if (status >= FIRST_ERROR_STATUS) {
       settle({ kind: 'failed', response: buffered })
       return
     }
-    if (exchange.ended !== undefined) return
     attempt.select()
     sendBufferedResponse(exchange, buffered)
     exchange.headSent = true
     settle({ kind: 'delivered', status, bytes })
   }
   response.on('data', collect)
-  response.on('end', finish)
-  response.on('close', () => {
-    settle({ kind: 'lost', reason: 'response truncated', isBroken: true })
-    if (!isComplete()) request.destroy()
-  })
+  const watch = watchEnd(attempt, response, { onComplete: finish, truncated: 'response truncated' })
+}
+
+/** Whether the response to the caller can only end with its connection: HTTP/1.0 has no chunks. */
+function isUnframedForCaller ({ req, route }: Exchange, response: IncomingMessage): boolean {
+  const hasLength = response.headers['content-length'] !== undefined && !route.resumable
+  return req.httpVersion === HTTP_1_0 && !hasLength
 }
 
 function sendHead ({ attempt: { exchange }, response, head }: StreamState): void {
   const { route } = exchange
   exchange.headSent = true
   exchange.resumableHead = route.resumable && isEventStream(route, head) ? head : undefined
-  exchange.isUnframed = !isFramed(response)
-  if (exchange.isUnframed) disableFraming(exchange.res)
+  exchange.isUnframed = isUnframedForCaller(exchange, response)
   // A stream that another endpoint continues has another length.
   exchange.res.writeHead(response.statusCode ?? 0, selectEndToEnd(response.rawHeaders, route.resumable ? CONTENT_LENGTH : NO_HEADERS))
 }
@@ -221,20 +213,16 @@
   response.once('close', release)
 }
 
-/**
- * How a response that has ended was broken off; undefined if it is complete. One that has no length or chunks may have ended at any
- * point: what began so ends so, but framing that was begun is completed only by a response that is known to be complete.
- */
-function findBreak ({ attempt: { exchange }, splitter, response, isContinuation }: StreamState): Pick<LostEnd, 'reason' | 'isBroken'> | undefined {
+/** How a stream that has ended was broken off; undefined if what came of it may be complete. */
+function findBreak ({ attempt, splitter, response, isContinuation }: StreamState): LostEnd | undefined {
   if (splitter === undefined) return undefined
-  const isBroken = !isFramed(response)
-  if (splitter.isInsideEvent()) return { reason: 'the stream ended inside an event', isBroken }
-  if (isBroken && !splitter.hasEvents()) return { reason: 'the stream ended before its first event', isBroken }
+  const isBroken = !isFramedResponse(attempt, response)
+  if (splitter.isInsideEvent()) return { kind: 'lost', reason: 'the stream ended inside an event', isBroken }
+  if (isBroken && !splitter.hasEvents()) return { kind: 'lost', reason: 'the stream ended before its first event', isBroken }
   if (!isContinuation) return undefined
-  if (isBroken && !exchange.isUnframed) return { reason: 'the rest of the stream ended with its connection' }
-  if (splitter.isBehind()) return { reason: 'the stream that was begun anew ended before what the caller has' }
+  if (splitter.isBehind()) return { kind: 'lost', reason: 'the stream that was begun anew ended before what the caller has' }
   // An endpoint that has nothing left to send must have been told what the caller has.
-  return splitter.hasEvents() || exchange.lastEventId !== undefined ? undefined : { reason: 'the stream that the caller has begins anew without events' }
+  return splitter.hasEvents() || attempt.exchange.lastEventId !== undefined ? undefined : { kind: 'lost', reason: 'the stream that the caller has begins anew without events' }
 }
 
 function receiveChunk (state: StreamState, chunk: Buffer): void {
@@ -252,7 +240,7 @@
 }
 
 function streamResponse (attempt: Attempt, response: IncomingMessage, firstBytes: Buffer = Buffer.alloc(0)): void {
-  const { exchange, settle, isSettled, request, isComplete, memory } = attempt
+  const { exchange, settle, memory } = attempt
   const { route, delivered, lastEventId, resumableHead } = exchange
   const head = readResponseHead(response)
   const splitter = isEventStream(route, head) ? createEventSplitter(route.resumable ? delivered : undefined, lastEventId, head.mediaType !== undefined) : undefined
@@ -260,21 +248,12 @@
   writeChunk(state, firstBytes)
   memory.resize(splitter?.getHeldBytes() ?? 0)
   response.on('data', (chunk: Buffer) => receiveChunk(state, chunk))
-  response.on('end', () => {
-    if (!isComplete() || isSettled() || exchange.ended !== undefined) return
-    const broken = findBreak(state)
-    if (broken !== undefined) {
-      settle({ kind: 'lost', ...broken })
-      return
-    }
+  const finish = (): void => {
     attempt.select()
     if (splitter !== undefined) writeChunk(state, splitter.takeRest())
     if (!exchange.headSent) sendHead(state)
     exchange.res.end()
     settle({ kind: 'delivered', status: response.statusCode ?? 0, bytes: state.bytes })
-  })
-  response.on('close', () => {
-    settle({ kind: 'lost', reason: 'stream truncated', isBroken: true })
-    if (!isComplete()) request.destroy()
-  })
+  }
+  watchEnd(attempt, response, { findBreak: () => findBreak(state), onComplete: finish, truncated: 'stream truncated' })
 }
--- a/gateway/relay/test/continuedStreams.test.ts
+++ b/gateway/relay/test/continuedStreams.test.ts
@@ -218,15 +218,23 @@
 describe('a stream that goes on at an endpoint whose response ends with its connection', () => {
   const UNFRAMED = `HTTP/1.1 200 OK\r\n${IDENTITY}${EVENT_STREAM}Connection: close\r\n\r\n${formatEvent(2)}`
 
-  const startClosing = (): Promise<Endpoint> => startRawEndpoint('e2', (socket, request) => { if (request.includes('id1')) socket.end(UNFRAMED) })
+  /** The process of the endpoint ends with its response, unless it lives on. */
+  async function startClosing (livesOn = false): Promise<Endpoint> {
+    const endpoint = await startRawEndpoint('e2', (socket, request) => {
+      if (request.includes('id1')) socket.end(UNFRAMED, () => { if (!livesOn) endpoint.close() })
+    })
+    return endpoint
+  }
 
   // Guards against a stream that ends as complete after an endpoint has crashed: a closed connection does not tell that it is whole.
-  it('does not end as complete', async t => {
-    const first = await startBeginning()
-    const relay = await start(t, { endpoints: [first.endpoint, await startClosing()] })
-    const { body, broken } = await callBroken(relay, first)
-    expect([body, broken]).toEqual([BEGINNING + formatEvent(2), true])
-  })
+  for (const livesOn of [false, true]) {
+    it(livesOn ? 'ends as complete if the endpoint lives on' : 'does not end as complete if the endpoint does not live on', async t => {
+      const first = await startBeginning()
+      const relay = await start(t, { endpoints: [first.endpoint, await startClosing(livesOn)] })
+      const { body, broken } = await callBroken(relay, first)
+      expect([body, broken]).toEqual([BEGINNING + formatEvent(2), !livesOn])
+    })
+  }
 
   it('ends as complete once another endpoint has told that it is', async t => {
     const first = await startBeginning()
@@ -236,14 +244,14 @@
     expect([body, broken, third.requests.map(request => /x-resume: (\w+)/i.exec(request)?.[1])]).toEqual([BEGINNING + formatEvent(2), false, ['2']])
   })
 
-  it('closes the connection in order if it began without length or chunks too', async t => {
+  it('ends as complete if it began without length or chunks too, and the endpoint lives on', async t => {
     let socket: Socket | undefined
     const first = await startRawEndpoint('e1', (connection, request) => {
       if (!request.includes('id1')) return
       socket = connection
       socket.write(`HTTP/1.1 200 OK\r\n${IDENTITY}${EVENT_STREAM}\r\n${BEGINNING}`)
     })
-    const relay = await start(t, { endpoints: [first, await startClosing()] })
+    const relay = await start(t, { endpoints: [first, await startClosing(true)] })
     const { body, broken } = await relay.call({ headers: DEADLINE, onPart: () => { socket?.resetAndDestroy() } })
     expect([body, broken, findStatuses(relay)]).toEqual([BEGINNING + formatEvent(2), false, [200]])
   })
--- a/gateway/relay/test/cutHeads.test.ts
+++ b/gateway/relay/test/cutHeads.test.ts
@@ -66,7 +66,15 @@
 /** Whether a caller takes what it got for a whole response with success. */
 const isTakenForWhole = (answer: CallResult | undefined): boolean => answer?.status === 200 && !answer.broken
 
-/** Whether a caller took a response without length or chunks for whole: its connection ended, and was not reset. Node.js reports a reset that arrives with the last bytes as an end. */
+/** Whether what a caller got is whole: by its length or chunks, or because its connection ended in order. */
+function isWholeText (text: string, hasEnded: boolean): boolean {
+  const [head = '', body = ''] = text.split('\r\n\r\n')
+  if (/transfer-encoding: chunked/i.test(head)) return text.endsWith('\r\n0\r\n\r\n')
+  const length = /content-length: (\d+)/i.exec(head)?.[1]
+  return length === undefined ? hasEnded : body.length === Number(length)
+}
+
+/** Whether a caller took a response whose endpoint sent no length or chunks for whole. Node.js reports a reset that arrives with the last bytes as an end. */
 async function isUnframedTakenForWhole (relay: TestRelay, bytes: number): Promise<boolean> {
   const socket = relay.dial()
   let text = ''
@@ -78,7 +86,7 @@
   })
   socket.destroy()
   expect(text.startsWith('HTTP/1.1 503')).toEqual(false)
-  return hasEnded && text.startsWith('HTTP/1.1 200')
+  return text.startsWith('HTTP/1.1 200') && isWholeText(text, hasEnded)
 }
 
 /** Cuts a response after each of these numbers of bytes, on connections that carried requests before, and returns after which the caller took it for whole. */
--- a/gateway/relay/test/loopPauses.test.ts
+++ b/gateway/relay/test/loopPauses.test.ts
@@ -3,10 +3,12 @@
  * after a long step of the event loop each time limit had run out although the bytes had arrived. Endpoints counted as silent
  * or unreachable, the host as cut off, and callers got 503 or 504 for answers that were there.
  */
+import { probeConnection } from '@catkinferry/endpoints.liveness'
 import { expect } from 'earl'
 import { afterEach, describe, it } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { probeConnection, probeHealth } from '../src/probeEndpoint.ts'
+import { CONNECT_TIMEOUT_MS } from '../src/constants.ts'
+import { probeHealth } from '../src/probeEndpoint.ts'
 import { startTestRelay } from './testRelay.ts'
 import type { Endpoint, TestRelay, TestRelayOptions } from './testRelay.ts'
 import { blockBeforeTimers, startWorkerEndpoint } from './workerEndpoint.ts'
@@ -95,7 +97,7 @@
     it(`of ${pauseMs} ms while an endpoint is probed does not make the probe fail`, async () => {
       const endpoint = await startWorkerEndpoint('e1')
       endpoints.push(endpoint)
-      const probes = Promise.all([probeConnection(endpoint), probeHealth({ address: endpoint.address, healthPath: '/' })])
+      const probes = Promise.all([probeConnection({ address: endpoint.address, timeoutMs: CONNECT_TIMEOUT_MS }), probeHealth({ address: endpoint.address, healthPath: '/' })])
       void blockBeforeTimers(pauseMs)
       expect(await probes).toEqual([true, true])
     })
@@ -105,6 +107,6 @@
     const endpoint = await startWorkerEndpoint('e1')
     endpoint.close()
     await sleep(100)
-    expect(await Promise.all([probeConnection(endpoint), probeHealth({ address: endpoint.address, healthPath: '/' })])).toEqual([false, false])
+    expect(await Promise.all([probeConnection({ address: endpoint.address, timeoutMs: CONNECT_TIMEOUT_MS }), probeHealth({ address: endpoint.address, healthPath: '/' })])).toEqual([false, false])
   })
 })
--- a/gateway/relay/test/oddEndpoints.test.ts
+++ b/gateway/relay/test/oddEndpoints.test.ts
@@ -1,8 +1,10 @@
 /** Endpoints that no request can be sent to, as a leader of an earlier release publishes them from an odd entry of its list. */
+import { probeConnection } from '@catkinferry/endpoints.liveness'
 import { expect } from 'earl'
 import { describe, it } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { probeConnection, probeHealth } from '../src/probeEndpoint.ts'
+import { CONNECT_TIMEOUT_MS } from '../src/constants.ts'
+import { probeHealth } from '../src/probeEndpoint.ts'
 import { answerOk, startEndpoint, startTestRelay } from './testRelay.ts'
 import type { Endpoint } from './testRelay.ts'
 
@@ -53,7 +55,7 @@
 
   // A probe that rejects is handled nowhere, and ends the process.
   it('an address that Node.js does not connect to is found unreachable by probes', async () => {
-    for (const address of ['127.0.0.1:99999', '127.0.0.1:http', 'nowhere', '']) expect(await Promise.all([probeConnection({ address }), probeHealth({ address, healthPath: '/' })])).toEqual([false, false])
+    for (const address of ['127.0.0.1:99999', '127.0.0.1:http', 'nowhere', '']) expect(await Promise.all([probeConnection({ address, timeoutMs: CONNECT_TIMEOUT_MS }), probeHealth({ address, healthPath: '/' })])).toEqual([false, false])
   })
 
   it('a health path that Node.js does not send is found reachable all the same', async () => {
--- a/gateway/relay/test/relay.test.ts
+++ b/gateway/relay/test/relay.test.ts
@@ -97,11 +97,11 @@
     expect((await call()).status).toEqual(502)
   })
 
-  it('gets an unframed response without a length, since it may be truncated', async () => {
-    const cut = await startRawEndpoint('e1', socket => { socket.end('HTTP/1.1 200 OK\r\nX-Id: id1\r\nX-Stamp: s\r\nConnection: close\r\n\r\nhalf of it') })
-    const { call } = await start({ endpoints: [cut] })
+  it('gets an unframed response with a length, once it is known that the endpoint has completed it', async () => {
+    const unframed = await startRawEndpoint('e1', socket => { socket.end('HTTP/1.1 200 OK\r\nX-Id: id1\r\nX-Stamp: s\r\nConnection: close\r\n\r\nall of it') })
+    const { call } = await start({ endpoints: [unframed] })
     const { status, body, headers } = await call()
-    expect([status, body, headers['content-length'], headers['transfer-encoding'], headers.connection]).toEqual([200, 'half of it', undefined, undefined, 'close'])
+    expect([status, body, headers['content-length'], headers['transfer-encoding'], headers.connection]).toEqual([200, 'all of it', '9', undefined, 'keep-alive'])
   })
 
   it('gets 502 instead of a response that carries the id of another request', async () => {
