Go on when a caller resets a connection that asked for a tunnel

The HTTP server takes its listeners away from such a connection, and nothing else listened for its errors.

The error destroys the connection now.

--- a/daemon/fleet/src/callerServer.ts
+++ b/daemon/fleet/src/callerServer.ts
@@ -77,7 +77,11 @@
   })
   // Without a listener, the HTTP server would destroy connections at its own idle timeout.
   server.on('timeout', () => undefined)
-  server.on('connect', (_req, socket) => connections.handleError(socket as Socket, TUNNEL_REQUESTED))
+  server.on('connect', (_req, socket) => {
+    // The HTTP server has taken its listeners away, and a reset of the connection would end the process.
+    socket.on('error', () => socket.destroy())
+    connections.handleError(socket as Socket, TUNNEL_REQUESTED)
+  })
   server.on('clientError', ({ code }: NodeJS.ErrnoException, socket) => connections.handleError(socket as Socket, code))
 
   const isClosable = (connection: Connection): boolean => {
--- a/daemon/fleet/test/callerServer.test.ts
+++ b/daemon/fleet/test/callerServer.test.ts
@@ -312,6 +312,23 @@
     expect(got.text.split('\r\n', 2)).toEqual(['HTTP/1.1 501 Not Implemented', 'Connection: close'])
   })
 
+  // Guards against a caller that ends the process: nothing listened for errors of a connection that had asked for a tunnel.
+  it('goes on when the connection of a request for a tunnel is reset', async () => {
+    const opened = await open(res => res.end('ok'))
+    for (const delayMs of [0, 5, 20]) {
+      const tunnel = await dial(opened)
+      tunnel.write('CONNECT a:1 HTTP/1.1\r\nHost: h\r\n\r\n')
+      await sleep(delayMs)
+      tunnel.resetAndDestroy()
+      await sleep(50)
+    }
+    const socket = await dial(opened)
+    const got = collect(socket)
+    socket.write(REQUEST)
+    await sleep(100)
+    expect(got.text.startsWith('HTTP/1.1 200')).toEqual(true)
+  })
+
   // Guards against resets of connections that the kernel had accepted and the program had not.
   it('serves connections that were opened before it stopped accepting', async () => {
     const opened = await open(res => {
