Hold bodies in one piece of memory, whose capacity counts

Causes, both in what readBody.ts counted: each chunk was kept as an object of some hundred bytes, of which only its content counted; and what was read of a refused body stayed in memory, uncounted, until its caller had sent the rest. Buffered responses were collected in the same way.

Bodies and buffered responses are copied into one piece of memory that doubles; its capacity counts, and it is dropped with the refusal. A body whose stated length is over the limit is refused before it comes.

--- a/core/memory-budget/src/heldBuffer.ts
+++ b/core/memory-budget/src/heldBuffer.ts
@@ -1,4 +1,5 @@
 /** Collects the parts of one message in memory that a budget accounts for. */
+import { createGrowingBuffer } from './growingBuffer.ts'
 import type { MemoryBudget } from './memoryBudget.ts'
 import { MemoryLimit } from './memoryBudget.ts'
 
@@ -20,62 +21,45 @@
   readonly add: (data: Uint8Array) => BufferLimit | undefined
   /** The bytes so far as UTF-8 text; empty after they were released. */
   readonly getText: () => string
+  /** The bytes so far, not copied; empty after they were released. */
+  readonly getBytes: () => Buffer
   /** Drops all bytes. The buffer is of no use afterwards. */
   readonly release: () => void
 }
 
-/** Avoids copying small messages several times. */
-const MIN_CAPACITY_BYTES = 1_024
-
-/**
- * Creates an empty buffer. Bytes are copied: a part that is kept by reference keeps all that was read from the socket with
- * it, so that small parts with much framing hold many times their length.
- */
+/** Creates an empty buffer. */
 export function createHeldBuffer ({ budget, owner, maxBytes, onEvicted }: HeldBufferOptions): HeldBuffer {
-  let content = Buffer.alloc(0)
-  let length = 0
-
-  function drop (): void {
-    content = Buffer.alloc(0)
-    length = 0
-  }
-
+  const content = createGrowingBuffer(maxBytes)
   const holding = budget.open(owner, () => {
-    drop()
+    content.drop()
     onEvicted()
   })
 
   function release (): void {
     holding.release()
-    drop()
+    content.drop()
   }
 
   /** Both copies count while the bytes are moved. */
-  function allocate (bytes: number): BufferLimit | undefined {
-    if (bytes > maxBytes) return BufferLimit.MESSAGE
-    if (bytes <= content.length) return undefined
-    const capacity = Math.min(maxBytes, Math.max(bytes, 2 * content.length, MIN_CAPACITY_BYTES))
-    const limit = holding.add(capacity)
+  function append (data: Uint8Array): BufferLimit | undefined {
+    const former = content.getCapacity()
+    const capacity = content.findCapacity(data.length)
+    if (capacity > maxBytes) return BufferLimit.MESSAGE
+    const limit = capacity > former ? holding.add(capacity) : undefined
     if (limit !== undefined) return limit
-    const former = content
-    content = Buffer.allocUnsafeSlow(capacity)
-    former.copy(content, 0, 0, length)
-    holding.trim(former.length)
+    content.add(data)
+    if (capacity > former) holding.trim(former)
     return undefined
   }
 
   return {
     add: data => {
-      const limit = allocate(length + data.length)
-      if (limit !== undefined) {
-        release()
-        return limit
-      }
-      content.set(data, length)
-      length += data.length
-      return undefined
+      const limit = append(data)
+      if (limit !== undefined) release()
+      return limit
     },
-    getText: () => content.toString('utf8', 0, length),
+    getText: () => content.getBytes().toString(),
+    getBytes: content.getBytes,
     release
   }
 }
--- a/gateway/relay/src/readBody.ts
+++ b/gateway/relay/src/readBody.ts
@@ -3,6 +3,7 @@
  * completely before the first attempt, so that another attempt can send it again.
  */
 import type { IncomingMessage } from 'node:http'
+import { BufferLimit, createHeldBuffer, createMemoryBudget } from '@catkinferry/core.memory-budget'
 import { MAX_BUFFERED_BODY_BYTES } from './constants.ts'
 import type { Exchange } from './exchange.ts'
 
@@ -26,35 +27,45 @@
 interface Reading {
   readonly result: Promise<BodyRead>
   readonly stop: () => void
-  bytes: number
+}
+
+/** All bodies share the limit; none gives way to another. */
+const OWNER = 'callers'
+
+/** The length that the caller states; undefined for a body in chunks. */
+function readLength ({ headers = {} }: IncomingMessage): number | undefined {
+  return headers['content-length'] === undefined ? undefined : Number(headers['content-length'])
 }
 
 export function createBodyReader (): BodyReader {
   const readings = new Map<IncomingMessage, Reading>()
-  let totalBytes = 0
+  const budget = createMemoryBudget({ maxBytes: MAX_BUFFERED_BODY_BYTES, maxOwnerBytes: MAX_BUFFERED_BODY_BYTES })
 
   function begin (req: IncomingMessage, maxBytes: number): Reading {
-    const chunks: Buffer[] = []
+    const length = readLength(req) ?? maxBytes
+    const content = createHeldBuffer({ budget, owner: OWNER, maxBytes: Math.min(length, maxBytes), onEvicted: () => undefined })
     let resolve: (result: BodyRead) => void = () => undefined
     const result = new Promise<BodyRead>(_resolve => { resolve = _resolve })
-    const reading: Reading = { result, stop: () => stop('ended'), bytes: 0 }
-    /** Discards the rest of the body, which no longer counts. */
+    /** Drops what was read and discards the rest. */
     const stop = (kind: 'tooLarge' | 'noRoom' | 'ended'): void => {
+      content.release()
       req.off('data', collect)
       req.resume()
       resolve({ kind })
     }
     const collect = (chunk: Buffer): void => {
-      chunks.push(chunk)
-      reading.bytes += chunk.length
-      totalBytes += chunk.length
-      if (reading.bytes > maxBytes) stop('tooLarge')
-      else if (totalBytes > MAX_BUFFERED_BODY_BYTES) stop('noRoom')
+      const limit = content.add(chunk)
+      if (limit !== undefined) stop(limit === BufferLimit.MESSAGE ? 'tooLarge' : 'noRoom')
     }
-    req.on('data', collect)
-    req.on('end', () => resolve({ kind: 'read', body: Buffer.concat(chunks) }))
-    req.on('error', () => stop('ended'))
+    const reading: Reading = { result, stop: () => stop('ended') }
     readings.set(req, reading)
+    req.on('error', () => stop('ended'))
+    if (length > Math.max(0, maxBytes)) {
+      stop('tooLarge')
+      return reading
+    }
+    req.on('data', collect)
+    req.on('end', () => resolve({ kind: 'read', body: content.getBytes() }))
     return reading
   }
 
@@ -71,7 +82,6 @@
       const reading = readings.get(req)
       if (reading === undefined) return
       readings.delete(req)
-      totalBytes -= reading.bytes
       reading.stop()
     }
   }
--- a/gateway/relay/src/sendAnswer.ts
+++ b/gateway/relay/src/sendAnswer.ts
@@ -3,6 +3,7 @@
  * chunk. Called by `attempt.ts` for each response that it accepts as one to the request.
  */
 import type { ClientRequest, IncomingMessage, ServerResponse } from 'node:http'
+import { createGrowingBuffer } from '@catkinferry/core.memory-budget'
 import type { EndpointId, MonotonicMs } from '@catkinferry/core.types'
 import { RouteKind } from '@catkinferry/core.types'
 import type { Attempt, AttemptEnd } from './attempt.ts'
@@ -54,17 +55,15 @@
 /** Buffers the response that a peer gave itself. */
 export function bufferPeerAnswer (attempt: Attempt, response: IncomingMessage, outcome: PeerOutcome): void {
   const { settle, request, isComplete, memory } = attempt
-  const chunks: Buffer[] = []
-  let bytes = 0
+  const content = createGrowingBuffer(MAX_DISCARDED_BYTES)
   response.on('data', (chunk: Buffer) => {
-    bytes += chunk.length
-    if (!memory.resize(bytes)) return
-    chunks.push(chunk)
-    if (bytes > MAX_DISCARDED_BYTES) request.destroy()
+    if (!memory.resize(content.findCapacity(chunk.length))) return
+    content.add(chunk)
+    if (content.getBytes().length > MAX_DISCARDED_BYTES) request.destroy()
   })
   response.on('end', () => {
     const isWhole = isComplete() && isFramedResponse(attempt, response)
-    if (isWhole) settle({ kind: 'peerAnswered', outcome, response: { status: response.statusCode ?? 0, rawHeaders: response.rawHeaders, body: Buffer.concat(chunks), endpoint: '' } })
+    if (isWhole) settle({ kind: 'peerAnswered', outcome, response: { status: response.statusCode ?? 0, rawHeaders: response.rawHeaders, body: content.getBytes(), endpoint: '' } })
   })
   response.on('close', () => settle({ kind: 'lost', reason: 'response of the peer truncated', isBroken: true }))
 }
@@ -114,19 +113,18 @@
 function bufferResponse (attempt: Attempt, response: IncomingMessage, endpoint: EndpointId): void {
   const { exchange, settle, memory } = attempt
   const status = response.statusCode ?? 0
-  const chunks: Buffer[] = []
-  let bytes = 0
+  const content = createGrowingBuffer(MAX_BUFFERED_RESPONSE_BYTES)
   const collect = (chunk: Buffer): void => {
-    bytes += chunk.length
-    if (!memory.resize(bytes)) return
-    chunks.push(chunk)
-    if (bytes <= MAX_BUFFERED_RESPONSE_BYTES) return
+    if (!memory.resize(content.findCapacity(chunk.length))) return
+    content.add(chunk)
+    if (content.getBytes().length <= MAX_BUFFERED_RESPONSE_BYTES) return
     response.off('data', collect)
     watch.stop()
-    streamResponse(attempt, response, Buffer.concat(chunks))
+    streamResponse(attempt, response, content.getBytes())
   }
   const finish = (): void => {
-    const buffered: BufferedResponse = { status, rawHeaders: response.rawHeaders, body: Buffer.concat(chunks), endpoint }
+    const body = content.getBytes()
+    const buffered: BufferedResponse = { status, rawHeaders: response.rawHeaders, body, endpoint }
     if (status >= FIRST_ERROR_STATUS) {
       settle({ kind: 'failed', response: buffered })
       return
@@ -134,7 +132,7 @@
     attempt.select()
     sendBufferedResponse(exchange, buffered)
     exchange.headSent = true
-    settle({ kind: 'delivered', status, bytes })
+    settle({ kind: 'delivered', status, bytes: body.length })
   }
   response.on('data', collect)
   const watch = watchEnd(attempt, response, { onComplete: finish, truncated: 'response truncated' })
