--- a/consensus/log-machine/src/followers.ts
+++ b/consensus/log-machine/src/followers.ts
@@ -23,14 +23,17 @@
     return
   }
   followLeader(state, from, message.term, context)
-  if (state.incomingSnapshot?.saving === true) return
+  if (state.incomingSnapshot?.saving === true) {
+    sendLivenessAnswer(state, from, context)
+    return
+  }
   const { readRound } = message
   if (!hasPreviousEntry(state, message)) {
     sendAppendAnswer(state, from, { success: false, matchIndex: computeRejectHint(state, message), readRound }, context)
     return
   }
   mergeEntries(state, message, context)
-  if (message.entries.length === 0) sendLivenessAnswer(state, from, context)
+  if (message.entries.length === 0 && state.durableWriteId < state.lastLogWriteId) sendLivenessAnswer(state, from, context)
   const matchIndex = message.previousIndex + message.entries.length
   state.commitIndex = Math.max(state.commitIndex, Math.min(message.commitIndex, matchIndex))
   if (hasAllCommitted(state, message)) state.caughtUpAt = context.now
@@ -79,13 +82,11 @@
 }
 
 /**
- * Answers a heartbeat at once while the proper answer waits for a slow disk; otherwise a stalled disk would look like a
- * lost voter. It acknowledges no entry and no read round, so it can neither commit an entry nor confirm a read.
+ * Answers at once while the proper answer waits for a slow disk, or no entries are taken because a snapshot is being
+ * saved; otherwise a stalled disk would look like a lost voter. It acknowledges no entry and no read round, so it can neither commit an entry nor confirm a read.
  */
 function sendLivenessAnswer (state: MachineState, to: HostId, context: MachineContext): void {
   const { group, incarnation, term, host } = state
-  const isAnsweredAtOnce = state.durableWriteId >= state.lastLogWriteId
-  const isBound = findMember(getMembership(state), host)?.incarnation === incarnation
-  if (isAnsweredAtOnce || !isBound) return
+  if (findMember(getMembership(state), host)?.incarnation !== incarnation) return
   context.send(to, { kind: 'consensus.appendAnswer', group, incarnation, term, success: true, matchIndex: 0, readRound: 0 })
 }
--- a/consensus/log-machine/test/logMachine.test.ts
+++ b/consensus/log-machine/test/logMachine.test.ts
@@ -252,6 +252,24 @@
 })
 
 describe('snapshots', () => {
+  /** Guards against a leader that steps down because a follower says nothing while it saves a snapshot to a slow disk. */
+  it('keep the leader while the only other voter saves one to a slow disk', () => {
+    const group = createGroup({ seed: 31, hosts: HOSTS })
+    const leader = electLeader(group)
+    const [first, second] = listOthers(leader)
+    group.isolate(first, true)
+    for (let count = 0; count < 50; count++) group.propose(leader, `x${count}`)
+    group.runFor(500)
+    group.compact(leader, 0)
+    group.runFor(500)
+    const { term } = group.getMachine(leader).getState()
+    group.diskFaults.slowMs = 3_000
+    group.isolate(first, false)
+    group.kill(second)
+    group.runFor(6_000)
+    expect([group.findLeader(), group.getMachine(leader).getState().term, group.getMember(first).applied.length]).toEqual([leader, term, 50])
+  })
+
   it('bring a follower up to date that lacks compacted entries', () => {
     const group = createGroup({ seed: 12, hosts: HOSTS })
     const leader = electLeader(group)
