Log how a member is brought up to date that had fallen silent

Only members whose log ended earlier than expected had the line and the metric; one that was cut off or stood still is found by appends without an answer. The test of hundreds of large changes asserts the line.

--- a/consensus/log-machine/src/catchUps.ts
+++ b/consensus/log-machine/src/catchUps.ts
@@ -1,6 +1,6 @@
 /**
  * Records how the leader brings peers up to date that lack entries: with what, how much and how long. Begun when a peer
- * reports that its log ends earlier, finished once it holds what the leader had then.
+ * reports that its log ends earlier or answers nothing, finished once it holds what the leader had then.
  */
 import type { HostId } from '@catkinferry/core.types'
 import type { MachineContext, MachineState, Progress } from './state.ts'
--- a/consensus/log-machine/src/replication.ts
+++ b/consensus/log-machine/src/replication.ts
@@ -25,19 +25,20 @@
   state.readRoundDue = false
   state.replicationDue = false
   for (const [host, progress] of state.peers) {
-    expireInFlight(progress, context)
+    expireInFlight(state, host, progress, context)
     const sent = sendEntries(state, host, progress, context)
     if (isHeartbeat && !sent) sendAppend(state, host, progress, [], context)
   }
 }
 
-function expireInFlight (progress: Progress, context: MachineContext): void {
+function expireInFlight (state: MachineState, host: HostId, progress: Progress, context: MachineContext): void {
   if (progress.inFlight.length === 0 || context.now - progress.lastProgressAt < IN_FLIGHT_TIMEOUT_MS) return
   progress.inFlight = []
   progress.lastProgressAt = context.now
   if (progress.mode !== 'replicate') return
   progress.mode = 'probe'
   progress.nextIndex = progress.matchIndex + 1
+  beginCatchUp(state, host, progress, context)
 }
 
 /** Sends as many batches as may be in flight; returns false when none was sent. */
--- a/consensus/voter/test/voter.test.ts
+++ b/consensus/voter/test/voter.test.ts
@@ -173,6 +173,8 @@
         const { membership, commitIndex } = group.getVoter(leader).getStatus()
         const { appliedIndex } = group.getVoter(absent).getStatus()
         expect({ isVoter: membership.voters.some(voter => voter.host === absent), lag: Math.max(0, commitIndex - appliedIndex - 2) }).toEqual({ isVoter: true, lag: 0 })
+        const catchUps = group.outputs.flatMap(output => output.kind === 'log' && output.fields.step === 'catchUp' && output.fields.peer === absent ? [output.fields.by] : [])
+        expect(catchUps).toEqual(absence === 'that was cut off' && changesPerSecond === 0 ? [] : ['snapshot'])
         group.kill(other)
         group.submit(leader, 'after the next loss')
         group.runFor(2_000)
