Say what the new names, bounds and comments are

Bounds of new tests follow what is stated: the log in memory is bounded by its tail and two growths (8 growths before), what is held of refused bodies by their limit (4 MiB more before). No behaviour changes.

--- a/consensus/voter/test/voter.test.ts
+++ b/consensus/voter/test/voter.test.ts
@@ -1,6 +1,6 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
-import { MAX_PENDING_COMMANDS, MIN_COMPACT_BYTES } from '../src/index.ts'
+import { MAX_PENDING_COMMANDS, MIN_COMPACT_BYTES, TAIL_RATIO } from '../src/index.ts'
 import { createVoterGroup } from './voterGroup.ts'
 
 const HOSTS = ['a', 'b', 'c']
@@ -123,6 +123,8 @@
 const CATCH_UP_MS = 4_000
 const LINK_BYTES_PER_MS = 2_600
 const CHANGE_BYTES = 80_000
+/** Entries that may be on their way to a voter that follows the log. */
+const IN_FLIGHT_ENTRIES = 2
 
 type LargeGroup = ReturnType<typeof createVoterGroup>
 
@@ -172,7 +174,7 @@
         goOn(CATCH_UP_MS)
         const { membership, commitIndex } = group.getVoter(leader).getStatus()
         const { appliedIndex } = group.getVoter(absent).getStatus()
-        expect({ isVoter: membership.voters.some(voter => voter.host === absent), lag: Math.max(0, commitIndex - appliedIndex - 2) }).toEqual({ isVoter: true, lag: 0 })
+        expect({ isVoter: membership.voters.some(voter => voter.host === absent), lag: Math.max(0, commitIndex - appliedIndex - IN_FLIGHT_ENTRIES) }).toEqual({ isVoter: true, lag: 0 })
         const catchUps = group.outputs.flatMap(output => output.kind === 'log' && output.fields.step === 'catchUp' && output.fields.peer === absent ? [output.fields.by] : [])
         expect(catchUps).toEqual(absence === 'that was cut off' && changesPerSecond === 0 ? [] : ['snapshot'])
         group.kill(other)
@@ -191,7 +193,8 @@
       group.runFor(10)
     }
     const sizes = group.outputs.flatMap(output => output.kind === 'metric' && output.name === 'voter.log_bytes' ? [output.value] : [])
-    expect(sizes.length > 0 && Math.max(...sizes) < 8 * MIN_COMPACT_BYTES).toEqual(true)
+    // The tail, and what is added until the next snapshot is taken and durable.
+    expect(sizes.length > 0 && Math.max(...sizes) <= (TAIL_RATIO + 2) * MIN_COMPACT_BYTES).toEqual(true)
   })
 })
 
--- a/consensus/voter/test/voterGroup.ts
+++ b/consensus/voter/test/voterGroup.ts
@@ -1,4 +1,5 @@
 /** A group of voters on virtual time, whose state machine is the list of applied change ids. */
+import { estimateBytes } from '@catkinferry/consensus.log-machine'
 import { createRandom } from '@catkinferry/core.random'
 import type { HostId } from '@catkinferry/core.types'
 import type { HostOutput, RunContext } from '@catkinferry/host.events'
@@ -10,14 +11,6 @@
 const LINK_MS = 2
 const DISK_MS = 3
 
-/** Bytes of a value's strings and byte arrays, which make up nearly all of a large message. */
-function countBytes (value: unknown): number {
-  if (typeof value === 'string') return value.length
-  if (typeof value !== 'object' || value === null) return 8
-  if (value instanceof Uint8Array) return value.byteLength
-  return Object.values(value).reduce<number>((sum, inner) => sum + countBytes(inner), 0)
-}
-
 interface Node {
   voter: Voter | undefined
   disk: { -readonly [Key in keyof StoredState]: StoredState[Key] }
@@ -76,7 +69,7 @@
 
   function computeDeliveryMs (link: string, message: PeerMessage): number {
     if (opts.bytesPerMs === undefined) return LINK_MS
-    const freeAt = Math.max(now, linkFreeAt.get(link) ?? now) + countBytes(message) / opts.bytesPerMs
+    const freeAt = Math.max(now, linkFreeAt.get(link) ?? now) + estimateBytes(message) / opts.bytesPerMs
     linkFreeAt.set(link, freeAt)
     return freeAt - now + LINK_MS
   }
--- a/endpoints/liveness/src/isAliveAfterEnd.ts
+++ b/endpoints/liveness/src/isAliveAfterEnd.ts
@@ -10,13 +10,13 @@
 /** Time in which the ends of all connections of a process arrive. Callers wait as long for the end of the response. */
 const ENDS_ARRIVE_MS: DurationMs = 20
 
-export interface EndedConnection extends ProbeOptions {
+export interface LivenessOptions extends ProbeOptions {
   /** Whether another connection to the endpoint is open whose end this host would have read by now. Costs nothing, unlike a new connection. */
   readonly hasOpenConnection?: () => boolean
 }
 
 /** Whether the endpoint lives on. False if that cannot be told within the time limit. */
-export async function isAliveAfterEnd ({ hasOpenConnection = () => false, ...probe }: EndedConnection): Promise<boolean> {
+export async function isAliveAfterEnd ({ hasOpenConnection = () => false, ...probe }: LivenessOptions): Promise<boolean> {
   await new Promise<void>(resolve => { startTimeLimit(ENDS_ARRIVE_MS, resolve) })
   return hasOpenConnection() || await probeConnection(probe)
 }
--- a/gateway/relay/src/attempt.ts
+++ b/gateway/relay/src/attempt.ts
@@ -28,8 +28,8 @@
   | { readonly kind: 'notRun', readonly reason: string, readonly isAnswered: boolean, readonly isMisdirected: boolean }
   /** The endpoint answered with an error status, after running it. */
   | { readonly kind: 'failed', readonly response: BufferedResponse }
-  /** It was sent but no complete response arrived: it may have run. `isBroken`: the endpoint ended the connection; `isEnded`: its process has ended, and the path to it works; `hostReason`: this host ended the attempt, and why. */
-  | { readonly kind: 'lost', readonly reason: string, readonly isBroken?: boolean, readonly isEnded?: boolean, readonly hostReason?: HostEndReason }
+  /** It was sent but no complete response arrived: it may have run. `isBroken`: the endpoint ended the connection; `isProcessEnded`: its process has ended, and the path to it works; `hostReason`: this host ended the attempt, and why. */
+  | { readonly kind: 'lost', readonly reason: string, readonly isBroken?: boolean, readonly isProcessEnded?: boolean, readonly hostReason?: HostEndReason }
   /** Nothing was sent, because the endpoint wants no more requests or no time is left. */
   | { readonly kind: 'withheld', readonly reason: string }
   /** The peer gave a response of its own. */
--- a/gateway/relay/src/endpointLinks.ts
+++ b/gateway/relay/src/endpointLinks.ts
@@ -133,7 +133,7 @@
   return Object.keys(agent.freeSockets).length > 0
 }
 
-/** Ends of connections are read at once, except where a response is paused. */
+/** Whether a connection to the endpoint is open. The end of one on which a response is paused is not read, so such links count idle connections only. */
 export function hasOpenConnection ({ agent, pausedStreams }: EndpointLink): boolean {
   const lists = [agent.freeSockets, pausedStreams === 0 ? agent.sockets : {}].flatMap(sockets => Object.values(sockets))
   return lists.some(sockets => sockets?.some(socket => !socket.connecting && socket.readyState === 'open') === true)
--- a/gateway/relay/src/responseEnd.ts
+++ b/gateway/relay/src/responseEnd.ts
@@ -35,7 +35,7 @@
     if (isSettled() || exchange.ended !== undefined) return
     if (isAlive) onComplete()
     // The end has arrived, so the path from this host to the endpoint works.
-    else settle({ kind: 'lost', reason: 'the endpoint ended with the connection of a response without length or chunks', isEnded: true })
+    else settle({ kind: 'lost', reason: 'the endpoint ended with the connection of a response without length or chunks', isProcessEnded: true })
   }
 
   function handleEnd (): void {
--- a/gateway/relay/src/responseProgress.ts
+++ b/gateway/relay/src/responseProgress.ts
@@ -53,6 +53,6 @@
 /** Records whether the endpoint seems to have crashed on the request, or has answered it. */
 export function recordCrashSigns ({ relay: { directory }, target: { endpoint, bornAt }, traits, progress, end, endedAt: now }: EndedAttempt): void {
   if (end.kind === 'delivered' && end.status < FIRST_UNSUCCESSFUL_STATUS) directory.recordSound(traits, now)
-  else if (end.kind === 'lost' && (end.isBroken === true || end.isEnded === true)) directory.recordBroken({ endpoint, bornAt, traits, progress }, now)
+  else if (end.kind === 'lost' && (end.isBroken === true || end.isProcessEnded === true)) directory.recordBroken({ endpoint, bornAt, traits, progress }, now)
   else if (end.kind === 'notRun' && !end.isAnswered) directory.recordUnreachable({ endpoint, bornAt }, now)
 }
--- a/gateway/relay/test/readBody.test.ts
+++ b/gateway/relay/test/readBody.test.ts
@@ -28,6 +28,8 @@
 }
 
 const BODY_BYTES = 1024 * 1024
+/** What else the process may take between two measurements. */
+const NOISE_BYTES = BODY_BYTES / 2
 
 describe('the buffer of request bodies', () => {
   // Guards against an entry host that ends for want of heap: each chunk of a body was kept as an object of some hundred bytes.
@@ -41,7 +43,7 @@
         if (sent % 0x8000 === 0) await new Promise(resolve => setImmediate(resolve))
       }
       const takenBytes = await measureUsedBytes() - before
-      expect(takenBytes < 2.5 * BODY_BYTES ? 0 : takenBytes).toEqual(0)
+      expect(takenBytes < 2 * BODY_BYTES + NOISE_BYTES ? 0 : takenBytes).toEqual(0)
       req.end()
       expect((await read)).toEqual({ kind: 'read', body: Buffer.alloc(BODY_BYTES, 'x') })
     })
@@ -58,7 +60,7 @@
       await new Promise(resolve => setImmediate(resolve))
     }
     const takenBytes = await measureUsedBytes() - before
-    expect(takenBytes < MAX_BUFFERED_BODY_BYTES + 4 * BODY_BYTES ? 0 : takenBytes).toEqual(0)
+    expect(takenBytes < MAX_BUFFERED_BODY_BYTES + NOISE_BYTES ? 0 : takenBytes).toEqual(0)
     for (const { req } of uploads) req.end()
     expect((await Promise.all(reads)).some(({ kind }) => kind === 'noRoom')).toEqual(true)
   })
--- a/gateway/relay/test/unframed.test.ts
+++ b/gateway/relay/test/unframed.test.ts
@@ -141,7 +141,7 @@
   for (const [name, { route, body, whole, broken }] of Object.entries(ENDED_RESPONSES)) {
     for (const head of UNFRAMED_HEADS) {
       for (const [endName, idleConnections, isKilled] of [['lives on', 0, false], ['lives on, with idle connections', 2, false], ['is killed', 0, true], ['is killed, with idle connections', 2, true]] as const) {
-        // Guards against a stream that ends as complete because the process of its endpoint was killed: the kernel closes its connections in order (ORDER).
+        // Guards against a stream that ends as complete because the process of its endpoint was killed: the kernel closes its connections in order.
         it(`${isKilled ? 'does not complete' : 'completes'} ${name} if the endpoint ${endName} (${head.trim()})`, async () => {
           const first: Endpoint = await startRawEndpoint('e1', (socket, text) => {
             if (/x-id: idle/i.test(text)) {
