--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -57,6 +57,8 @@
       if (found !== undefined) found.isSilent = true
       return found !== undefined
     },
+    /** New connections are refused from now on, as by the kernel of a replica whose process has ended. */
+    stopListening: () => { server.close() },
     close: () => {
       for (const { downstream, upstream } of connections) { downstream.destroy(); upstream.destroy() }
       server.close()
