--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -14,6 +14,7 @@
 
 const ROOT = fileURLToPath(new URL('../..', import.meta.url))
 const REPLICA = fileURLToPath(new URL('./replica.mjs', import.meta.url))
+const ENGINE = fileURLToPath(new URL('./engine.mjs', import.meta.url))
 const PORTS = { caller: 8149, ready: 8141, control: 8144, peer: 7380, list: 8142, replica: 8501 }
 const ZONE = 'marmara-a'
 /** Bounds of the small deployments. */
@@ -66,7 +67,7 @@
   }
 }
 
-export async function openDeployment ({ folder, cores = 3, entries = 1, replicas = 2, routes }) {
+export async function openDeployment ({ folder, cores = 3, entries = 1, replicas = 2, engines = 0, engineOptions = {}, runtime, routes }) {
   const record = join(folder, 'record.txt')
   writeFileSync(record, '')
   const startedAt = Date.now()
@@ -107,6 +108,34 @@
   const started = []
   for (let index = 0; index < replicas; index += 1) started.push(await startReplica(index))
 
+  /** Starts a model replica. Its entry in the list shows the adapters that it has loaded, as of its latest report. */
+  async function startEngine (index) {
+    const id = `m-${index}`
+    const ip = `${net}.${200 + index}`
+    const child = fork(ENGINE, [JSON.stringify({ id, ip, port: PORTS.replica, ...engineOptions })])
+    processes.add(child)
+    const engine = { id, child, overfilled: 0 }
+    const models = [{ name: engineOptions.model, version: 1, adapters: [] }]
+    const entry = { id, service: 'llm', address: `${ip}:${PORTS.replica}`, zone: ZONE, version: 'v1', slots: 32, state: 'ready', cold_remaining_ms: 0, born: Date.now(), phase: 'mixed', models }
+    child.once('exit', (code, signal) => {
+      processes.delete(child)
+      log('model replica ended', { id, code, signal })
+    })
+    await new Promise(resolve => {
+      child.on('message', message => {
+        if (message.event === 'listening') resolve()
+        if (message.event === 'runs') runs.push(message)
+        if (message.event === 'overfilled') engine.overfilled += 1
+        if (message.event === 'holds') models[0].adapters = message.adapters
+        log(`model replica ${message.event}`, message)
+      })
+    })
+    listed.push(entry)
+    return engine
+  }
+  const startedEngines = []
+  for (let index = 0; index < engines; index += 1) startedEngines.push(await startEngine(index))
+
   const seeds = Array.from({ length: cores }, (_, index) => `${net}.${10 + index}:${PORTS.control}`).slice(0, 3)
   const nodes = new Map()
   function startNode (name, role, ip, bootstrap) {
@@ -177,7 +206,8 @@
     throw new Error(`not within ${maxMs} ms: ${what}`)
   }
 
-  const document = { version: 1, routes, services: [{ name: 'svc', health_path: '/healthz', max_connections: 96, protocol: 'h1', tls: false }], limits: LIMITS }
+  const services = [{ name: 'svc', health_path: '/healthz', max_connections: 96, protocol: 'h1', tls: false }, ...(runtime === undefined ? [] : [{ name: 'llm', health_path: '/healthz', max_connections: 230, protocol: 'h1', tls: false, runtime }])]
+  const document = { version: 1, routes, services, limits: LIMITS }
   const operate = (core, method, path, body) => send({ ip: nodes.get(core).ip, port: PORTS.control, method, path, body, timeoutMs: 3000, headers: { 'Content-Type': 'application/json' } })
 
   return {
@@ -185,6 +215,8 @@
     log,
     runs,
     replicas: started,
+    engines: startedEngines,
+    document,
     listed,
     nodes,
     operate,
