--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -221,6 +221,17 @@
     nodes,
     operate,
     until,
+    /** Kills processes at once, and starts them again after `downMs`, which is not the first start of the system. */
+    killAndRestart: async (names, downMs) => {
+      const killed = names.map(name => nodes.get(name))
+      const ended = killed.map(({ child }) => once(child, 'exit'))
+      for (const { child } of killed) child.kill('SIGKILL')
+      log('processes killed', { names })
+      await Promise.all(ended)
+      await sleep(downMs)
+      for (const { name, ip } of killed) startNode(name, name.startsWith('entry') ? 'entry' : 'core', ip, false)
+      log('processes started again', { names })
+    },
     replace: async next => {
       await until('the configuration is acknowledged', async () => (await operate('core-0', 'POST', '/config/replace', JSON.stringify(next))).status === 200)
       log('configuration acknowledged', { version: next.version })
