--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -15,7 +15,13 @@
 const ROOT = fileURLToPath(new URL('../..', import.meta.url))
 const REPLICA = fileURLToPath(new URL('./replica.mjs', import.meta.url))
 const ENGINE = fileURLToPath(new URL('./engine.mjs', import.meta.url))
-const PORTS = { caller: 8149, ready: 8141, control: 8144, peer: 7380, list: 8142, replica: 8501 }
+/** Ports, the same on all machines. Those between hosts are a range. */
+const PORTS = { caller: 0, ready: 1, control: 2, list: 3, replica: 4, peer: 5 }
+const PORT_COUNT = PORTS.peer + 16
+const FIRST_PORT = 20000
+const LAST_PORT = 30000
+/** Cases run for 120 s at most. */
+const MAX_RUN_MS = 110000
 const ZONE = 'marmara-a'
 /** Bounds of the small deployments. */
 const BOUNDS = { seed_lag_s: 3, reuse_after_s: 2, contact_ms: 3000, ack_ms: 4000, catch_up_s: 4, drain_ms: 3000, grace_s: 8, loss_slack_ms: 200, config_apply_ms: 2500, rollback_slack_ms: 250, max_extension_ms: 5000, retry_budget_ratio: 0.2, budget_window_s: 10, retry_slack: 52, recovery_s: 12, pass_ms: 200, retry_after_s: 0, fencing_enabled: true, lease_ms: 3000, thaw_ms: 300, ceiling_window_s: 5, ceiling_overage: 1.1, version_ms: 5000 }
@@ -30,6 +36,29 @@
   return line.split(' ')
 }
 
+async function isFree (port) {
+  const server = createServer()
+  server.listen(port, '127.0.0.1')
+  try {
+    await once(server, 'listening')
+    return true
+  } catch {
+    return false
+  } finally {
+    server.close()
+  }
+}
+
+/** Sets the ports to a range that nothing listens on. */
+async function choosePorts () {
+  for (let base = FIRST_PORT + process.pid % 300 * 30; ; base = base + PORT_COUNT < LAST_PORT ? base + PORT_COUNT : FIRST_PORT) {
+    const free = await Promise.all(Array.from({ length: PORT_COUNT }, (_, index) => isFree(base + index)))
+    if (!free.every(Boolean)) continue
+    for (const name of Object.keys(PORTS)) PORTS[name] += base
+    return
+  }
+}
+
 /** A proxy in front of a replica. Each of its connections can be silenced: nothing more passes, in either direction, and its end is not passed on. */
 async function openProxy (ip, target) {
   const connections = new Set()
@@ -68,6 +97,9 @@
 }
 
 export async function openDeployment ({ folder, cores = 3, entries = 1, replicas = 2, engines = 0, engineOptions = {}, runtime, routes }) {
+  await choosePorts()
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.once(signal, () => process.exit(2))
+  setTimeout(() => process.exit(2), MAX_RUN_MS).unref()
   const record = join(folder, 'record.txt')
   writeFileSync(record, '')
   const startedAt = Date.now()
