--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -59,44 +59,76 @@
   }
 }
 
-/** A proxy in front of a replica. Each of its connections can be silenced: nothing more passes, in either direction, and its end is not passed on. */
-async function openProxy (ip, target) {
+/** Bytes that pass in a tick at this rate, and the largest packet. */
+const TICK_MS = 2
+const PACKET_BYTES = 1460
+const BITS_PER_BYTE = 8
+
+/**
+ * A proxy in front of a replica, with a link of a limited rate to its clients. All connections share the link in turn, packet by
+ * packet. What a replica has written, and the end of the connection behind it, is on its way also if its process ends.
+ */
+async function openProxy (ip, target, linkMbps) {
   const connections = new Set()
+  const bytesPerTick = linkMbps * 1000 / BITS_PER_BYTE * TICK_MS
+  let credit = 0
+
+  /** Passes one packet, or the end, of a connection; returns the number of bytes. */
+  function passNext ({ queue, downstream }) {
+    const [first] = queue
+    if (first.end !== undefined) {
+      queue.shift()
+      if (first.end === 'reset') downstream.resetAndDestroy()
+      else downstream.end()
+      return 0
+    }
+    const packet = first.bytes.subarray(0, PACKET_BYTES)
+    if (packet.length === first.bytes.length) queue.shift()
+    else first.bytes = first.bytes.subarray(PACKET_BYTES)
+    downstream.write(packet)
+    return packet.length
+  }
+
+  const timer = setInterval(() => {
+    credit = Math.min(credit + bytesPerTick, 2 * bytesPerTick)
+    for (let busy = [...connections].filter(({ queue }) => queue.length > 0); busy.length > 0 && credit > 0; busy = busy.filter(({ queue }) => queue.length > 0)) {
+      for (const connection of busy) if (credit > 0) credit -= passNext(connection)
+    }
+  }, TICK_MS)
+
   const server = createServer({ allowHalfOpen: true }, downstream => {
     const upstream = connect({ host: target, port: PORTS.replica, allowHalfOpen: true })
-    const connection = { downstream, upstream, isSilent: false, carried: '' }
+    const connection = { downstream, upstream, queue: [] }
     connections.add(connection)
-    const pass = (from, to) => {
-      from.on('data', chunk => {
-        if (from === downstream) connection.carried += chunk.toString('latin1')
-        if (!connection.isSilent) to.write(chunk)
-      })
-      from.on('end', () => { if (!connection.isSilent) to.end() })
-      from.on('error', () => { if (!connection.isSilent) to.resetAndDestroy() })
-    }
-    pass(downstream, upstream)
-    pass(upstream, downstream)
-    downstream.on('close', () => { connections.delete(connection); upstream.destroy() })
+    downstream.setNoDelay(true)
+    upstream.on('data', bytes => connection.queue.push({ bytes }))
+    upstream.on('end', () => connection.queue.push({ end: 'end' }))
+    upstream.on('error', () => connection.queue.push({ end: 'reset' }))
+    downstream.on('data', bytes => upstream.write(bytes))
+    downstream.on('end', () => upstream.end())
+    downstream.on('error', () => upstream.resetAndDestroy())
+    downstream.on('close', () => {
+      connections.delete(connection)
+      upstream.destroy()
+    })
   })
   server.listen(PORTS.replica, ip)
   await once(server, 'listening')
   return {
-    /** Silences the connection that carried this text; false if there is none. */
-    silence: text => {
-      const found = [...connections].find(({ carried }) => carried.includes(text))
-      if (found !== undefined) found.isSilent = true
-      return found !== undefined
-    },
     /** New connections are refused from now on, as by the kernel of a replica whose process has ended. */
     stopListening: () => { server.close() },
     close: () => {
-      for (const { downstream, upstream } of connections) { downstream.destroy(); upstream.destroy() }
+      clearInterval(timer)
+      for (const { downstream, upstream } of connections) {
+        downstream.destroy()
+        upstream.destroy()
+      }
       server.close()
     }
   }
 }
 
-export async function openDeployment ({ folder, cores = 3, entries = 1, replicas = 2, engines = 0, engineOptions = {}, runtime, routes }) {
+export async function openDeployment ({ folder, cores = 3, entries = 1, replicas = 2, linkMbps = 1000, engines = 0, engineOptions = {}, runtime, routes }) {
   await choosePorts()
   for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.once(signal, () => process.exit(2))
   setTimeout(() => process.exit(2), MAX_RUN_MS).unref()
@@ -126,11 +158,12 @@
     const child = fork(REPLICA, [JSON.stringify({ id, ip: own, port: PORTS.replica })])
     processes.add(child)
     child.once('exit', () => processes.delete(child))
-    const proxy = await openProxy(`${net}.${100 + index}`, own)
+    const proxy = await openProxy(`${net}.${100 + index}`, own, linkMbps)
     closers.push(proxy.close)
     await new Promise(resolve => child.on('message', message => {
       if (message.event === 'listening') resolve()
-      if (message.event === 'runs') runs.push(message)
+      if (message.event === 'runs') runs.push({ ...message, written: 0 })
+      if (message.event === 'wrote') for (const run of runs) if (run.attempt === message.attempt) run.written = message.bytes
       log(`replica ${message.event}`, message)
     }))
     const entry = { id, service: 'svc', address: `${net}.${100 + index}:${PORTS.replica}`, zone: ZONE, version: 'v1', slots: 6, state: 'ready', cold_remaining_ms: 0, born: Date.now() }
@@ -230,10 +263,10 @@
     })
   }
 
-  async function until (what, check, maxMs = 30000) {
+  async function until (what, check, maxMs = 30000, pollMs = 50) {
     for (const end = Date.now() + maxMs; Date.now() < end;) {
       if (await check()) return
-      await sleep(50)
+      await sleep(pollMs)
     }
     throw new Error(`not within ${maxMs} ms: ${what}`)
   }
